--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# The one task runner. `make test` is the command that CI runs.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := policy coordination platform peers daemon cli standins
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format lint test bench demo fuzz capacity clean
+
+$(STAMP): requirements.txt $(foreach lib,$(LIBS),libs/$(lib)/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --requirement requirements.txt
+	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps \
+		$(foreach lib,$(LIBS),--editable libs/$(lib))
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: lint
+	$(BIN)/python tools/run_tests.py
+
+bench: setup
+	$(BIN)/python bench/run_bench.py
+
+demo: setup
+	$(BIN)/python tools/demo.py
+
+fuzz: setup
+	$(BIN)/python tools/fuzz.py
+
+capacity: setup
+	$(BIN)/python tools/capacity.py
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/libs/cli/gypsumusher_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The gypsumusher command-line tool."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/coordination/gypsumusher_coordination/__init__.py
@@ -0,0 +1,3 @@
+"""Coordination state machines without input or output."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/daemon/gypsumusher_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The gypsumusherd entry host daemon."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/peers/gypsumusher_peers/__init__.py
@@ -0,0 +1,3 @@
+"""Authenticated msgpack streams between the system's processes."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/platform/gypsumusher_platform/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform's object API."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/libs/policy/gypsumusher_policy/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions under load: admit, queue, refuse, place, shift."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,49 @@
+"""Run the test suite, passing over just the tests that KNOWN-RED.txt names."""
+
+import pathlib
+import sys
+
+import pytest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED_LIMIT = 3
+
+
+def read_known_red(path):
+    """Return the test ids that stand first on the lines of the known-red list.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        File with one line a test: ``test | command and seed | seen | cause | issue``.
+
+    Returns
+    -------
+    list of str
+        The pytest node ids.
+
+    Raises
+    ------
+    SystemExit
+        If there are more lines than the project allows itself.
+    """
+    lines = [line for line in path.read_text().splitlines() if line.strip()]
+    if len(lines) > KNOWN_RED_LIMIT:
+        raise SystemExit(
+            f"KNOWN-RED.txt has {len(lines)} lines; {KNOWN_RED_LIMIT} are allowed"
+        )
+    for line in lines:
+        print(f"known red: {line}")
+    return [line.split("|")[0].strip() for line in lines]
+
+
+def main():
+    """Run pytest over the workspace and return its exit code."""
+    deselected = []
+    for node_id in read_known_red(ROOT / "KNOWN-RED.txt"):
+        deselected.extend(["--deselect", node_id])
+    return pytest.main([f"--rootdir={ROOT}", *deselected, *sys.argv[1:]])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
