--- /dev/null
+++ b/libs/daemon/gypsumusher_daemon/logs.py
@@ -0,0 +1,66 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+import sys
+
+import logbook
+
+__all__ = ["create_log", "format_fields"]
+
+
+def format_fields(fields):
+    """Return ``key=value`` pairs, values quoted where they need it.
+
+    Parameters
+    ----------
+    fields : dict
+        Values by key; None values are left out. Must hold no payloads or secrets.
+
+    Returns
+    -------
+    str
+        One line.
+    """
+    parts = []
+    for key, value in fields.items():
+        if value is None:
+            continue
+        text = f"{value:.6g}" if isinstance(value, float) else str(value)
+        if not text or any(mark in text for mark in ' "=\n\r\t'):
+            escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+            escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+            text = f'"{escaped}"'
+        parts.append(f"{key}={text}")
+    return " ".join(parts)
+
+
+def create_log(host, level, stream=None):
+    """Return a function that logs one event.
+
+    Parameters
+    ----------
+    host : str
+        Name of this host; stands on each line.
+    level : str
+        Least level: debug, info, warning or error.
+    stream : file or None
+        Where lines go; standard error by default.
+
+    Returns
+    -------
+    callable
+        ``log(level, event, **fields)``.
+    """
+    handler = logbook.StreamHandler(
+        stream or sys.stderr,
+        level=level.upper(),
+        format_string="time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
+        "level={record.level_name} {record.message}",
+    )
+    logger = logbook.Logger("gypsumusherd")
+
+    def log(level_name, event, **fields):
+        line = format_fields({"event": event, "host": host, **fields})
+        with handler.applicationbound():
+            getattr(logger, level_name)("{}", line)
+
+    return log
