Add the load tool as a library: mix, open-loop run, report

An aiohttp connection limit was ruled out: it would make the load closed-loop and hide a slow system.

--- /dev/null
+++ b/libs/cli/tests/test_loadreport.py
@@ -0,0 +1,85 @@
+import pytest
+
+from gypsumusher_cli.errors import InputError
+from gypsumusher_cli.loadmix import ClassTarget, Mix
+from gypsumusher_cli.loadreport import (
+    compare_reports,
+    format_table,
+    load_report,
+    mark_doubled,
+    percentile_s,
+    save_report,
+    summarize,
+)
+from gypsumusher_cli.loadrun import Outcome
+
+MIX = Mix(7, 10.0, True, {"counter": ClassTarget(1.5, 10.0)}, {}, ())
+
+
+def outcome(number, result="served", reason="", on_time=True, non_idempotent=False):
+    return Outcome(
+        number=number,
+        stream="checks",
+        class_name="counter",
+        target="letter-models",
+        non_idempotent=non_idempotent,
+        result=result,
+        reason=reason,
+        run="yes",
+        first_token_s=0.1 * (number + 1),
+        whole_s=1.0 + number,
+        gaps_s=(0.01, 0.02),
+        output_tokens=3,
+        resumes=0,
+        refusals=0,
+        on_time=on_time,
+        fingerprint=f"f{number}",
+        request_id="r",
+    )
+
+
+OUTCOMES = [
+    outcome(0),
+    outcome(1, on_time=False),
+    outcome(2, "refused", "overloaded", on_time=False),
+    outcome(3, "lost", on_time=False),
+]
+
+
+def test_a_report_counts_each_end_and_the_goodput():
+    report = summarize(MIX, OUTCOMES, 10.0, role_changes=2)
+    item = report.classes[0]
+    assert (item.sent, item.served, item.on_time, item.lost) == (4, 2, 1, 1)
+    assert item.refused == {"overloaded": 1}
+    assert item.goodput_per_s == pytest.approx(0.1)
+    assert percentile_s(item.times["whole_answer"], 95.0) == pytest.approx(2.0, 0.01)
+    assert report.faults() == 1
+    table = format_table(report)
+    assert "refused letter-models/counter: overloaded 1" in table
+    assert "role changes 2" in table
+
+
+def test_a_saved_report_reads_back_with_its_histograms(tmp_path):
+    report = summarize(MIX, OUTCOMES, 10.0)
+    save_report(report, tmp_path / "report.json")
+    again = load_report(tmp_path / "report.json")
+    assert format_table(again) == format_table(report)
+    assert "25.0 -> 25.0" in compare_reports(report, again)
+
+
+def test_a_class_that_only_one_report_holds_is_shown_as_absent():
+    report = summarize(MIX, OUTCOMES, 10.0)
+    assert "absent" in compare_reports(report, summarize(MIX, [], 10.0))
+
+
+def test_a_file_that_is_no_report_is_refused(tmp_path):
+    (tmp_path / "other.json").write_text('{"format": "x"}')
+    for name in ("other.json", "absent.json"):
+        with pytest.raises(InputError, match="load run --save"):
+            load_report(tmp_path / name)
+
+
+def test_only_a_non_idempotent_prompt_that_ran_twice_is_doubled():
+    outcomes = [outcome(0), outcome(1, non_idempotent=True)]
+    marked = mark_doubled(outcomes, {"f0": 2, "f1": 2})
+    assert [item.result for item in marked] == ["served", "doubled"]
--- /dev/null
+++ b/libs/cli/tests/test_loadrun.py
@@ -0,0 +1,196 @@
+import asyncio
+import json
+
+import pytest
+from aiohttp import web
+
+from gypsumusher_cli.loadmix import check_mix
+from gypsumusher_cli.loadrun import LoadOptions, run_load
+
+DOCUMENT = {
+    "seed": 3,
+    "duration_s": 0.2,
+    "classes": {"counter": {"first_token_s": 5.0, "deadline_s": 10.0}},
+    "streams": {
+        "checks": {
+            "deployment": "letter-models",
+            "class": "counter",
+            "rate_per_s": 40.0,
+            "output_tokens": [3, 3],
+        }
+    },
+}
+
+
+class FakeHosts:
+    """Two entry hosts in one process; what goes wrong is set by the test."""
+
+    def __init__(self):
+        self.runners = []
+        self.addresses = []
+        self.entry_asked = 0
+        self.break_after = None
+        self.refuse = []
+        self.keys_seen = []
+        self.resumed_after = []
+
+    async def start(self, count=2):
+        for _ in range(count):
+            app = web.Application()
+            app.router.add_get("/v1/entry", self.entry)
+            app.router.add_post("/v1/keys", self.key)
+            app.router.add_post("/v1/completions", self.complete)
+            app.router.add_get("/v1/resume", self.resume)
+            app.router.add_route("*", "/v1/services/{name}/{path:.*}", self.service)
+            runner = web.AppRunner(app)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            self.runners.append(runner)
+            host, port = runner.addresses[0][:2]
+            self.addresses.append(f"{host}:{port}")
+
+    async def close(self):
+        for runner in self.runners:
+            await runner.cleanup()
+
+    async def entry(self, request):
+        self.entry_asked += 1
+        hosts = [{"name": a, "address": a, "zone": "z"} for a in self.addresses]
+        return web.json_response({"hosts": hosts, "max_age_s": 60})
+
+    async def key(self, request):
+        return web.json_response({"key": f"gk1.{len(self.keys_seen)}"})
+
+    async def complete(self, request):
+        if self.refuse:
+            error = self.refuse.pop()
+            return web.json_response({"error": error}, status=429)
+        if "Idempotency-Key" in request.headers:
+            self.keys_seen.append(request.headers["Idempotency-Key"])
+        return await self.stream(request, 0)
+
+    async def resume(self, request):
+        assert request.headers["Gypsumusher-Resume"] == "token"
+        after = int(request.headers["Last-Event-ID"])
+        self.resumed_after.append(after)
+        return await self.stream(request, after)
+
+    async def stream(self, request, after):
+        response = web.StreamResponse(headers={"Gypsumusher-Resume": "token"})
+        await response.prepare(request)
+        for number in range(after + 1, 5):
+            if number == self.break_after and not after:
+                request.transport.close()
+                return response
+            data = json.dumps({"id": "cmpl-1", "choices": [{"text": f"t{number} "}]})
+            if number == 4:
+                data = "[DONE]"
+            await response.write(f"id: {number}\ndata: {data}\n\n".encode())
+        return response
+
+    async def service(self, request):
+        body = await request.json() if request.can_read_body else None
+        return web.json_response({"echo": body})
+
+
+def run(document, prepare=None, hosts=None):
+    fake = FakeHosts()
+
+    async def whole():
+        await fake.start()
+        if prepare is not None:
+            await prepare(fake)
+        options = LoadOptions(
+            hosts=tuple(hosts or fake.addresses),
+            expected_text=lambda prompt, tokens: "t1 t2 t3 ",
+            grace_s=1.0,
+        )
+        try:
+            return await run_load(check_mix(document), options)
+        finally:
+            await fake.close()
+
+    return fake, asyncio.run(whole())
+
+
+def with_stream(**change):
+    stream = {**DOCUMENT["streams"]["checks"], **change}
+    return {**DOCUMENT, "streams": {"checks": stream}}
+
+
+def test_whole_answers_are_served_and_the_entry_answer_is_kept():
+    fake, outcomes = run(DOCUMENT)
+    assert outcomes
+    assert {item.result for item in outcomes} == {"served"}
+    assert all(item.on_time for item in outcomes)
+    assert fake.entry_asked == 1
+
+
+def test_a_broken_answer_is_resumed_from_its_last_event():
+    """An entry host dies while it streams an answer.
+
+    The caller's connection breaks after two events. It asks another host with the
+    token of the first bytes and the last event id, and gets the rest; it must not
+    begin anew, or the letter would hold its first lines twice.
+    """
+
+    async def prepare(fake):
+        fake.break_after = 3
+
+    fake, outcomes = run(DOCUMENT, prepare)
+    assert {item.result for item in outcomes} == {"served"}
+    assert all(item.resumes == 1 for item in outcomes)
+    assert set(fake.resumed_after) == {2}
+
+
+def test_a_host_that_takes_no_connection_is_passed_over():
+    async def prepare(fake):
+        await fake.runners[0].cleanup()
+
+    _, outcomes = run(DOCUMENT, prepare)
+    assert {item.result for item in outcomes} == {"served"}
+
+
+def test_non_idempotent_requests_carry_a_key():
+    fake, outcomes = run(with_stream(non_idempotent_share=1.0))
+    assert len(fake.keys_seen) == len(outcomes)
+
+
+@pytest.mark.parametrize(
+    ("error", "result"),
+    [
+        ({"code": "overloaded", "run": "no", "retry_after_s": 0.01}, "served"),
+        ({"code": "overloaded", "run": "no", "retry_after_s": None}, "refused"),
+        ({"code": "endpoint_failed", "run": "unknown", "retry_after_s": 1}, "refused"),
+        ({"code": "stopping", "run": "no", "retry_after_s": None}, "served"),
+    ],
+)
+def test_a_refused_caller_comes_back_only_when_told_to(error, result):
+    async def prepare(fake):
+        fake.refuse = [error]
+
+    _, outcomes = run(DOCUMENT, prepare)
+    refused = [item for item in outcomes if item.result == "refused"]
+    assert len(refused) == (result == "refused")
+    assert {item.result for item in outcomes} <= {"served", "refused"}
+
+
+def test_a_service_call_is_checked_against_its_echo():
+    change = {"deployment": "", "service": "counter-api", "path": "/labels"}
+    for share in (0.0, 1.0):
+        _, outcomes = run(with_stream(**change, non_idempotent_share=share))
+        assert {item.result for item in outcomes} == {"served"}
+
+
+def test_requests_that_no_host_takes_are_lost():
+    document = with_stream(rate_per_s=40.0)
+    document["classes"] = {"counter": {"first_token_s": 0.1, "deadline_s": 0.1}}
+
+    async def prepare(fake):
+        for runner in fake.runners:
+            await runner.cleanup()
+
+    _, outcomes = run(document, prepare)
+    assert outcomes
+    assert {item.result for item in outcomes} == {"lost"}
