Add the policy library's whole interface in a first simple form

Checked by a short script only (mixed and two-stage starts, retry refused for broken non-idempotent).

--- /dev/null
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -0,0 +1,96 @@
+"""Which endpoint gets a request: the least loaded few, then cache and zone.
+
+Made for lagging reports and several hosts that decide at once: each keeps its
+endpoints ordered by load, looks at the first few only, and draws between them, so
+that a decision costs the logarithm of the cell's replicas and the hosts don't all
+turn to the same idle engine.
+"""
+
+from bisect import bisect_left, insort
+
+from gypsumusher_policy.endpoints import EndpointState
+
+# Endpoints looked at for one decision, from the least loaded on.
+SHORTLIST = 4
+# Prompt processing that may wait on an engine, in seconds. More would put an urgent
+# prompt behind it on engines that process a prompt whole, less would leave the
+# engine idle for the time that a decision takes to reach it.
+PREFILL_WINDOW_S = 0.3
+# Share of the batch slots that only the first class may use: long work must never
+# take the last slots that counter checks and confirmations need.
+URGENT_SHARE = 0.1
+# A cached prefix counts as this many seconds of load for each second of prompt
+# processing that it saves, and another zone as this many seconds.
+CACHE_WORTH = 1.0
+FAR_ZONE_S = 0.01
+
+
+class EndpointIndex:
+    """The endpoints of each role, ordered by load."""
+
+    def __init__(self):
+        self.by_role = {"prefill": [], "decode": [], "mixed": []}
+
+    def add(self, state: EndpointState) -> None:
+        """Insert an endpoint."""
+        state.load_key = (state.load(), state.name, state.role)
+        insort(self.by_role[state.role], (state.load_key, state), key=_first)
+
+    def remove(self, state: EndpointState) -> None:
+        """Take an endpoint out."""
+        row = self.by_role[state.load_key[2]]
+        del row[bisect_left(row, state.load_key, key=_first)]
+        state.load_key = None
+
+    def update(self, state: EndpointState) -> None:
+        """Put an endpoint where its present load belongs."""
+        if state.load_key is None:
+            return
+        self.remove(state)
+        self.add(state)
+
+    def shortlist(self, role: str, now_s: float, tried: set[str]) -> list:
+        """Return the least loaded endpoints of a role that take work."""
+        chosen = []
+        for _, state in self.by_role[role]:
+            if state.name in tried or not state.takes_work(now_s):
+                continue
+            chosen.append(state)
+            if len(chosen) >= SHORTLIST:
+                break
+        return chosen
+
+
+def _first(pair):
+    return pair[0]
+
+
+def has_room(state: EndpointState, rank: int, kv_tokens: int) -> bool:
+    """Say whether an endpoint can take one more request of a class.
+
+    Parameters
+    ----------
+    state : EndpointState
+        The endpoint.
+    rank : int
+        Rank of the request's class; 0 may use the last slots.
+    kv_tokens : int
+        KV cache that the request needs, in tokens.
+    """
+    if state.running() == 0:
+        return True
+    if state.kv_tokens() + kv_tokens > state.kv_limit_tokens:
+        return False
+    if state.role != "decode" and state.backlog_s() >= PREFILL_WINDOW_S:
+        return False
+    if state.role == "prefill":
+        return True
+    share = 1.0 if rank == 0 else 1.0 - URGENT_SHARE
+    return state.running() < max(1.0, state.slots * share)
+
+
+def score(state: EndpointState, zone: str, cached_tokens: int) -> float:
+    """Return the cost by which the shortlisted endpoints are compared, in seconds."""
+    saved_s = CACHE_WORTH * cached_tokens / state.prefill_tokens_per_s
+    far_s = 0.0 if state.zone == zone else FAR_ZONE_S
+    return state.load() + far_s - saved_s
--- /dev/null
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -0,0 +1,514 @@
+"""The decisions of one host for one deployment, from arrival to the last token."""
+
+from collections import OrderedDict
+
+from gypsumusher_policy import admission
+from gypsumusher_policy.admission import Capacity, Work
+from gypsumusher_policy.cache_table import CacheTable
+from gypsumusher_policy.draws import make_draw
+from gypsumusher_policy.endpoints import REFUSED_PAUSE_S, EndpointState
+from gypsumusher_policy.forecast import DemandMeter
+from gypsumusher_policy.outputs import OutputEstimate
+from gypsumusher_policy.placement import EndpointIndex, has_room, score
+from gypsumusher_policy.queueing import Queued, RequestQueue
+from gypsumusher_policy.retries import RetryBudget, may_retry
+from gypsumusher_policy.types import (
+    Action,
+    DeploymentPolicy,
+    Endpoint,
+    LoadReport,
+    Refuse,
+    Request,
+    Start,
+)
+
+# Attempts of one request: an engine that refuses is passed by, but a request that
+# three engines failed is likely the cause itself.
+MAX_ATTEMPTS = 3
+# Requests whose history is kept for `Scheduler.explain`.
+MAX_EXPLAINED = 2000
+# Characters that one prefix hash covers are about 64 tokens.
+PREFIX_TOKENS = 64
+# Retry-after of a refusal for which no endpoint is known, in seconds.
+NO_ENDPOINT_RETRY_S = 2.0
+# A peer that is silent for this long no longer shares the engines; its requests have
+# ended or have been given up by then.
+PEER_SILENT_S = 10.0
+
+
+class Flight:
+    """A request from its admission to its end."""
+
+    def __init__(self, request, rank, work, output_tokens):
+        self.request = request
+        self.rank = rank
+        self.work = work
+        self.output_tokens = output_tokens
+        self.attempt = 1
+        self.tried = set()
+        self.state = None
+        self.stage = ""
+        self.prompt_tokens = 0
+        self.started_s = None
+        self.first_token_s = None
+        self.waits_decode = False
+        self.ran = "no"
+
+    def kv_tokens(self):
+        """Return the KV cache that it needs, in tokens."""
+        return self.request.prompt_tokens + int(self.output_tokens)
+
+
+class Scheduler:
+    """Admits, queues, places and retries the requests of one deployment.
+
+    It does no input or output and reads no clock: each call returns the actions that
+    it caused, and the caller carries them out.
+
+    Parameters
+    ----------
+    policy : DeploymentPolicy
+        Settings in force.
+    host : str
+        Name of this entry host.
+    zone : str
+        Its availability zone.
+    seed : int
+        Seed of its draws.
+    quarantine : Quarantine, optional
+        Consulted for each request; whoever owns it tells it of starts, ends and
+        crashes.
+    """
+
+    def __init__(
+        self,
+        policy: DeploymentPolicy,
+        host: str,
+        zone: str,
+        seed: int,
+        quarantine=None,
+    ):
+        self.policy = policy
+        self.host = host
+        self.zone = zone
+        self.quarantine = quarantine
+        self.draw = make_draw(seed)
+        self.states = {}
+        self.index = EndpointIndex()
+        self.queue = RequestQueue()
+        self.flights = {}
+        self.pending_decode = []
+        self.peers = {}
+        self.cache = CacheTable()
+        self.outputs = OutputEstimate()
+        self.meter = DemandMeter()
+        self.budget = RetryBudget(policy.retry_ratio)
+        self.explained = OrderedDict()
+        self.rates = (4000.0, 1000.0, 8)
+        self.resume_s = None
+
+    def set_policy(self, now_s: float, policy: DeploymentPolicy) -> None:
+        """Take new settings; requests already admitted keep their class."""
+        self.policy = policy
+        self.budget.ratio = policy.retry_ratio
+
+    def set_endpoints(self, now_s: float, endpoints: list[Endpoint]) -> list[Action]:
+        """Take the list of endpoints; one that is gone or leaving gets no new work.
+
+        Work that runs on a leaving endpoint goes on there to its end.
+        """
+        listed = set()
+        for endpoint in endpoints:
+            listed.add(endpoint.name)
+            state = self.states.get(endpoint.name)
+            if state is None:
+                state = self.states[endpoint.name] = EndpointState(endpoint)
+                self.index.add(state)
+                continue
+            state.leaving = endpoint.leaving
+            state.zone = endpoint.zone
+            if state.report_at_s is None:
+                state.role = endpoint.role
+                self.index.update(state)
+        for name in list(self.states):
+            if name not in listed:
+                self._drop_endpoint(name)
+        return self._dispatch(now_s)
+
+    def on_report(self, now_s: float, report: LoadReport) -> list[Action]:
+        """Take in an engine's load report."""
+        state = self.states.get(report.endpoint)
+        if state is None or not state.on_report(now_s, report):
+            return []
+        self.index.update(state)
+        self.rates = (
+            state.prefill_tokens_per_s,
+            state.decode_tokens_per_s,
+            state.slots,
+        )
+        return self._dispatch(now_s)
+
+    def on_peer_load(
+        self, now_s: float, peer: str, load: dict[str, tuple[int, int]]
+    ) -> list[Action]:
+        """Take in what a peer has in flight: requests, and prompt tokens to do."""
+        self.peers[peer] = now_s
+        self._forget_peers(now_s)
+        for name, state in self.states.items():
+            known = state.peers.get(peer)
+            new = load.get(name)
+            if new is not None:
+                new = (new[0], new[1])
+            if known == new:
+                continue
+            state.on_peer_load(peer, new)
+            self.index.update(state)
+        return self._dispatch(now_s)
+
+    def own_load(self) -> dict[str, tuple[int, int]]:
+        """Return what this host has in flight, for its peers."""
+        load = {}
+        for name, state in self.states.items():
+            if state.own_running:
+                load[name] = (state.own_running, state.own_prompt_tokens)
+        return load
+
+    def on_cache_events(
+        self, now_s: float, endpoint: str, add: list[int], remove: list[int]
+    ) -> None:
+        """Take in an engine's cache events."""
+        for prefix_hash in remove:
+            self.cache.remove(endpoint, prefix_hash)
+        for prefix_hash in add:
+            self.cache.add(endpoint, prefix_hash)
+
+    def submit(self, now_s: float, request: Request) -> list[Action]:
+        """Decide on a new request: start it, refuse it, or let it wait."""
+        flight = self._make_flight(request)
+        self.budget.on_first_attempt()
+        refusal = self._refusal(now_s, flight)
+        if refusal is not None:
+            return [self._note_refusal(now_s, refusal)]
+        self.meter.add(now_s, *flight.work)
+        self.flights[request.request_id] = flight
+        self._note(now_s, request.request_id, "admitted", queued=len(self.queue))
+        self._enqueue(flight)
+        return self._dispatch(now_s)
+
+    def on_prefill_done(self, now_s: float, request_id: str) -> list[Action]:
+        """Place the second stage of a request whose prompt has been processed."""
+        flight = self.flights.get(request_id)
+        if flight is None or flight.stage != "prefill":
+            return []
+        self._leave(flight)
+        flight.waits_decode = True
+        self.pending_decode.append(flight)
+        return self._dispatch(now_s)
+
+    def on_first_token(self, now_s: float, request_id: str) -> None:
+        """Note that the first token has come, so that the prompt is done."""
+        flight = self.flights.get(request_id)
+        if flight is None or flight.state is None:
+            return
+        flight.first_token_s = now_s
+        flight.state.own_prompt_tokens -= flight.prompt_tokens
+        flight.prompt_tokens = 0
+        self.index.update(flight.state)
+
+    def on_done(
+        self, now_s: float, request_id: str, output_tokens: int
+    ) -> list[Action]:
+        """Note that the whole answer has come."""
+        flight = self.flights.pop(request_id, None)
+        if flight is None:
+            return []
+        self._leave(flight)
+        request = flight.request
+        self.outputs.on_answer(
+            request.class_name, request.max_output_tokens, output_tokens
+        )
+        self._note(now_s, request_id, "done", output_tokens=output_tokens)
+        return self._dispatch(now_s)
+
+    def on_failed(
+        self, now_s: float, request_id: str, reason: str, ran: str
+    ) -> list[Action]:
+        """Note that an attempt failed; retry it or give its final refusal at once.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time, in seconds.
+        request_id : str
+            The request.
+        reason : {"connect", "refused", "broken", "error", "crossed", "crash"}
+            How it failed.
+        ran : {"no", "unknown"}
+            Whether anything of the attempt may have run.
+        """
+        flight = self.flights.get(request_id)
+        if flight is None:
+            return []
+        state = flight.state
+        peer = state.name if state is not None else ""
+        if state is not None:
+            flight.tried.add(state.name)
+            if reason in ("refused", "connect"):
+                state.paused_until_s = now_s + REFUSED_PAUSE_S
+                self.resume_s = state.paused_until_s
+        self._leave(flight)
+        if ran != "no":
+            flight.ran = "unknown"
+        self._note(now_s, request_id, "failed", reason=reason, ran=ran, endpoint=peer)
+        actions = []
+        if self._retries(now_s, flight, ran):
+            flight.attempt += 1
+            self._enqueue(flight)
+        else:
+            del self.flights[request_id]
+            refusal = Refuse(
+                request_id, "endpoint_failed", flight.ran, None, reason, peer
+            )
+            actions.append(self._note_refusal(now_s, refusal))
+        return actions + self._dispatch(now_s)
+
+    def cancel(self, now_s: float, request_id: str) -> list[Action]:
+        """Forget a request whose caller has gone away."""
+        flight = self.flights.pop(request_id, None)
+        if flight is None:
+            return []
+        self.queue.remove(request_id)
+        if flight.waits_decode:
+            self.pending_decode.remove(flight)
+        self._leave(flight)
+        self._note(now_s, request_id, "cancelled")
+        return self._dispatch(now_s)
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Refuse what can't be on time any longer, and place what waits."""
+        self.meter.roll(now_s)
+        return self._dispatch(now_s)
+
+    def next_wakeup_s(self) -> float | None:
+        """Return when `tick` has to be called next, or None."""
+        times = [flight.request.deadline_s for flight in self.pending_decode]
+        late_s = self.queue.next_late_s()
+        if late_s is not None:
+            times.append(late_s)
+        if self.resume_s is not None and (times or self.queue):
+            times.append(self.resume_s)
+        return min(times, default=None)
+
+    def explain(self, request_id: str) -> list[dict]:
+        """Return what was decided on a request, oldest first."""
+        return list(self.explained.get(request_id, ()))
+
+    def demand(self) -> dict:
+        """Return the arriving and the waiting work, for the steward's planner."""
+        queued_s = self.queue.total_work()
+        return {
+            "host": self.host,
+            "prefill_rate": self.meter.fast[0],
+            "decode_rate": self.meter.fast[1],
+            "prefill_slow_rate": self.meter.slow[0],
+            "decode_slow_rate": self.meter.slow[1],
+            "prefill_queued_s": queued_s.prefill_s,
+            "decode_queued_s": queued_s.decode_s,
+        }
+
+    def _make_flight(self, request):
+        classes = self.policy.classes
+        policy = classes.get(request.class_name) or classes[self.policy.default_class]
+        output_tokens = self.outputs.expect_tokens(
+            request.class_name, request.max_output_tokens
+        )
+        prefill_rate, decode_rate, _ = self.rates
+        work = Work(request.prompt_tokens / prefill_rate, output_tokens / decode_rate)
+        return Flight(request, policy.rank, work, output_tokens)
+
+    def _service_s(self, flight):
+        prefill_rate, decode_rate, slots = self.rates
+        decode_s = flight.output_tokens * slots / decode_rate
+        return flight.request.prompt_tokens / prefill_rate + decode_s
+
+    def _capacity(self):
+        """Return this host's share of the engines: its peers drain theirs as well."""
+        counts = {"prefill": 0, "decode": 0, "mixed": 0}
+        for state in self.states.values():
+            if not state.leaving:
+                counts[state.role] += 1
+        share = 1.0 / (1 + len(self.peers))
+        return Capacity(*(count * share for count in counts.values()))
+
+    def _refusal(self, now_s, flight):
+        request = flight.request
+        request_id = request.request_id
+        if self.quarantine is not None:
+            if self.quarantine.verdict(request.fingerprint) == "convicted":
+                return Refuse(request_id, "crashing_request", "no", None, "admit", "")
+        if not self.states:
+            retry_s = NO_ENDPOINT_RETRY_S
+            return Refuse(request_id, "no_endpoint", "no", retry_s, "admit", "")
+        if now_s >= request.deadline_s:
+            return Refuse(request_id, "deadline_passed", "no", None, "admit", "")
+        if not self.queue:
+            return None
+        wait_s = admission.drain_s(self.queue.ahead(flight.rank), self._capacity())
+        slack_s = request.deadline_s - now_s - self._service_s(flight)
+        if wait_s <= slack_s and len(self.queue) < admission.MAX_QUEUED:
+            return None
+        retry_s = admission.retry_after_s(wait_s, slack_s)
+        return Refuse(request_id, "overloaded", "no", retry_s, "admit", "")
+
+    def _enqueue(self, flight):
+        request = flight.request
+        latest_s = admission.latest_start_s(request.deadline_s, self._service_s(flight))
+        weight = self.policy.tenant_weights.get(request.tenant, 1.0)
+        item = Queued(request, flight.rank, flight.work, latest_s, flight.attempt)
+        self.queue.push(item, max(weight, 1e-3))
+
+    def _retries(self, now_s, flight, ran):
+        if flight.attempt >= MAX_ATTEMPTS:
+            return False
+        if now_s >= flight.request.deadline_s:
+            return False
+        if not may_retry(ran, flight.request.idempotent):
+            return False
+        return ran == "no" or self.budget.take()
+
+    def _dispatch(self, now_s):
+        """Start whatever has room now, after refusing what has become too late."""
+        if self.resume_s is not None and now_s >= self.resume_s:
+            self.resume_s = None
+        actions = self._refuse_late(now_s)
+        for flight in list(self.pending_decode):
+            start = self._place(now_s, flight, ("decode", "mixed"), "decode")
+            if start is not None:
+                self.pending_decode.remove(flight)
+                flight.waits_decode = False
+                actions.append(start)
+        for rank in list(self.queue.lanes):
+            while True:
+                item = self.queue.peek(rank)
+                if item is None:
+                    break
+                start = self._place_first(now_s, self.flights[item.request.request_id])
+                if start is None:
+                    # A lower class would take the room that this one waits for.
+                    return actions
+                self.queue.pop(rank)
+                actions.append(start)
+        return actions
+
+    def _refuse_late(self, now_s):
+        """Give the final refusal to what waits but can't be on time any longer."""
+        actions = []
+        while True:
+            item = self.queue.pop_late(now_s)
+            if item is None:
+                break
+            actions.append(self._give_up(now_s, item.request.request_id, "queue"))
+        for flight in list(self.pending_decode):
+            if now_s < flight.request.deadline_s:
+                continue
+            self.pending_decode.remove(flight)
+            # The prompt has run, so that "not run" would be false.
+            flight.ran = "unknown"
+            request_id = flight.request.request_id
+            actions.append(self._give_up(now_s, request_id, "decode"))
+        return actions
+
+    def _give_up(self, now_s, request_id, step):
+        flight = self.flights.pop(request_id)
+        wait_s = admission.drain_s(self.queue.ahead(flight.rank), self._capacity())
+        retry_s = admission.retry_after_s(wait_s, 0.0)
+        refusal = Refuse(request_id, "overloaded", flight.ran, retry_s, step, "")
+        return self._note_refusal(now_s, refusal)
+
+    def _forget_peers(self, now_s):
+        for peer, heard_s in list(self.peers.items()):
+            if now_s - heard_s < PEER_SILENT_S:
+                continue
+            del self.peers[peer]
+            for state in self.states.values():
+                state.on_peer_load(peer, None)
+                self.index.update(state)
+
+    def _place_first(self, now_s, flight):
+        roles = ["mixed"]
+        # A prompt is processed apart only where its answer can be generated after.
+        if self.index.by_role["decode"] and self._decode_room(now_s, flight):
+            roles.append("prefill")
+        return self._place(now_s, flight, roles, None)
+
+    def _decode_room(self, now_s, flight):
+        for state in self.index.shortlist("decode", now_s, flight.tried):
+            if has_room(state, flight.rank, flight.kv_tokens()):
+                return True
+        return False
+
+    def _place(self, now_s, flight, roles, stage):
+        names, parts = self.cache.longest(flight.request.prefix_hashes)
+        best, best_score = None, None
+        for role in roles:
+            for state in self.index.shortlist(role, now_s, flight.tried):
+                if not has_room(state, flight.rank, flight.kv_tokens()):
+                    continue
+                cached = parts * PREFIX_TOKENS if state.name in names else 0
+                value = score(state, self.zone, cached)
+                if best is None or value < best_score:
+                    best, best_score = state, value
+        if best is None:
+            return None
+        if stage is None:
+            stage = "prefill" if best.role == "prefill" else "whole"
+        return self._start(now_s, flight, best, stage)
+
+    def _start(self, now_s, flight, state, stage):
+        flight.state = state
+        flight.stage = stage
+        flight.started_s = now_s
+        state.own_running += 1
+        state.own_kv_tokens += flight.kv_tokens()
+        if stage != "decode":
+            flight.prompt_tokens = flight.request.prompt_tokens
+            state.own_prompt_tokens += flight.prompt_tokens
+        self.index.update(state)
+        request_id = flight.request.request_id
+        self._note(now_s, request_id, "start", endpoint=state.name, stage=stage)
+        return Start(request_id, state.name, stage, flight.rank, flight.attempt)
+
+    def _leave(self, flight):
+        state = flight.state
+        if state is None:
+            return
+        state.own_running -= 1
+        state.own_kv_tokens -= flight.kv_tokens()
+        state.own_prompt_tokens -= flight.prompt_tokens
+        flight.prompt_tokens = 0
+        flight.state = None
+        self.index.update(state)
+
+    def _drop_endpoint(self, name):
+        state = self.states.pop(name)
+        if state.load_key is not None:
+            self.index.remove(state)
+        state.leaving = True
+
+    def _note_refusal(self, now_s, refusal):
+        self._note(
+            now_s,
+            refusal.request_id,
+            "refused",
+            code=refusal.code,
+            retry_after_s=refusal.retry_after_s,
+        )
+        return refusal
+
+    def _note(self, now_s, request_id, event, **details):
+        events = self.explained.get(request_id)
+        if events is None:
+            events = self.explained[request_id] = []
+            if len(self.explained) > MAX_EXPLAINED:
+                self.explained.popitem(last=False)
+        events.append({"at_s": now_s, "event": event, **details})
