--- /dev/null
+++ b/libs/daemon/gypsumusher_daemon/engine_sessions.py
@@ -0,0 +1,107 @@
+"""HTTP sessions to engines, with every limit of the library set on purpose."""
+
+import aiohttp
+
+__all__ = ["EngineSessions"]
+
+PROBE_TIMEOUT_S = 2.0
+READ_BUFFER_BYTES = 65_536
+KEEPALIVE_S = 30.0
+
+
+class EngineSessions:
+    """The sessions by which this host talks to endpoints.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Longest wait for a connection.
+    silence_s : float
+        Longest silence within an answer.
+
+    Attributes
+    ----------
+    shared : aiohttp.ClientSession
+        Keeps connections alive, for work that may be repeated.
+    fresh : aiohttp.ClientSession
+        A new connection for each request. The library repeats idempotent methods by
+        itself on a kept-alive connection that breaks, and such a connection may
+        have been closed before it read our request. Where a request may run once
+        only, both would make its outcome unknown; a new connection has neither.
+    """
+
+    def __init__(self, connect_timeout_s, silence_s):
+        self._timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=connect_timeout_s, sock_read=silence_s
+        )
+        self.shared = None
+        self.fresh = None
+
+    async def start(self):
+        """Open the sessions."""
+        self.shared = self._session(force_close=False)
+        self.fresh = self._session(force_close=True)
+
+    async def close(self):
+        """Close the sessions and their connections."""
+        for session in (self.shared, self.fresh):
+            if session is not None:
+                await session.close()
+
+    def _session(self, force_close):
+        """Return a session without the library's limits on time and connections."""
+        extra = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
+        connector = aiohttp.TCPConnector(limit=0, force_close=force_close, **extra)
+        return aiohttp.ClientSession(
+            connector=connector,
+            timeout=self._timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            read_bufsize=READ_BUFFER_BYTES,
+            auto_decompress=False,
+            trust_env=False,
+        )
+
+    async def answers(self, address):
+        """Return whether an engine still takes connections.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+
+        Notes
+        -----
+        Tells a crash from a broken connection. Only a refused connection counts as
+        a crash: an engine that is slow to answer is no proof that it has gone.
+        """
+        try:
+            timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+            url = f"http://{address}/load"
+            async with self.fresh.get(url, timeout=timeout) as response:
+                await response.read()
+        except aiohttp.ClientConnectorError:
+            return False
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return True
+        return True
+
+    async def cancel(self, address, stream_id):
+        """Ask an engine to stop a stream that nobody will read.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+        stream_id : str
+            The stream.
+        """
+        if not stream_id:
+            return
+        try:
+            timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+            url = f"http://{address}/v1/streams/{stream_id}"
+            async with self.fresh.delete(url, timeout=timeout) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            # The engine's own retention ends the stream.
+            return
--- a/libs/daemon/gypsumusher_daemon/settings.py
+++ b/libs/daemon/gypsumusher_daemon/settings.py
@@ -1,4 +1,4 @@
-"""The daemon's settings: one checked table of every key, its unit, default and reason."""
+"""The settings of the daemon: one checked table with unit, default and reason."""
 
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -431,7 +431,9 @@
     try:
         text = Path(path).read_text()
     except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"{path}: can't be read ({error}); give a YAML file")
+        raise SettingsError(
+            f"{path}: can't be read ({error}); give a YAML file"
+        ) from error
     return check_settings(text, str(path))
 
 
@@ -448,7 +450,7 @@
     try:
         node = yaml.compose(text, Loader=yaml.SafeLoader)
     except yaml.YAMLError as error:
-        raise SettingsError(f"{name}: not YAML: {error}")
+        raise SettingsError(f"{name}: not YAML: {error}") from error
     if not isinstance(node, yaml.MappingNode):
         raise SettingsError(f"{name}: line 1: expected a mapping of sections")
     found, problems = {}, []
