--- /dev/null
+++ b/libs/cli/gypsumusher_cli/access.py
@@ -0,0 +1,157 @@
+"""Where the tool finds the system: options before environment before a YAML file."""
+
+import pathlib
+from typing import NamedTuple
+
+import yaml
+
+from gypsumusher_cli.errors import FileProblem, InputError, raise_problems
+
+OPERATORS_VARIABLE = "GYPSUMUSHER_OPERATORS"
+TOKEN_VARIABLE = "GYPSUMUSHER_TOKEN"
+CALLERS_VARIABLE = "GYPSUMUSHER_CALLERS"
+ACCESS_VARIABLE = "GYPSUMUSHER_ACCESS"
+FILE_KEYS = ("operators", "token", "callers")
+HIGHEST_PORT = 65535
+
+
+class Access(NamedTuple):
+    """Addresses (``IP:PORT``) of the hosts' two listeners, and the operators' token."""
+
+    operators: tuple[str, ...]
+    token: str
+    callers: tuple[str, ...]
+
+
+def find_access(options, environment):
+    """Work out the access from what was given, the most explicit first.
+
+    Parameters
+    ----------
+    options : dict of str to str or None
+        ``operators``, ``token``, ``callers`` and ``access`` as typed.
+    environment : mapping of str to str
+        The process's environment.
+
+    Returns
+    -------
+    Access
+        Parts that nobody gave are empty.
+
+    Raises
+    ------
+    InputError
+        If an address or the file is malformed.
+    """
+    path = options.get("access") or environment.get(ACCESS_VARIABLE)
+    stored = _read_file(path) if path else {}
+    operators = (
+        options.get("operators")
+        or environment.get(OPERATORS_VARIABLE)
+        or stored.get("operators")
+    )
+    callers = (
+        options.get("callers")
+        or environment.get(CALLERS_VARIABLE)
+        or stored.get("callers")
+    )
+    token = (
+        options.get("token")
+        or environment.get(TOKEN_VARIABLE)
+        or stored.get("token", "")
+    )
+    return Access(
+        operators=split_addresses(operators, "operators' address"),
+        token=token,
+        callers=split_addresses(callers, "callers' address"),
+    )
+
+
+def split_addresses(given, what):
+    """Return a comma-separated string or a list of addresses as a checked tuple.
+
+    Raises
+    ------
+    InputError
+        If one of them is not ``IP:PORT``.
+    """
+    if not given:
+        return ()
+    items = given.split(",") if isinstance(given, str) else list(given)
+    addresses = []
+    for item in items:
+        host, _, port = str(item).strip().rpartition(":")
+        if host and port.isdigit() and 0 < int(port) <= HIGHEST_PORT:
+            addresses.append(f"{host}:{port}")
+            continue
+        raise InputError(f"{what} {item!r} is not IP:PORT", "write e.g. 10.0.0.7:8081")
+    return tuple(addresses)
+
+
+def _read_file(path):
+    try:
+        document = yaml.safe_load(pathlib.Path(path).read_text())
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        place = " ".join(str(error).split())
+        raise InputError(
+            f"access file {path} can't be used ({place})",
+            f"write YAML with the keys {', '.join(FILE_KEYS)}",
+        ) from error
+    if not isinstance(document, dict):
+        raise InputError(
+            f"access file {path} holds {document!r}",
+            f"write YAML with the keys {', '.join(FILE_KEYS)}",
+        )
+    problems = []
+    for key, value in document.items():
+        if key not in FILE_KEYS:
+            problems.append(FileProblem(key, "is not a known key", f"use {FILE_KEYS}"))
+            continue
+        if not _is_text_or_texts(value, allow_list=key != "token"):
+            problems.append(FileProblem(key, f"is {value!r}", "write a string"))
+    raise_problems(f"access file {path}", problems)
+    return document
+
+
+def _is_text_or_texts(value, allow_list):
+    if isinstance(value, str):
+        return True
+    if not allow_list or not isinstance(value, list):
+        return False
+    return all(isinstance(item, str) for item in value)
+
+
+def require_operators(access):
+    """Check that the operators' API can be called at all.
+
+    Raises
+    ------
+    InputError
+        If the address or the token is missing.
+    """
+    if not access.operators:
+        raise InputError(
+            "no operators' address is known",
+            f"give --operators IP:PORT, set {OPERATORS_VARIABLE}, or name a file",
+        )
+    if not access.token:
+        raise InputError(
+            "no operators' token is known",
+            f"set {TOKEN_VARIABLE}, give --token, or name a file with --access",
+        )
+
+
+def require_callers(access):
+    """Check that an entry host's address for callers is known.
+
+    Raises
+    ------
+    InputError
+        If none is.
+    """
+    if access.callers:
+        return
+    raise InputError(
+        "no callers' address is known",
+        f"give --callers IP:PORT, set {CALLERS_VARIABLE}, or name a file",
+    )
--- /dev/null
+++ b/libs/cli/gypsumusher_cli/cmdline.py
@@ -0,0 +1,76 @@
+"""The gypsumusher program: its list of commands and its exit codes."""
+
+import sys
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.io.inputs.argv_input import ArgvInput
+
+from gypsumusher_cli.config_commands import (
+    ConfigHistory,
+    ConfigPatch,
+    ConfigShow,
+    ConfigValidate,
+)
+from gypsumusher_cli.drain_commands import DrainEndpoint, DrainHost
+from gypsumusher_cli.errors import EXIT_FAILED, EXIT_USAGE
+from gypsumusher_cli.load_commands import LoadCompare, LoadRunCommand
+from gypsumusher_cli.status_commands import Explain, Key, Status
+
+PROGRAM = "gypsumusher"
+VERSION = "0.1.0"
+COMMANDS = (
+    ConfigShow,
+    ConfigValidate,
+    ConfigPatch,
+    ConfigHistory,
+    Status,
+    DrainHost,
+    DrainEndpoint,
+    Explain,
+    Key,
+    LoadRunCommand,
+    LoadCompare,
+)
+
+
+def build_application():
+    """Return the application with all its commands."""
+    application = Application(PROGRAM, VERSION)
+    for command in COMMANDS:
+        application.add(command())
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    return application
+
+
+def run(arguments):
+    """Run one command line.
+
+    Parameters
+    ----------
+    arguments : list of str
+        Without the program's name.
+
+    Returns
+    -------
+    int
+        0 when it did its work, 2 for input that can't be used, else 1.
+    """
+    application = build_application()
+    try:
+        return application.run(ArgvInput([PROGRAM, *arguments]))
+    except CleoError as error:
+        words = " ".join(str(error).split())
+        print(f"{PROGRAM}: {words}; see `{PROGRAM} list`", file=sys.stderr)
+        return EXIT_USAGE
+    except Exception as error:
+        kind = type(error).__name__
+        words = " ".join(str(error).split())
+        print(f"{PROGRAM}: unexpected {kind}: {words}; please report", file=sys.stderr)
+        return EXIT_FAILED
+
+
+def main():
+    """Run the process's own command line."""
+    sys.exit(run(sys.argv[1:]))
--- a/libs/cli/gypsumusher_cli/loadrun.py
+++ b/libs/cli/gypsumusher_cli/loadrun.py
@@ -26,6 +26,8 @@
 ROUND_PAUSE_S = 0.2
 # Refusals that speak of one host only: another one may well take the request.
 HOST_ONLY_CODES = ("stopping", "not_ready")
+# How often an idempotent request is begun anew after its accepted answer was cut off.
+MOST_ANEW = 2
 # How soon to ask again for a key whose request is still running elsewhere.
 IN_PROGRESS_PAUSE_S = 0.5
 # Longest single line of an event stream; a longer one is no answer of an engine.
@@ -109,6 +111,7 @@
         self.resumes = 0
         self.refusals = 0
         self.host_refusal = None
+        self.anew = 0
 
 
 def content_fingerprint(text):
@@ -219,6 +222,14 @@
             if ended.code == "in_progress" and attempt.key:
                 await asyncio.sleep(ended.retry_after_s or IN_PROGRESS_PAUSE_S)
                 continue
+            if attempt.resume_token:
+                # The answer had begun, so this is no refusal but a broken promise,
+                # unless beginning anew mends it; nothing of the old one is kept.
+                if attempt.key or attempt.anew >= MOST_ANEW:
+                    reason = f"accepted, then {ended.code}"
+                    return _Ended("lost", reason, ended.run)
+                attempt.anew += 1
+                continue
             attempt.refusals += 1
             wait_s = ended.retry_after_s
             if not self._may_come_back(attempt, ended, wait_s):
@@ -380,7 +391,7 @@
                 return await self._refused(answer, attempt)
             body = json.loads(await answer.read())
         attempt.checker.first_token_s = self._now_s()
-        if attempt.key and body.get("echo") != {"prompt": attempt.prompt}:
+        if attempt.key and not _is_echo(body, attempt.prompt):
             return _Ended("crossed", "the echo is not this request's", "unknown")
         return _Ended("served", "", "yes")
 
@@ -427,6 +438,14 @@
     return _Ended("lost", "no final answer in time", "unknown")
 
 
+def _is_echo(body, prompt):
+    """Return whether a plain service's answer is the one to this prompt."""
+    echo = body.get("echo")
+    if isinstance(echo, str):
+        echo = json.loads(echo)
+    return echo == {"prompt": prompt}
+
+
 async def _read_refusal(answer):
     """Read a refusal; anything else with an error status counts as one too."""
     try:
--- a/libs/cli/tests/test_loadrun.py
+++ b/libs/cli/tests/test_loadrun.py
@@ -33,6 +33,7 @@
         self.refuse = []
         self.keys_seen = []
         self.resumed_after = []
+        self.forget_streams = False
 
     async def start(self, count=2):
         for _ in range(count):
@@ -74,6 +75,10 @@
         assert request.headers["Gypsumusher-Resume"] == "token"
         after = int(request.headers["Last-Event-ID"])
         self.resumed_after.append(after)
+        if self.forget_streams:
+            self.break_after = None
+            error = {"code": "endpoint_failed", "run": "unknown"}
+            return web.json_response({"error": error}, status=502)
         return await self.stream(request, after)
 
     async def stream(self, request, after):
@@ -144,6 +149,24 @@
     assert set(fake.resumed_after) == {2}
 
 
+@pytest.mark.parametrize(("share", "result"), [(0.0, "served"), (1.0, "lost")])
+def test_an_answer_that_can_t_be_resumed(share, result):
+    """The engine that held a broken answer is gone.
+
+    The resume is refused. An idempotent request begins anew and nothing of the first
+    answer is kept; a non-idempotent one may not, and counts as lost, since it had
+    been accepted.
+    """
+
+    async def prepare(fake):
+        fake.break_after = 3
+        fake.forget_streams = True
+
+    document = with_stream(non_idempotent_share=share)
+    _, outcomes = run(document, prepare)
+    assert outcomes[0].result == result
+
+
 def test_a_host_that_takes_no_connection_is_passed_over():
     async def prepare(fake):
         await fake.runners[0].cleanup()
