Add the platform client: one call a method, never a hidden repeat, within a budget

Cause: conditional writes must take effect at most once and their outcome must be told truthfully, or a host loses leases and claims that it holds. aiohttp repeats PUT and DELETE by itself when a kept-alive connection breaks.

Ruled out: a fresh connection for each write (two round trips more a write); the session's own switch is enough, and start fails if a version of aiohttp drops it.

--- a/libs/platform/gypsumusher_platform/__init__.py
+++ b/libs/platform/gypsumusher_platform/__init__.py
@@ -1,3 +1,21 @@
 """Client of the platform's object API."""
 
-__all__: list[str] = []
+from gypsumusher_platform.budget import READ, WRITE, BudgetLimits, CallBudget
+from gypsumusher_platform.client import PlatformClient, boottime_s
+from gypsumusher_platform.errors import PlatformError
+from gypsumusher_platform.types import Change, Item, ListedHost, Listing, Stored
+
+__all__ = [
+    "READ",
+    "WRITE",
+    "BudgetLimits",
+    "CallBudget",
+    "Change",
+    "Item",
+    "ListedHost",
+    "Listing",
+    "PlatformClient",
+    "PlatformError",
+    "Stored",
+    "boottime_s",
+]
