--- /dev/null
+++ b/libs/daemon/gypsumusher_daemon/endpoints.py
@@ -0,0 +1,220 @@
+"""What this host knows of the endpoints, and what it tells the schedulers of them."""
+
+from typing import NamedTuple
+
+from gypsumusher_policy import Endpoint
+
+__all__ = ["EndpointEntry", "EndpointTable"]
+
+# Polls in a row without an answer after which an endpoint gets no new work. One lost
+# poll is common under load; three take 1.5 s at the default interval.
+SILENT_POLLS_MAX = 3
+
+
+class EndpointEntry(NamedTuple):
+    """One endpoint of the platform's list.
+
+    Attributes
+    ----------
+    name, kind, group, address, zone, region : str
+        As listed; ``group`` is the deployment or service.
+    listed_leaving : bool
+        Whether the list says that it leaves.
+    """
+
+    name: str
+    kind: str
+    group: str
+    address: str
+    zone: str
+    region: str
+    listed_leaving: bool
+
+
+class EndpointTable:
+    """The endpoints, from the platform's list, their own reports, and peers.
+
+    An endpoint that leaves is learned from whichever says so first. Only the list or
+    the endpoint itself can say that it is back, so that a peer's stale word doesn't
+    keep it out.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Gets the engines of each deployment.
+    log : callable
+        Structured log.
+    """
+
+    def __init__(self, dispatcher, log):
+        self.entries = {}
+        self.roles = {}
+        self.models = {}
+        self.reports = {}
+        self.silent_polls = {}
+        self.draining = {}
+        self.crash_listeners = []
+        self._dispatcher = dispatcher
+        self._log = log
+        self._drained = set()
+        self._peer_leaving = set()
+        self._told = {}
+
+    def set_listed(self, listed):
+        """Take over the platform's list.
+
+        Parameters
+        ----------
+        listed : list of ListedHost
+            Endpoints; entry hosts in it are passed over.
+        """
+        entries = {}
+        for item in listed:
+            if item.kind not in ("engine", "service"):
+                continue
+            leaving = item.state != "live"
+            entries[item.name] = EndpointEntry(*item[:6], leaving)
+        for name, entry in entries.items():
+            old = self.entries.get(name)
+            if old is None or old.address != entry.address:
+                # A replaced endpoint begins anew: what was seen of the one before it
+                # under this name says nothing of this one.
+                self._forget(name)
+        for name in list(self.entries):
+            if name not in entries:
+                self._forget(name)
+        self.entries = entries
+        self.publish()
+
+    def set_drained(self, document):
+        """Take over the endpoints that the configuration drains.
+
+        Parameters
+        ----------
+        document : dict
+            The configuration document.
+        """
+        drained = set()
+        for section in ("deployments", "services"):
+            for group, settings in document.get(section, {}).items():
+                for name in settings.get("drain", ()):
+                    drained.add((group, name))
+        self._drained = drained
+        self.publish()
+
+    def set_peer_leaving(self, names):
+        """Take over the endpoints that peers know to be leaving.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Endpoint names.
+        """
+        names = set(names)
+        if names != self._peer_leaving:
+            self._peer_leaving = names
+            self.publish()
+
+    def on_report(self, report, models):
+        """Take over an engine's load report.
+
+        Parameters
+        ----------
+        report : LoadReport
+            The report.
+        models : list of (str, str)
+            Models it has loaded, with versions.
+        """
+        name = report.endpoint
+        changed = self.silent_polls.get(name, 0) >= SILENT_POLLS_MAX
+        changed |= self.draining.get(name, False) != report.draining
+        changed |= self.roles.get(name) != report.role
+        self.silent_polls[name] = 0
+        self.draining[name] = report.draining
+        self.roles[name] = report.role
+        self.models[name] = models
+        self.reports[name] = report
+        if changed:
+            self.publish()
+        entry = self.entries.get(name)
+        if entry is not None:
+            self._dispatcher.apply(entry.group, "on_report", report)
+
+    def on_silence(self, name):
+        """Note that an engine didn't answer a poll."""
+        count = self.silent_polls.get(name, 0) + 1
+        self.silent_polls[name] = count
+        if count == SILENT_POLLS_MAX:
+            self._log("warning", "endpoint_silent", endpoint=name, polls=count)
+            self.publish()
+
+    def on_crash(self, name):
+        """Note that an engine refuses connections after it had taken them."""
+        self._log("warning", "endpoint_crashed", endpoint=name)
+        self.silent_polls[name] = SILENT_POLLS_MAX
+        for listener in self.crash_listeners:
+            listener(name)
+        self.publish()
+
+    def find(self, name):
+        """Return an endpoint's entry, or None."""
+        return self.entries.get(name)
+
+    def group(self, kind, group):
+        """Return the endpoints of a deployment or service.
+
+        Parameters
+        ----------
+        kind : {"engine", "service"}
+            Which of the two.
+        group : str
+            Its name.
+        """
+        found = []
+        for entry in self.entries.values():
+            if entry.kind == kind and entry.group == group:
+                found.append(entry)
+        return found
+
+    def is_leaving(self, entry):
+        """Return whether an endpoint must get no new work."""
+        return (
+            entry.listed_leaving
+            or (entry.group, entry.name) in self._drained
+            or self.draining.get(entry.name, False)
+            or entry.name in self._peer_leaving
+        )
+
+    def is_silent(self, name):
+        """Return whether an endpoint has stopped answering."""
+        return self.silent_polls.get(name, 0) >= SILENT_POLLS_MAX
+
+    def publish(self):
+        """Tell each scheduler its engines, where that has changed."""
+        engines = {name: [] for name in self._dispatcher.schedulers}
+        for entry in self.entries.values():
+            if entry.kind != "engine" or entry.group not in engines:
+                continue
+            if entry.name not in self.roles:
+                # Until its first report nobody knows its role; the poll that brings
+                # it is at most one interval away.
+                continue
+            leaving = self.is_leaving(entry) or self.is_silent(entry.name)
+            role = self.roles[entry.name]
+            engines[entry.group].append(Endpoint(entry.name, entry.zone, role, leaving))
+        for group, endpoints in engines.items():
+            if self._told.get(group) == endpoints:
+                continue
+            self._told[group] = endpoints
+            self._dispatcher.apply(group, "set_endpoints", endpoints)
+
+    def _forget(self, name):
+        """Drop what was learned of an endpoint."""
+        for table in (
+            self.roles,
+            self.models,
+            self.reports,
+            self.silent_polls,
+            self.draining,
+        ):
+            table.pop(name, None)
--- a/libs/daemon/gypsumusher_daemon/exchanges.py
+++ b/libs/daemon/gypsumusher_daemon/exchanges.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import NamedTuple
 
-from gypsumusher_policy import Refuse
-
 from gypsumusher_daemon.attempts import EXTRA_EVENTS, Attempt, run_attempt
 from gypsumusher_daemon.dispatch import create_request
 from gypsumusher_daemon.refusals import (
@@ -14,6 +12,7 @@
     refusal_headers,
 )
 from gypsumusher_daemon.resume_tokens import StreamPlace, write_token
+from gypsumusher_policy import Refuse
 
 __all__ = ["Exchange", "ExchangeContext", "deliver_refusal"]
 
