--- a/libs/daemon/gypsumusher_daemon/callers.py
+++ b/libs/daemon/gypsumusher_daemon/callers.py
@@ -6,6 +6,7 @@
 
 from sanic import Sanic
 from sanic.exceptions import SanicException
+from sanic.http.constants import Stage
 from sanic.response import raw
 
 from gypsumusher_daemon.forwarding import FORWARDED_HEADER
@@ -21,7 +22,7 @@
     refusal_headers,
 )
 
-__all__ = ["create_callers_app", "send_delivery", "send_refusal"]
+__all__ = ["create_callers_app", "is_busy", "send_delivery", "send_refusal"]
 
 JSON = "application/json"
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
@@ -55,6 +56,9 @@
             "RESPONSE_TIMEOUT": RESPONSE_TIMEOUT_S,
             "KEEP_ALIVE_TIMEOUT": KEEP_ALIVE_S,
             "ACCESS_LOG": False,
+            # The library rewrites its own methods for the first app of a process
+            # and fails at the second one.
+            "TOUCHUP": False,
         }
     )
 
@@ -78,7 +82,8 @@
         return _answer_json({"key": host.mint_key(deployment)})
 
     async def find_key(request, key):
-        return _answer_json(await host.key_outcome(unquote(key)))
+        forwarded = FORWARDED_HEADER in request.headers
+        return _answer_json(await host.key_outcome(unquote(key), forwarded))
 
     async def resume(request):
         return await _resume(host, request)
@@ -112,6 +117,21 @@
     return app
 
 
+def is_busy(connection):
+    """Return whether a connection has a request or unsent bytes of an answer.
+
+    Parameters
+    ----------
+    connection : sanic.server.protocols.http_protocol.HttpProtocol
+        One connection of a listener.
+    """
+    if connection.transport is None or connection.transport.is_closing():
+        return False
+    if connection.transport.get_write_buffer_size() > 0:
+        return True
+    return connection.http is not None and connection.http.stage is not Stage.IDLE
+
+
 def _on_http_error(request, error):
     """Answer what the HTTP library itself refuses, in our own form."""
     status = getattr(error, "status_code", 500)
--- /dev/null
+++ b/libs/daemon/gypsumusher_daemon/cmdline.py
@@ -0,0 +1,83 @@
+"""The command line of gypsumusherd."""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+from gypsumusher_daemon.loop import check_no_ring, run  # isort: skip
+
+from gypsumusher_daemon.errors import GypsumusherError, StartError
+from gypsumusher_daemon.host import EntryHost
+from gypsumusher_daemon.logs import create_log, format_fields
+from gypsumusher_daemon.settings import load_settings
+
+__all__ = ["main"]
+
+EXIT_USAGE = 2
+EXIT_FAILED = 1
+
+
+def main(arguments=None):
+    """Run the daemon until it is told to stop.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Command line; the process's own by default.
+
+    Returns
+    -------
+    int
+        0 after a planned stop, 2 for bad settings, 1 when the host can't start.
+    """
+    parser = argparse.ArgumentParser(
+        prog="gypsumusherd", description="Serve one gypsumusher entry host."
+    )
+    parser.add_argument("--settings", required=True, help="YAML file of settings")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_settings(options.settings)
+    except GypsumusherError as error:
+        print(f"gypsumusherd: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if options.check:
+        print(f"{options.settings}: ok")
+        return 0
+    try:
+        return run(_serve(settings))
+    except GypsumusherError as error:
+        print(f"gypsumusherd: {error}", file=sys.stderr)
+        return EXIT_FAILED
+
+
+async def _serve(settings):
+    """Start the host, wait for a signal, stop as planned."""
+    log = create_log(settings["host.name"], settings["log.level"])
+    host = EntryHost(settings, log)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    try:
+        addresses = await host.start()
+    except OSError as error:
+        await host.close()
+        raise StartError(f"step=listen {error}; free the address") from error
+    try:
+        check_no_ring()
+    except StartError:
+        await host.close()
+        raise
+    print(format_fields({"event": "ready", **addresses}), flush=True)
+    log("info", "ready", **addresses)
+    await stop.wait()
+    await host.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libs/daemon/gypsumusher_daemon/configuration.py
+++ b/libs/daemon/gypsumusher_daemon/configuration.py
@@ -13,6 +13,7 @@
     PatchAttempt,
     PatchInvalid,
     PatchOutdated,
+    PatchUnavailable,
     PatchUnknown,
     check_document,
 )
@@ -20,12 +21,15 @@
 
 __all__ = ["HEAD_KIND", "HEAD_NAME", "SECTION_KIND", "Configuration"]
 
+PATCH_ENDS = (
+    PatchAccepted | PatchInvalid | PatchOutdated | PatchUnavailable | PatchUnknown
+)
+
 HEAD_KIND = "config"
 HEAD_NAME = "head"
 SECTION_KIND = "configsections"
 RETRY_S = 0.5
 RETRY_LIMIT_S = 5.0
-SECTION_TRIES = 20
 
 
 class Configuration:
@@ -48,28 +52,28 @@
 
     Attributes
     ----------
-    heard_platform_s : float or None
-        When the platform last answered, on the boot-time clock.
+    heard_platform_s : float
+        When the last question about the head that the platform answered was sent,
+        on the boot-time clock. A watch in which nothing changed counts as heard at
+        its end: the platform would have answered it at once.
     """
 
     def __init__(self, host, client, clock, log, watch_s, on_adopted, fetch_from_peers):
         self.replica = ConfigReplica(host)
-        self.heard_platform_s = None
+        self.heard_platform_s = float("-inf")
         self._client = client
         self._clock = clock
         self._log = log
         self._watch_s = watch_s
         self._on_adopted = on_adopted
         self._fetch_from_peers = fetch_from_peers
-        self._sections = {}
         self._fetching = {}
         self._tasks = []
 
     @property
     def number(self):
         """Number of the version in force, 0 before there is one."""
-        head = self.replica.head
-        return 0 if head is None else head["number"]
+        return self.replica.number
 
     @property
     def document(self):
@@ -79,6 +83,7 @@
     async def start(self):
         """Begin to watch the head."""
         self._tasks.append(asyncio.ensure_future(self._watch_head()))
+        self._tasks.append(asyncio.ensure_future(self._ask_again()))
 
     async def close(self):
         """Stop watching."""
@@ -99,14 +104,14 @@
 
     def section(self, section_hash):
         """Return a section that this host holds, or None."""
-        return self._sections.get(section_hash)
+        return self.replica.sections.get(section_hash)
 
     async def patch(self, base_number, patch, patch_id, author, note):
         """Try to put a patch in force.
 
         Returns
         -------
-        PatchAccepted, PatchOutdated, PatchInvalid or PatchUnknown
+        PatchAccepted, PatchInvalid, PatchOutdated, PatchUnavailable or PatchUnknown
         """
         attempt = PatchAttempt(
             base_number, patch, patch_id, author, note, check_document
@@ -114,8 +119,7 @@
         future = asyncio.get_running_loop().create_future()
 
         def on_effect(effect):
-            final = PatchAccepted | PatchOutdated | PatchInvalid | PatchUnknown
-            if isinstance(effect, final) and not future.done():
+            if isinstance(effect, PATCH_ENDS) and not future.done():
                 future.set_result(effect)
 
         runner = MachineRunner(attempt, self._client, self._clock, on_effect)
@@ -134,7 +138,6 @@
                 continue
             if isinstance(effect, Adopted):
                 self._log("info", "config_adopted", number=effect.number)
-                self._drop_old_sections()
                 self._on_adopted(effect.number, effect.document)
 
     def _fetch(self, section_hash):
@@ -147,34 +150,25 @@
 
     async def _fetch_section(self, section_hash):
         """Get a section from the platform, or else from a peer."""
-        for _ in range(SECTION_TRIES):
-            value = self._sections.get(section_hash)
-            if value is None:
-                value = await self._read_section(section_hash)
-            if value is not None:
-                self._sections[section_hash] = value
-                now_s = self._clock()
-                self._drive(self.replica.on_section(now_s, section_hash, value))
-                return
-            await asyncio.sleep(RETRY_S)
-        self._log("warning", "config_section_missing", hash=section_hash)
+        value = await self._read_section(section_hash)
+        if value is not None:
+            now_s = self._clock()
+            self._drive(self.replica.on_section(now_s, section_hash, value))
 
     async def _read_section(self, section_hash):
         """Return a section's value, or None."""
         result = await self._client.read(SECTION_KIND, section_hash, urgent=True)
         if isinstance(result, Success):
-            self.heard_platform_s = self._clock()
             stored = result.unwrap()
             if stored is not None:
                 return stored.value
         return await self._fetch_from_peers(section_hash)
 
-    def _drop_old_sections(self):
-        """Keep the sections of the version in force, for peers that ask."""
-        wanted = set(self.replica.head["sections"].values())
-        for section_hash in list(self._sections):
-            if section_hash not in wanted:
-                del self._sections[section_hash]
+    async def _ask_again(self):
+        """Ask again for sections that did not come."""
+        while True:
+            await asyncio.sleep(RETRY_S)
+            self._drive(self.replica.tick(self._clock()))
 
     async def _watch_head(self):
         """Read the head, then wait for its changes, for ever."""
@@ -195,10 +189,11 @@
 
     async def _read_head(self):
         """Read the head; return the revision to watch from, or None."""
+        sent_s = self._clock()
         result = await self._client.read(HEAD_KIND, HEAD_NAME, urgent=True)
         if not isinstance(result, Success):
             return None
-        self.heard_platform_s = self._clock()
+        self.heard_platform_s = sent_s
         stored = result.unwrap()
         if stored is None:
             return 0
--- a/libs/daemon/gypsumusher_daemon/dispatch.py
+++ b/libs/daemon/gypsumusher_daemon/dispatch.py
@@ -77,10 +77,13 @@
         This host and its availability zone.
     clock : callable
         Boot-time clock.
+    quarantine : Quarantine
+        Contents that are suspected or convicted of crashing engines.
     """
 
-    def __init__(self, host, zone, clock):
+    def __init__(self, host, zone, clock, quarantine):
         self.schedulers = {}
+        self._quarantine = quarantine
         self._host = host
         self._zone = zone
         self._clock = clock
@@ -102,7 +105,9 @@
                 self.schedulers[name].set_policy(self._clock(), policy)
                 continue
             seed = zlib.crc32(f"{self._host}/{name}".encode())
-            self.schedulers[name] = Scheduler(policy, self._host, self._zone, seed)
+            self.schedulers[name] = Scheduler(
+                policy, self._host, self._zone, seed, self._quarantine
+            )
         for name in list(self.schedulers):
             if name not in sections:
                 # Running requests keep their scheduler through their tickets' calls
--- a/libs/daemon/gypsumusher_daemon/endpoints.py
+++ b/libs/daemon/gypsumusher_daemon/endpoints.py
@@ -57,7 +57,7 @@
         self._dispatcher = dispatcher
         self._log = log
         self._drained = set()
-        self._peer_leaving = set()
+        self._peer_leaving = {}
         self._told = {}
 
     def set_listed(self, listed):
@@ -102,17 +102,19 @@
         self._drained = drained
         self.publish()
 
-    def set_peer_leaving(self, names):
-        """Take over the endpoints that peers know to be leaving.
+    def hear_leaving(self, peer, names):
+        """Take over which endpoints a peer has seen draining.
 
         Parameters
         ----------
+        peer : str
+            The peer; its newest word replaces its last one.
         names : iterable of str
             Endpoint names.
         """
-        names = set(names)
-        if names != self._peer_leaving:
-            self._peer_leaving = names
+        names = frozenset(names)
+        if self._peer_leaving.get(peer, frozenset()) != names:
+            self._peer_leaving[peer] = names
             self.publish()
 
     def on_report(self, report, models):
@@ -182,7 +184,7 @@
             entry.listed_leaving
             or (entry.group, entry.name) in self._drained
             or self.draining.get(entry.name, False)
-            or entry.name in self._peer_leaving
+            or any(entry.name in names for names in self._peer_leaving.values())
         )
 
     def is_silent(self, name):
--- a/libs/daemon/gypsumusher_daemon/exchanges.py
+++ b/libs/daemon/gypsumusher_daemon/exchanges.py
@@ -41,6 +41,8 @@
         Counters and histograms.
     history : RequestsLog
         What became of each request.
+    quarantine : Quarantine
+        Told which content runs where.
     """
 
     host: str
@@ -52,6 +54,7 @@
     endpoints: object
     metrics: object
     history: object
+    quarantine: object
 
 
 async def deliver_refusal(delivery, refusal, request_id, headers=None):
@@ -190,12 +193,7 @@
         self.place = None
         was_sent = self.sent
         self.sent = True
-        result = await run_attempt(
-            self.context.sessions,
-            attempt,
-            lambda stream_id: self._on_stream(action, attempt, stream_id),
-            self._on_events,
-        )
+        result = await self._watch_attempt(action, attempt)
         if result.reason in ("connect", "refused"):
             self.sent = was_sent
         self._note("end", endpoint=action.endpoint, reason=result.reason)
@@ -206,6 +204,28 @@
             return True
         return await self._failed(action, result)
 
+    async def _watch_attempt(self, action, attempt):
+        """Run an attempt and account for what it does to its engine."""
+        quarantine, fingerprint = self.context.quarantine, self.call.fingerprint
+        quarantine.on_start(self.context.clock(), fingerprint, action.endpoint)
+        completed = False
+        try:
+            result = await run_attempt(
+                self.context.sessions,
+                attempt,
+                lambda stream_id: self._on_stream(action, attempt, stream_id),
+                self._on_events,
+            )
+            if result.reason == "crash":
+                # Before the request counts as ended: it is one of the suspects.
+                self.context.endpoints.on_crash(action.endpoint)
+            completed = result.reason == "done"
+            return result
+        finally:
+            quarantine.on_end(
+                self.context.clock(), fingerprint, action.endpoint, completed
+            )
+
     def _create_attempt(self, action, address):
         """Return what to send for one stage of the work."""
         body = dict(self.call.body)
@@ -297,8 +317,6 @@
         self.context.metrics.attempt_failed(self.call, result.reason)
         if result.ran != "no":
             self._may_have_run = True
-        if result.reason == "crash":
-            self.context.endpoints.on_crash(action.endpoint)
         if self.delivery.head is not None:
             # The caller has the beginning of this attempt's answer. Another attempt
             # would word it differently, so the two must not be joined: the stream
--- a/libs/daemon/gypsumusher_daemon/settings.py
+++ b/libs/daemon/gypsumusher_daemon/settings.py
@@ -385,16 +385,6 @@
         "Longest time a planned stop waits for running requests; none is cut "
         "before it.",
     ),
-    Setting(
-        "config.cut_off_s",
-        "float",
-        "s",
-        8.0,
-        0.2,
-        12,
-        "How long a host serves on without hearing from the platform or most of "
-        "its peers; under the 12 s in which a change must be in force.",
-    ),
     Setting(
         "log.level",
         "str",
