Forbid the HTTP client's silent repeats towards endpoints too

Cause: a service call that may run once went out on a session of fresh connections, taken to be safe. Ruled out: a reused connection; the test's replica saw PUT twice on two connections opened one after the other for one call. aiohttp repeats GET, PUT and DELETE whenever a connection breaks without an answer, reused or not. Seen without the guard (test_call_on_a_connection_that_breaks_is_not_repeated): a second run of the call and a success in place of 'unknown'; with it one run and 'unknown'.

--- a/libs/daemon/gypsumusher_daemon/engine_sessions.py
+++ b/libs/daemon/gypsumusher_daemon/engine_sessions.py
@@ -2,6 +2,8 @@
 
 import aiohttp
 
+from gypsumusher_platform import forbid_repeats
+
 __all__ = ["EngineSessions"]
 
 PROBE_TIMEOUT_S = 2.0
@@ -24,10 +26,9 @@
     shared : aiohttp.ClientSession
         Keeps connections alive, for work that may be repeated.
     fresh : aiohttp.ClientSession
-        A new connection for each request. The library repeats idempotent methods by
-        itself on a kept-alive connection that breaks, and such a connection may
-        have been closed before it read our request. Where a request may run once
-        only, both would make its outcome unknown; a new connection has neither.
+        A new connection for each request. A kept-alive one may have been closed
+        before the endpoint read our request, which can't be told from a request
+        that ran; where a request may run once only, its outcome would be unknown.
     """
 
     def __init__(self, connect_timeout_s, silence_s):
@@ -52,7 +53,7 @@
         """Return a session without the library's limits on time and connections."""
         extra = {} if force_close else {"keepalive_timeout": KEEPALIVE_S}
         connector = aiohttp.TCPConnector(limit=0, force_close=force_close, **extra)
-        return aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             connector=connector,
             timeout=self._timeout,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -60,6 +61,8 @@
             auto_decompress=False,
             trust_env=False,
         )
+        forbid_repeats(session)
+        return session
 
     async def answers(self, address):
         """Return whether an engine still takes connections.
--- a/libs/platform/gypsumusher_platform/__init__.py
+++ b/libs/platform/gypsumusher_platform/__init__.py
@@ -3,6 +3,7 @@
 from gypsumusher_platform.budget import READ, WRITE, BudgetLimits, CallBudget
 from gypsumusher_platform.client import PlatformClient, boottime_s
 from gypsumusher_platform.errors import PlatformError
+from gypsumusher_platform.repeats import forbid_repeats
 from gypsumusher_platform.types import Change, Item, ListedHost, Listing, Stored
 
 __all__ = [
@@ -18,4 +19,5 @@
     "PlatformError",
     "Stored",
     "boottime_s",
+    "forbid_repeats",
 ]
--- a/libs/platform/gypsumusher_platform/client.py
+++ b/libs/platform/gypsumusher_platform/client.py
@@ -20,6 +20,7 @@
     UNAVAILABLE,
     PlatformError,
 )
+from gypsumusher_platform.repeats import forbid_repeats
 from gypsumusher_platform.types import Change, Item, ListedHost, Listing, Stored
 
 # A platform on the same network answers a connect within milliseconds; an address
@@ -114,7 +115,7 @@
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
         )
-        _forbid_repeats(self._session)
+        forbid_repeats(self._session)
 
     async def close(self) -> None:
         """Close the session and its connections."""
@@ -271,21 +272,6 @@
     wait_s: float = 0.0
 
 
-def _forbid_repeats(session: aiohttp.ClientSession) -> None:
-    """Switch off aiohttp's silent repeat of GET, PUT and DELETE.
-
-    Failure guarded against: a kept-alive connection breaks after the platform has
-    read a conditional PUT. aiohttp would send the PUT again on a new connection; if
-    the first took effect, the second meets our own write and reports a conflict, and
-    a lease or a claim that we hold looks like somebody else's. The attribute is
-    aiohttp's own switch (its test server uses it), without a public name: if a
-    version drops it, starting fails here rather than repeating in silence.
-    """
-    if not hasattr(session, "_retry_connection"):
-        raise RuntimeError("this aiohttp has no switch for its silent repeats")
-    session._retry_connection = False
-
-
 async def _read_limited(response: aiohttp.ClientResponse) -> bytes:
     chunks = []
     size_bytes = 0
