Add the lease and the orders of a deployment's steward

Cause: an engine must never get conflicting orders, and an order of a steward that lost its lease must have no effect, with engines that refuse old numbers and with engines that ignore them.

Weighed and ruled out: passing only the former holder from one steward to the next (a second takeover would forget the holder before last, whose order may still be on its way); the lease therefore carries open_terms until they are waited out, released or confirmed dead. Settling a refusing engine's intent by a query (a late copy could still run after the query said none); it gets the same order_id under the new term.

--- a/libs/coordination/gypsumusher_coordination/__init__.py
+++ b/libs/coordination/gypsumusher_coordination/__init__.py
@@ -47,15 +47,32 @@
     WriteDone,
     WriteObject,
 )
+from gypsumusher_coordination.lease import (
+    Authority,
+    Lease,
+    LeaseGained,
+    LeaseLost,
+    OpenTerm,
+)
 from gypsumusher_coordination.merge_patch import (
     merge_patch,
 )
+from gypsumusher_coordination.orders import (
+    OrderAnswer,
+    OrderBook,
+    OrderFailed,
+    OrderSettled,
+    QueryOrder,
+    SendOrder,
+    TermsSettled,
+)
 
 __all__ = [
     "DEPLOYMENT_DEFAULTS",
     "HOSTS_DEFAULTS",
     "SERVICE_DEFAULTS",
     "Adopted",
+    "Authority",
     "CallEvent",
     "CallFailed",
     "ClaimElsewhere",
@@ -64,7 +81,15 @@
     "ConfigReplica",
     "DeleteObject",
     "JournalSealed",
+    "Lease",
+    "LeaseGained",
+    "LeaseLost",
     "NeedSection",
+    "OpenTerm",
+    "OrderAnswer",
+    "OrderBook",
+    "OrderFailed",
+    "OrderSettled",
     "PatchAccepted",
     "PatchAttempt",
     "PatchInvalid",
@@ -72,10 +97,13 @@
     "PatchUnavailable",
     "PatchUnknown",
     "Problem",
+    "QueryOrder",
     "ReadDone",
     "ReadObject",
     "Sealed",
+    "SendOrder",
     "Stored",
+    "TermsSettled",
     "WriteConflict",
     "WriteDone",
     "WriteObject",
--- /dev/null
+++ b/libs/coordination/tests/test_lease.py
@@ -0,0 +1,251 @@
+"""The lease: one holder at a time, without comparing two hosts' clocks."""
+
+import itertools
+
+import pytest
+
+from gypsumusher_coordination import (
+    CallFailed,
+    Lease,
+    LeaseGained,
+    LeaseLost,
+    OpenTerm,
+    ReadDone,
+    ReadObject,
+    Stored,
+    WriteConflict,
+    WriteDone,
+)
+
+DURATION_S = 6.0
+
+
+class Store:
+    """The lease object, with conditional writes."""
+
+    def __init__(self):
+        self.stored = None
+        self.revisions = itertools.count(1)
+
+    def apply(self, call):
+        if isinstance(call, ReadObject):
+            return ReadDone(call.tag, self.stored)
+        if (self.stored.version if self.stored else 0) != call.if_version:
+            return WriteConflict(call.tag, self.stored)
+        self.stored = Stored(next(self.revisions), call.value)
+        return WriteDone(call.tag, self.stored.version)
+
+
+def make_lease(host):
+    nonces = (f"{host}-{number}" for number in itertools.count())
+    return Lease("d", host, f"{host}-1", DURATION_S, lambda: next(nonces))
+
+
+def run(lease, store, now_s, effects=None):
+    """Answer all calls at once; returns what the lease said."""
+    effects = lease.tick(now_s) if effects is None else effects
+    said = []
+    while effects:
+        effect = effects.pop(0)
+        if isinstance(effect, LeaseGained | LeaseLost):
+            said.append(effect)
+            continue
+        effects.extend(lease.handle(now_s, store.apply(effect)))
+    return said
+
+
+def gain(lease, store, now_s):
+    run(lease, store, now_s)
+    (gained,) = run(lease, store, now_s)
+    return gained
+
+
+def test_first_host_takes_the_lease_and_renews_it():
+    store = Store()
+    lease = make_lease("a")
+    assert gain(lease, store, 0.0) == LeaseGained(1, ())
+    for step in range(1, 200):
+        assert run(lease, store, step * 0.5) == []
+        assert lease.held(step * 0.5)
+    assert store.stored.value["term"] == 1
+    # A renewal is a third of the duration apart: 100 s take about 50.
+    assert store.stored.version <= 52
+
+
+def test_belief_counts_from_before_the_write_was_sent():
+    """Two stewards order one engine about for the second that an answer took.
+
+    The platform stalls for 5 s with a renewal; counted from the answer, the holder
+    would believe in the lease for 5 s longer than anybody else does.
+    """
+    store = Store()
+    lease = make_lease("a")
+    run(lease, store, 0.0)
+    (write,) = lease.tick(1.0)
+    (gained,) = lease.handle(6.0, store.apply(write))
+    assert isinstance(gained, LeaseGained)
+    assert lease.valid_until_s == 1.0 + DURATION_S
+    assert lease.held(6.9) and not lease.held(7.0)
+
+
+def test_answer_after_the_whole_duration_gives_no_lease():
+    store = Store()
+    lease = make_lease("a")
+    run(lease, store, 0.0)
+    (write,) = lease.tick(1.0)
+    assert lease.handle(7.5, store.apply(write)) == []
+    assert not lease.held(7.5)
+    (gained,) = run(lease, store, 7.6)
+    assert gained.term == 2
+
+
+def test_paused_holder_knows_at_its_first_look_at_the_clock():
+    store = Store()
+    lease = make_lease("a")
+    gain(lease, store, 0.0)
+    assert not lease.held(100.0)
+    assert lease.authority().valid_until_s < 100.0
+    said = run(lease, store, 100.0)
+    assert said[0] == LeaseLost(1)
+
+
+def test_nobody_takes_over_before_the_lease_was_unchanged_for_its_duration():
+    """A steward at work is pushed aside, and its orders are refused half-way.
+
+    The observer counts on its own clock, from when it first read the version that
+    stands; each renewal starts the count anew.
+    """
+    store = Store()
+    holder, observer = make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    run(observer, store, 5.0)
+    for now_s in (7.0, 9.0, 10.9):
+        assert run(observer, store, now_s) == []
+    renewed = Stored(50, {**store.stored.value, "nonce": "a-renewal"})
+    store.stored = renewed
+    assert run(observer, store, 11.1) == []
+    for now_s in (14.0, 17.0, 17.1):
+        assert run(observer, store, now_s) == []
+    (gained,) = run(observer, store, 17.3)
+    assert gained == LeaseGained(2, (OpenTerm(1, "a", "a-1"),))
+
+
+def test_two_observers_race_and_one_wins():
+    store = Store()
+    gain(make_lease("a"), store, 0.0)
+    observers = [make_lease("b"), make_lease("c")]
+    for observer in observers:
+        run(observer, store, 1.0)
+    writes = [observer.tick(8.0)[0] for observer in observers]
+    answers = [store.apply(write) for write in writes]
+    said = [
+        observer.handle(8.1, answer) for observer, answer in zip(observers, answers)
+    ]
+    assert [len(effects) for effects in said] == [1, 0]
+    assert [observer.held(8.1) for observer in observers] == [True, False]
+
+
+def test_renewal_under_way_during_a_takeover_fails_on_its_condition():
+    store = Store()
+    holder, observer = make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    run(observer, store, 0.0)
+    (renewal,) = holder.tick(5.9)
+    run(observer, store, 6.1)
+    assert observer.held(6.1)
+    assert holder.handle(6.2, store.apply(renewal)) == [LeaseLost(1)]
+    assert store.stored.value["holder"] == "b"
+
+
+@pytest.mark.parametrize("took_effect", [True, False])
+def test_lost_answer_is_settled_by_reading(took_effect):
+    """The steward's lease runs out although its renewal stands on the platform.
+
+    The answer is lost. Reading finds the renewal's nonce, and the belief counts
+    from when that renewal was sent, not from when it was read.
+    """
+    store = Store()
+    lease = make_lease("a")
+    gain(lease, store, 0.0)
+    (renewal,) = lease.tick(2.0)
+    if took_effect:
+        store.apply(renewal)
+    effects = lease.handle(3.0, CallFailed(renewal.tag, sent=True))
+    assert run(lease, store, 3.1, effects) == []
+    assert lease.valid_until_s == (8.0 if took_effect else 6.0)
+    run(lease, store, 4.0)
+    assert lease.valid_until_s == 10.0
+
+
+def test_lost_write_that_lands_late_is_still_our_own():
+    store = Store()
+    lease = make_lease("a")
+    gain(lease, store, 0.0)
+    (lost,) = lease.tick(2.0)
+    (read,) = lease.handle(2.5, CallFailed(lost.tag, sent=True))
+    lease.handle(2.6, store.apply(read))
+    (again,) = lease.tick(2.7)
+    store.apply(lost)
+    assert lease.handle(2.8, store.apply(again)) == []
+    assert lease.valid_until_s == 2.0 + DURATION_S
+
+
+def test_outage_ends_the_term_and_writes_do_not_pile_up():
+    store = Store()
+    lease = make_lease("a")
+    gain(lease, store, 0.0)
+    said = []
+    for step in range(1, 400):
+        effects = lease.tick(step * 0.5)
+        while effects:
+            effect = effects.pop(0)
+            if isinstance(effect, LeaseLost):
+                said.append((step * 0.5, effect))
+                continue
+            effects.extend(lease.handle(step * 0.5, CallFailed(effect.tag, sent=True)))
+    assert said == [(6.0, LeaseLost(1))]
+    assert len(lease._sent_s) < 20
+    (gained,) = run(lease, store, 300.0)
+    assert gained.term == 2
+
+
+def test_released_lease_is_free_at_once_and_leaves_no_open_term():
+    store = Store()
+    holder, observer = make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    assert run(holder, store, 1.0, holder.release(1.0)) == [LeaseLost(1)]
+    assert holder.released and not holder.held(1.0)
+    assert holder.tick(50.0) == []
+    run(observer, store, 1.1)
+    assert run(observer, store, 1.1) == [LeaseGained(2, ())]
+
+
+def test_release_waits_for_a_write_under_way():
+    store = Store()
+    lease = make_lease("a")
+    run(lease, store, 0.0)
+    (write,) = lease.tick(0.0)
+    assert lease.release(0.1) == []
+    assert run(lease, store, 0.2, lease.handle(0.2, store.apply(write))) == []
+    assert run(lease, store, 0.3) == []
+    assert lease.released
+    assert store.stored.value["released"]
+
+
+def test_open_terms_outlast_a_second_takeover():
+    """A steward orders an engine while the steward before last still has an order out.
+
+    The first dies unreleased; the second takes over and stops in a planned way; the
+    third sees a released lease and would not wait for the first one's late order.
+    """
+    store = Store()
+    first, second, third = make_lease("a"), make_lease("b"), make_lease("c")
+    gain(first, store, 0.0)
+    run(second, store, 0.0)
+    assert run(second, store, 7.0) == [LeaseGained(2, (OpenTerm(1, "a", "a-1"),))]
+    run(second, store, 7.5, second.release(7.5))
+    run(third, store, 8.0)
+    assert run(third, store, 8.0) == [LeaseGained(3, (OpenTerm(1, "a", "a-1"),))]
+    third.settle_terms((1,))
+    run(third, store, 11.0)
+    assert store.stored.value["open_terms"] == []
