--- a/libs/daemon/gypsumusher_daemon/metrics.py
+++ b/libs/daemon/gypsumusher_daemon/metrics.py
@@ -36,6 +36,7 @@
             Counter, "attempts_failed_total", "Failed attempts by reason"
         )
         self.refusals = self._add(Counter, "refusals_total", "Refusals by code")
+        self.orders = self._add(Counter, "orders_total", "Orders to engines by end")
         self.running = self._add(Gauge, "requests_running", "Requests now in the host")
         self.config = self._add(Gauge, "config_number", "Configuration in force")
         self.wait = self._add_histogram("queue_wait_s", "Wait before the first send")
@@ -79,6 +80,12 @@
         """Count an attempt that failed."""
         self.attempts.inc({"deployment": call.deployment, "reason": reason})
 
+    def order_settled(self, deployment, goal, state):
+        """Count an order that has ended; ``goal`` tells what it was for."""
+        kind = next(iter(goal))
+        labels = {"deployment": deployment, "goal": kind, "state": state}
+        self.orders.inc(labels)
+
     def render(self, accept):
         """Return the body and headers of the metrics page.
 
