Add the virtual-time bench with its scenarios, baselines and bound

Fake engines at the interface, entry hosts with lagging views, seeded arrivals for both users, four deciders and the clairvoyant bound.

--- /dev/null
+++ b/bench/hosts.py
@@ -0,0 +1,139 @@
+"""Entry hosts in virtual time: each decides with its own lagging view."""
+
+from typing import NamedTuple
+
+from engine_model import Job
+
+from gypsumusher_policy import Endpoint, Refuse
+
+# Between a host and an engine of the same zone, in seconds, one way.
+WIRE_S = 0.0005
+# From the prompt's end to its KV cache standing on the decode engine, in seconds.
+KV_TRANSFER_S = 0.02
+
+
+class Outcome(NamedTuple):
+    """What a caller saw of one request."""
+
+    request_id: str
+    code: str
+    at_s: float
+    first_token_s: float | None
+    retry_after_s: float | None
+
+
+class Host:
+    """One entry host: carries out its scheduler's actions against the engines."""
+
+    def __init__(self, clock, name, zone, scheduler, fleet, zone_delay_s, on_outcome):
+        self.clock = clock
+        self.name = name
+        self.zone = zone
+        self.scheduler = scheduler
+        self.fleet = fleet
+        self.zone_delay_s = zone_delay_s
+        self.on_outcome = on_outcome
+        self.arrivals = {}
+        self.first_token_s = {}
+        self.wakeup_s = None
+        self.view = {}
+        self.leaving = set()
+
+    def submit(self, arrival, request) -> None:
+        """Take a caller's request."""
+        self.arrivals[request.request_id] = (arrival, request)
+        self.run(self.scheduler.submit(self.clock.now_s, request))
+
+    def set_leaving(self, names) -> None:
+        """Hear which engines are about to change."""
+        self.leaving = set(names)
+        self.refresh()
+
+    def hear_endpoints(self, view) -> None:
+        """Hear the list of engines and their roles."""
+        self.view = view
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Give the scheduler the endpoints as this host knows them."""
+        endpoints = []
+        for name, (zone, role) in sorted(self.view.items()):
+            endpoints.append(Endpoint(name, zone, role, name in self.leaving))
+        self.run(self.scheduler.set_endpoints(self.clock.now_s, endpoints))
+
+    def tick(self) -> None:
+        """Let the scheduler do what is due."""
+        self.run(self.scheduler.tick(self.clock.now_s))
+
+    def run(self, actions) -> None:
+        """Carry out actions, then make sure that the next wake-up comes."""
+        for action in actions or ():
+            if isinstance(action, Refuse):
+                self._finish(action.request_id, action.code, action.retry_after_s)
+                continue
+            self._send(action)
+        due_s = self.scheduler.next_wakeup_s()
+        if due_s is None or (self.wakeup_s is not None and self.wakeup_s <= due_s):
+            return
+        self.wakeup_s = due_s
+        self.clock.at(due_s, self._woken)
+
+    def _woken(self):
+        if self.wakeup_s is not None and self.clock.now_s >= self.wakeup_s:
+            self.wakeup_s = None
+        self.tick()
+
+    def _delay_s(self, engine):
+        return WIRE_S + (0.0 if engine.zone == self.zone else self.zone_delay_s)
+
+    def _send(self, start):
+        engine = self.fleet[start.endpoint]
+        arrival, request = self.arrivals[start.request_id]
+        delay_s = self._delay_s(engine)
+
+        def notify(event, ran):
+            self.clock.after(delay_s, lambda: self._hear(start, event, ran))
+
+        job = Job(request, start.stage, start.priority, arrival.output_tokens, notify)
+        if start.stage == "decode":
+            delay_s += KV_TRANSFER_S
+        quarantine = self.scheduler.quarantine
+        if quarantine is not None:
+            now_s = self.clock.now_s
+            quarantine.on_start(now_s, request.fingerprint, start.endpoint)
+        self.clock.after(delay_s, lambda: engine.submit(job))
+
+    def _hear(self, start, event, ran):
+        now_s, request_id = self.clock.now_s, start.request_id
+        if event == "first_token":
+            self.first_token_s.setdefault(request_id, now_s)
+            self.scheduler.on_first_token(now_s, request_id)
+            return
+        self._tell_quarantine(start, event)
+        if event == "prefill_done":
+            self.run(self.scheduler.on_prefill_done(now_s, request_id))
+            return
+        if event == "done":
+            arrival = self.arrivals[request_id][0]
+            actions = self.scheduler.on_done(now_s, request_id, arrival.output_tokens)
+            self._finish(request_id, "done", None)
+            self.run(actions)
+            return
+        self.run(self.scheduler.on_failed(now_s, request_id, event, ran))
+
+    def _tell_quarantine(self, start, event):
+        quarantine = self.scheduler.quarantine
+        if quarantine is None:
+            return
+        now_s = self.clock.now_s
+        if event == "crash":
+            quarantine.on_crash(now_s, start.endpoint)
+            return
+        fingerprint = self.arrivals[start.request_id][1].fingerprint
+        quarantine.on_end(now_s, fingerprint, start.endpoint, event == "done")
+
+    def _finish(self, request_id, code, retry_after_s):
+        first_s = self.first_token_s.pop(request_id, None)
+        outcome = Outcome(request_id, code, self.clock.now_s, first_s, retry_after_s)
+        arrival, request = self.arrivals.pop(request_id)
+        self.on_outcome(self, arrival, request, outcome)
--- /dev/null
+++ b/bench/run_bench.py
@@ -0,0 +1,88 @@
+"""Runs the bench: JSON lines to build/bench.jsonl and plots to build/plots.
+
+``run_bench.py [--deciders a,b] [--scenarios a,b] [--users a,b] [--scale X]`` runs a
+part of it; without arguments everything runs.
+"""
+
+import argparse
+import json
+import pathlib
+import sys
+from concurrent.futures import ProcessPoolExecutor
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+
+from plots import plot_swing  # noqa: E402
+from scenarios import BY_NAME, USERS, run_scenario  # noqa: E402
+from simulation import DECIDERS  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BUILD = ROOT / "build"
+# The bench leaves most of the machine to whatever else runs on it.
+PROCESSES = 3
+SHOWN = (
+    "goodput_share",
+    "role_changes",
+    "refusals",
+    "late",
+    "failed",
+    "urgent_p95_s",
+    "urgent_on_time_share",
+    "long_on_time_share",
+    "comebacks_in",
+    "comebacks",
+    "engines_lost",
+    "innocents_lost",
+    "wasted_s",
+    "least_serving",
+)
+
+
+def run_one(job):
+    """Run one scenario in a process of the pool; return its result as a dict."""
+    user, name, decider, scale, plots = job
+    run, result = run_scenario(user, name, decider, scale)
+    if plots and run.scenario.plot and decider == "policy":
+        plot_swing(run, result, BUILD / "plots")
+    return result._asdict()
+
+
+def main(argv=None):
+    """Run what the arguments name and write the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deciders", default=",".join(DECIDERS))
+    parser.add_argument("--scenarios", default=",".join(BY_NAME))
+    parser.add_argument("--users", default=",".join(USERS))
+    parser.add_argument("--scale", type=float, default=1.0)
+    parser.add_argument("--no-plots", action="store_true")
+    options = parser.parse_args(argv)
+    jobs = []
+    for user in options.users.split(","):
+        for name in options.scenarios.split(","):
+            for decider in options.deciders.split(","):
+                plots = not options.no_plots
+                jobs.append((user, name, decider, options.scale, plots))
+    (BUILD / "plots").mkdir(parents=True, exist_ok=True)
+    shares = {}
+    with (
+        ProcessPoolExecutor(PROCESSES) as pool,
+        open(BUILD / "bench.jsonl", "w") as out,
+    ):
+        for result in pool.map(run_one, jobs):
+            print(json.dumps(result), file=out, flush=True)
+            _show(result)
+            share = result["goodput_share"]
+            shares.setdefault(result["decider"], []).append(share)
+    for decider, values in shares.items():
+        mean = sum(values) / len(values)
+        print(f"decider={decider} mean={mean:.4f} least={min(values):.4f}")
+
+
+def _show(result):
+    words = [result["user"], result["scenario"], result["decider"]]
+    words += [f"{name}={result[name]}" for name in SHOWN]
+    print(" ".join(words), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/policy/gypsumusher_policy/rollout.py
+++ b/libs/policy/gypsumusher_policy/rollout.py
@@ -1,7 +1,12 @@
 """Which engines load a version next, under the weight store's rate limit."""
 
+import math
+
 from gypsumusher_policy.types import DeploymentPolicy, LoadOrder
 
+# Share of an engine that demand may fill: above it, queues grow at each burst.
+FULL_SHARE = 0.85
+
 
 class RolloutPlanner:
     """Plans loads of one deployment's target version.
@@ -65,3 +70,17 @@
             serving -= serves
             orders.append(LoadOrder(name, *target))
         return orders
+
+
+def engines_needed(demands: list[dict]) -> int:
+    """Return how many engines the present demand needs.
+
+    Parameters
+    ----------
+    demands : list of dict
+        What each host's ``Scheduler.demand`` says.
+    """
+    need = 0.0
+    for demand in demands:
+        need += demand["prefill_rate"] + demand["decode_rate"]
+    return math.ceil(need / FULL_SHARE)
