Keep an order's earlier copy open when the engine refused its repeat

Cause: any answer to a repeat forgot the copy whose answer was lost; after 'busy' the engine still doesn't know the order, so a released lease would have promised too much. Seen by reading; test_refusal_leaves_an_earlier_copy_open fails without the change.

--- a/libs/coordination/gypsumusher_coordination/orders.py
+++ b/libs/coordination/gypsumusher_coordination/orders.py
@@ -31,6 +31,7 @@
 NONE = "none"
 BUSY = "busy"
 STALE_TERM = "stale_term"
+REFUSALS = frozenset({BUSY, STALE_TERM})
 FORGOTTEN = "the engine does not know the order"
 
 
@@ -333,8 +334,9 @@
     def _note_send(self, event: Any) -> None:
         """Forget a send that was answered, or of which no byte was written.
 
-        A send of unknown outcome is forgotten once the engine has answered a later
-        one of the same order: from then on a late copy is a repeat to it.
+        A send of unknown outcome is forgotten once the engine has taken a later one
+        of the same order: from then on a late copy is a repeat to it. A refusal
+        leaves it open, as the engine does not know the order.
         """
         is_answer = isinstance(event, OrderAnswer)
         if not is_answer and not (isinstance(event, OrderFailed) and not event.sent):
@@ -343,7 +345,7 @@
             if event.tag not in sends:
                 continue
             sends.discard(event.tag)
-            if is_answer:
+            if is_answer and event.state not in REFUSALS:
                 prefix = _send_prefix(event.engine, event.order_id)
                 sends.difference_update(
                     [tag for tag in sends if tag.startswith(prefix)]
@@ -481,7 +483,7 @@
     ) -> list[OrderEffect]:
         state.not_before_s = now_s + POLL_S
         order = state.order
-        if answer.state in {BUSY, STALE_TERM}:
+        if answer.state in REFUSALS:
             # Nothing of this copy ran; the same order is sent again later.
             return []
         if answer.order_id != order["order_id"]:
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -154,6 +154,23 @@
     assert again.order_id == send.order_id
 
 
+def test_refusal_leaves_an_earlier_copy_open():
+    """A released steward's order runs after the next steward's.
+
+    The first copy's answer was lost and the repeat was refused as busy, so that the
+    engine does not know the order: the first copy may still arrive and run.
+    """
+    steward = Steward(Store())
+    (send,) = steward.want(1.0, DECODE)
+    steward.fail(1.1, send, sent=True)
+    (again,) = steward.tick(2.0)
+    steward.answer(2.1, again, "busy")
+    assert steward.book.has_open_sends()
+    (third,) = steward.tick(3.0)
+    steward.answer(3.1, third, "accepted")
+    assert not steward.book.has_open_sends()
+
+
 def test_engine_that_crashed_in_the_middle_forgot_its_order():
     """An engine restarts in the middle of a role change and is given a second one.
 
