--- a/tools/testkit.py
+++ b/tools/testkit.py
@@ -13,6 +13,7 @@
 from processes import Process
 
 from gypsumusher_coordination.config_sections import content_hash, split_document
+from gypsumusher_platform import forbid_repeats
 from gypsumusher_standins import prompt_digest
 
 PLATFORM_TOKEN = "platform-token"
@@ -311,11 +312,12 @@
     async def __aenter__(self):
         """Open the folder and the HTTP session."""
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gypsumusher-test-"))
-        # Each call on a connection of its own: the library repeats some methods on a
-        # connection that breaks, which would hide what a caller sees.
+        # The library repeats some methods when a connection breaks, which would hide
+        # what a caller sees.
         connector = aiohttp.TCPConnector(limit=0, force_close=True)
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         self.session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        forbid_repeats(self.session)
         return self
 
     async def __aexit__(self, kind, error, trace):
