--- a/libs/cli/gypsumusher_cli/loadrun.py
+++ b/libs/cli/gypsumusher_cli/loadrun.py
@@ -381,7 +381,9 @@
         # A call that may be repeated is a GET; one that may not is a POST with a key.
         if attempt.key:
             request = self._session.post(
-                url, json={"prompt": attempt.prompt}, headers=headers
+                url,
+                data=_sent_content(attempt).encode(),
+                headers={**headers, "Content-Type": "application/json"},
             )
         else:
             request = self._session.get(url, headers=headers)
@@ -425,7 +427,7 @@
             resumes=attempt.resumes,
             refusals=attempt.refusals,
             on_time=on_time,
-            fingerprint=content_fingerprint(attempt.prompt),
+            fingerprint=content_fingerprint(_sent_content(attempt)),
             request_id=attempt.request_id,
         )
 
@@ -438,6 +440,13 @@
     return _Ended("lost", "no final answer in time", "unknown")
 
 
+def _sent_content(attempt):
+    """Return what endpoints count runs by: the prompt, or a service call's body."""
+    if attempt.stream.service:
+        return json.dumps({"prompt": attempt.prompt})
+    return attempt.prompt
+
+
 def _is_echo(body, prompt):
     """Return whether a plain service's answer is the one to this prompt."""
     echo = body.get("echo")
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,163 @@
+"""Run the whole path on loopback: stand-ins, three daemons, a load, a planned stop."""
+
+import asyncio
+import pathlib
+import sys
+
+from testkit import DEPLOYMENT, OPERATOR_TOKEN, Fleet, merged
+
+from gypsumusher_cli import (
+    LoadOptions,
+    format_table,
+    mark_doubled,
+    read_mix,
+    run_load,
+    summarize,
+)
+from gypsumusher_cli.access import Access
+from gypsumusher_cli.client import OperatorsClient
+from gypsumusher_cli.commands import body_of
+from gypsumusher_cli.config_commands import send_patch
+from gypsumusher_cli.load_commands import format_progress
+from gypsumusher_standins import expected_text
+
+MIX_PATH = pathlib.Path(__file__).with_name("demo_load.yaml")
+# Times the stand-ins' own speed: long bundles then take seconds, not a minute.
+ENGINE_SPEED = 2
+BULK = {"rank": 2, "first_token_s": 30.0, "between_tokens_s": 0.5, "deadline_s": 600}
+LETTER_MODELS = merged(DEPLOYMENT, {"classes": {"bulk": BULK}, "shifting": True})
+# Its engines take an order with any fencing number; their own limit on an open
+# connection is what keeps a stale order out.
+USHER_LLM = merged(LETTER_MODELS, {"model": "usher-13b", "fencing": "ignores"})
+DOCUMENT = {
+    "deployments": {"letter-models": LETTER_MODELS, "usher-llm": USHER_LLM},
+    "services": {"counter-api": {}},
+    "hosts": {},
+}
+HOSTS = (("host-a", "suwon-a"), ("host-b", "suwon-a"), ("host-c", "suwon-b"))
+
+
+class System:
+    """The demo's processes, by kind."""
+
+    def __init__(self, hosts, engines, services, platform):
+        self.hosts = hosts
+        self.engines = engines
+        self.services = services
+        self.platform = platform
+
+
+def say(text):
+    """Print a line at once."""
+    print(text, flush=True)
+
+
+async def start_system(fleet):
+    """Start everything and put the configuration in force.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Empty.
+
+    Returns
+    -------
+    System
+    """
+    platform = await fleet.start_platform()
+    engines = [
+        await fleet.start_engine("engine-1", speed=ENGINE_SPEED),
+        await fleet.start_engine("engine-2", speed=ENGINE_SPEED, zone="suwon-b"),
+        await fleet.start_engine(
+            "engine-3",
+            speed=ENGINE_SPEED,
+            deployment="usher-llm",
+            model="usher-13b",
+            fencing="ignores",
+        ),
+    ]
+    services = [await fleet.start_service("counter-1")]
+    hosts = [await fleet.start_host(name, zone=zone) for name, zone in HOSTS]
+    await put_configuration(hosts[0])
+    await fleet.wait_until_served(hosts, len(engines))
+    return System(hosts, engines, services, platform)
+
+
+async def put_configuration(host):
+    """Put the document in force by a patch against number 0, as an operator does."""
+    access = Access((host.addresses["operators"],), OPERATOR_TOKEN, ())
+    client = OperatorsClient(access)
+    await client.start()
+    try:
+        answer = await send_patch(client, 0, DOCUMENT, "demo", "first configuration")
+        say(f"configuration number {body_of(answer)['number']} is accepted")
+    finally:
+        await client.close()
+
+
+async def count_runs(system):
+    """Return how often endpoints ran each content, and the engines' role changes."""
+    runs = {}
+    role_changes = 0
+    for engine in system.engines:
+        counters = await engine.counters()
+        add_counts(runs, counters["prompts"])
+        for order in counters["orders"]:
+            role_changes += "role" in order["goal"]
+    for service in system.services:
+        add_counts(runs, (await service.counters())["bodies"])
+    return runs, role_changes
+
+
+def add_counts(total, counts):
+    """Add counts to a total."""
+    for name, count in counts.items():
+        total[name] = total.get(name, 0) + count
+
+
+async def stop_system(system):
+    """Stop everything in a planned way; return the names of what did not end well."""
+    failed = []
+    for process in [
+        *system.hosts,
+        *system.engines,
+        *system.services,
+        system.platform,
+    ]:
+        exit_code = await process.terminate_and_wait()
+        if exit_code != 0:
+            failed.append(f"{process.name} (exit code {exit_code})")
+    return failed
+
+
+async def run_demo():
+    """Run the demo and return its exit code."""
+    mix = read_mix(MIX_PATH)
+    async with Fleet() as fleet:
+        say("starting the platform, three engines, a plain service and three daemons")
+        system = await start_system(fleet)
+        addresses = tuple(host.addresses["callers"] for host in system.hosts)
+        say(
+            f"load: {mix.duration_s:g} s, seed {mix.seed}, hosts {', '.join(addresses)}"
+        )
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        outcomes = await run_load(
+            mix,
+            LoadOptions(addresses, "suwon-a", expected_text),
+            lambda progress: say("  " + format_progress(progress)),
+        )
+        elapsed_s = loop.time() - started_s
+        runs, role_changes = await count_runs(system)
+        say("stopping every process in a planned way")
+        failed = await stop_system(system)
+    report = summarize(mix, mark_doubled(outcomes, runs), elapsed_s, role_changes)
+    say("")
+    say(format_table(report))
+    for name in failed:
+        say(f"did not stop in a planned way: {name}")
+    return 1 if failed or report.faults() else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run_demo()))
