Let more than the gossip's lag of prompt work wait on an engine

Cause: hosts hear of each other's work 0.35 s late, so that a window of 0.3 s left the prefill engines idle between a completion and the peers' next start. Raised to 1.0 s.

--- a/libs/policy/gypsumusher_policy/placement.py
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -15,7 +15,7 @@
 # Prompt processing that may wait on an engine, in seconds. More would put an urgent
 # prompt behind it on engines that process a prompt whole, less would leave the
 # engine idle for the time that a decision takes to reach it.
-PREFILL_WINDOW_S = 0.3
+PREFILL_WINDOW_S = 1.0
 # Share of the batch slots that only the first class may use: long work must never
 # take the last slots that counter checks and confirmations need.
 URGENT_SHARE = 0.1
