Process prompts apart also where mixed engines generate

Cause: a prompt was processed apart only while an engine of role decode stood, so that the prefill engines idled with a full queue when the planner kept one mixed engine.

--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -437,14 +437,15 @@
     def _place_first(self, now_s, flight):
         roles = ["mixed"]
         # A prompt is processed apart only where its answer can be generated after.
-        if self.index.by_role["decode"] and self._decode_room(now_s, flight):
+        if self._decode_room(now_s, flight):
             roles.append("prefill")
         return self._place(now_s, flight, roles, None)
 
     def _decode_room(self, now_s, flight):
-        for state in self.index.shortlist("decode", now_s, flight.tried):
-            if has_room(state, flight.rank, flight.kv_tokens()):
-                return True
+        for role in ("decode", "mixed"):
+            for state in self.index.shortlist(role, now_s, flight.tried):
+                if has_room(state, flight.rank, flight.kv_tokens()):
+                    return True
         return False
 
     def _place(self, now_s, flight, roles, stage):
