--- a/libs/policy/gypsumusher_policy/forecast.py
+++ b/libs/policy/gypsumusher_policy/forecast.py
@@ -4,7 +4,7 @@
 
 # Time constants of the two averages, in seconds: the fast one follows a swing within
 # a few seconds, the slow one tells a swing from a burst.
-FAST_S = 20.0
+FAST_S = 5.0
 SLOW_S = 60.0
 
 
