--- a/libs/standins/gypsumusher_standins/platform.py
+++ b/libs/standins/gypsumusher_standins/platform.py
@@ -40,6 +40,7 @@
         self.reads = TokenBucket(reads_per_s, now_s)
         self.calls = {}
         self.throttled = 0
+        self.held = {}
         self.changed = asyncio.Event()
         self.host_lists = [(-math.inf, {})]
         self.settings = {
@@ -53,6 +54,8 @@
             "list_lag_s": list_lag_s,
             "hang": False,
             "hang_clients": [],
+            "answer_delay_s": 0.0,
+            "delay_kind": None,
         }
 
     def wake(self):
@@ -116,15 +119,19 @@
     return request.path.startswith("/v1/hosts") and request.method != "GET"
 
 
-async def wait_while_hung(state, client):
+async def wait_while_hung(state, client, heading):
     """Hold a call while the platform hangs, for all clients or for this one.
 
     A held write takes effect when the hang ends, even if its caller gave up: that is
     how a late write appears to a client.
     """
     settings = state.settings
+    if not settings["hang"] and client not in settings["hang_clients"]:
+        return
+    state.held[heading] = state.held.get(heading, 0) + 1
     while settings["hang"] or client in settings["hang_clients"]:
         await state.changed.wait()
+    state.held[heading] -= 1
 
 
 @web.middleware
@@ -140,17 +147,17 @@
     client = request.headers.get("X-Client-Name", "")
     verb = verb_of(request)
     kind = request.match_info.get("kind")
+    is_write = verb in {"PUT", "DELETE"}
     state.count_call(client, verb)
     # The body is read before a fault strikes, as by a server that died afterwards.
     await request.read()
     if state.settings["latency_s"]:
         await asyncio.sleep(state.settings["latency_s"])
-    await wait_while_hung(state, client)
+    await wait_while_hung(state, client, kind if is_write else verb)
     if state.is_cut(client) or state.spend("drop_calls", kind):
         return close_connection(request)
     if state.settings["outage"]:
         return error(503, "outage")
-    is_write = verb in {"PUT", "DELETE"}
     bucket = state.writes if is_write else state.reads
     wait_s = bucket.take(asyncio.get_running_loop().time())
     if wait_s > 0:
@@ -159,6 +166,8 @@
         response.headers["Retry-After"] = str(math.ceil(wait_s))
         return response
     response = await handler(request)
+    if is_write and state.settings["delay_kind"] in {None, kind}:
+        await asyncio.sleep(state.settings["answer_delay_s"])
     if state.is_cut(client):
         return close_connection(request)
     if is_write and response.status == 200 and state.spend("lose_answers", kind):
@@ -295,6 +304,7 @@
         "settings": state.settings,
         "calls": state.calls,
         "throttled": state.throttled,
+        "held": state.held,
         "objects": state.store.count(),
         "revision": state.store.revision,
     }
