Plan roles for the demand that will be served, class by class

Cause: under overload the backlog of the lowest class, mostly prompts, drew engines to prefill, while the classes served before it lacked decode engines: decode ran full and prefill idled at half. The planner now takes the classes in the order of their rank up to the fleet's size, and counts work that waits for its second stage.

--- a/libs/policy/gypsumusher_policy/forecast.py
+++ b/libs/policy/gypsumusher_policy/forecast.py
@@ -2,26 +2,24 @@
 
 import math
 
-# Time constants of the two averages, in seconds: the fast one follows a swing within
-# a few seconds, the slow one tells a swing from a burst.
+# Time constant of the average, in seconds: it follows a swing within a few seconds.
 FAST_S = 5.0
-SLOW_S = 60.0
 
 
 class DemandMeter:
-    """Averages of the arriving work, in engine seconds for each second."""
+    """Averages of the arriving work of each class, in engine seconds a second."""
 
     def __init__(self):
         self.at_s = None
-        self.pending = [0.0, 0.0]
-        self.fast = [0.0, 0.0]
-        self.slow = [0.0, 0.0]
+        self.pending = {}
+        self.rates = {}
 
-    def add(self, now_s: float, prefill_s: float, decode_s: float) -> None:
+    def add(self, now_s: float, rank: int, prefill_s: float, decode_s: float) -> None:
         """Count the work of an arriving request."""
         self.roll(now_s)
-        self.pending[0] += prefill_s
-        self.pending[1] += decode_s
+        known = self.pending.get(rank, (0.0, 0.0))
+        self.pending[rank] = (known[0] + prefill_s, known[1] + decode_s)
+        self.rates.setdefault(rank, (0.0, 0.0))
 
     def roll(self, now_s: float) -> None:
         """Take the time since the last second into the averages."""
@@ -32,12 +30,10 @@
         if span_s < 1.0:
             return
         self.at_s = now_s
-        for kind in (0, 1):
-            rate = self.pending[kind] / span_s
-            self.pending[kind] = 0.0
-            self.fast[kind] += _weight(span_s, FAST_S) * (rate - self.fast[kind])
-            self.slow[kind] += _weight(span_s, SLOW_S) * (rate - self.slow[kind])
-
-
-def _weight(span_s, constant_s):
-    return 1.0 - math.exp(-span_s / constant_s)
+        weight = 1.0 - math.exp(-span_s / FAST_S)
+        for rank, known in self.rates.items():
+            seen = self.pending.get(rank, (0.0, 0.0))
+            prefill = known[0] + weight * (seen[0] / span_s - known[0])
+            decode = known[1] + weight * (seen[1] / span_s - known[1])
+            self.rates[rank] = (prefill, decode)
+        self.pending.clear()
--- a/libs/policy/gypsumusher_policy/queueing.py
+++ b/libs/policy/gypsumusher_policy/queueing.py
@@ -166,13 +166,6 @@
                 total = add_work(total, work)
         return total
 
-    def total_work(self) -> Work:
-        """Return all work that waits."""
-        total = NO_WORK
-        for work in self.work_by_rank.values():
-            total = add_work(total, work)
-        return total
-
     def _forget(self, item):
         del self.live[item.request.request_id]
         known = self.work_by_rank[item.rank]
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -189,7 +189,7 @@
         refusal = self._refusal(now_s, flight)
         if refusal is not None:
             return [self._note_refusal(now_s, refusal)]
-        self.meter.add(now_s, *flight.work)
+        self.meter.add(now_s, flight.rank, *flight.work)
         self.flights[request.request_id] = flight
         self._note(now_s, request.request_id, "admitted", queued=len(self.queue))
         self._enqueue(flight)
@@ -263,6 +263,7 @@
         actions = []
         if self._retries(now_s, flight, ran):
             flight.attempt += 1
+            self._forgive(flight, peer)
             self._enqueue(flight)
         else:
             del self.flights[request_id]
@@ -305,15 +306,19 @@
 
     def demand(self) -> dict:
         """Return the arriving and the waiting work, for the steward's planner."""
-        queued_s = self.queue.total_work()
+        classes = []
+        for rank, (prefill, decode) in sorted(self.meter.rates.items()):
+            queued = self.queue.work_by_rank.get(rank, Work(0.0, 0.0))
+            decode_s = queued.decode_s
+            for flight in self.pending_decode:
+                if flight.rank == rank:
+                    decode_s += flight.work.decode_s
+            classes.append([rank, prefill, decode, queued.prefill_s, decode_s])
         return {
             "host": self.host,
-            "prefill_rate": self.meter.fast[0],
-            "decode_rate": self.meter.fast[1],
-            "prefill_slow_rate": self.meter.slow[0],
-            "decode_slow_rate": self.meter.slow[1],
-            "prefill_queued_s": queued_s.prefill_s,
-            "decode_queued_s": queued_s.decode_s,
+            "prefill_rate": sum(item[1] for item in classes),
+            "decode_rate": sum(item[2] for item in classes),
+            "classes": classes,
         }
 
     def _make_flight(self, request):
@@ -346,7 +351,7 @@
         if self.quarantine is not None:
             if self.quarantine.verdict(request.fingerprint) == "convicted":
                 return Refuse(request_id, "crashing_request", "no", None, "admit", "")
-        if not self.states:
+        if all(state.leaving for state in self.states.values()):
             retry_s = NO_ENDPOINT_RETRY_S
             return Refuse(request_id, "no_endpoint", "no", retry_s, "admit", "")
         if now_s >= request.deadline_s:
@@ -367,6 +372,18 @@
         item = Queued(request, flight.rank, flight.work, latest_s, flight.attempt)
         self.queue.push(item, max(weight, 1e-3))
 
+    def _forgive(self, flight, last):
+        """Let a request go back to endpoints that failed it when no other is left.
+
+        Failure guarded against: in a deployment of two engines both fail a request;
+        with nowhere to go it waits at the head of its class until its deadline, and
+        everything behind it waits too. Only the last one stays out, if it can.
+        """
+        usable = {state.name for state in self.states.values() if not state.leaving}
+        if usable - flight.tried:
+            return
+        flight.tried = {last} if len(usable) > 1 else set()
+
     def _retries(self, now_s, flight, ran):
         if flight.attempt >= MAX_ATTEMPTS:
             return False
--- a/libs/policy/gypsumusher_policy/shifting.py
+++ b/libs/policy/gypsumusher_policy/shifting.py
@@ -73,6 +73,37 @@
     return sum(max(0, after - before) for before, after in zip(old, new))
 
 
+def served_demand(demands: list[dict], engines: int) -> tuple[float, float]:
+    """Return the demand that the fleet will come to serve, in engines.
+
+    Classes are served in the order of their rank. When they want more than there is,
+    the lowest are refused or wait, and their backlog must not draw engines to a role
+    in which the classes before them have no use for them.
+
+    Parameters
+    ----------
+    demands : list of dict
+        What each host's ``Scheduler.demand`` says.
+    engines : int
+        Engines of the deployment.
+    """
+    by_rank = {}
+    for demand in demands:
+        for rank, prefill, decode, prefill_s, decode_s in demand["classes"]:
+            known = by_rank.get(rank, (0.0, 0.0))
+            by_rank[rank] = (
+                known[0] + prefill + prefill_s / BACKLOG_S,
+                known[1] + decode + decode_s / BACKLOG_S,
+            )
+    total_prefill = total_decode = 0.0
+    for _, (prefill, decode) in sorted(by_rank.items()):
+        room = engines - total_prefill - total_decode
+        part = min(1.0, room / max(prefill + decode, 1e-9))
+        total_prefill += part * prefill
+        total_decode += part * decode
+    return total_prefill, total_decode
+
+
 class ShiftPlanner:
     """Plans the role changes of one deployment; its steward asks it.
 
@@ -110,7 +141,7 @@
         # everything, and the first change may already be enough.
         if not self.policy.shifting or busy or not demands:
             return []
-        prefill, decode = self._total(demands)
+        prefill, decode = served_demand(demands, len(roles))
         if prefill + decode <= 0.0:
             return []
         old = count_roles(roles)
@@ -123,13 +154,6 @@
         self.changed_s[change.endpoint] = now_s
         return [change]
 
-    def _total(self, demands):
-        prefill = decode = 0.0
-        for demand in demands:
-            prefill += demand["prefill_rate"] + demand["prefill_queued_s"] / BACKLOG_S
-            decode += demand["decode_rate"] + demand["decode_queued_s"] / BACKLOG_S
-        return prefill, decode
-
     def _best(self, old, prefill, decode):
         best, best_net = old, worth(old, prefill, decode) * HORIZON_S
         cost_s = self.policy.role_change_s + self.policy.role_change_price_s
