--- a/libs/coordination/gypsumusher_coordination/__init__.py
+++ b/libs/coordination/gypsumusher_coordination/__init__.py
@@ -1,5 +1,6 @@
 """Coordination state machines without input or output."""
 
+from gypsumusher_coordination.claims import CallerKeyClaim
 from gypsumusher_coordination.config import (
     Adopted,
     ConfigReplica,
@@ -47,6 +48,8 @@
     WriteDone,
     WriteObject,
 )
+from gypsumusher_coordination.journal import HomeJournal, JournalPolicy
+from gypsumusher_coordination.keys import KeyParts, parse_key
 from gypsumusher_coordination.lease import (
     Authority,
     Lease,
@@ -66,8 +69,15 @@
     SendOrder,
     TermsSettled,
 )
+from gypsumusher_coordination.sealing import JournalSealer
 
 __all__ = [
+    "CallerKeyClaim",
+    "HomeJournal",
+    "JournalPolicy",
+    "JournalSealer",
+    "KeyParts",
+    "parse_key",
     "DEPLOYMENT_DEFAULTS",
     "HOSTS_DEFAULTS",
     "SERVICE_DEFAULTS",
