Talk in cells, spread crashes at once, settle keys of a paused home

(2) Gossip and reports went to all hosts and engines, which is 1,800 reports a second a host at the two-year size; hosts now talk within the cells of their deployments. (3) A peer's word on a leaving endpoint stood for ever when the peer died. (4) Each attempt on a crashed engine counted as one more crash.

--- a/libs/daemon/gypsumusher_daemon/attempts.py
+++ b/libs/daemon/gypsumusher_daemon/attempts.py
@@ -23,6 +23,8 @@
 # engine lives is repaired by the second try; more tries only delay the refusal.
 RESUMES_MAX = 4
 RESUME_PAUSE_S = 0.1
+# Answers by which an engine says that the request itself is bad, before it runs.
+REJECTING_STATUSES = frozenset({400, 404, 413, 415, 422})
 # Beyond the asked tokens a stream holds a usage event, an end marker and a few
 # events with no token in them.
 EXTRA_EVENTS = 16
@@ -170,7 +172,7 @@
     code = read_engine_refusal(raw)
     if response.status == 503 and code in NOT_RUN_CODES:
         return AttemptResult("refused", "no", detail=code, status=503)
-    if 400 <= response.status < 500:
+    if response.status in REJECTING_STATUSES:
         return AttemptResult(
             "rejected", "no", detail=code, status=response.status, raw=raw
         )
--- a/libs/daemon/gypsumusher_daemon/callers.py
+++ b/libs/daemon/gypsumusher_daemon/callers.py
@@ -239,6 +239,7 @@
     )
     if isinstance(call, Refusal):
         return send_refusal(call, "")
+    await host.follow_deployment(call.deployment)
     if call.idempotent:
         running = host.begin_model(call)
         return await send_delivery(
--- a/libs/daemon/gypsumusher_daemon/endpoints.py
+++ b/libs/daemon/gypsumusher_daemon/endpoints.py
@@ -42,19 +42,21 @@
     ----------
     dispatcher : Dispatcher
         Gets the engines of each deployment.
-    log : callable
-        Structured log.
+    clock, log : callable
+        Boot-time clock and structured log.
     """
 
-    def __init__(self, dispatcher, log):
+    def __init__(self, dispatcher, clock, log):
         self.entries = {}
         self.roles = {}
         self.models = {}
         self.reports = {}
         self.silent_polls = {}
         self.draining = {}
+        self.crashed_s = {}
         self.crash_listeners = []
         self._dispatcher = dispatcher
+        self._clock = clock
         self._log = log
         self._drained = set()
         self._peer_leaving = {}
@@ -150,8 +152,22 @@
             self._log("warning", "endpoint_silent", endpoint=name, polls=count)
             self.publish()
 
-    def on_crash(self, name):
-        """Note that an engine refuses connections after it had taken them."""
+    def on_crash(self, name, started_s):
+        """Note that an engine refuses connections after it had taken them.
+
+        Parameters
+        ----------
+        name : str
+            The engine.
+        started_s : float
+            When the attempt began that met the crash. Every attempt on a crashed
+            engine notices it, some of them late: one that began before a crash that
+            is known already tells of that same crash. Counted again, it would blame
+            the work that the restarted engine has taken since.
+        """
+        if self.crashed_s.get(name, float("-inf")) >= started_s:
+            return
+        self.crashed_s[name] = self._clock()
         self._log("warning", "endpoint_crashed", endpoint=name)
         self.silent_polls[name] = SILENT_POLLS_MAX
         for listener in self.crash_listeners:
@@ -218,5 +234,6 @@
             self.reports,
             self.silent_polls,
             self.draining,
+            self.crashed_s,
         ):
             table.pop(name, None)
--- a/libs/daemon/gypsumusher_daemon/engine_answers.py
+++ b/libs/daemon/gypsumusher_daemon/engine_answers.py
@@ -14,7 +14,9 @@
 ]
 
 # Codes with which an engine says that nothing of the request ran.
-NOT_RUN_CODES = frozenset({"draining", "overloaded", "wrong_role", "no_model"})
+NOT_RUN_CODES = frozenset(
+    {"draining", "kv_unavailable", "no_model", "overloaded", "wrong_role"}
+)
 
 
 class AnswerProblem(Exception):
--- a/libs/daemon/gypsumusher_daemon/exchanges.py
+++ b/libs/daemon/gypsumusher_daemon/exchanges.py
@@ -18,6 +18,7 @@
 
 EVENT_STREAM = "text/event-stream"
 JSON = "application/json"
+RETRY_FAILED_S = 1.0
 
 
 class ExchangeContext(NamedTuple):
@@ -151,8 +152,17 @@
             context.dispatcher.forget(self._ticket)
             if not self.delivery.closed:
                 self.delivery.close(whole=False)
-            context.metrics.request_ended(
-                self.call, self.outcome, context.clock() - self._arrived_s
+            took_s = context.clock() - self._arrived_s
+            context.metrics.request_ended(self.call, self.outcome, took_s)
+            context.log(
+                "info",
+                "request",
+                request=self.request_id,
+                deployment=self.call.deployment,
+                work_class=self.call.class_name,
+                tenant=self.call.tenant,
+                outcome=self.outcome,
+                took_s=took_s,
             )
 
     async def _follow(self):
@@ -207,7 +217,8 @@
     async def _watch_attempt(self, action, attempt):
         """Run an attempt and account for what it does to its engine."""
         quarantine, fingerprint = self.context.quarantine, self.call.fingerprint
-        quarantine.on_start(self.context.clock(), fingerprint, action.endpoint)
+        started_s = self.context.clock()
+        quarantine.on_start(started_s, fingerprint, action.endpoint)
         completed = False
         try:
             result = await run_attempt(
@@ -218,7 +229,7 @@
             )
             if result.reason == "crash":
                 # Before the request counts as ended: it is one of the suspects.
-                self.context.endpoints.on_crash(action.endpoint)
+                self.context.endpoints.on_crash(action.endpoint, started_s)
             completed = result.reason == "done"
             return result
         finally:
@@ -284,6 +295,8 @@
         """Finish a stage; True when the answer is whole."""
         if action.stage == "prefill":
             self._kv = result.kv
+            # A part of the work has run, so no refusal may say "not run" any more.
+            self._may_have_run = True
             self._tell("on_prefill_done", self.request_id)
             return False
         self._first_token()
@@ -348,6 +361,10 @@
         if it holds for every attempt, not just for the last one.
         """
         run = "unknown" if self._may_have_run else action.run
+        retry_after_s = action.retry_after_s
+        if action.code == "endpoint_failed" and self.call.idempotent:
+            # Engines fail one at a time; a repeat soon meets others.
+            retry_after_s = RETRY_FAILED_S
         return Refusal(
             action.code,
             f"{action.code.replace('_', ' ')}: not served in time for its deadline"
@@ -356,7 +373,7 @@
             run,
             action.step,
             action.peer or None,
-            action.retry_after_s,
+            retry_after_s,
         )
 
     async def _give_up(self, refusal):
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -11,9 +11,11 @@
 from gypsumusher_coordination import heard_s, may_serve
 from gypsumusher_daemon.abandoned import AbandonedStreams
 from gypsumusher_daemon.callers import create_callers_app, is_busy
-from gypsumusher_daemon.cell import LEAVING, LIVE, Cell
+from gypsumusher_daemon.cell import LEAVING, LIVE, SUSPECT, Cell, CellParts
+from gypsumusher_daemon.cell_members import cell_of, gossip_hosts, own_deployments
 from gypsumusher_daemon.clock import boot_time_s
 from gypsumusher_daemon.configuration import Configuration
+from gypsumusher_daemon.crashing_requests import CrashingRequests
 from gypsumusher_daemon.delivery import Delivery
 from gypsumusher_daemon.dispatch import Dispatcher
 from gypsumusher_daemon.endpoints import EndpointTable
@@ -50,6 +52,11 @@
 STOP_POLL_S = 0.05
 SEAL_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 1024
+SEED_PAUSE_S = 0.5
+# Hosts that are told to callers who name no deployment.
+ENTRY_CELL_HOSTS = 8
+# The first report of an engine comes within one interval and a round trip.
+FIRST_REPORT_S = 2.0
 
 
 class Running:
@@ -129,15 +136,14 @@
             settings["engines.connect_timeout_s"], settings["engines.silence_s"]
         )
         self.dispatcher = Dispatcher(self.name, self.zone, clock, self.quarantine)
-        self.endpoints = EndpointTable(self.dispatcher, log)
-        self.endpoints.crash_listeners.append(self._on_crash)
+        self.endpoints = EndpointTable(self.dispatcher, clock, log)
         self.reports = ReportPoller(
             self.sessions,
             self.endpoints,
             self.dispatcher,
             settings["engines.report_s"],
             settings["engines.cache_events_s"],
-            log,
+            clock,
         )
         self.keys = KeyRing([(key.id, key.secret) for key in settings["peers.keys"]])
         self.directory = HostsDirectory(
@@ -149,10 +155,18 @@
             self.directory,
             clock,
             log,
-            self._tell,
-            self._hear,
-            self._answer_peer,
+            CellParts(
+                self._choose_gossip,
+                self._tell,
+                self._hear,
+                self._lose,
+                self._answer_peer,
+            ),
+        )
+        self.crashing = CrashingRequests(
+            self.quarantine, self.client, clock, log, self.cell.tell_all, self.track
         )
+        self.endpoints.crash_listeners.append(self.crashing.on_crash)
         self.configuration = Configuration(
             self.name,
             self.client,
@@ -205,6 +219,7 @@
             self.directory,
             Forwarder(self.name, self.sessions),
             self.sessions,
+            lambda name: self.cell.state(name) == SUSPECT,
             self.log,
         )
 
@@ -228,6 +243,8 @@
         await self.directory.start()
         await self.configuration.start()
         self._loops.append(asyncio.ensure_future(self._follow_list()))
+        self._loops.append(asyncio.ensure_future(self._find_seeds()))
+        self._loops.append(asyncio.ensure_future(self.crashing.load()))
         self._on_hosts_changed()
         await self.stewards.start()
         self.state = LIVE
@@ -351,28 +368,43 @@
         self.metrics.config.set({}, number)
         self.dispatcher.set_document(document)
         self.endpoints.set_drained(document)
+        self.cell.follow_directory()
+        self._choose_deployments()
         self.endpoints.publish()
 
     def _on_hosts_changed(self):
-        """Open links to hosts that have come."""
+        """Follow the hosts that have come or gone."""
         self.cell.follow_directory()
+        self._choose_deployments()
 
-    def _on_crash(self, endpoint):
-        """Suspect what ran on a crashed engine; convict at the second crash."""
-        convicted = self.quarantine.on_crash(self.clock(), endpoint)
-        self._note_convicted(convicted)
-
-    def _note_convicted(self, convicted):
-        """Log convictions and tell peers at once."""
-        for convict in convicted:
-            self.log(
-                "warning",
-                "request_convicted",
-                fingerprint=convict.fingerprint,
-                endpoints=",".join(convict.endpoints),
-            )
-        if convicted:
-            self.track(asyncio.ensure_future(self.cell.gossip_now()))
+    def _choose_deployments(self):
+        """Follow the engines of the deployments that this host serves."""
+        if self.document is None:
+            return
+        hosts = self.hosts_with_self()
+        own = own_deployments(self.document, hosts, self.name)
+        self.reports.set_deployments(own)
+
+    def hosts_with_self(self):
+        """Return (name, zone) of the live hosts, this one among them."""
+        hosts = dict(self.cell.live_hosts())
+        hosts[self.name] = self.zone
+        return list(hosts.items())
+
+    def _choose_gossip(self):
+        """Return the hosts to gossip with."""
+        hosts = [(r.name, r.zone) for r in self.directory.records.values()]
+        return gossip_hosts(self.document, hosts, self.name)
+
+    async def _find_seeds(self):
+        """Ask the seeds for the other hosts while the platform doesn't tell."""
+        while len(self.directory.records) < 2:
+            for address in self.settings["peers.seeds"]:
+                message = {"type": "introduce", "record": self._record()._asdict()}
+                answer = await self.cell.ask_seed(address, message)
+                for record in (answer or {}).get("records", ()):
+                    self.directory.learn(HostRecord(**record))
+            await asyncio.sleep(SEED_PAUSE_S)
 
     def _tell(self):
         """Return this host's news for its peers."""
@@ -381,7 +413,8 @@
             load = scheduler.own_load()
             if load:
                 loads[name] = load
-            demands[name] = scheduler.demand()
+            if name in self.reports.deployments:
+                demands[name] = scheduler.demand()
         leaving = [n for n, draining in self.endpoints.draining.items() if draining]
         return {
             "state": self.state if self.state != STOPPED else LEAVING,
@@ -389,27 +422,35 @@
             "loads": loads,
             "demands": demands,
             "leaving": leaving,
-            "suspicions": self.quarantine.suspicions(),
-            "convictions": dict(self.quarantine.convictions),
+            "convicted": len(self.quarantine.convictions),
         }
 
     def _hear(self, peer, gossip):
         """Take another host's news."""
-        for deployment, loads in gossip.get("loads", {}).items():
-            self.dispatcher.apply(deployment, "on_peer_load", peer, loads)
-        self.stewards.hear(peer, gossip.get("demands", {}))
-        for fingerprint, reason in gossip.get("convictions", {}).items():
-            if self.quarantine.verdict(fingerprint) != "convicted":
-                self.quarantine.convict(fingerprint, reason)
-        self._note_convicted(
-            self.quarantine.on_peer_suspicions(
-                self.clock(), gossip.get("suspicions", {})
+        loads = gossip.get("loads", {})
+        for deployment in self.dispatcher.schedulers:
+            self.dispatcher.apply(
+                deployment, "on_peer_load", peer, loads.get(deployment, {})
             )
-        )
+        self.stewards.hear(peer, gossip.get("demands", {}))
         self.endpoints.hear_leaving(peer, gossip.get("leaving", ()))
+        if gossip.get("convicted", 0) > len(self.quarantine.convictions):
+            self.track(asyncio.ensure_future(self._convictions_from(peer)))
         if gossip.get("config", 0) > self.number:
             self.track(asyncio.ensure_future(self._head_from(peer)))
 
+    def _lose(self, peer):
+        """Forget the word of a host that is suspected or gone."""
+        self.endpoints.hear_leaving(peer, ())
+        for deployment in self.dispatcher.schedulers:
+            self.dispatcher.apply(deployment, "on_peer_load", peer, {})
+
+    async def _convictions_from(self, peer):
+        """Ask a host that knows more convictions for them."""
+        answer = await self.cell.ask(peer, {"type": "convictions"})
+        if answer:
+            self.crashing.hear_convictions(answer.get("convictions", {}))
+
     async def _head_from(self, peer):
         """Ask a host that has a newer configuration for its head."""
         answer = await self.cell.ask(peer, {"type": "head"})
@@ -421,7 +462,7 @@
         answer = await self.cell.ask_any({"type": "section", "hash": section_hash})
         return answer.get("value") if answer else None
 
-    async def _answer_peer(self, message):
+    async def _answer_peer(self, peer, message):
         """Answer another host's question."""
         kind = message.get("type")
         if kind == "head":
@@ -432,6 +473,16 @@
         if kind == "resumed":
             self.abandoned.taken_up(message.get("stream_id"))
             return {}
+        if kind == "crash":
+            self.crashing.hear_crash(message.get("suspicions", {}))
+            return {}
+        if kind == "convictions":
+            self.crashing.hear_convictions(message.get("convictions", {}))
+            return {"convictions": dict(self.quarantine.convictions)}
+        if kind == "introduce":
+            self.directory.learn(HostRecord(**message["record"]))
+            return {"records": [r._asdict() for r in self.directory.records.values()]}
+        self.log("warning", "peer_message_unknown", peer=peer, kind=str(kind)[:40])
         return {"error": "unknown message"}
 
     # What callers and operators ask for
@@ -498,7 +549,7 @@
             self.configuration.heard_platform_s,
             self.cell.heard_s,
             self.name,
-            self.directory.records.keys(),
+            [self.name, *self.cell.members],
         )
         cut_off = not may_serve(
             now_s, last_s, settings["stale_config"], settings["stale_limit_s"]
@@ -512,6 +563,22 @@
         """Return an id for a request, unique over hosts and restarts."""
         return f"{self.name}-{secrets.token_hex(8)}"
 
+    async def follow_deployment(self, deployment):
+        """Follow the engines of a deployment whose cell this host isn't in.
+
+        A caller may come to any host. It is served directly: the host reads the
+        engines' reports for a while, as the members of the cell do.
+        """
+        if deployment in self.reports.deployments:
+            return
+        self.reports.visit(deployment)
+        end_s = self.clock() + FIRST_REPORT_S
+        while self.clock() < end_s:
+            entries = self.endpoints.group("engine", deployment)
+            if any(entry.name in self.endpoints.roles for entry in entries):
+                return
+            await asyncio.sleep(STOP_POLL_S)
+
     def begin_model(self, call):
         """Begin idempotent model work; return it as `Running`."""
         delivery = Delivery()
@@ -603,8 +670,9 @@
         """Return the hosts that a caller should use."""
         hosts = self._entry_hosts()
         deployment = arguments.get("deployment") or ""
-        section = (self.document or {}).get("deployments", {}).get(deployment, {})
-        cell = choose_cell(hosts, deployment, section.get("cell_hosts", 8))
+        cell = cell_of(self.document or {}, hosts, deployment)
+        if not cell:
+            cell = choose_cell(hosts, deployment, ENTRY_CELL_HOSTS)
         zone = arguments.get("zone") or self.zone
         count = self.settings["callers.entry_count"]
         chosen = []
--- a/libs/daemon/gypsumusher_daemon/hosts_directory.py
+++ b/libs/daemon/gypsumusher_daemon/hosts_directory.py
@@ -108,6 +108,20 @@
         self.records[record.name] = record
         self._on_changed()
 
+    async def remove(self, record):
+        """Delete the record of a host that has been silent for long.
+
+        Parameters
+        ----------
+        record : HostRecord
+            The record as it is known here; a newer one stays.
+        """
+        found = await self._client.read(HOSTS_KIND, record.name)
+        stored = found.unwrap() if isinstance(found, Success) else None
+        if stored is None or stored.value.get("incarnation") != record.incarnation:
+            return
+        await self._client.delete(HOSTS_KIND, record.name, stored.version)
+
     def find_incarnation(self, incarnation):
         """Return the record of the host that has an incarnation, or None."""
         for record in self.records.values():
@@ -188,6 +202,9 @@
             self.records.pop(name, None)
         if self._own is not None:
             self.records[self._own.name] = self._own
+            if self._own.name in change.deleted:
+                # Others took this host for gone for good. It isn't.
+                self._publish_wanted.set()
         if change.items or change.deleted:
             self._on_changed()
         return max(revision, change.revision)
--- a/libs/daemon/gypsumusher_daemon/journals.py
+++ b/libs/daemon/gypsumusher_daemon/journals.py
@@ -102,7 +102,8 @@
         run_unjournaled : bool
             Whether the deployment runs such work while the platform is down.
         """
-        unjournaled = run_unjournaled and not self.journal.is_platform_reachable
+        is_down = not (self.journal.is_platform_reachable and self._client.is_up())
+        unjournaled = run_unjournaled and is_down
         return self.journal.mint(secrets.token_hex(8), unjournaled)
 
     async def claim(self, incarnation, key, fingerprint):
--- a/libs/daemon/gypsumusher_daemon/keyed_flow.py
+++ b/libs/daemon/gypsumusher_daemon/keyed_flow.py
@@ -20,6 +20,7 @@
 # A connection that is refused twice in this time is no lost packet.
 CONNECT_TRIES = 3
 CONNECT_PAUSE_S = 0.2
+SUSPECT_POLL_S = 0.1
 SEAL_TIMEOUT_S = 5.0
 ASK_HOME_TIMEOUT_S = 3.0
 RETRY_UNKNOWN_S = 3.0
@@ -43,17 +44,30 @@
         Passes requests on.
     sessions : EngineSessions
         HTTP, for questions to homes.
+    is_suspect : callable
+        ``is_suspect(host)`` says whether a host doesn't answer its peers.
     log : callable
         Structured log.
     """
 
-    def __init__(self, host, journals, keyed, directory, forwarder, sessions, log):
+    def __init__(
+        self,
+        host,
+        journals,
+        keyed,
+        directory,
+        forwarder,
+        sessions,
+        is_suspect,
+        log,
+    ):
         self._host = host
         self._journals = journals
         self._keyed = keyed
         self._directory = directory
         self._forwarder = forwarder
         self._sessions = sessions
+        self._is_suspect = is_suspect
         self._log = log
         self._claiming = {}
         self._tasks = set()
@@ -122,7 +136,7 @@
         if forwarded:
             return _outcome(key, "unknown", "this host is not the key's home")
         record = self._directory.find_incarnation(parts.incarnation)
-        if record is not None:
+        if record is not None and not self._is_suspect(record.name):
             answer = await self._ask_home(record.callers, key)
             if answer is not None:
                 return answer
@@ -210,17 +224,40 @@
             )
             self._tasks.add(begun)
             begun.add_done_callback(self._tasks.discard)
-            head = asyncio.ensure_future(delivery.wait_head())
-            await asyncio.wait([begun, head], return_when=asyncio.FIRST_COMPLETED)
-            head.cancel()
-            if delivery.head is not None:
+            if await self._wait_for_head(record.name, begun, delivery):
                 return delivery
+            if not begun.done():
+                begun.cancel()
+                return None
             if await begun:
                 return broken_forward(record.name)
             await asyncio.sleep(CONNECT_PAUSE_S)
         self._log("warning", "home_unreachable", home=record.name)
         return None
 
+    async def _wait_for_head(self, home, begun, delivery):
+        """Wait for the home's answer to begin; False when there won't be one.
+
+        Failure guarded against: the home is paused or cut off after its kernel has
+        taken the connection, and the caller waits for an answer that nobody gives.
+        A home that is suspected meanwhile is waited for no longer; its sealed
+        journal then decides what may be said, so a wrong suspicion costs an
+        "unknown" at worst. A home that lives is waited for as long as it takes.
+        """
+        head = asyncio.ensure_future(delivery.wait_head())
+        try:
+            while not begun.done() and not head.done():
+                await asyncio.wait(
+                    [begun, head],
+                    timeout=SUSPECT_POLL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if self._is_suspect(home):
+                    break
+        finally:
+            head.cancel()
+        return delivery.head is not None
+
     async def _ask_home(self, address, key):
         """Return the home's word on a key, or None when it can't be reached."""
         try:
--- a/libs/daemon/gypsumusher_daemon/reports.py
+++ b/libs/daemon/gypsumusher_daemon/reports.py
@@ -9,6 +9,9 @@
 __all__ = ["ReportPoller"]
 
 POLL_TIMEOUT_S = 2.0
+# Callers keep an answer of /v1/entry for seconds; one that came to the wrong host
+# asks again well before this.
+VISIT_S = 60.0
 
 
 class ReportPoller:
@@ -24,24 +27,60 @@
         Gets the cache events.
     report_s, cache_events_s : float
         Intervals.
-    log : callable
-        Structured log.
+    clock : callable
+        Boot-time clock.
     """
 
-    def __init__(self, sessions, endpoints, dispatcher, report_s, cache_events_s, log):
+    def __init__(
+        self, sessions, endpoints, dispatcher, report_s, cache_events_s, clock
+    ):
         self._sessions = sessions
         self._endpoints = endpoints
         self._dispatcher = dispatcher
         self._report_s = report_s
         self._cache_events_s = cache_events_s
-        self._log = log
+        self._clock = clock
+        self._own = frozenset()
+        self._visited_s = {}
         self._tasks = {}
 
+    @property
+    def deployments(self):
+        """The deployments whose engines are followed."""
+        return self._own | set(self._visited_s)
+
+    def set_deployments(self, deployments):
+        """Follow the engines of these deployments, for as long as they are named.
+
+        Parameters
+        ----------
+        deployments : set of str
+            Those whose cell this host is in.
+        """
+        self._own = frozenset(deployments)
+        self.follow_list()
+
+    def visit(self, deployment):
+        """Follow the engines of one more deployment for a while.
+
+        Parameters
+        ----------
+        deployment : str
+            One whose caller came here all the same.
+        """
+        self._visited_s[deployment] = self._clock()
+        self.follow_list()
+
     def follow_list(self):
-        """Start and stop tasks so that each listed engine has one."""
+        """Start and stop tasks so that each engine to follow has one."""
+        now_s = self._clock()
+        for deployment, visited_s in list(self._visited_s.items()):
+            if now_s - visited_s > VISIT_S:
+                del self._visited_s[deployment]
+        followed = self.deployments
         wanted = {}
         for entry in self._endpoints.entries.values():
-            if entry.kind == "engine":
+            if entry.kind == "engine" and entry.group in followed:
                 wanted[(entry.name, entry.address)] = entry
         for key in list(self._tasks):
             if key not in wanted:
--- a/libs/daemon/gypsumusher_daemon/settings.py
+++ b/libs/daemon/gypsumusher_daemon/settings.py
@@ -202,6 +202,16 @@
         "Shared secrets (id, secret). The first signs, all verify: rotation adds the "
         "new one second everywhere, then makes it first, then drops the old one.",
     ),
+    Setting(
+        "peers.seeds",
+        "list of str",
+        "",
+        (),
+        None,
+        None,
+        "IP:PORT of some peers' listeners, asked for the other hosts when the "
+        "platform is down at the start; may be left out.",
+    ),
     Setting(
         "peers.gossip_s",
         "float",
@@ -323,11 +333,12 @@
         "journal.flush_s",
         "float",
         "s",
-        0.02,
+        0.1,
         0.0,
         5,
         "Shortest interval between two journal writes: one write carries the keys "
-        "that gathered, so that 16 homes stay at a few hundred writes a second.",
+        "that gathered, so that 16 homes stay under 160 writes a second. The first "
+        "key after a pause waits for nothing.",
     ),
     Setting(
         "journal.wait_s",
@@ -517,7 +528,7 @@
     if setting.kind == "bool":
         return None if isinstance(value, bool) else f"{value!r} is not true or false"
     if setting.kind == "list of str":
-        return _list_problem(value)
+        return _list_problem(value, may_be_empty=setting.default is not REQUIRED)
     if setting.kind == "list of keys":
         return _keys_problem(value)
     if not isinstance(value, str) or not value:
@@ -540,9 +551,11 @@
     return None
 
 
-def _list_problem(value):
+def _list_problem(value, may_be_empty):
     """Return what is wrong with a list of texts, or None."""
-    if not isinstance(value, list) or not value:
+    if not isinstance(value, list):
+        return f"{value!r} is not a list"
+    if not value and not may_be_empty:
         return f"{value!r} is not a list with at least one entry"
     for entry in value:
         if not isinstance(entry, str) or not entry:
--- a/libs/daemon/gypsumusher_daemon/stewards.py
+++ b/libs/daemon/gypsumusher_daemon/stewards.py
@@ -13,13 +13,13 @@
     SendOrder,
     TermsSettled,
 )
+from gypsumusher_daemon.cell_members import cell_of
 from gypsumusher_daemon.dispatch import deployment_policy
 from gypsumusher_daemon.effects import MachineRunner
 from gypsumusher_daemon.order_sender import OrderSender
 from gypsumusher_policy import (
     RolloutPlanner,
     ShiftPlanner,
-    choose_cell,
 )
 from gypsumusher_policy.rollout import engines_needed
 
@@ -164,10 +164,10 @@
 
     def _is_candidate(self, deployment):
         """Return whether this host should seek a deployment's lease."""
-        hosts = dict(self._host.cell.live_hosts())
-        hosts[self._host.name] = self._host.zone
-        chosen = choose_cell(list(hosts.items()), f"steward/{deployment}", CANDIDATES)
-        return self._host.name in chosen
+        host = self._host
+        # The first members of the deployment's own cell: they hear of its demand.
+        cell = cell_of(host.document, host.hosts_with_self(), deployment)
+        return host.name in cell[:CANDIDATES]
 
     def _tick(self, name, section):
         """Look at one deployment's lease and orders."""
