--- a/libs/policy/gypsumusher_policy/shifting.py
+++ b/libs/policy/gypsumusher_policy/shifting.py
@@ -13,12 +13,15 @@
 MIXED_SHARE = 0.7
 # Time over which a change has to pay, in seconds: about as long as a swing lasts.
 HORIZON_S = 60.0
+# Time in which an engine that is to change finishes what it runs, in seconds; it takes
+# nothing new meanwhile, so that it costs nearly as much as the change itself.
+DRAIN_S = 5.0
 # Time in which a backlog should be gone, in seconds.
 BACKLOG_S = 30.0
 # Spare capacity that still counts, as a share of the demand, and its worth: engines
 # without any are late at each burst.
 SPARE_SHARE = 0.2
-SPARE_WORTH = 0.2
+SPARE_WORTH = 0.05
 
 
 class Split(NamedTuple):
@@ -156,7 +159,7 @@
 
     def _best(self, old, prefill, decode):
         best, best_net = old, worth(old, prefill, decode) * HORIZON_S
-        cost_s = self.policy.role_change_s + self.policy.role_change_price_s
+        cost_s = self.policy.role_change_s + self.policy.role_change_price_s + DRAIN_S
         for split in all_splits(sum(old)):
             gross = worth(split, prefill, decode) * HORIZON_S
             net = gross - changes_between(old, split) * cost_s
