--- a/tools/testkit.py
+++ b/tools/testkit.py
@@ -213,13 +213,21 @@
 
     async def list_as_leaving(self, endpoint):
         """Mark an endpoint as leaving in the host list."""
+        await self._change_listing(endpoint, "state", "leaving")
+
+    async def list_at(self, endpoint, address):
+        """Give an endpoint another address in the host list."""
+        await self._change_listing(endpoint, "address", address)
+
+    async def _change_listing(self, endpoint, key, value):
         url = f"http://{self.address}/v1/hosts"
         async with self.session.get(url, headers=self._headers()) as answer:
             items = (await answer.json())["items"]
         item = next(item for item in items if item["name"] == endpoint)
-        item["state"] = "leaving"
-        async with self.session.post(url, json=item, headers=self._headers()):
-            pass
+        item[key] = value
+        call = self.session.post(url, json=item, headers=self._headers())
+        async with call as answer:
+            assert answer.status == 200
 
 
 class Host(Process):
