--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -307,17 +307,18 @@
     def demand(self) -> dict:
         """Return the arriving and the waiting work, for the steward's planner."""
         classes = []
-        for rank, (prefill, decode) in sorted(self.meter.rates.items()):
+        for rank, (prefill, decode) in sorted(self.meter.plan_rates.items()):
             queued = self.queue.work_by_rank.get(rank, Work(0.0, 0.0))
             decode_s = queued.decode_s
             for flight in self.pending_decode:
                 if flight.rank == rank:
                     decode_s += flight.work.decode_s
             classes.append([rank, prefill, decode, queued.prefill_s, decode_s])
+        rates = self.meter.rates.values()
         return {
             "host": self.host,
-            "prefill_rate": sum(item[1] for item in classes),
-            "decode_rate": sum(item[2] for item in classes),
+            "prefill_rate": sum(item[0] for item in rates),
+            "decode_rate": sum(item[1] for item in rates),
             "classes": classes,
         }
 
