--- a/libs/policy/gypsumusher_policy/shifting.py
+++ b/libs/policy/gypsumusher_policy/shifting.py
@@ -18,10 +18,9 @@
 DRAIN_S = 5.0
 # Time in which a backlog should be gone, in seconds.
 BACKLOG_S = 30.0
-# Spare capacity that still counts, as a share of the demand, and its worth: engines
-# without any are late at each burst.
-SPARE_SHARE = 0.2
-SPARE_WORTH = 0.05
+# Share of a class's deadline that may pass in a queue before work counts as lost: the
+# rest is for the work itself and for the change.
+WAIT_SHARE = 0.7
 
 
 class Split(NamedTuple):
@@ -32,6 +31,23 @@
     mixed: int
 
 
+class Demand(NamedTuple):
+    """Work of the deployment, as its planner sees it.
+
+    Parameters
+    ----------
+    prefill, decode : float
+        Arriving work, in engines.
+    prefill_s, decode_s : float
+        Waiting work, in engine seconds.
+    """
+
+    prefill: float
+    decode: float
+    prefill_s: float
+    decode_s: float
+
+
 def served_share(split: Split, prefill: float, decode: float) -> float:
     """Return which share of the demand a split can serve; above 1 there is spare.
 
@@ -49,11 +65,38 @@
     return min(prompts, tokens, both)
 
 
-def worth(split: Split, prefill: float, decode: float) -> float:
-    """Return the work that a split does on time, in engines, spare counted a little."""
-    share = served_share(split, prefill, decode)
-    counted = min(share, 1.0) + SPARE_WORTH * min(max(share - 1.0, 0.0), SPARE_SHARE)
-    return counted * (prefill + decode)
+def lost_s(split: Split, demand: Demand, slack_s: float) -> float:
+    """Return the work that will be too late within the horizon, in engine seconds.
+
+    Work that waits is still on time, so that a swing which the queues can bear costs
+    nothing, and a change for it would only cost.
+
+    Parameters
+    ----------
+    split : Split
+        Engines by role.
+    demand : Demand
+        Arriving and waiting work, thought to go on as it is.
+    slack_s : float
+        Wait at which work is lost.
+    """
+    mixed = split.mixed * MIXED_SHARE
+    total = demand.prefill + demand.decode
+    total_s = demand.prefill_s + demand.decode_s
+    worst = 0.0
+    for engines, rate, queued_s in (
+        (split.prefill + mixed, demand.prefill, demand.prefill_s),
+        (split.decode + mixed, demand.decode, demand.decode_s),
+        (split.prefill + split.decode + mixed, total, total_s),
+    ):
+        if rate <= engines:
+            continue
+        # The queue grows by (rate - engines) a second and is served by the engines.
+        room_s = slack_s * engines - queued_s
+        full_s = max(0.0, room_s / (rate - engines))
+        late_s = max(0.0, HORIZON_S - full_s)
+        worst = max(worst, (1.0 - engines / rate) * late_s)
+    return worst * total
 
 
 def all_splits(engines: int) -> list[Split]:
@@ -76,8 +119,8 @@
     return sum(max(0, after - before) for before, after in zip(old, new))
 
 
-def served_demand(demands: list[dict], engines: int) -> tuple[float, float]:
-    """Return the demand that the fleet will come to serve, in engines.
+def served_demand(demands: list[dict], engines: int) -> Demand:
+    """Return the demand that the fleet will come to serve.
 
     Classes are served in the order of their rank. When they want more than there is,
     the lowest are refused or wait, and their backlog must not draw engines to a role
@@ -92,19 +135,18 @@
     """
     by_rank = {}
     for demand in demands:
-        for rank, prefill, decode, prefill_s, decode_s in demand["classes"]:
-            known = by_rank.get(rank, (0.0, 0.0))
-            by_rank[rank] = (
-                known[0] + prefill + prefill_s / BACKLOG_S,
-                known[1] + decode + decode_s / BACKLOG_S,
-            )
-    total_prefill = total_decode = 0.0
-    for _, (prefill, decode) in sorted(by_rank.items()):
-        room = engines - total_prefill - total_decode
-        part = min(1.0, room / max(prefill + decode, 1e-9))
-        total_prefill += part * prefill
-        total_decode += part * decode
-    return total_prefill, total_decode
+        for rank, *work in demand["classes"]:
+            known = by_rank.get(rank, (0.0, 0.0, 0.0, 0.0))
+            by_rank[rank] = [old + new for old, new in zip(known, work)]
+    total = [0.0, 0.0, 0.0, 0.0]
+    for _, work in sorted(by_rank.items()):
+        room = engines - total[0] - total[1]
+        wanted = work[0] + work[1] + (work[2] + work[3]) / BACKLOG_S
+        part = min(1.0, room / max(wanted, 1e-9))
+        total = [known + part * more for known, more in zip(total, work)]
+        if part < 1.0:
+            break
+    return Demand(*total)
 
 
 class ShiftPlanner:
@@ -144,11 +186,9 @@
         # everything, and the first change may already be enough.
         if not self.policy.shifting or busy or not demands:
             return []
-        prefill, decode = served_demand(demands, len(roles))
-        if prefill + decode <= 0.0:
-            return []
+        demand = served_demand(demands, len(roles))
         old = count_roles(roles)
-        new = self._best(old, prefill, decode)
+        new = self._best(old, demand)
         if new == old:
             return []
         change = self._first_change(now_s, roles, old, new)
@@ -157,16 +197,26 @@
         self.changed_s[change.endpoint] = now_s
         return [change]
 
-    def _best(self, old, prefill, decode):
-        best, best_net = old, worth(old, prefill, decode) * HORIZON_S
-        cost_s = self.policy.role_change_s + self.policy.role_change_price_s + DRAIN_S
+    def _best(self, old, demand):
+        policy = self.policy
+        cost_s = policy.role_change_s + policy.role_change_price_s + DRAIN_S
+        slack_s = self._slack_s()
+        best, best_s = old, lost_s(old, demand, slack_s)
+        if best_s <= cost_s:
+            return old
         for split in all_splits(sum(old)):
-            gross = worth(split, prefill, decode) * HORIZON_S
-            net = gross - changes_between(old, split) * cost_s
-            if net > best_net + 1e-9:
-                best, best_net = split, net
+            total_s = lost_s(split, demand, slack_s)
+            total_s += changes_between(old, split) * cost_s
+            if total_s < best_s - 1e-9:
+                best, best_s = split, total_s
         return best
 
+    def _slack_s(self):
+        """Return the wait at which work is lost; the first class never waits."""
+        classes = list(self.policy.classes.values())
+        later = [item.deadline_s for item in classes if item.rank > 0]
+        return WAIT_SHARE * min(later or [item.deadline_s for item in classes])
+
     def _first_change(self, now_s, roles, old, new):
         wanted = [
             role for role in old._fields if getattr(new, role) > getattr(old, role)
