--- a/libs/daemon/gypsumusher_daemon/keyed_requests.py
+++ b/libs/daemon/gypsumusher_daemon/keyed_requests.py
@@ -58,7 +58,8 @@
         "key_reused": "this key was used for another request; use a new key",
         "key_not_run": "this key's request was not run and never will be; "
         "send it under a new key",
-        "journal_unavailable": "the platform can't record the key now; nothing was run",
+        "journal_unavailable": "the platform can't record the key now; nothing was "
+        "run, and a key of ours never will be: come back with a new one",
         "done": "this key's request was answered; the answer is no longer kept",
         "key_unknown_outcome": "whether this key's request ran is not known",
         "stopping": "this host is stopping; use another one",
