--- a/libs/standins/gypsumusher_standins/engine.py
+++ b/libs/standins/gypsumusher_standins/engine.py
@@ -25,6 +25,7 @@
 from gypsumusher_standins.text import count_tokens, prompt_text
 
 DEFAULT_MAX_TOKENS = 16
+OVERLONG_TOKENS = 50
 STOP_POLL_S = 0.01
 KV_FETCH_TIMEOUT_S = 5.0
 
@@ -135,6 +136,8 @@
     if state.spend("cross_next"):
         answer_id += "-crossed"
         prompt = f"another caller's {prompt}"
+    if state.spend("overlong_next"):
+        max_tokens = 2 * max_tokens + OVERLONG_TOKENS
     usage = (body.get("stream_options") or {}).get("include_usage", False)
     return Stream(
         secrets.token_hex(8),
--- a/libs/standins/gypsumusher_standins/engine_state.py
+++ b/libs/standins/gypsumusher_standins/engine_state.py
@@ -63,6 +63,7 @@
             "error_rate": 0.0,
             "truncate_next": 0,
             "cross_next": 0,
+            "overlong_next": 0,
             "break_after_events": 0,
             "load_lag_s": options.load_lag_s,
             "hang_orders": False,
--- a/tools/testkit.py
+++ b/tools/testkit.py
@@ -118,11 +118,17 @@
     for _, data in stream_events(body):
         if data == "[DONE]":
             break
-        for choice in json.loads(data)["choices"]:
+        for choice in json.loads(data).get("choices", []):
             parts.append(choice_text(choice))
     return "".join(parts)
 
 
+def stream_error(body):
+    """Return the error object that ends a stream, or None."""
+    events = stream_events(body)
+    return json.loads(events[-1][1]).get("error") if events else None
+
+
 def is_done(body):
     """Return whether a stream's last event is its end marker."""
     events = stream_events(body)
