Send urgent work and second stages at once instead of holding them on the host

Cause: engines honour priorities, so that urgent work held on the host for a free slot only waits longer there than it would on the engine; and a slot that falls free is filled again only after the way to the host and back.

--- a/libs/policy/gypsumusher_policy/placement.py
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -16,9 +16,13 @@
 # prompt behind it on engines that process a prompt whole, less would leave the
 # engine idle for the time that a decision takes to reach it.
 PREFILL_WINDOW_S = 1.0
-# Share of the batch slots that only the first class may use: long work must never
-# take the last slots that counter checks and confirmations need.
-URGENT_SHARE = 0.1
+# The same for the first class, in seconds: engines honour priorities, so that urgent
+# work passes what waits there, and only a queue of its own kind holds it up.
+URGENT_WINDOW_S = 5.0
+# Requests on an engine for each batch slot. Above 1 some wait there, so that a slot
+# is filled again at once and not after the way to a host and back.
+FULLNESS = 1.25
+URGENT_FULLNESS = 3.0
 # A cached prefix counts as this many seconds of load for each second of prompt
 # processing that it saves, and another zone as this many seconds.
 CACHE_WORTH = 1.0
@@ -73,20 +77,21 @@
     state : EndpointState
         The endpoint.
     rank : int
-        Rank of the request's class; 0 may use the last slots.
+        Rank of the request's class; 0 is held back by little.
     kv_tokens : int
         KV cache that the request needs, in tokens.
     """
     if state.running() == 0:
         return True
-    if state.kv_tokens() + kv_tokens > state.kv_limit_tokens:
+    if rank == 0:
+        window_s, fullness = URGENT_WINDOW_S, URGENT_FULLNESS
+    else:
+        window_s, fullness = PREFILL_WINDOW_S, FULLNESS
+        if state.kv_tokens() + kv_tokens > state.kv_limit_tokens:
+            return False
+    if state.role != "decode" and state.backlog_s() >= window_s:
         return False
-    if state.role != "decode" and state.backlog_s() >= PREFILL_WINDOW_S:
-        return False
-    if state.role == "prefill":
-        return True
-    share = 1.0 if rank == 0 else 1.0 - URGENT_SHARE
-    return state.running() < max(1.0, state.slots * share)
+    return state.role == "prefill" or state.fullness() < fullness
 
 
 def score(state: EndpointState, zone: str, cached_tokens: int) -> float:
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -462,16 +462,21 @@
     def _decode_room(self, now_s, flight):
         for role in ("decode", "mixed"):
             for state in self.index.shortlist(role, now_s, flight.tried):
-                if has_room(state, flight.rank, flight.kv_tokens()):
+                if self._room(state, flight):
                     return True
         return False
 
+    def _room(self, state, flight):
+        return has_room(state, flight.rank, flight.kv_tokens())
+
     def _place(self, now_s, flight, roles, stage):
         names, parts = self.cache.longest(flight.request.prefix_hashes)
         best, best_score = None, None
         for role in roles:
             for state in self.index.shortlist(role, now_s, flight.tried):
-                if not has_room(state, flight.rank, flight.kv_tokens()):
+                # A second stage is sent at once: its cache stands on the prefill
+                # engine until it is fetched, and the engine orders what waits.
+                if stage is None and not self._room(state, flight):
                     continue
                 cached = parts * PREFIX_TOKENS if state.name in names else 0
                 value = score(state, self.zone, cached)
