Let work wait apart by the engines it needs most, and prompts go on while decode is full

Cause: in the writing half of a swing the head of the queue waited for decode engines and the bundles behind it for the head, so that prefill engines idled (seen by printing each engine's busy share every 5 s). Mostly-prompt and mostly-output work now wait in two lanes of each class; a prompt may be processed while decode is full, up to a share of the KV cache. The fake engine now holds a prompt's cache until it is fetched, so that this isn't free.

--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -44,7 +44,10 @@
 
 
 class Job:
-    """One attempt on an engine; ``notify(event, ran)`` tells the host of it."""
+    """One attempt on an engine; ``notify(event, ran)`` tells the host of it.
+
+    ``on_fetched`` is called when a decode engine has fetched the prompt's cache.
+    """
 
     def __init__(
         self,
@@ -53,11 +56,13 @@
         priority: int,
         output_tokens: int,
         notify: Callable[[str, str], None],
+        on_fetched: Callable[[], None] | None = None,
     ):
         self.request = request
         self.stage = stage
         self.priority = priority
         self.notify = notify
+        self.on_fetched = on_fetched
         self.order = 0
         self.prompt_left = 0.0 if stage == "decode" else float(request.prompt_tokens)
         self.output_left = 0.0 if stage == "prefill" else float(output_tokens)
@@ -112,6 +117,11 @@
         self.waiting.append(job)
         self._wake()
 
+    def release(self, tokens: int) -> None:
+        """Free the cache of a prompt that has been fetched or given up."""
+        self.kv_used = max(0, self.kv_used - tokens)
+        self._wake()
+
     def change(self, seconds: float, apply: Callable[[], None]) -> None:
         """Finish what runs, then be away for some seconds, then apply the change."""
         self.draining = True
@@ -171,7 +181,7 @@
         self.after_drain = None
 
     def _wake(self):
-        if self.stepping:
+        if self.stepping or not self.alive:
             return
         self.stepping = True
         self._step()
@@ -183,6 +193,10 @@
             self._finish_drain()
             return
         self._fill_batch()
+        if not self.batch:
+            # All of the cache is held for other engines; its release wakes this one.
+            self.stepping = False
+            return
         prompts = [job for job in self.batch if job.prompt_left > 0]
         streams = [job for job in self.batch if job.prompt_left <= 0]
         decode_share, prefill_share = self._shares(prompts, streams)
@@ -200,11 +214,13 @@
         for job in self.waiting:
             free = len(self.batch) < self.settings.slots
             fits = self.kv_used + job.kv_tokens <= self.settings.kv_limit_tokens
-            if not free or not (fits or not self.batch):
+            if not free or not (fits or self.kv_used == 0):
                 kept.append(job)
                 continue
             self.batch.append(job)
             self.kv_used += job.kv_tokens
+            if job.on_fetched is not None:
+                job.on_fetched()
             self._use_cache(job)
         self.waiting = kept
 
@@ -251,8 +267,12 @@
             if job.prompt_left > 0 or job.output_left > 0:
                 kept.append(job)
                 continue
+            if job.stage == "prefill":
+                # Its cache stays here until a decode engine has fetched it.
+                job.notify("prefill_done", "")
+                continue
             self.kv_used -= job.kv_tokens
-            job.notify("prefill_done" if job.stage == "prefill" else "done", "")
+            job.notify("done", "")
         self.batch = kept
         self._step()
 
--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -35,6 +35,7 @@
         self.on_outcome = on_outcome
         self.arrivals = {}
         self.first_token_s = {}
+        self.held = {}
         self.wakeup_s = None
         self.view = {}
         self.leaving = set()
@@ -94,17 +95,33 @@
         def notify(event, ran):
             self.clock.after(delay_s, lambda: self._hear(start, event, ran))
 
-        job = Job(request, start.stage, start.priority, arrival.output_tokens, notify)
+        output_tokens = arrival.output_tokens
+        if start.stage == "prefill":
+            # The answer's own cache is needed on the decode engine only.
+            output_tokens = 0
+        job = Job(request, start.stage, start.priority, output_tokens, notify)
         if start.stage == "decode":
             delay_s += KV_TRANSFER_S
+            job.on_fetched = lambda: self._release(start.request_id)
         quarantine = self.scheduler.quarantine
         if quarantine is not None:
             now_s = self.clock.now_s
             quarantine.on_start(now_s, request.fingerprint, start.endpoint)
         self.clock.after(delay_s, lambda: engine.submit(job))
 
+    def _release(self, request_id):
+        holder, tokens = self.held.pop(request_id, (None, 0))
+        if holder is not None:
+            holder.release(tokens)
+
     def _hear(self, start, event, ran):
         now_s, request_id = self.clock.now_s, start.request_id
+        if event == "prefill_done":
+            holder = self.fleet[start.endpoint]
+            tokens = self.arrivals[request_id][1].prompt_tokens
+            self.held[request_id] = (holder, tokens)
+        elif event != "first_token":
+            self._release(request_id)
         if event == "first_token":
             self.first_token_s.setdefault(request_id, now_s)
             self.scheduler.on_first_token(now_s, request_id)
@@ -135,5 +152,6 @@
     def _finish(self, request_id, code, retry_after_s):
         first_s = self.first_token_s.pop(request_id, None)
         outcome = Outcome(request_id, code, self.clock.now_s, first_s, retry_after_s)
+        self._release(request_id)
         arrival, request = self.arrivals.pop(request_id)
         self.on_outcome(self, arrival, request, outcome)
--- a/libs/policy/gypsumusher_policy/placement.py
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -9,6 +9,7 @@
 from bisect import bisect_left, insort
 
 from gypsumusher_policy.endpoints import EndpointState
+from gypsumusher_policy.queueing import LaneKey
 
 # Endpoints looked at for one decision, from the least loaded on.
 SHORTLIST = 4
@@ -19,10 +20,16 @@
 # The same for the first class, in seconds: engines honour priorities, so that urgent
 # work passes what waits there, and only a queue of its own kind holds it up.
 URGENT_WINDOW_S = 5.0
+# The same for work that is mostly output: it takes little prompt processing and would
+# otherwise leave the decode engines idle while prompts queue up.
+OUTPUT_WINDOW_S = 1.5
 # Requests on an engine for each batch slot. Above 1 some wait there, so that a slot
 # is filled again at once and not after the way to a host and back.
-FULLNESS = 1.25
+FULLNESS = 1.5
 URGENT_FULLNESS = 3.0
+# Share of an engine's KV cache beyond which only urgent work is sent to it: prompts
+# that wait for their second stage hold it.
+KV_SHARE = 0.8
 # A cached prefix counts as this many seconds of load for each second of prompt
 # processing that it saves, and another zone as this many seconds.
 CACHE_WORTH = 1.0
@@ -69,29 +76,32 @@
     return pair[0]
 
 
-def has_room(state: EndpointState, rank: int, kv_tokens: int) -> bool:
-    """Say whether an endpoint can take one more request of a class.
+def has_prefill_room(state: EndpointState, key: LaneKey, kv_tokens: int) -> bool:
+    """Say whether an endpoint can process one more prompt.
 
     Parameters
     ----------
     state : EndpointState
         The endpoint.
-    rank : int
-        Rank of the request's class; 0 is held back by little.
+    key : LaneKey
+        The request's class and kind; rank 0 is held back by little.
     kv_tokens : int
         KV cache that the request needs, in tokens.
     """
     if state.running() == 0:
         return True
-    if rank == 0:
-        window_s, fullness = URGENT_WINDOW_S, URGENT_FULLNESS
-    else:
-        window_s, fullness = PREFILL_WINDOW_S, FULLNESS
-        if state.kv_tokens() + kv_tokens > state.kv_limit_tokens:
-            return False
-    if state.role != "decode" and state.backlog_s() >= window_s:
+    if key.rank == 0:
+        return state.backlog_s() < URGENT_WINDOW_S
+    if state.kv_tokens() + kv_tokens > KV_SHARE * state.kv_limit_tokens:
         return False
-    return state.role == "prefill" or state.fullness() < fullness
+    window_s = PREFILL_WINDOW_S if key.mostly_prompt else OUTPUT_WINDOW_S
+    return state.backlog_s() < window_s
+
+
+def has_decode_room(state: EndpointState, key: LaneKey) -> bool:
+    """Say whether an endpoint can generate one more answer soon."""
+    limit = URGENT_FULLNESS if key.rank == 0 else FULLNESS
+    return state.fullness() < limit
 
 
 def score(state: EndpointState, zone: str, cached_tokens: int) -> float:
--- a/libs/policy/gypsumusher_policy/queueing.py
+++ b/libs/policy/gypsumusher_policy/queueing.py
@@ -43,8 +43,24 @@
     attempt: int
 
 
+class LaneKey(NamedTuple):
+    """Where a request waits: its class's rank, and which engines it needs most.
+
+    Work that is mostly prompt and work that is mostly output wait apart, so that a
+    shortage of engines for the one doesn't leave the engines for the other idle.
+    """
+
+    rank: int
+    mostly_prompt: bool
+
+
+def lane_of(rank: int, work: Work) -> LaneKey:
+    """Return the lane of a request."""
+    return LaneKey(rank, work.prefill_s > work.decode_s)
+
+
 class ClassLane:
-    """The waiting requests of one class.
+    """The waiting requests of one lane.
 
     Between tenants the one with the least service per weight goes first (start-time
     fair queueing); within a tenant the earliest deadline goes first.
@@ -113,9 +129,10 @@
     def push(self, item: Queued, weight: float) -> None:
         """Add an item; ``weight`` is its tenant's fair share."""
         self.live[item.request.request_id] = item
-        lane = self.lanes.get(item.rank)
+        key = lane_of(item.rank, item.work)
+        lane = self.lanes.get(key)
         if lane is None:
-            lane = self.lanes[item.rank] = ClassLane()
+            lane = self.lanes[key] = ClassLane()
             self.lanes = dict(sorted(self.lanes.items()))
         lane.push(item, weight)
         key = (item.latest_start_s, item.request.request_id)
@@ -123,13 +140,13 @@
         known = self.work_by_rank.get(item.rank, NO_WORK)
         self.work_by_rank[item.rank] = add_work(known, item.work)
 
-    def peek(self, rank: int) -> Queued | None:
-        """Return the item of this rank to serve next."""
-        return self.lanes[rank].peek(self.live)
+    def peek(self, key: LaneKey) -> Queued | None:
+        """Return the item of this lane to serve next."""
+        return self.lanes[key].peek(self.live)
 
-    def pop(self, rank: int) -> Queued:
+    def pop(self, key: LaneKey) -> Queued:
         """Remove the item that `peek` has just returned."""
-        item = self.lanes[rank].pop()
+        item = self.lanes[key].pop()
         self._forget(item)
         return item
 
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -9,8 +9,13 @@
 from gypsumusher_policy.endpoints import REFUSED_PAUSE_S, EndpointState
 from gypsumusher_policy.forecast import DemandMeter
 from gypsumusher_policy.outputs import OutputEstimate
-from gypsumusher_policy.placement import EndpointIndex, has_room, score
-from gypsumusher_policy.queueing import Queued, RequestQueue
+from gypsumusher_policy.placement import (
+    EndpointIndex,
+    has_decode_room,
+    has_prefill_room,
+    score,
+)
+from gypsumusher_policy.queueing import Queued, RequestQueue, lane_of
 from gypsumusher_policy.retries import RetryBudget, may_retry
 from gypsumusher_policy.types import (
     Action,
@@ -43,6 +48,7 @@
         self.request = request
         self.rank = rank
         self.work = work
+        self.lane = lane_of(rank, work)
         self.output_tokens = output_tokens
         self.attempt = 1
         self.tried = set()
@@ -52,6 +58,7 @@
         self.started_s = None
         self.first_token_s = None
         self.waits_decode = False
+        self.cache_holder = None
         self.ran = "no"
 
     def kv_tokens(self):
@@ -200,7 +207,11 @@
         flight = self.flights.get(request_id)
         if flight is None or flight.stage != "prefill":
             return []
+        holder = flight.state
         self._leave(flight)
+        # The prompt's cache stays on the prefill engine until it is fetched.
+        flight.cache_holder = holder
+        holder.own_kv_tokens += flight.kv_tokens()
         flight.waits_decode = True
         self.pending_decode.append(flight)
         return self._dispatch(now_s)
@@ -211,6 +222,7 @@
         if flight is None or flight.state is None:
             return
         flight.first_token_s = now_s
+        self._release_cache(flight)
         flight.state.own_prompt_tokens -= flight.prompt_tokens
         flight.prompt_tokens = 0
         self.index.update(flight.state)
@@ -405,16 +417,17 @@
                 self.pending_decode.remove(flight)
                 flight.waits_decode = False
                 actions.append(start)
-        for rank in list(self.queue.lanes):
+        for key in list(self.queue.lanes):
             while True:
-                item = self.queue.peek(rank)
+                item = self.queue.peek(key)
                 if item is None:
                     break
                 start = self._place_first(now_s, self.flights[item.request.request_id])
                 if start is None:
-                    # A lower class would take the room that this one waits for.
-                    return actions
-                self.queue.pop(rank)
+                    # The lanes after it are tried as well: the room that this one
+                    # waits for is refused to them too, by the same limits.
+                    break
+                self.queue.pop(key)
                 actions.append(start)
         return actions
 
@@ -455,6 +468,8 @@
     def _place_first(self, now_s, flight):
         roles = ["mixed"]
         # A prompt is processed apart only where its answer can be generated after.
+        # Work that is mostly prompt needs no room for that yet: its cache waits, and
+        # the prefill engines would idle while the decode engines are full.
         if self._decode_room(now_s, flight):
             roles.append("prefill")
         return self._place(now_s, flight, roles, None)
@@ -462,12 +477,14 @@
     def _decode_room(self, now_s, flight):
         for role in ("decode", "mixed"):
             for state in self.index.shortlist(role, now_s, flight.tried):
-                if self._room(state, flight):
+                if flight.lane.mostly_prompt or has_decode_room(state, flight.lane):
                     return True
         return False
 
     def _room(self, state, flight):
-        return has_room(state, flight.rank, flight.kv_tokens())
+        if not has_prefill_room(state, flight.lane, flight.kv_tokens()):
+            return False
+        return state.role == "prefill" or has_decode_room(state, flight.lane)
 
     def _place(self, now_s, flight, roles, stage):
         names, parts = self.cache.longest(flight.request.prefix_hashes)
@@ -502,7 +519,14 @@
         self._note(now_s, request_id, "start", endpoint=state.name, stage=stage)
         return Start(request_id, state.name, stage, flight.rank, flight.attempt)
 
+    def _release_cache(self, flight):
+        if flight.cache_holder is None:
+            return
+        flight.cache_holder.own_kv_tokens -= flight.kv_tokens()
+        flight.cache_holder = None
+
     def _leave(self, flight):
+        self._release_cache(flight)
         state = flight.state
         if state is None:
             return
