--- a/libs/standins/gypsumusher_standins/platform.py
+++ b/libs/standins/gypsumusher_standins/platform.py
@@ -54,6 +54,7 @@
             "list_lag_s": list_lag_s,
             "hang": False,
             "hang_clients": [],
+            "hang_kind": None,
             "answer_delay_s": 0.0,
             "delay_kind": None,
         }
@@ -119,17 +120,24 @@
     return request.path.startswith("/v1/hosts") and request.method != "GET"
 
 
+def hangs(state, client, heading):
+    """Return whether a call is to be held now."""
+    settings = state.settings
+    if settings["hang_kind"] not in {None, heading}:
+        return False
+    return settings["hang"] or client in settings["hang_clients"]
+
+
 async def wait_while_hung(state, client, heading):
     """Hold a call while the platform hangs, for all clients or for this one.
 
     A held write takes effect when the hang ends, even if its caller gave up: that is
     how a late write appears to a client.
     """
-    settings = state.settings
-    if not settings["hang"] and client not in settings["hang_clients"]:
+    if not hangs(state, client, heading):
         return
     state.held[heading] = state.held.get(heading, 0) + 1
-    while settings["hang"] or client in settings["hang_clients"]:
+    while hangs(state, client, heading):
         await state.changed.wait()
     state.held[heading] -= 1
 
