Never hold urgent work for a decode slot

Cause: prompts of other classes that wait for their second stage fill an engine's queue beyond any limit on its fullness, so that urgent work was held on the host although its priority would have taken it past them.

--- a/libs/policy/gypsumusher_policy/placement.py
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -26,7 +26,6 @@
 # Requests on an engine for each batch slot. Above 1 some wait there, so that a slot
 # is filled again at once and not after the way to a host and back.
 FULLNESS = 1.5
-URGENT_FULLNESS = 3.0
 # Share of an engine's KV cache beyond which only urgent work is sent to it: prompts
 # that wait for their second stage hold it.
 KV_SHARE = 0.8
@@ -100,8 +99,9 @@
 
 def has_decode_room(state: EndpointState, key: LaneKey) -> bool:
     """Say whether an endpoint can generate one more answer soon."""
-    limit = URGENT_FULLNESS if key.rank == 0 else FULLNESS
-    return state.fullness() < limit
+    # Urgent work is never held for a slot: second stages of other classes may stand
+    # before the engine in any number, and its priority takes it past them.
+    return key.rank == 0 or state.fullness() < FULLNESS
 
 
 def score(state: EndpointState, zone: str, cached_tokens: int) -> float:
