Count what waits for its second stage, and weigh classes by what arrives only

Cause: the planner made no change in any swing. It didn't see prompts that wait on a decode engine, and a backlog shrank the arriving work that it took as served. Now the classes share the engines by their arriving work, and the backlog only says how long until work is late.

--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -110,6 +110,7 @@
         self.outputs = OutputEstimate()
         self.meter = DemandMeter()
         self.budget = RetryBudget(policy.retry_ratio)
+        self.prefilled_s = {}
         self.explained = OrderedDict()
         self.rates = (4000.0, 1000.0, 8)
         self.resume_s = None
@@ -211,6 +212,8 @@
         self._leave(flight)
         # The prompt's cache stays on the prefill engine until it is fetched.
         flight.cache_holder = holder
+        known_s = self.prefilled_s.get(flight.rank, 0.0)
+        self.prefilled_s[flight.rank] = known_s + flight.work.decode_s
         holder.own_kv_tokens += flight.kv_tokens()
         flight.waits_decode = True
         self.pending_decode.append(flight)
@@ -321,10 +324,7 @@
         classes = []
         for rank, (prefill, decode) in sorted(self.meter.plan_rates.items()):
             queued = self.queue.work_by_rank.get(rank, Work(0.0, 0.0))
-            decode_s = queued.decode_s
-            for flight in self.pending_decode:
-                if flight.rank == rank:
-                    decode_s += flight.work.decode_s
+            decode_s = queued.decode_s + self.prefilled_s.get(rank, 0.0)
             classes.append([rank, prefill, decode, queued.prefill_s, decode_s])
         rates = self.meter.rates.values()
         return {
@@ -524,6 +524,8 @@
             return
         flight.cache_holder.own_kv_tokens -= flight.kv_tokens()
         flight.cache_holder = None
+        left_s = self.prefilled_s[flight.rank] - flight.work.decode_s
+        self.prefilled_s[flight.rank] = max(0.0, left_s)
 
     def _leave(self, flight):
         self._release_cache(flight)
--- a/libs/policy/gypsumusher_policy/shifting.py
+++ b/libs/policy/gypsumusher_policy/shifting.py
@@ -16,8 +16,6 @@
 # Time in which an engine that is to change finishes what it runs, in seconds; it takes
 # nothing new meanwhile, so that it costs nearly as much as the change itself.
 DRAIN_S = 5.0
-# Time in which a backlog should be gone, in seconds.
-BACKLOG_S = 30.0
 # Share of a class's deadline that may pass in a queue before work counts as lost: the
 # rest is for the work itself and for the change.
 WAIT_SHARE = 0.7
@@ -141,8 +139,7 @@
     total = [0.0, 0.0, 0.0, 0.0]
     for _, work in sorted(by_rank.items()):
         room = engines - total[0] - total[1]
-        wanted = work[0] + work[1] + (work[2] + work[3]) / BACKLOG_S
-        part = min(1.0, room / max(wanted, 1e-9))
+        part = min(1.0, room / max(work[0] + work[1], 1e-9))
         total = [known + part * more for known, more in zip(total, work)]
         if part < 1.0:
             break
