--- a/libs/coordination/gypsumusher_coordination/__init__.py
+++ b/libs/coordination/gypsumusher_coordination/__init__.py
@@ -40,6 +40,7 @@
     ClaimRefused,
     DeleteObject,
     JournalSealed,
+    Probe,
     ReadDone,
     ReadObject,
     Sealed,
@@ -57,6 +58,11 @@
     LeaseLost,
     OpenTerm,
 )
+from gypsumusher_coordination.membership import (
+    Membership,
+    MembershipPolicy,
+    message_bytes,
+)
 from gypsumusher_coordination.merge_patch import (
     merge_patch,
 )
@@ -77,6 +83,10 @@
     "JournalPolicy",
     "JournalSealer",
     "KeyParts",
+    "Membership",
+    "MembershipPolicy",
+    "Probe",
+    "message_bytes",
     "parse_key",
     "DEPLOYMENT_DEFAULTS",
     "HOSTS_DEFAULTS",
--- a/libs/coordination/gypsumusher_coordination/effects.py
+++ b/libs/coordination/gypsumusher_coordination/effects.py
@@ -201,5 +201,20 @@
     keys: dict[str, str]
 
 
+class Probe(NamedTuple):
+    """Effect: send this message to a host of the cell and take its answer.
+
+    Parameters
+    ----------
+    host : str
+        The host.
+    message : dict
+        Plain strings, numbers, lists and maps.
+    """
+
+    host: str
+    message: dict[str, Any]
+
+
 CallEvent = ReadDone | WriteDone | WriteConflict | CallFailed
 """Any answer of the platform to a call."""
--- a/libs/coordination/tests/test_at_most_once_machine.py
+++ b/libs/coordination/tests/test_at_most_once_machine.py
@@ -89,6 +89,7 @@
         self.answers = []
         self.limbo = []
         self.has_outage = False
+        self.minted = []
         self.claimed = {}
         self.granted = {}
         self.running = set()
@@ -143,7 +144,9 @@
         self.run(process, process.machine.handle(self.now_s, event))
 
     def mint(self, home, unjournaled):
-        return home.machine.mint("0" * 8, unjournaled)
+        key = home.machine.mint("0" * 8, unjournaled)
+        self.minted.append(key)
+        return key
 
     @rule(target=keys, home=PICK, unjournaled=st.booleans())
     def mint_for_later(self, home, unjournaled):
@@ -152,7 +155,7 @@
             return multiple()
         return self.mint(homes[home % len(homes)], unjournaled)
 
-    @rule(target=keys, home=PICK, unjournaled=st.booleans(), count=st.integers(1, 2))
+    @rule(target=keys, home=PICK, unjournaled=st.booleans(), count=st.integers(1, 3))
     def request(self, home, unjournaled, count):
         homes = self.live_homes()
         if not homes:
@@ -160,11 +163,14 @@
         chosen = homes[home % len(homes)]
         keys = [self.mint(chosen, unjournaled) for _ in range(count)]
         for key in keys:
-            self.claim(key, "a")
+            self.claim_key(key, "a")
         return multiple(*keys)
 
     @rule(key=keys, fingerprint=st.sampled_from(FINGERPRINTS))
     def claim(self, key, fingerprint):
+        self.claim_key(key, fingerprint)
+
+    def claim_key(self, key, fingerprint):
         home = self.home_of(key)
         if home.is_dead or home.is_paused:
             return
@@ -185,6 +191,11 @@
             if answers[0].code in ("in_progress", "key_reused"):
                 self.open_claims.add(key)
 
+    @rule()
+    def all_callers_retry(self):
+        for key in self.minted:
+            self.claim_key(key, self.claimed.get(key, "a"))
+
     @rule(key=keys)
     def finish(self, key):
         self.finish_key(key)
@@ -201,6 +212,14 @@
             self.finish_key(key)
 
     @rule(key=keys)
+    def ask(self, key):
+        self.ask_home(key)
+
+    @rule()
+    def all_callers_ask(self):
+        for key in self.minted:
+            self.ask_home(key)
+
     def ask_home(self, key):
         home = self.home_of(key)
         if home.is_dead or home.is_paused:
@@ -215,18 +234,28 @@
             chosen = homes[home % len(homes)]
             self.run(chosen, chosen.machine.seal(self.now_s))
 
-    @rule(home=PICK, by=st.sampled_from(("host1", "host2")), is_quick=st.booleans())
-    def survivor_seals(self, home, by, is_quick):
-        if len(self.sealers) >= 6:
-            return
-        incarnation = self.homes[home % len(self.homes)].machine.incarnation
-        sealer = Process(JournalSealer(incarnation, by))
+    @rule(home=PICK, by=st.sampled_from(("host1", "host2")))
+    def survivor_starts_to_seal(self, home, by):
+        if len(self.sealers) < 6:
+            self.start_sealer(self.homes[home % len(self.homes)], by)
+
+    def start_sealer(self, home, by):
+        sealer = Process(JournalSealer(home.machine.incarnation, by))
         self.sealers.append(sealer)
         self.run(sealer, sealer.machine.start(self.now_s))
-        while is_quick and not self.has_outage and not sealer.machine.is_done:
-            calls = [call for call in self.calls if call[0] is sealer]
-            self.calls.remove(calls[0])
-            self.deliver(sealer, self.platform.apply(calls[0][1]))
+        return sealer
+
+    @rule(home=PICK)
+    def survivor_seals_whole(self, home):
+        if not self.has_outage and len(self.sealers) < 6:
+            self.seal_whole(self.homes[home % len(self.homes)])
+
+    def seal_whole(self, home):
+        sealer = self.start_sealer(home, "host3")
+        while not sealer.machine.is_done:
+            [call] = [call for call in self.calls if call[0] is sealer]
+            self.calls.remove(call)
+            self.deliver(sealer, self.platform.apply(call[1]))
         for key in self.claimed:
             self.check_outcome(key)
 
@@ -250,8 +279,10 @@
 
     @rule()
     def answer_all(self):
-        for _ in range(20):
-            self.answer_call(0)
+        for _ in range(3):
+            for _ in range(20):
+                self.answer_call(0)
+            self.advance(0.1)
 
     @rule(call=PICK)
     def delay_answer(self, call):
@@ -277,12 +308,20 @@
             process, effect = self.calls.pop(call % len(self.calls))
             self.deliver(process, CallFailed(effect.tag, sent=False))
 
+    @rule()
+    def all_calls_time_out(self):
+        for _ in range(len(self.calls)):
+            self.delay_past_timeout(0)
+
     @rule(call=PICK)
-    def delay_past_timeout(self, call):
+    def call_times_out(self, call):
         if self.calls:
-            process, effect = self.calls.pop(call % len(self.calls))
-            self.limbo.append((process, effect))
-            self.deliver(process, CallFailed(effect.tag, sent=True))
+            self.delay_past_timeout(call)
+
+    def delay_past_timeout(self, call):
+        process, effect = self.calls.pop(call % len(self.calls))
+        self.limbo.append((process, effect))
+        self.deliver(process, CallFailed(effect.tag, sent=True))
 
     @rule(call=PICK)
     def land_late(self, call):
@@ -322,6 +361,9 @@
             self.fail_unsent(0)
 
     @rule(wait_s=st.sampled_from((0.05, 0.2, 0.6, 3.0)))
+    def wait(self, wait_s):
+        self.advance(wait_s)
+
     def advance(self, wait_s):
         self.now_s += wait_s
         for process in self.homes + self.sealers:
@@ -354,8 +396,8 @@
                 self.land_late(0)
         assert not self.open_claims, "claims without an answer"
         assert all(sealer.machine.is_done for sealer in self.sealers)
-        for key in self.claimed:
-            self.check_outcome(key)
+        for home in self.homes:
+            self.seal_whole(home)
 
 
 TestAtMostOnce = AtMostOnceMachine.TestCase
@@ -363,6 +405,6 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=150,
+    max_examples=200,
     stateful_step_count=60,
 )
--- /dev/null
+++ b/libs/coordination/tests/test_journal.py
@@ -0,0 +1,199 @@
+"""The home's journal: group commit, lost answers, refusals that stay true."""
+
+import json
+
+import pytest
+
+from gypsumusher_coordination.effects import (
+    CallFailed,
+    ClaimGranted,
+    ClaimRefused,
+    JournalSealed,
+    ReadDone,
+    ReadObject,
+    Stored,
+    WriteConflict,
+    WriteDone,
+    WriteObject,
+)
+from gypsumusher_coordination.journal import HomeJournal, JournalPolicy
+from gypsumusher_coordination.keys import parse_key
+
+RANDOM = "0123456789abcdef"
+
+
+def make_journal(**limits):
+    return HomeJournal("home-1", "writer-1", JournalPolicy(**limits))
+
+
+def claim(journal, now_s, fingerprint="f"):
+    key = journal.mint(RANDOM)
+    return key, journal.claim(now_s, key, fingerprint)
+
+
+def test_a_key_names_its_home_and_other_keys_name_none():
+    key = make_journal().mint(RANDOM)
+    assert parse_key(key)[:3] == ("home-1", 0, 0)
+    for other in ("booking-123", "gk1.home-1.0.0", f"gk1.ho.me.0.0.{RANDOM}", ""):
+        assert parse_key(other) is None
+    with pytest.raises(ValueError, match="key"):
+        make_journal().claim(0.0, "gk1.home-2.0.0.01234567", "f")
+    with pytest.raises(ValueError, match="key"):
+        HomeJournal("with.dot", "writer", JournalPolicy())
+
+
+def test_claims_that_gather_share_one_write_and_the_rate_holds():
+    journal = make_journal(writes_per_s=10.0)
+    first, [write] = claim(journal, 0.0)
+    others = [claim(journal, 0.01)[0] for _ in range(5)]
+    assert write.if_version == 0 and list(write.value["keys"]) == [first]
+    assert journal.handle(0.02, WriteDone(write.tag, 7)) == [ClaimGranted(first)]
+    assert journal.tick(0.09) == []
+    [write] = journal.tick(0.1)
+    assert write.if_version == 7
+    granted = journal.handle(0.11, WriteDone(write.tag, 8))
+    assert granted == [ClaimGranted(key) for key in others]
+
+
+def test_a_lost_answer_is_settled_by_reading_and_the_own_write_is_recognised():
+    """The platform took the write, and its answer was lost.
+
+    The caller's request would be refused although its key stands in the journal, and
+    the host would hold itself for sealed out. Reading shows its own writer id and
+    sequence, so the claim is granted, once.
+    """
+    journal = make_journal()
+    key, [write] = claim(journal, 0.0)
+    assert journal.handle(0.1, CallFailed(write.tag, sent=True)) == []
+    [read] = journal.tick(0.5)
+    assert isinstance(read, ReadObject)
+    stored = Stored(3, write.value)
+    assert journal.handle(0.6, ReadDone(read.tag, stored)) == [ClaimGranted(key)]
+    assert journal.handle(0.7, WriteDone(write.tag, 3)) == []
+    assert not journal.is_sealed_out
+
+
+def test_a_strangers_write_shuts_the_home_out():
+    """Two processes were started with one incarnation by mistake.
+
+    Each could grant keys by the other's writes. The writer id tells them apart.
+    """
+    journal = make_journal()
+    key, [write] = claim(journal, 0.0)
+    stored = Stored(3, {**write.value, "writer": "writer-2"})
+    effects = journal.handle(0.1, WriteConflict(write.tag, stored))
+    assert effects == [ClaimRefused(key, "journal_unavailable", "no")]
+    assert journal.is_sealed_out
+
+
+def test_a_claim_refused_after_its_wait_is_never_granted_by_a_write_that_lands():
+    """The platform is slow: the caller hears "not run", then the write lands.
+
+    The caller may have sent its booking elsewhere by then. Neither the late answer
+    nor a repeat of the request may run it here.
+    """
+    journal = make_journal(claim_wait_s=2.0)
+    key, [write] = claim(journal, 0.0)
+    assert journal.tick(2.0) == [ClaimRefused(key, "journal_unavailable", "no")]
+    assert journal.handle(2.1, WriteDone(write.tag, 3)) == []
+    assert journal.claim(2.2, key, "f") == [ClaimRefused(key, "key_not_run", "no")]
+    assert journal.resolve(2.2, key) == "not_run"
+
+
+def test_unsent_failures_are_retried_with_backoff():
+    journal = make_journal(claim_wait_s=60.0, backoff_first_s=0.1, backoff_limit_s=1.0)
+    key, [write] = claim(journal, 0.0)
+    sent_s = []
+    for step in range(1, 1000):
+        journal.handle(step / 100, CallFailed(write.tag, sent=False))
+        for write in journal.tick(step / 100):
+            assert isinstance(write, WriteObject)
+            sent_s.append(step / 100)
+    gaps_s = [round(b - a, 2) for a, b in zip(sent_s, sent_s[1:])]
+    # The steps of the test make a gap longer by one step at most.
+    assert all(b >= a - 0.01 for a, b in zip(gaps_s, gaps_s[1:]))
+    assert 0.5 <= gaps_s[-1] <= 1.02
+    [write] = journal.tick(20.0)
+    assert journal.handle(20.1, WriteDone(write.tag, 1)) == [ClaimGranted(key)]
+
+
+def test_a_repeat_is_told_apart_by_state_and_by_body():
+    journal = make_journal()
+    key, [write] = claim(journal, 0.0)
+    assert journal.claim(0.0, key, "f") == [ClaimRefused(key, "in_progress", "unknown")]
+    journal.handle(0.1, WriteDone(write.tag, 1))
+    assert journal.claim(0.2, key, "g") == [ClaimRefused(key, "key_reused", "no")]
+    assert journal.claim(0.2, key, "f") == [ClaimRefused(key, "in_progress", "unknown")]
+    assert journal.resolve(0.2, key) == "running"
+    journal.finish(0.3, key)
+    assert journal.claim(0.4, key, "f") == [ClaimRefused(key, "done", "unknown")]
+    assert journal.resolve(0.4, key) == "done"
+
+
+def test_only_a_flagged_key_runs_from_memory_and_only_in_an_outage():
+    journal = make_journal()
+    flagged = journal.mint(RANDOM, unjournaled=True)
+    [write] = journal.claim(0.0, flagged, "f")
+    plain = claim(journal, 0.0)[0]
+    failed = CallFailed(write.tag, sent=False)
+    assert journal.handle(0.1, failed) == [ClaimGranted(flagged)]
+    assert not journal.is_platform_reachable
+    again = journal.mint(RANDOM, unjournaled=True)
+    assert journal.claim(0.2, again, "f") == [ClaimGranted(again)]
+    assert journal.tick(9.0)[0] == ClaimRefused(plain, "journal_unavailable", "no")
+
+
+def test_memory_is_bounded_and_a_forgotten_key_is_unknown():
+    """Ever new keys through a long outage, and a made-up one with a huge count.
+
+    The host would run out of memory, or forget a key and run it again.
+    """
+    journal = make_journal(remembered_keys=100, claim_wait_s=0.5)
+    made_up = f"gk1.home-1.0.999999.{RANDOM}"
+    assert journal.claim(0.0, made_up, "f")[0].run == "unknown"
+    first, [write] = claim(journal, 0.0)
+    for step in range(1, 1000):
+        claim(journal, step / 10)
+        journal.tick(step / 10)
+        assert journal.remembered <= 100
+    refusal = ClaimRefused(first, "key_unknown_outcome", "unknown")
+    assert journal.claim(100.0, first, "f") == [refusal]
+    assert journal.resolve(100.0, first) == "unknown"
+
+
+def test_a_finished_key_is_forgotten_after_the_retention():
+    journal = make_journal(retention_s=10.0)
+    key, [write] = claim(journal, 0.0)
+    journal.handle(0.1, WriteDone(write.tag, 1))
+    journal.finish(0.2, key)
+    for second in range(1, 30):
+        journal.tick(float(second))
+    assert journal.remembered == 0
+    assert journal.claim(30.0, key, "f")[0].code == "key_unknown_outcome"
+
+
+def test_segments_roll_below_their_limit():
+    journal = make_journal(segment_bytes=500, writes_per_s=1e6)
+    sizes_bytes = {}
+    for step in range(100):
+        _, [write] = claim(journal, float(step), "f" * 32)
+        sizes_bytes[write.name] = len(json.dumps(write.value))
+        assert (write.if_version == 0) == (len(write.value["keys"]) == 1)
+        journal.handle(step + 0.1, WriteDone(write.tag, step + 1))
+    assert len(sizes_bytes) > 5 and max(sizes_bytes.values()) < 800
+
+
+def test_a_planned_stop_finishes_what_it_granted_then_seals():
+    journal = make_journal()
+    key, [write] = claim(journal, 0.0)
+    journal.handle(0.1, WriteDone(write.tag, 1))
+    assert journal.seal(1.0) == []
+    late, effects = claim(journal, 1.1)
+    assert effects == [ClaimRefused(late, "stopping", "no")]
+    [write] = journal.finish(2.0, key)
+    assert write.value["sealed"] == "home" and key in write.value["keys"]
+    journal.handle(2.1, CallFailed(write.tag, sent=True))
+    [read] = journal.tick(3.0)
+    event = ReadDone(read.tag, Stored(2, write.value))
+    assert journal.handle(3.1, event) == [JournalSealed()]
+    assert journal.tick(9.0) == []
--- /dev/null
+++ b/libs/coordination/tests/test_membership_machine.py
@@ -0,0 +1,113 @@
+"""Membership under cuts, lagging lists and endpoints that come and go."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumusher_coordination.membership import LIST_SOURCE, Membership, message_bytes
+
+HOSTS = ("a", "b", "c")
+ENDPOINTS = ("engine-1", "engine-2")
+HOST = st.sampled_from(HOSTS)
+ENDPOINT = st.sampled_from(ENDPOINTS)
+MESSAGE_LIMIT_BYTES = 1_000
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Three hosts, two endpoints; each host reads the list with a lag of its own."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+        self.is_leaving = dict.fromkeys(ENDPOINTS, False)
+        self.cut = set()
+        self.late = []
+        self.incarnations = dict.fromkeys(HOSTS, 0)
+        self.members = {}
+        for host in HOSTS:
+            self.start_host(host)
+
+    def names(self):
+        return {host: f"{host}{number}" for host, number in self.incarnations.items()}
+
+    def start_host(self, host):
+        self.members[host] = Membership(host, self.names()[host])
+        for member in self.members.values():
+            member.set_hosts(self.now_s, self.names())
+
+    @rule(endpoint=ENDPOINT)
+    def endpoint_leaves_or_comes_back(self, endpoint):
+        self.is_leaving[endpoint] = not self.is_leaving[endpoint]
+
+    @rule(host=HOST, endpoint=ENDPOINT)
+    def read_list(self, host, endpoint):
+        member = self.members[host]
+        member.observe(self.now_s, endpoint, LIST_SOURCE, self.is_leaving[endpoint])
+
+    @rule(host=HOST)
+    def restart(self, host):
+        self.incarnations[host] += 1
+        self.start_host(host)
+
+    @rule(host=HOST)
+    def cut_off(self, host):
+        self.cut.add(host)
+
+    @rule(host=HOST)
+    def join_again(self, host):
+        self.cut.discard(host)
+
+    @rule(wait_s=st.sampled_from((0.1, 0.5, 2.0, 70.0)), is_late=st.booleans())
+    def exchange(self, wait_s, is_late):
+        self.now_s += wait_s
+        for host, member in self.members.items():
+            for probe in member.tick(self.now_s):
+                assert message_bytes(probe.message) < MESSAGE_LIMIT_BYTES
+                if is_late:
+                    self.late.append((host, probe))
+                    continue
+                self.deliver(host, probe)
+
+    @rule(index=st.integers(0, 2**16))
+    def deliver_late(self, index):
+        if self.late:
+            self.deliver(*self.late.pop(index % len(self.late)))
+
+    def deliver(self, host, probe):
+        member = self.members[host]
+        if host in self.cut or probe.host in self.cut:
+            member.on_probe_failed(self.now_s, probe.host)
+            return
+        answer = self.members[probe.host].on_gossip(self.now_s, host, probe.message)
+        member.on_probe_answer(self.now_s, probe.host, answer)
+
+    @invariant()
+    def no_host_suspects_itself(self):
+        for host, member in self.members.items():
+            assert member.state(host) == "live"
+
+    def teardown(self):
+        """All is healed: every host is live to every other and the list is believed."""
+        self.cut.clear()
+        self.late.clear()
+        for _ in range(6):
+            for host in HOSTS:
+                for endpoint in ENDPOINTS:
+                    self.read_list(host, endpoint)
+            for _ in range(6):
+                self.exchange(3.0, False)
+            self.exchange(60.0, False)
+        for member in self.members.values():
+            assert [member.state(other) for other in HOSTS] == ["live"] * len(HOSTS)
+            for endpoint, is_leaving in self.is_leaving.items():
+                assert member.is_endpoint_leaving(endpoint) == is_leaving
+
+
+TestMembership = MembershipMachine.TestCase
+TestMembership.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=100,
+    stateful_step_count=40,
+)
--- /dev/null
+++ b/libs/coordination/tests/test_sealing.py
@@ -0,0 +1,82 @@
+"""Sealing a dead home's journal segment by segment."""
+
+import pytest
+
+from gypsumusher_coordination.effects import (
+    CallFailed,
+    ReadDone,
+    ReadObject,
+    Sealed,
+    Stored,
+    WriteConflict,
+    WriteDone,
+)
+from gypsumusher_coordination.sealing import JournalSealer
+
+KEY = "gk1.home-1.0.0.01234567"
+ABSENT = "gk1.home-1.0.1.01234567"
+FLAGGED = "gu1.home-1.0.2.01234567"
+
+
+def make_segment(segment, keys, sealed=None):
+    return {
+        "incarnation": "home-1",
+        "segment": segment,
+        "writer": "writer-1",
+        "sequence": segment + 1,
+        "sealed": sealed,
+        "keys": keys,
+    }
+
+
+def test_each_segment_is_sealed_and_the_next_one_is_created_sealed():
+    """A home died, or sleeps just before it opens its next segment.
+
+    A caller asks a survivor about a key. "Not run" would be false if the sleeping
+    home could still journal the key in a segment that nobody had sealed.
+    """
+    sealer = JournalSealer("home-1", "host-2")
+    [read] = sealer.start(0.0)
+    assert sealer.outcome(ABSENT) == "unknown"
+    stored = Stored(5, make_segment(0, {KEY: "f"}))
+    [write] = sealer.handle(0.1, ReadDone(read.tag, stored))
+    assert write.if_version == 5 and write.value["sealed"] == "host-2"
+    [read] = sealer.handle(0.2, WriteDone(write.tag, 6))
+    assert read.name == "home-1.1"
+    [write] = sealer.handle(0.3, ReadDone(read.tag, None))
+    assert write.if_version == 0 and write.value["sealed"] == "host-2"
+    effects = sealer.handle(0.4, WriteDone(write.tag, 7))
+    assert effects == [Sealed("home-1", {KEY: "f"})]
+    outcomes = [sealer.outcome(key) for key in (KEY, ABSENT, FLAGGED)]
+    assert outcomes == ["unknown", "not_run", "unknown"]
+    with pytest.raises(ValueError, match="key"):
+        sealer.outcome("gk1.home-2.0.0.01234567")
+
+
+def test_a_home_that_appends_during_the_seal_is_read_again():
+    sealer = JournalSealer("home-1", "host-2")
+    [read] = sealer.start(0.0)
+    [write] = sealer.handle(0.1, ReadDone(read.tag, Stored(5, make_segment(0, {}))))
+    newer = Stored(6, make_segment(0, {KEY: "f"}))
+    [write] = sealer.handle(0.2, WriteConflict(write.tag, newer))
+    assert write.if_version == 6 and write.value["keys"] == {KEY: "f"}
+
+
+def test_a_lost_answer_to_the_seal_is_read_again():
+    sealer = JournalSealer("home-1", "host-2")
+    [read] = sealer.start(0.0)
+    [write] = sealer.handle(0.1, ReadDone(read.tag, None))
+    assert sealer.handle(0.2, CallFailed(write.tag, sent=True)) == []
+    assert sealer.handle(0.2, WriteDone(write.tag, 9)) == []
+    [read] = sealer.tick(5.0)
+    assert isinstance(read, ReadObject)
+    event = ReadDone(read.tag, Stored(9, write.value))
+    assert sealer.handle(5.1, event) == [Sealed("home-1", {})]
+
+
+def test_a_journal_that_its_home_sealed_ends_there():
+    sealer = JournalSealer("home-1", "host-2")
+    [read] = sealer.start(0.0)
+    stored = Stored(5, make_segment(0, {KEY: "f"}, "home"))
+    effects = sealer.handle(0.1, ReadDone(read.tag, stored))
+    assert effects == [Sealed("home-1", {KEY: "f"})]
