--- a/libs/standins/gypsumusher_standins/platform.py
+++ b/libs/standins/gypsumusher_standins/platform.py
@@ -43,6 +43,7 @@
         self.held = {}
         self.changed = asyncio.Event()
         self.host_lists = [(-math.inf, {})]
+        self.frozen_list = {}
         self.settings = {
             "latency_s": 0.0,
             "outage": False,
@@ -52,6 +53,7 @@
             "drop_kind": None,
             "cut_clients": [],
             "list_lag_s": list_lag_s,
+            "list_frozen": False,
             "hang": False,
             "hang_clients": [],
             "hang_kind": None,
@@ -91,7 +93,9 @@
         self.host_lists.append((now_s, newest))
 
     def seen_hosts(self):
-        """Return the host list as it stood `list_lag_s` ago."""
+        """Return the host list as it stood `list_lag_s` ago, or when it froze."""
+        if self.settings["list_frozen"]:
+            return self.frozen_list
         now_s = asyncio.get_running_loop().time()
         limit_s = now_s - self.settings["list_lag_s"]
         for at_s, hosts in reversed(self.host_lists):
@@ -300,6 +304,8 @@
     unknown = set(changes) - set(state.settings)
     if unknown:
         return error(400, "unknown_setting", unknown=sorted(unknown))
+    if changes.get("list_frozen"):
+        state.frozen_list = state.seen_hosts()
     state.settings.update(changes)
     state.wake()
     return web.json_response(state.settings)
