--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -44,12 +44,13 @@
 class Flight:
     """A request from its admission to its end."""
 
-    def __init__(self, request, rank, work, output_tokens):
+    def __init__(self, request, rank, work, output_tokens, high_output_tokens):
         self.request = request
         self.rank = rank
         self.work = work
         self.lane = lane_of(rank, work)
         self.output_tokens = output_tokens
+        self.high_output_tokens = high_output_tokens
         self.attempt = 1
         self.tried = set()
         self.state = None
@@ -337,16 +338,16 @@
     def _make_flight(self, request):
         classes = self.policy.classes
         policy = classes.get(request.class_name) or classes[self.policy.default_class]
-        output_tokens = self.outputs.expect_tokens(
+        output_tokens, high_tokens = self.outputs.expect_tokens(
             request.class_name, request.max_output_tokens
         )
         prefill_rate, decode_rate, _ = self.rates
         work = Work(request.prompt_tokens / prefill_rate, output_tokens / decode_rate)
-        return Flight(request, policy.rank, work, output_tokens)
+        return Flight(request, policy.rank, work, output_tokens, high_tokens)
 
     def _service_s(self, flight):
         prefill_rate, decode_rate, slots = self.rates
-        decode_s = flight.output_tokens * slots / decode_rate
+        decode_s = flight.high_output_tokens * slots / decode_rate
         return flight.request.prompt_tokens / prefill_rate + decode_s
 
     def _capacity(self):
