--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -299,6 +299,7 @@
         seconds = seconds or self.user.policy.role_change_s
 
         def apply():
+            engine.changes += engine.role != role
             engine.role = role
             engine.version = version or engine.version
             self.changing.pop(name, None)
--- a/libs/policy/gypsumusher_policy/endpoints.py
+++ b/libs/policy/gypsumusher_policy/endpoints.py
@@ -1,5 +1,6 @@
 """What a host knows of one endpoint: its last report and the work sent since."""
 
+from gypsumusher_policy.health import Health
 from gypsumusher_policy.types import Endpoint, LoadReport
 
 # Assumed of an endpoint that has not reported yet, on the low side, so that it gets
@@ -43,6 +44,7 @@
         self.peers = {}
         self.peers_running = 0
         self.peers_prompt_tokens = 0
+        self.health = Health()
         self.load_key = None
 
     def on_report(self, now_s: float, report: LoadReport) -> bool:
@@ -105,6 +107,8 @@
             return self.fullness()
         return self.backlog_s() + self.fullness()
 
-    def takes_work(self, now_s: float) -> bool:
-        """Say whether new work may be sent here."""
-        return not (self.leaving or self.draining or now_s < self.paused_until_s)
+    def takes_work(self, now_s: float, idempotent: bool) -> bool:
+        """Say whether a request may be sent here."""
+        if self.leaving or self.draining or now_s < self.paused_until_s:
+            return False
+        return self.health.allows(now_s, idempotent)
--- a/libs/policy/gypsumusher_policy/placement.py
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -59,11 +59,13 @@
         self.remove(state)
         self.add(state)
 
-    def shortlist(self, role: str, now_s: float, tried: set[str]) -> list:
-        """Return the least loaded endpoints of a role that take work."""
+    def shortlist(
+        self, role: str, now_s: float, idempotent: bool, tried: set[str]
+    ) -> list[EndpointState]:
+        """Return the least loaded endpoints of a role that take such a request."""
         chosen = []
         for _, state in self.by_role[role]:
-            if state.name in tried or not state.takes_work(now_s):
+            if state.name in tried or not state.takes_work(now_s, idempotent):
                 continue
             chosen.append(state)
             if len(chosen) >= SHORTLIST:
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -210,6 +210,7 @@
         if flight is None or flight.stage != "prefill":
             return []
         holder = flight.state
+        holder.health.on_success()
         self._leave(flight)
         # The prompt's cache stays on the prefill engine until it is fetched.
         flight.cache_holder = holder
@@ -238,6 +239,8 @@
         flight = self.flights.pop(request_id, None)
         if flight is None:
             return []
+        if flight.state is not None:
+            flight.state.health.on_success()
         self._leave(flight)
         request = flight.request
         self.outputs.on_answer(
@@ -272,6 +275,9 @@
             if reason in ("refused", "connect"):
                 state.paused_until_s = now_s + REFUSED_PAUSE_S
                 self.resume_s = state.paused_until_s
+            state.health.on_failure(now_s, reason)
+            if state.health.is_open():
+                self.resume_s = state.health.until_s
         self._leave(flight)
         if ran != "no":
             flight.ran = "unknown"
@@ -477,11 +483,15 @@
 
     def _decode_room(self, now_s, flight):
         for role in ("decode", "mixed"):
-            for state in self.index.shortlist(role, now_s, flight.tried):
+            for state in self._shortlist(role, now_s, flight):
                 if flight.lane.mostly_prompt or has_decode_room(state, flight.lane):
                     return True
         return False
 
+    def _shortlist(self, role, now_s, flight):
+        idempotent = flight.request.idempotent
+        return self.index.shortlist(role, now_s, idempotent, flight.tried)
+
     def _room(self, state, flight):
         if not has_prefill_room(state, flight.lane, flight.kv_tokens()):
             return False
@@ -491,7 +501,7 @@
         names, parts = self.cache.longest(flight.request.prefix_hashes)
         best, best_score = None, None
         for role in roles:
-            for state in self.index.shortlist(role, now_s, flight.tried):
+            for state in self._shortlist(role, now_s, flight):
                 # A second stage is sent at once: its cache stands on the prefill
                 # engine until it is fetched, and the engine orders what waits.
                 if stage is None and not self._room(state, flight):
@@ -510,6 +520,7 @@
         flight.state = state
         flight.stage = stage
         flight.started_s = now_s
+        state.health.on_start()
         state.own_running += 1
         state.own_kv_tokens += flight.kv_tokens()
         if stage != "decode":
