--- a/tools/demo.py
+++ b/tools/demo.py
@@ -115,6 +115,15 @@
         total[name] = total.get(name, 0) + count
 
 
+async def stop_in_mid_load(host, wait_s):
+    """Stop one host in a planned way while callers use it; return its exit code."""
+    await asyncio.sleep(wait_s)
+    say(f"stopping {host.name} in a planned way, under load")
+    exit_code = await host.terminate_and_wait()
+    say(f"{host.name} has stopped")
+    return exit_code
+
+
 async def stop_system(system):
     """Stop everything in a planned way; return the names of what did not end well."""
     failed = []
@@ -124,15 +133,30 @@
         *system.services,
         system.platform,
     ]:
-        exit_code = await process.terminate_and_wait()
+        # The host that stopped under load has an exit code already.
+        exit_code = process.exit_code()
+        if exit_code is None:
+            exit_code = await process.terminate_and_wait()
         if exit_code != 0:
             failed.append(f"{process.name} (exit code {exit_code})")
     return failed
 
 
-async def run_demo():
-    """Run the demo and return its exit code."""
-    mix = read_mix(MIX_PATH)
+async def run_demo(mix, expected):
+    """Run the demo.
+
+    Parameters
+    ----------
+    mix : Mix
+        The load.
+    expected : callable
+        The one right text of a prompt and a number of output tokens.
+
+    Returns
+    -------
+    int
+        0 when every answer was whole and every process ended well, else 1.
+    """
     async with Fleet() as fleet:
         say("starting the platform, three engines, a plain service and three daemons")
         system = await start_system(fleet)
@@ -142,12 +166,16 @@
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        stopping = asyncio.ensure_future(
+            stop_in_mid_load(system.hosts[-1], mix.duration_s / 2)
+        )
         outcomes = await run_load(
             mix,
-            LoadOptions(addresses, "suwon-a", expected_text),
+            LoadOptions(addresses, "suwon-a", expected),
             lambda progress: say("  " + format_progress(progress)),
         )
         elapsed_s = loop.time() - started_s
+        await stopping
         runs, role_changes = await count_runs(system)
         say("stopping every process in a planned way")
         failed = await stop_system(system)
@@ -160,4 +188,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run_demo()))
+    sys.exit(asyncio.run(run_demo(read_mix(MIX_PATH), expected_text)))
