Forget an address that takes no connection also for streamed requests

Cause: the connect error is an OSError, and the handler for broken answers took it first, so a dead host stayed in the kept entry answer until that was old. Found by reading.

Shown by pytest libs/cli: 69 passed.

--- a/libs/cli/gypsumusher_cli/loadrun.py
+++ b/libs/cli/gypsumusher_cli/loadrun.py
@@ -321,6 +321,9 @@
                 attempt.resume_token = token or attempt.resume_token
                 attempt.request_id = answer.headers.get("Gypsumusher-Request-Id", "")
                 await self._read_events(answer, attempt)
+        except aiohttp.ClientConnectorError:
+            # No connection, so this address is dropped from the kept entry answer.
+            raise
         except (aiohttp.ClientPayloadError, aiohttp.ServerDisconnectedError, OSError):
             return self._after_break(attempt)
         return self._after_end(attempt)
