Use the library's membership for probes and leaving endpoints

Cause: the daemon had its own count of failed probes and its own, shorter way to spread leaving endpoints, beside the one that coordination proves by its state machine. What the list says now reaches hosts that can't read it.

--- a/libs/coordination/gypsumusher_coordination/__init__.py
+++ b/libs/coordination/gypsumusher_coordination/__init__.py
@@ -59,6 +59,8 @@
     OpenTerm,
 )
 from gypsumusher_coordination.membership import (
+    LIST_SOURCE,
+    OWN_SOURCE,
     Membership,
     MembershipPolicy,
     message_bytes,
@@ -78,6 +80,8 @@
 from gypsumusher_coordination.sealing import JournalSealer
 
 __all__ = [
+    "LIST_SOURCE",
+    "OWN_SOURCE",
     "CallerKeyClaim",
     "HomeJournal",
     "JournalPolicy",
--- a/libs/daemon/gypsumusher_daemon/cell.py
+++ b/libs/daemon/gypsumusher_daemon/cell.py
@@ -5,13 +5,15 @@
 
 from returns.result import Success
 
+from gypsumusher_coordination import Membership, MembershipPolicy
 from gypsumusher_peers import Identity, PeerLink, PeerServer
 
 __all__ = ["LEAVING", "LIVE", "SUSPECT", "Cell", "CellParts"]
 
-# Probes in a row without an answer after which a host is suspected. Suspicion steers
-# routing only, so a wrong one costs a detour and no promise.
-FAILED_PROBES_MAX = 3
+# The members are looked at this many times in one gossip interval, so that news go
+# out soon after they come.
+TICKS_AN_INTERVAL = 4
+NEWS_INTERVAL_S = 0.25
 # A host that is suspected for this long was replaced without a planned stop; its
 # record is deleted. If it lives all the same, it publishes itself again.
 FORGET_AFTER_S = 600.0
@@ -28,7 +30,10 @@
     choose : callable
         ``choose()`` returns the names of the hosts to gossip with.
     tell : callable
-        ``tell()`` returns what this host gossips.
+        ``tell()`` returns what this host gossips with its own probes.
+    tell_short : callable
+        ``tell_short()`` returns what goes into answers: the rest comes with the
+        other host's next probe, and 2 KB/s a node is little.
     hear : callable
         ``hear(host, gossip)`` takes what another host gossips.
     lose : callable
@@ -43,6 +48,7 @@
 
     choose: object
     tell: object
+    tell_short: object
     hear: object
     lose: object
     answer: object
@@ -72,12 +78,14 @@
         probe that was answered went out, or a host's own probe came in.
     numbers : dict
         The configuration that each host last said to have in force.
+    membership : Membership
+        Who answers, and which endpoints are leaving; there from `start` on.
     """
 
     def __init__(self, settings, keys, directory, clock, log, parts):
         self.heard_s = {}
         self.numbers = {}
-        self._states = {}
+        self.membership = None
         self._suspected_s = {}
         self._settings = settings
         self._keys = keys
@@ -88,12 +96,18 @@
         self._identity = None
         self._server = None
         self._links = {}
-        self._failed = {}
         self._tasks = set()
 
     async def start(self, name, incarnation):
         """Listen, and begin to gossip; return the bound port."""
         self._identity = Identity(name, incarnation)
+        interval_s = self._settings["peers.gossip_s"]
+        policy = MembershipPolicy(
+            probe_interval_s=interval_s,
+            probe_timeout_s=2 * self._settings["peers.timeout_s"],
+            news_interval_s=min(interval_s, NEWS_INTERVAL_S),
+        )
+        self.membership = Membership(name, incarnation, policy)
         self._server = PeerServer(
             self._identity, self._keys, self._on_request, self._on_error
         )
@@ -114,8 +128,14 @@
             await self._server.close()
 
     def state(self, name):
-        """Return live, suspect or leaving for a host."""
-        return self._states.get(name, LIVE)
+        """Return live, suspect or leaving for a host; others' hosts count as live."""
+        if name not in self._links:
+            return LIVE
+        return self.membership.state(name)
+
+    def set_leaving(self):
+        """Tell the other hosts from now on that this one is leaving."""
+        self.membership.set_leaving()
 
     @property
     def members(self):
@@ -146,6 +166,10 @@
             if name not in self._links:
                 link = self._open_link(address, name)
                 self._links[name] = (address, link)
+        incarnations = {}
+        for name in wanted:
+            incarnations[name] = self._directory.records[name].incarnation
+        self.membership.set_hosts(self._clock(), incarnations)
 
     async def ask(self, name, message):
         """Ask one host something; None when it gives no answer in time."""
@@ -177,8 +201,9 @@
         await asyncio.gather(*asked)
 
     async def gossip_now(self):
-        """Gossip with all hosts at once."""
-        await asyncio.gather(*(self._gossip_with(name) for name in list(self._links)))
+        """Gossip with all hosts at once, beside the ordinary probes."""
+        message = {**self._parts.tell(), "type": "gossip"}
+        await self.tell_all(message)
 
     def _spawn(self, coroutine):
         """Run something beside the rest."""
@@ -199,51 +224,44 @@
         return result.unwrap() if isinstance(result, Success) else None
 
     async def _gossip_on(self):
-        """Gossip with each host in every interval."""
+        """Probe the members as they are due."""
         while True:
-            await asyncio.sleep(self._settings["peers.gossip_s"])
-            for name in list(self._links):
-                if self._should_begin(name):
-                    self._spawn(self._gossip_with(name))
+            await asyncio.sleep(self._settings["peers.gossip_s"] / TICKS_AN_INTERVAL)
+            for probe in self.membership.tick(self._clock()):
+                self._spawn(self._probe(probe))
+            self._note_suspects()
             self._forget_dead()
 
-    def _should_begin(self, name):
-        """Return whether this host begins the gossip with another one.
-
-        An exchange carries both hosts' news, so of each pair the first by name
-        begins it: half the messages, which counts against 2 KB/s a node. The other
-        one begins when it has heard nothing for two intervals.
-        """
-        if self._identity.host < name:
-            return True
-        heard_s = self.heard_s.get(name, float("-inf"))
-        return self._clock() - heard_s > 2 * self._settings["peers.gossip_s"]
-
-    async def _gossip_with(self, name):
-        """Exchange news with one host; count whether it answers."""
-        message = {"type": "gossip", **self._parts.tell()}
+    async def _probe(self, probe):
+        """Send one probe with this host's news, and take the answer."""
+        name = probe.host
+        message = {**self._parts.tell(), "type": "gossip", "member": probe.message}
         sent_s = self._clock()
         answer = await self.ask(name, message)
-        if answer is not None:
-            self._take(name, answer, sent_s)
-            if answer.get("stranger"):
-                self._spawn(self._parts.introduce(name))
+        if answer is None:
+            self.membership.on_probe_failed(self._clock(), name)
             return
-        self._failed[name] = self._failed.get(name, 0) + 1
-        if self._failed[name] == FAILED_PROBES_MAX:
-            self._log("warning", "host_suspected", peer=name)
-            self._states[name] = SUSPECT
-            self._suspected_s[name] = sent_s
-            self._parts.lose(name)
-
-    def _take(self, name, gossip, heard_s):
+        self.membership.on_probe_answer(self._clock(), name, answer["member"])
+        self._hear(name, answer, sent_s)
+        if answer.get("stranger"):
+            self._spawn(self._parts.introduce(name))
+
+    def _note_suspects(self):
+        """Log who has become suspect or is back, and drop a suspect's word."""
+        for name in self._links:
+            suspect = self.state(name) == SUSPECT
+            known = name in self._suspected_s
+            if suspect and not known:
+                self._log("warning", "host_suspected", peer=name)
+                self._suspected_s[name] = self._clock()
+                self._parts.lose(name)
+            if known and not suspect:
+                self._log("info", "host_back", peer=name)
+                del self._suspected_s[name]
+
+    def _hear(self, name, gossip, heard_s):
         """Take another host's news, known to be no older than ``heard_s``."""
         self.heard_s[name] = heard_s
-        self._failed[name] = 0
-        if self._states.get(name) == SUSPECT:
-            self._log("info", "host_back", peer=name)
-        self._suspected_s.pop(name, None)
-        self._states[name] = LEAVING if gossip.get("state") == LEAVING else LIVE
         self.numbers[name] = gossip.get("config", 0)
         self._parts.hear(name, gossip)
 
@@ -261,13 +279,18 @@
 
     async def _on_request(self, peer, message):
         """Answer another host."""
-        if message.get("type") == "gossip":
-            self._take(peer.host, message, self._clock())
-            # A host that started while the platform is down knows nobody, but those
-            # who knew it before gossip with it. It asks them who they are.
-            stranger = peer.host not in self._directory.records
-            return {**self._parts.tell(), "stranger": stranger}
-        return await self._parts.answer(peer.host, message)
+        if message.get("type") != "gossip":
+            return await self._parts.answer(peer.host, message)
+        answer = {}
+        if "member" in message:
+            answer["member"] = self.membership.on_gossip(
+                self._clock(), peer.host, message["member"]
+            )
+        self._hear(peer.host, message, self._clock())
+        # A host that started while the platform is down knows nobody, but those who
+        # knew it before gossip with it. It asks them who they are.
+        stranger = peer.host not in self._directory.records
+        return {**answer, **self._parts.tell_short(), "stranger": stranger}
 
     def _on_error(self, error):
         """Log what went wrong with a peer."""
@@ -285,9 +308,7 @@
         for table in (
             self.heard_s,
             self.numbers,
-            self._states,
             self._suspected_s,
-            self._failed,
         ):
             table.pop(name, None)
         self._parts.lose(name)
--- a/libs/daemon/gypsumusher_daemon/endpoints.py
+++ b/libs/daemon/gypsumusher_daemon/endpoints.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from gypsumusher_coordination import LIST_SOURCE, OWN_SOURCE
 from gypsumusher_policy import Endpoint
 
 __all__ = ["EndpointEntry", "EndpointTable"]
@@ -34,9 +35,8 @@
 class EndpointTable:
     """The endpoints, from the platform's list, their own reports, and peers.
 
-    An endpoint that leaves is learned from whichever says so first. Only the list or
-    the endpoint itself can say that it is back, so that a peer's stale word doesn't
-    keep it out.
+    An endpoint that leaves is learned from whichever says so first: the list, its own
+    report or refusal, or a peer that heard one of them.
 
     Parameters
     ----------
@@ -55,13 +55,23 @@
         self.draining = {}
         self.crashed_s = {}
         self.crash_listeners = []
+        self._membership = None
         self._dispatcher = dispatcher
         self._clock = clock
         self._log = log
         self._drained = set()
-        self._peer_leaving = {}
         self._told = {}
 
+    def set_membership(self, membership):
+        """Share what is seen here of leaving endpoints with the cell.
+
+        Parameters
+        ----------
+        membership : Membership
+            Takes what the list and the endpoints say, and what peers heard.
+        """
+        self._membership = membership
+
     def set_listed(self, listed):
         """Take over the platform's list.
 
@@ -86,6 +96,9 @@
             if name not in entries:
                 self._forget(name)
         self.entries = entries
+        now_s = self._clock()
+        for name, entry in entries.items():
+            self._membership.observe(now_s, name, LIST_SOURCE, entry.listed_leaving)
         self.publish()
 
     def set_drained(self, document):
@@ -104,21 +117,6 @@
         self._drained = drained
         self.publish()
 
-    def hear_leaving(self, peer, names):
-        """Take over which endpoints a peer has seen draining.
-
-        Parameters
-        ----------
-        peer : str
-            The peer; its newest word replaces its last one.
-        names : iterable of str
-            Endpoint names.
-        """
-        names = frozenset(names)
-        if self._peer_leaving.get(peer, frozenset()) != names:
-            self._peer_leaving[peer] = names
-            self.publish()
-
     def on_report(self, report, models):
         """Take over an engine's load report.
 
@@ -135,6 +133,7 @@
         changed |= self.roles.get(name) != report.role
         self.silent_polls[name] = 0
         self.draining[name] = report.draining
+        self._membership.observe(self._clock(), name, OWN_SOURCE, report.draining)
         self.roles[name] = report.role
         self.models[name] = models
         self.reports[name] = report
@@ -144,6 +143,12 @@
         if entry is not None:
             self._dispatcher.apply(entry.group, "on_report", report)
 
+    def on_draining(self, name):
+        """Note that an engine refused work because it is draining."""
+        self.draining[name] = True
+        self._membership.observe(self._clock(), name, OWN_SOURCE, True)
+        self.publish()
+
     def on_silence(self, name):
         """Note that an engine didn't answer a poll."""
         count = self.silent_polls.get(name, 0) + 1
@@ -200,7 +205,7 @@
             entry.listed_leaving
             or (entry.group, entry.name) in self._drained
             or self.draining.get(entry.name, False)
-            or any(entry.name in names for names in self._peer_leaving.values())
+            or self._membership.is_endpoint_leaving(entry.name)
         )
 
     def is_silent(self, name):
@@ -237,3 +242,4 @@
             self.crashed_s,
         ):
             table.pop(name, None)
+        self._membership.forget_endpoints({name})
--- a/libs/daemon/gypsumusher_daemon/exchanges.py
+++ b/libs/daemon/gypsumusher_daemon/exchanges.py
@@ -331,6 +331,8 @@
         self.context.metrics.attempt_failed(self.call, result.reason)
         if result.ran != "no":
             self._may_have_run = True
+        if result.reason == "refused" and result.detail == "draining":
+            self.context.endpoints.on_draining(action.endpoint)
         if self.delivery.head is not None:
             # The caller has the beginning of this attempt's answer. Another attempt
             # would word it differently, so the two must not be joined: the stream
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -158,6 +158,7 @@
             CellParts(
                 self._choose_gossip,
                 self._tell,
+                self._tell_short,
                 self._hear,
                 self._lose,
                 self._answer_peer,
@@ -233,6 +234,7 @@
         await self.sessions.start()
         await self.journals.start()
         peers_port = await self.cell.start(self.name, self.incarnation)
+        self.endpoints.set_membership(self.cell.membership)
         callers = await self._listen(create_callers_app(self), "callers")
         operators = await self._listen(create_operators_app(self), "operators")
         self._addresses = {
@@ -263,6 +265,7 @@
         if self.state in (LEAVING, STOPPED):
             return
         self.state = LEAVING
+        self.cell.set_leaving()
         self.log("info", "stop_began", running=len(self.tasks))
         await self.stewards.release()
         await self.cell.gossip_now()
@@ -435,33 +438,32 @@
                 loads[name] = load
             if name in self.reports.deployments:
                 demands[name] = scheduler.demand()
-        leaving = [n for n, draining in self.endpoints.draining.items() if draining]
+        return {**self._tell_short(), "loads": loads, "demands": demands}
+
+    def _tell_short(self):
+        """Return the numbers by which peers see that they missed something."""
         return {
-            "state": self.state if self.state != STOPPED else LEAVING,
             "config": self.number,
-            "loads": loads,
-            "demands": demands,
-            "leaving": leaving,
             "convicted": len(self.quarantine.convictions),
         }
 
     def _hear(self, peer, gossip):
         """Take another host's news."""
-        loads = gossip.get("loads", {})
-        for deployment in self.dispatcher.schedulers:
-            self.dispatcher.apply(
-                deployment, "on_peer_load", peer, loads.get(deployment, {})
-            )
+        loads = gossip.get("loads")
+        if loads is not None:
+            for deployment in self.dispatcher.schedulers:
+                self.dispatcher.apply(
+                    deployment, "on_peer_load", peer, loads.get(deployment, {})
+                )
         self.stewards.hear(peer, gossip.get("demands", {}))
-        self.endpoints.hear_leaving(peer, gossip.get("leaving", ()))
+        self.endpoints.publish()
         if gossip.get("convicted", 0) > len(self.quarantine.convictions):
             self.track(asyncio.ensure_future(self._convictions_from(peer)))
         if gossip.get("config", 0) > self.number:
             self.track(asyncio.ensure_future(self._head_from(peer)))
 
     def _lose(self, peer):
-        """Forget the word of a host that is suspected or gone."""
-        self.endpoints.hear_leaving(peer, ())
+        """Forget the load of a host that is suspected or gone."""
         for deployment in self.dispatcher.schedulers:
             self.dispatcher.apply(deployment, "on_peer_load", peer, {})
 
--- a/libs/daemon/gypsumusher_daemon/journals.py
+++ b/libs/daemon/gypsumusher_daemon/journals.py
@@ -4,14 +4,16 @@
 import secrets
 
 from gypsumusher_coordination import (
+    CallerKeyClaim,
     ClaimElsewhere,
     ClaimGranted,
     ClaimRefused,
+    HomeJournal,
+    JournalPolicy,
     JournalSealed,
+    JournalSealer,
     Sealed,
 )
-from gypsumusher_coordination.journal import HomeJournal, JournalPolicy
-from gypsumusher_coordination.sealing import JournalSealer
 from gypsumusher_daemon.effects import MachineRunner
 
 __all__ = ["Journals", "journal_policy", "new_incarnation"]
@@ -141,8 +143,6 @@
         -------
         ClaimGranted, ClaimRefused or ClaimElsewhere
         """
-        from gypsumusher_coordination import CallerKeyClaim
-
         machine = CallerKeyClaim(
             key, home or self.incarnation, fingerprint, secrets.token_hex(8)
         )
--- a/libs/daemon/gypsumusher_daemon/keyed_flow.py
+++ b/libs/daemon/gypsumusher_daemon/keyed_flow.py
@@ -8,8 +8,8 @@
 from gypsumusher_coordination import (
     ClaimElsewhere,
     ClaimGranted,
+    parse_key,
 )
-from gypsumusher_coordination.keys import parse_key
 from gypsumusher_daemon.delivery import Delivery
 from gypsumusher_daemon.forwarding import FORWARDED_HEADER, broken_forward
 from gypsumusher_daemon.keyed_requests import refusal_of_claim
--- a/libs/daemon/gypsumusher_daemon/keyed_requests.py
+++ b/libs/daemon/gypsumusher_daemon/keyed_requests.py
@@ -3,8 +3,7 @@
 import asyncio
 from collections import OrderedDict
 
-from gypsumusher_coordination import ClaimGranted
-from gypsumusher_coordination.keys import parse_key
+from gypsumusher_coordination import ClaimGranted, parse_key
 from gypsumusher_daemon.delivery import Delivery
 from gypsumusher_daemon.refusals import Refusal
 
