--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -96,25 +96,26 @@
 def test_a_given_up_request_is_answered_at_once_with_when_to_come_back():
     """A caller would wait out its whole deadline for a refusal.
 
-    The only engine has far more work than it can do in time.
+    A slow engine gets far more work than it can do by the deadlines; one short
+    request before the others takes it some seconds.
     Cause: a queue that keeps what it can't serve.
     """
 
     async def run():
         async with Fleet() as fleet:
-            hosts, engines = await fleet.start_system(hosts=1, engines=1)
-            await engines[0].control(slow_factor=200)
-            headers = {"Gypsumusher-Deadline-S": "8"}
+            hosts, _ = await fleet.start_system(hosts=1, engines=0)
+            await fleet.start_engine("e1", speed=0.1)
+            await fleet.wait_until_served(hosts, 1)
+            short = asyncio.create_task(hosts[0].complete("a short letter", 20))
             calls = {
-                asyncio.create_task(
-                    hosts[0].complete(f"a long letter {number}", 400, headers)
-                )
+                asyncio.create_task(hosts[0].complete(f"a long letter {number}", 400))
                 for number in range(120)
             }
             done, running = await asyncio.wait(
-                calls, return_when=asyncio.FIRST_COMPLETED
+                {short, *calls}, return_when=asyncio.FIRST_COMPLETED
             )
-            # The first answer of all is a refusal: long before anything is done.
+            # The first answer of all is a refusal, before even the short work ends.
+            assert short not in done
             refusal = next(iter(done)).result()
             assert refusal.status == 429, refusal
             assert refusal.error["code"] == "overloaded"
