Replace peers' keys and the operators' token by SIGHUP, without a stop

Cause: a key rotation asked for a restart of each host, three times. Settings are read anew at SIGHUP; a bad file changes nothing.

--- a/libs/daemon/gypsumusher_daemon/cmdline.py
+++ b/libs/daemon/gypsumusher_daemon/cmdline.py
@@ -48,13 +48,21 @@
         print(f"{options.settings}: ok")
         return 0
     try:
-        return run(_serve(settings))
+        return run(_serve(settings, options.settings))
     except GypsumusherError as error:
         print(f"gypsumusherd: {error}", file=sys.stderr)
         return EXIT_FAILED
 
 
-async def _serve(settings):
+def _reload(host, path):
+    """Read the settings anew; a bad file changes nothing."""
+    try:
+        host.reload(load_settings(path))
+    except GypsumusherError as error:
+        host.log("error", "settings_refused", error=error)
+
+
+async def _serve(settings, path):
     """Start the host, wait for a signal, stop as planned."""
     log = create_log(settings["host.name"], settings["log.level"])
     host = EntryHost(settings, log)
@@ -62,6 +70,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
     try:
         addresses = await host.start()
     except OSError as error:
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -52,6 +52,7 @@
 STOP_POLL_S = 0.05
 SEAL_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 1024
+RELOADED_SETTINGS = frozenset({"operators.token", "peers.keys"})
 SEED_PAUSE_S = 0.5
 # Hosts that are told to callers who name no deployment.
 ENTRY_CELL_HOSTS = 8
@@ -181,7 +182,7 @@
         self.abandoned = AbandonedStreams(self.sessions, log)
         self.context = ExchangeContext(
             host=self.name,
-            keys=settings["peers.keys"],
+            keys=list(settings["peers.keys"]),
             clock=clock,
             log=log,
             sessions=self.sessions,
@@ -227,6 +228,33 @@
 
     # Life
 
+    def reload(self, settings):
+        """Take over the settings that can change while the host runs.
+
+        Parameters
+        ----------
+        settings : dict
+            Checked settings, read anew.
+
+        Notes
+        -----
+        Secrets must be replaceable without a stop, so the peers' keys and the
+        operators' token change at once. Everything else needs a restart and is named
+        in the log, so that nobody takes it for changed.
+        """
+        ignored = []
+        for key, value in settings.items():
+            if value == self.settings[key]:
+                continue
+            if key not in RELOADED_SETTINGS:
+                ignored.append(key)
+                continue
+            self.settings[key] = value
+        keys = self.settings["peers.keys"]
+        self.keys.replace([(key.id, key.secret) for key in keys])
+        self.context.keys[:] = keys
+        self.log("info", "settings_reloaded", needs_restart=",".join(ignored) or None)
+
     async def start(self):
         """Start all parts; return the bound addresses by listener."""
         settings = self.settings
@@ -673,7 +701,7 @@
         resumed = begin_resume(
             token,
             after,
-            self.settings["peers.keys"],
+            self.context.keys,
             self.name,
             self.endpoints,
             self.sessions,
--- a/libs/daemon/gypsumusher_daemon/operators.py
+++ b/libs/daemon/gypsumusher_daemon/operators.py
@@ -43,9 +43,9 @@
     app.config.update(
         {"ACCESS_LOG": False, "REQUEST_MAX_SIZE": BODY_BYTES_MAX, "TOUCHUP": False}
     )
-    expected = f"Bearer {host.settings['operators.token']}".encode()
 
     async def check_token(request):
+        expected = f"Bearer {host.settings['operators.token']}".encode()
         given = request.headers.get("authorization", "").encode()
         # Compared in constant time: the time of a plain comparison tells how much
         # of the token was right.
--- a/libs/daemon/gypsumusher_daemon/settings.py
+++ b/libs/daemon/gypsumusher_daemon/settings.py
@@ -574,6 +574,9 @@
             return "id and secret must be texts; put them in quotes"
         if len(entry["secret"]) < TOKEN_MIN_CHARS:
             return f"secret of {entry['id']!r} has under {TOKEN_MIN_CHARS} characters"
+    ids = [entry["id"] for entry in value]
+    if len(set(ids)) < len(ids):
+        return "two keys have the same id; give each its own"
     return None
 
 
