--- a/libs/coordination/gypsumusher_coordination/journal.py
+++ b/libs/coordination/gypsumusher_coordination/journal.py
@@ -39,6 +39,7 @@
     WriteDone,
     WriteObject,
 )
+from gypsumusher_coordination.expiry import SegmentExpiry
 from gypsumusher_coordination.keys import (
     KeyParts,
     format_key,
@@ -71,7 +72,8 @@
         A claim that isn't on the platform after this time is refused. Shorter than a
         caller's patience, so that it hears a true "not run" and may go elsewhere.
     retention_s : float
-        How long a finished key is remembered. Later repeats hear "unknown".
+        How long a finished key is remembered, and how long a segment stands after the
+        home has left it. Later repeats hear "unknown".
     segment_bytes : int
         Size at which a segment is left for the next. Each write carries the whole
         segment, so a large one multiplies the bytes of every write by its fill, and a
@@ -161,6 +163,7 @@
         self._journaled_bytes = 0
         self._sequence = 0
         self._confirmed_sequence = 0
+        self._expiry = SegmentExpiry(JOURNAL_KIND, incarnation, policy.retention_s)
         self._call = None
         self._calls = 0
         self._is_unsettled = False
@@ -362,6 +365,8 @@
             effects.append(self._withdraw(key))
         self._forget_old(now_s)
         effects.extend(self._advance(now_s))
+        if not self._is_sealed and not self._is_sealed_out:
+            effects.extend(self._expiry.tick(now_s))
         return effects
 
     def handle(self, now_s, event):
@@ -379,6 +384,9 @@
         list
             Effects.
         """
+        self._expiry.handle(now_s, event)
+        if self._expiry.is_sealed_out and not self._is_sealed_out:
+            return self._shut_out()
         call = self._call
         if call is None or event.tag != call.tag:
             return []
@@ -446,7 +454,7 @@
 
     def _write_waiting(self, now_s):
         if self._journaled_bytes >= self._policy.segment_bytes:
-            self._open_next_segment()
+            self._open_next_segment(now_s)
         keys = dict(self._journaled)
         size_bytes = self._journaled_bytes
         for key in self._waiting:
@@ -457,10 +465,12 @@
             size_bytes += _entry_bytes(key, fingerprint)
         return self._write(now_s, keys, None)
 
-    def _open_next_segment(self):
+    def _open_next_segment(self, now_s):
         # The present segment is known to stand on the platform, else no key of it
         # would be noted as journaled: the chain has no gap in which a survivor could
         # take a missing segment for the end while the home is already past it.
+        stored = Stored(self._version, self._segment_value(self._journaled, None))
+        self._expiry.on_closed(now_s, self._segment, stored)
         self._segment += 1
         self._version = 0
         self._journaled = {}
@@ -468,7 +478,15 @@
 
     def _write(self, now_s, keys, sealed):
         self._sequence += 1
-        value = {
+        value = self._segment_value(keys, sealed)
+        self._start_call(now_s, value)
+        name = segment_name(self.incarnation, self._segment)
+        # The version guards against the survivor that sealed this segment while the
+        # home was paused: the write conflicts, and the home grants nothing.
+        return WriteObject(self._call.tag, JOURNAL_KIND, name, value, self._version)
+
+    def _segment_value(self, keys, sealed):
+        return {
             "incarnation": self.incarnation,
             "segment": self._segment,
             "writer": self._writer,
@@ -476,11 +494,6 @@
             "sealed": sealed,
             "keys": keys,
         }
-        self._start_call(now_s, value)
-        name = segment_name(self.incarnation, self._segment)
-        # The version guards against the survivor that sealed this segment while the
-        # home was paused: the write conflicts, and the home grants nothing.
-        return WriteObject(self._call.tag, JOURNAL_KIND, name, value, self._version)
 
     def _read(self, now_s):
         self._start_call(now_s, None)
--- a/libs/coordination/gypsumusher_coordination/sealing.py
+++ b/libs/coordination/gypsumusher_coordination/sealing.py
@@ -47,6 +47,7 @@
         self.incarnation = incarnation
         self._by_host = by_host
         self._segment = 0
+        self._first_segment = 0
         self._keys = {}
         self._is_started = False
         self._is_done = False
@@ -162,6 +163,9 @@
         if parts.unjournaled:
             # The home may have run it from memory while the platform was down.
             return "unknown"
+        if parts.segment < self._first_segment:
+            # Older than the journal's retention: its entry may have been removed.
+            return "unknown"
         return "not_run"
 
     def _on_sealed_segment(self, value):
@@ -172,7 +176,11 @@
         if is_last:
             self._is_done = True
             return [Sealed(self.incarnation, dict(self._keys))]
-        self._segment += 1
+        if self._segment == 0:
+            # Segments that the home removed after their retention are passed over;
+            # one of them, found missing, would look like the journal's end.
+            self._first_segment = value.get("first_segment", 0)
+        self._segment = max(self._segment + 1, self._first_segment)
         return [self._read()]
 
     def _create_sealed(self):
--- a/libs/coordination/tests/test_at_most_once_machine.py
+++ b/libs/coordination/tests/test_at_most_once_machine.py
@@ -15,6 +15,7 @@
     CallFailed,
     ClaimGranted,
     ClaimRefused,
+    DeleteObject,
     JournalSealed,
     ReadDone,
     ReadObject,
@@ -32,7 +33,7 @@
     writes_per_s=10.0,
     claim_wait_s=1.0,
     retention_s=5.0,
-    segment_bytes=100,
+    segment_bytes=50,
     remembered_keys=4,
     waiting_keys=4,
     backoff_first_s=0.1,
@@ -57,6 +58,9 @@
         if effect.if_version != (stored.version if stored else 0):
             return WriteConflict(effect.tag, stored)
         self.revision += 1
+        if isinstance(effect, DeleteObject):
+            del self.objects[effect.name]
+            return WriteDone(effect.tag, self.revision)
         value = {**effect.value, "keys": dict(effect.value["keys"])}
         self.objects[effect.name] = Stored(self.revision, value)
         if value["sealed"] is not None:
@@ -166,6 +170,21 @@
             self.claim_key(key, "a")
         return multiple(*keys)
 
+    @rule(target=keys, home=PICK)
+    def serve_for_a_while(self, home):
+        """Segments roll and expire, keys are forgotten."""
+        homes = self.live_homes()
+        if not homes:
+            return multiple()
+        keys = []
+        for _ in range(5):
+            keys.append(self.mint(homes[home % len(homes)], False))
+            self.claim_key(keys[-1], "a")
+            self.answer_all()
+            self.finish_all()
+            self.advance(2.0)
+        return multiple(*keys)
+
     @rule(key=keys, fingerprint=st.sampled_from(FINGERPRINTS))
     def claim(self, key, fingerprint):
         self.claim_key(key, fingerprint)
--- a/libs/coordination/tests/test_journal.py
+++ b/libs/coordination/tests/test_journal.py
@@ -130,6 +130,17 @@
     assert journal.resolve(0.4, key) == "done"
 
 
+def test_a_question_withdraws_a_key_that_was_not_claimed_yet():
+    """A caller asks about its key and hears "not run"; then its request arrives late.
+
+    The caller may have sent its booking under another key meanwhile.
+    """
+    journal = make_journal()
+    key = journal.mint(RANDOM)
+    assert journal.resolve(0.0, key) == "not_run"
+    assert journal.claim(0.1, key, "f") == [ClaimRefused(key, "key_not_run", "no")]
+
+
 def test_only_a_flagged_key_runs_from_memory_and_only_in_an_outage():
     journal = make_journal()
     flagged = journal.mint(RANDOM, unjournaled=True)
