--- /dev/null
+++ b/libs/coordination/tests/test_orders_machine.py
@@ -0,0 +1,585 @@
+"""Stewards, leases and engines of every kind under random faults, in virtual time."""
+
+import itertools
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from gypsumusher_coordination import (
+    CallFailed,
+    Lease,
+    LeaseGained,
+    LeaseLost,
+    OrderAnswer,
+    OrderBook,
+    OrderFailed,
+    OrderSettled,
+    QueryOrder,
+    ReadDone,
+    ReadObject,
+    SendOrder,
+    Stored,
+    TermsSettled,
+    WriteConflict,
+    WriteDone,
+    WriteObject,
+)
+
+DURATION_S = 6.0
+TIMEOUT_S = 2.0
+# Deployment: does its engine refuse old numbers, and when does it close connections.
+DEPLOYMENTS = {
+    "checks": ("refuses", TIMEOUT_S),
+    "ignores": ("ignores", TIMEOUT_S),
+    "checks unlimited": ("refuses", None),
+    "ignores unlimited": ("ignores", None),
+}
+GOALS = [{"role": "prefill"}, {"role": "decode"}, {"drain": True}]
+# What the program does in a turn; a rule leaves some out to stop it in between.
+STEPS = ["tick", "platform", "hear", "open", "check", "write", "arrive", "reply"]
+PICK = st.integers(0, 1000)
+DEPLOYMENT = st.sampled_from(sorted(DEPLOYMENTS))
+
+
+TURN_S = 0.4
+# How an order's way is interrupted, in `order_from_the_past`.
+PAST = {
+    "name": sorted(DEPLOYMENTS),
+    "stop": STEPS[STEPS.index("open") :],
+    "cut_s": [0.0, 4.8, 5.2, 5.6, 6.0],
+    "then": ["take over", "hand over", "alone"],
+    "seconds": [0.0, 1.2, 1.6, 2.0, 8.0],
+    "gives_up": [False, True],
+}
+
+
+class Platform:
+    """Versioned objects with conditional writes."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revisions = itertools.count(1)
+
+    def apply(self, call):
+        place = (call.kind, call.name)
+        stored = self.objects.get(place)
+        if isinstance(call, ReadObject):
+            return ReadDone(call.tag, stored)
+        if (stored.version if stored else 0) != call.if_version:
+            return WriteConflict(call.tag, stored)
+        self.objects[place] = Stored(next(self.revisions), call.value)
+        return WriteDone(call.tag, self.objects[place].version)
+
+
+class Engine:
+    """An engine that knows its orders by id until it crashes."""
+
+    def __init__(self, fencing, timeout_s):
+        self.refuses = fencing == "refuses"
+        self.timeout_s = timeout_s
+        self.epoch = 0
+        # The newest authority that began to act here, and the order it acted with.
+        self.acted = (0, "")
+        self.start()
+
+    def start(self):
+        self.highest_term = 0
+        self.states = {}
+        self.newest = ""
+
+    def crash(self):
+        self.epoch += 1
+        self.start()
+
+    def is_running(self):
+        return self.states.get(self.newest) == "running"
+
+    def take(self, send):
+        """Take an order and say what the engine answers."""
+        if send.order_id in self.states:
+            return self.states[send.order_id]
+        if self.refuses and send.term < self.highest_term:
+            return "stale_term"
+        self.highest_term = max(self.highest_term, send.term)
+        assert not self.is_running(), f"{send} meets the running {self.newest}"
+        is_same_order = send.order_id == self.acted[1]
+        assert send.term >= self.acted[0] or is_same_order, f"{send} without authority"
+        self.states[send.order_id] = "running"
+        self.newest = send.order_id
+        return "accepted"
+
+
+class Process:
+    """One incarnation of a host's program with its leases and orders."""
+
+    def __init__(self, host, number, offset_s):
+        self.host = host
+        self.incarnation = f"{host}-{number}"
+        self.offset_s = offset_s
+        self.paused = False
+        self.alive = True
+        nonces = itertools.count()
+        self.leases = {}
+        self.books = {}
+        for name, (fencing, timeout_s) in DEPLOYMENTS.items():
+            lease = Lease(
+                name,
+                host,
+                self.incarnation,
+                DURATION_S,
+                lambda: f"{self.incarnation}:{next(nonces)}",
+            )
+            self.leases[name] = lease
+            self.books[name] = OrderBook(name, fencing, timeout_s, lease.authority)
+            self.books[name].set_engines(0.0, [name])
+
+    def runs(self):
+        return self.alive and not self.paused
+
+
+class Call:
+    """A call to the platform or to an engine, somewhere on its way."""
+
+    def __init__(self, process, machine, deployment, effect):
+        self.process = process
+        self.machine = machine
+        self.deployment = deployment
+        self.effect = effect
+        self.stage = "new"
+        self.answer = None
+        # The caller gave up on it, though it may still arrive.
+        self.orphan = False
+        self.opened_s = 0.0
+        self.epoch = 0
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Invariants: one believer a lease, no clash at an engine, none without authority.
+
+    Story of the faults: stewards are paused anywhere, also between the check of the
+    clock and the write; answers of the platform and of engines are lost or late;
+    processes die with calls on their way; leases lapse, are taken over and released;
+    engines crash in the middle of an order; a patient operator confirms the dead.
+    """
+
+    @initialize(offsets=st.lists(st.integers(-500, 500), min_size=2, max_size=2))
+    def begin(self, offsets):
+        self.now_s = 1000.0
+        self.platform = Platform()
+        self.engines = {name: Engine(*DEPLOYMENTS[name]) for name in DEPLOYMENTS}
+        self.numbers = itertools.count(1)
+        self.offsets = offsets
+        self.calls = []
+        self.settled = []
+        self.processes = []
+        self.processes = [self.spawn(0), self.spawn(1)]
+        self.everyone = list(self.processes)
+        self.work_for([0, 1], 1)
+
+    def spawn(self, place):
+        host = "ab"[place]
+        process = Process(host, next(self.numbers), float(self.offsets[place]))
+        return process
+
+    def local_s(self, process):
+        return self.now_s + process.offset_s
+
+    # What the program around the machines does
+
+    def carry_out(self, process, machine, deployment, effects):
+        lease, book = process.leases[deployment], process.books[deployment]
+        now_s = self.local_s(process)
+        for effect in effects:
+            if isinstance(effect, LeaseGained):
+                more = book.on_lease(now_s, effect.term, effect.previous)
+                self.carry_out(process, book, deployment, more)
+            elif isinstance(effect, LeaseLost):
+                book.on_lease_lost(now_s)
+            elif isinstance(effect, TermsSettled):
+                lease.settle_terms(effect.terms)
+            elif isinstance(effect, OrderSettled):
+                self.settled.append(effect)
+                self.engines[deployment].acted = (book.term, "")
+            else:
+                self.note_action(effect)
+                self.calls.append(Call(process, machine, deployment, effect))
+
+    def note_action(self, effect):
+        if not isinstance(effect, SendOrder):
+            return
+        engine = self.engines[effect.engine]
+        if effect.term >= engine.acted[0]:
+            engine.acted = (effect.term, effect.order_id)
+
+    def handle(self, call, event):
+        if call.orphan:
+            self.calls.remove(call)
+            return
+        if not call.process.runs():
+            return
+        self.calls.remove(call)
+        now_s = self.local_s(call.process)
+        effects = call.machine.handle(now_s, event)
+        self.carry_out(call.process, call.machine, call.deployment, effects)
+
+    def is_order(self, call):
+        return isinstance(call.effect, SendOrder | QueryOrder)
+
+    def step(self, call, allowed):
+        """Move one call on by a stage, if that is allowed."""
+        if not self.is_order(call):
+            return self.step_platform(call, allowed)
+        if call.stage == "new" and "open" in allowed and call.process.runs():
+            engine = self.engines[call.deployment]
+            call.opened_s, call.epoch = self.now_s, engine.epoch
+            call.stage = "opened"
+        elif call.stage == "opened" and "check" in allowed and call.process.runs():
+            call.stage = "checked"
+            if isinstance(call.effect, SendOrder):
+                if self.local_s(call.process) >= call.effect.not_after_s:
+                    self.handle(call, self.failed(call, sent=False))
+        elif call.stage == "checked" and "write" in allowed and call.process.runs():
+            call.stage = "written"
+        elif call.stage == "written" and "arrive" in allowed:
+            self.arrive(call)
+        elif call.stage == "arrived" and "reply" in allowed:
+            self.handle(call, call.answer)
+
+    def step_platform(self, call, allowed):
+        if call.stage == "new" and "platform" in allowed:
+            call.answer = self.platform.apply(call.effect)
+            call.stage = "arrived"
+            if call.orphan:
+                self.calls.remove(call)
+        elif call.stage == "arrived" and "hear" in allowed:
+            self.handle(call, call.answer)
+
+    def failed(self, call, sent):
+        effect = call.effect
+        if not self.is_order(call):
+            return CallFailed(effect.tag, sent and isinstance(effect, WriteObject))
+        order_id = getattr(effect, "order_id", "")
+        return OrderFailed(effect.engine, order_id, sent, effect.tag)
+
+    def arrive(self, call):
+        """Let what was written reach the engine, if its connection still stands."""
+        engine, effect = self.engines[call.deployment], call.effect
+        call.stage = "arrived"
+        if call.orphan:
+            self.calls.remove(call)
+        limit_s = engine.timeout_s
+        is_closed = limit_s is not None and self.now_s >= call.opened_s + limit_s
+        if is_closed or call.epoch != engine.epoch:
+            call.answer = self.failed(call, sent=True)
+            return
+        if isinstance(effect, SendOrder):
+            state, order_id = engine.take(effect), effect.order_id
+        else:
+            order_id = engine.newest
+            state = engine.states.get(order_id, "none")
+        call.answer = OrderAnswer(effect.engine, order_id, state, effect.tag)
+
+    def tick(self, process):
+        now_s = self.local_s(process)
+        for name in DEPLOYMENTS:
+            for machine in (process.leases[name], process.books[name]):
+                self.carry_out(process, machine, name, machine.tick(now_s))
+
+    def turn(self, process, allowed):
+        """Let one process and the calls on their way do what is allowed."""
+        if "tick" in allowed and process.runs():
+            self.tick(process)
+        for _ in range(4):
+            for call in list(self.calls):
+                if call in self.calls and call.process is process and not call.orphan:
+                    self.step(call, allowed)
+
+    def work_for(self, places, seconds):
+        for _ in range(round(seconds / TURN_S)):
+            self.now_s += TURN_S
+            for place in places:
+                self.turn(self.processes[place], STEPS)
+
+    def steward_place(self, name):
+        """Return the place of the running steward, or None."""
+        for place, process in enumerate(self.processes):
+            held = process.leases[name].held(self.local_s(process))
+            if process.runs() and held:
+                return place
+        return None
+
+    def order(self, place, name, goal):
+        process = self.processes[place]
+        book = process.books[name]
+        effects = book.want(self.local_s(process), name, goal)
+        self.carry_out(process, book, name, effects)
+
+    # Rules
+
+    @rule(place=st.integers(0, 1), allowed=st.sets(st.sampled_from(STEPS)))
+    def work_partly(self, place, allowed):
+        self.turn(self.processes[place], allowed | {"tick"})
+
+    @rule(place=st.integers(0, 1))
+    def work(self, place):
+        self.turn(self.processes[place], STEPS)
+
+    @rule(tenths=st.integers(1, 30))
+    def pass_time(self, tenths):
+        self.now_s += tenths / 10
+
+    @rule(seconds=st.integers(1, 20), busy=st.sets(st.integers(0, 1)))
+    def pass_time_working(self, seconds, busy):
+        self.work_for(sorted(busy), seconds)
+
+    @rule(name=DEPLOYMENT, goal=st.sampled_from(GOALS), works=st.booleans())
+    def want(self, name, goal, works):
+        place = self.steward_place(name)
+        if place is None:
+            return
+        self.order(place, name, goal)
+        if works:
+            self.turn(self.processes[place], STEPS)
+
+    @rule(**{key: st.sampled_from(values) for key, values in PAST.items()})
+    def order_from_the_past(self, name, stop, cut_s, then, seconds, gives_up):
+        """A steward's order stops somewhere on its way, and goes on much later.
+
+        Its intent stands; the steward loses the platform for a while, gets as far as
+        the stage before `stop` and is paused. Another host takes over, and may hand
+        over to a third; or nobody does, and the steward comes back by itself. The
+        next steward orders another goal, and the first order's way goes on.
+        """
+        place = self.steward_place(name)
+        if place is None:
+            return
+        process, other = self.processes[place], 1 - place
+        self.processes[other].paused = False
+        self.order(place, name, GOALS[0])
+        self.turn(process, ["tick", "platform", "hear"])
+        for _ in range(round(cut_s / TURN_S)):
+            self.turn(process, ["tick"])
+            self.work_for([other], TURN_S)
+        self.turn(process, STEPS[STEPS.index("open") : STEPS.index(stop)])
+        if gives_up:
+            for call in [call for call in self.calls if call.process is process]:
+                self.give_up_call(call)
+        process.paused = True
+        if then == "alone":
+            self.now_s += DURATION_S + 1.0
+            process.paused = False
+            self.work_for([place], 2)
+        else:
+            self.work_for([other], seconds)
+        if then == "hand over":
+            self.restart_planned(other)
+        successor = self.steward_place(name)
+        if successor is not None:
+            for _ in range(3):
+                self.turn(self.processes[successor], STEPS)
+            self.order(successor, name, GOALS[1])
+            self.turn(self.processes[successor], ["platform", "hear", "open"])
+        process.paused = False
+        self.turn(process, ["open", "check", "write", "arrive"])
+        self.land_late_calls()
+
+    @rule(place=st.integers(0, 1), seconds=st.integers(1, 5), after=st.integers(0, 5))
+    def slow_answers(self, place, seconds, after):
+        """The platform applies what a host asks, and answers seconds later."""
+        self.turn(self.processes[place], ["tick", "platform"])
+        self.work_for([1 - place], seconds)
+        self.turn(self.processes[place], ["hear"])
+        self.work_for([1 - place], after)
+
+    @rule(place=st.integers(0, 1))
+    def restart_planned(self, place):
+        """The host releases its leases, which needs no order on its way, and ends."""
+        process = self.processes[place]
+        books = process.books.values()
+        if not process.runs() or any(book.has_open_sends() for book in books):
+            return
+        for name, lease in process.leases.items():
+            effects = lease.release(self.local_s(process))
+            self.carry_out(process, lease, name, effects)
+        for _ in range(3):
+            self.now_s += TURN_S
+            self.turn(process, ["tick", "platform", "hear"])
+        self.kill(place)
+        self.work_for([place], 3)
+
+    @rule(place=st.integers(0, 1))
+    def pause(self, place):
+        self.processes[place].paused = True
+
+    @rule(place=st.integers(0, 1))
+    def resume(self, place):
+        self.processes[place].paused = False
+
+    @rule(place=st.integers(0, 1))
+    def kill(self, place):
+        process = self.processes[place]
+        process.alive = False
+        unwritten = [
+            call
+            for call in self.calls
+            if call.process is process
+            and self.is_order(call)
+            and call.stage != "written"
+        ]
+        for call in self.calls:
+            call.orphan = call.orphan or call.process is process
+        self.calls = [call for call in self.calls if call not in unwritten]
+        self.processes[place] = self.spawn(place)
+        self.everyone.append(self.processes[place])
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=PICK)
+    def give_up(self, pick):
+        """The caller gets an error at once; the call itself goes on its way."""
+        self.give_up_call(self.calls[pick % len(self.calls)])
+
+    def give_up_call(self, call):
+        if call.orphan or not call.process.runs() or call.stage == "arrived":
+            return
+        sent = not self.is_order(call) or call.stage == "written"
+        self.handle(call, self.failed(call, sent))
+        if sent:
+            call.orphan = True
+            self.calls.append(call)
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=PICK)
+    def lose_answer(self, pick):
+        call = self.calls[pick % len(self.calls)]
+        if call.stage == "arrived":
+            call.answer = self.failed(call, sent=True)
+
+    @precondition(lambda self: self.calls)
+    @rule(pick=PICK)
+    def move_one(self, pick):
+        """Move any call on by a stage, also one that its caller gave up."""
+        self.step(self.calls[pick % len(self.calls)], STEPS)
+
+    @rule()
+    def land_late_calls(self):
+        for call in [call for call in self.calls if call.orphan]:
+            self.step(call, ["platform", "arrive"])
+
+    @rule(name=DEPLOYMENT, state=st.sampled_from(["done", "failed"]))
+    def finish_order(self, name, state):
+        engine = self.engines[name]
+        if engine.is_running():
+            engine.states[engine.newest] = state
+
+    @rule(name=DEPLOYMENT)
+    def crash_engine(self, name):
+        self.engines[name].crash()
+
+    @rule(name=DEPLOYMENT)
+    def confirm_dead(self, name):
+        """An operator confirms what is true: dead, and nothing of it on its way."""
+        alive = {process.incarnation for process in self.everyone if process.alive}
+        for call in self.calls:
+            if self.is_order(call):
+                alive.add(call.process.incarnation)
+        for process in self.processes:
+            book = process.books[name]
+            for term in book.waiting_for():
+                if term.incarnation in alive or not process.runs():
+                    continue
+                effects = book.confirm_dead(self.local_s(process), term.term)
+                self.carry_out(process, book, name, effects)
+
+    # What must hold
+
+    @invariant()
+    def one_process_believes_in_a_lease(self):
+        for name in DEPLOYMENTS:
+            believers = [
+                process.incarnation
+                for process in self.everyone
+                if process.alive and process.leases[name].held(self.local_s(process))
+            ]
+            assert len(believers) <= 1, f"{name}: {believers}"
+
+    def teardown(self):
+        """Once the faults stop, every engine settles and takes a new order."""
+        if not hasattr(self, "processes"):
+            return
+        self.land_late_calls()
+        for process in self.processes:
+            process.paused = False
+        self.run_until_quiet()
+        # The unlimited engines wait for the operator, who restarts the hosts that
+        # hold orders back and confirms the former ones dead.
+        held_back = {
+            term.incarnation
+            for process in self.processes
+            for term in process.books["ignores unlimited"].waiting_for()
+        }
+        for place, process in enumerate(list(self.processes)):
+            if process.incarnation in held_back:
+                self.kill(place)
+        self.run_until_quiet()
+        self.land_late_calls()
+        for name in DEPLOYMENTS:
+            self.confirm_dead(name)
+        self.run_until_quiet()
+        for name in DEPLOYMENTS:
+            self.check_settled(name)
+
+    def run_until_quiet(self):
+        for _ in range(40):
+            self.now_s += 0.5
+            for process in self.processes:
+                self.turn(process, STEPS)
+            for engine in self.engines.values():
+                if engine.is_running():
+                    engine.states[engine.newest] = "done"
+
+    def check_settled(self, name):
+        (steward,) = [
+            process
+            for process in self.processes
+            if process.leases[name].held(self.local_s(process))
+        ]
+        book = steward.books[name]
+        assert book.waiting_for() == (), f"{name} waits for {book.waiting_for()}"
+        assert book.unfinished() == set(), f"{name} has an unfinished order"
+        before = len(self.settled)
+        effects = book.want(self.local_s(steward), name, {"adapter": "last"})
+        self.carry_out(steward, book, name, effects)
+        self.run_until_quiet()
+        (settled,) = self.settled[before:]
+        assert (settled.state, settled.goal) == ("done", {"adapter": "last"})
+        assert self.engines[name].newest == settled.order_id
+
+
+TestOrdersMachine = OrdersMachine.TestCase
+TestOrdersMachine.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=60,
+    stateful_step_count=50,
+)
+
+
+def test_orders_from_the_past_never_clash():
+    """An engine changes its role at the word of a steward that was replaced.
+
+    The story of `OrdersMachine.order_from_the_past` in all its variants, of which
+    the machine's random walk comes across only some.
+    """
+    for variant in itertools.product(*PAST.values()):
+        machine = OrdersMachine()
+        machine.begin([3, -7])
+        machine.order_from_the_past(**dict(zip(PAST, variant)))
+        machine.one_process_believes_in_a_lease()
