Measure real daemons and work the two-year size out of the slopes

Ruled out: one deployment's section under many names (sections alike are one object, so that a start looked as cheap with 20 deployments as with 2); they now differ.

--- a/tools/capacity_processes.py
+++ b/tools/capacity_processes.py
@@ -7,7 +7,7 @@
 import aiohttp
 from capacity_fit import fit_line
 from capacity_links import Counter
-from testkit import DEPLOYMENT, PLATFORM_TOKEN, Fleet, wait_until
+from testkit import DEPLOYMENT, PLATFORM_TOKEN, Fleet, merged, wait_until
 
 # The daemon's own defaults, where the tests' fleet uses shorter intervals.
 DEFAULT_INTERVALS = {
@@ -30,6 +30,7 @@
 SETTLE_S = 3.0
 WATCHED_S = 12.0
 AT_ONCE = 32
+HTTP_OK = 200
 FAST_ENGINE = {
     "slots": 256,
     "speed": 1,
@@ -55,7 +56,8 @@
     """Return a configuration with as many deployments; the first is letter-models."""
     sections = {"letter-models": DEPLOYMENT}
     for number in range(1, deployments):
-        sections[f"deployment-{number}"] = DEPLOYMENT
+        # Each of its own content: sections alike would be one object, read once.
+        sections[f"deployment-{number}"] = merged(DEPLOYMENT, {"version": f"v{number}"})
     return {"deployments": sections, "services": {}}
 
 
@@ -68,7 +70,7 @@
         self.engine = engine
         self.callers = [host.addresses["callers"] for host in hosts]
 
-    async def list_engines(self, count, address):
+    async def list_engines(self, count, address, group="letter-models"):
         """List one engine under more names, as if there were as many engines.
 
         The daemon polls each name apart; what the engine itself does is no part of
@@ -83,7 +85,7 @@
             item = {
                 "name": f"listed-{number}",
                 "kind": "engine",
-                "group": "letter-models",
+                "group": group,
                 "address": address,
                 "zone": "suwon-a",
                 "region": "gyeonggi",
@@ -102,6 +104,17 @@
 
         return all_in
 
+    def in_force(self, number):
+        """Return a coroutine function that tells whether all hosts have a number."""
+
+        async def on_all():
+            for host in self.hosts:
+                if (await host.status())["config_number"] != number:
+                    return False
+            return True
+
+        return on_all
+
     async def calls(self):
         """Return the platform's count of calls by client and kind."""
         return (await self.fleet.platform.counters())["calls"]
@@ -112,9 +125,8 @@
     await fleet.start_platform()
     await fleet.put_config(make_document(deployments))
     engine = await fleet.start_engine("engine-1", **FAST_ENGINE)
-    started = []
-    for number in range(hosts):
-        started.append(await fleet.start_host(f"host-{number}", **DEFAULT_INTERVALS))
+    names = [f"host-{number}" for number in range(hosts)]
+    started = [await fleet.start_host(name, **DEFAULT_INTERVALS) for name in names]
     await fleet.wait_until_served(started, 1)
     return Lab(fleet, started, engine)
 
@@ -261,6 +273,61 @@
     return in_lab(measure, hosts=hosts)
 
 
+def list_point(replicas):
+    """Return bytes/s from the platform to one host, and the host's share of a core.
+
+    The replicas belong to a deployment that the host doesn't serve: what is measured
+    is the list itself, with what it brings of the configuration and of other hosts.
+    """
+
+    async def measure(lab):
+        host, port = lab.fleet.platform.address.rsplit(":", 1)
+        counter = Counter(int(port))
+        urls = [f"http://{host}:{await counter.start()}"]
+        changes = merged(DEFAULT_INTERVALS, {"platform": {"urls": urls}})
+        watched = await lab.fleet.start_host("host-watched", **changes)
+        await lab.list_engines(replicas, "127.0.0.1:9", group="elsewhere")
+        await asyncio.sleep(SETTLE_S)
+        start_bytes, start_s = counter.sent_bytes, cpu_s(watched.pid)
+        await asyncio.sleep(WATCHED_S)
+        rate = (counter.sent_bytes - start_bytes) / WATCHED_S
+        share = (cpu_s(watched.pid) - start_s) / WATCHED_S * 100.0
+        await counter.close()
+        return rate, share
+
+    return in_lab(measure)
+
+
+def start_point(deployments):
+    """Return the platform calls of one host's start, until callers may come."""
+
+    async def measure(lab):
+        host = await lab.fleet.start_host("host-new", **DEFAULT_INTERVALS)
+        await wait_until(host.is_ready, "the new host to be ready")
+        return sum((await lab.calls())["host-new"].values())
+
+    return in_lab(measure, deployments=deployments)
+
+
+def adoption_point(hosts):
+    """Return how long a patch takes to be in force on all hosts, in seconds."""
+
+    async def measure(lab):
+        loop = asyncio.get_running_loop()
+        longest_s = 0.0
+        for number in range(1, 6):
+            patch = {"hosts": {"stale_limit_s": 8.0 + number / 100}}
+            started_s = loop.time()
+            answer = await lab.hosts[0].patch(number, patch, f"patch-{number}")
+            if answer.status != HTTP_OK:
+                raise RuntimeError(f"a patch was refused: {answer.body}")
+            await wait_until(lab.in_force(number + 1), f"number {number + 1}")
+            longest_s = max(longest_s, loop.time() - started_s)
+        return longest_s
+
+    return in_lab(measure, hosts=hosts)
+
+
 def stewards_point(deployments):
     """Return the platform writes a second of one host that stewards deployments."""
 
@@ -273,13 +340,11 @@
     return in_lab(measure, deployments=deployments)
 
 
-def measure_processes():
-    """Return the lines of real daemons."""
+def measure_serving():
+    """Return the lines of a daemon that serves."""
     # One request's cost apart from its tokens', each by its own sweep.
     by_request = relay_points([(n, 1) for n in (500, 1000, 1500, 2000)])
     by_token = relay_points([(200, n) for n in (50, 100, 200, 400)])
-    engines = [(n, *engines_point(n)) for n in (4, 8, 16, 32)]
-    hosts = [(n, *hosts_point(n)) for n in (2, 3, 4, 6)]
     return [
         fit_line(
             "requests relayed by a daemon",
@@ -305,6 +370,15 @@
             "bytes",
             resident_points((0, 50, 100, 200)),
         ),
+    ]
+
+
+def measure_control():
+    """Return the lines of what a daemon does for control, callers apart."""
+    engines = [(n, *engines_point(n)) for n in (4, 8, 16, 32)]
+    hosts = [(n, *hosts_point(n)) for n in (2, 4, 6, 8)]
+    lists = [(n, *list_point(n)) for n in (50, 100, 200, 400)]
+    return [
         fit_line(
             "load reports and cache events of a daemon",
             "engines",
@@ -329,6 +403,30 @@
             "% of a core",
             [(n, share) for n, _, share in hosts],
         ),
+        fit_line(
+            "what a host hears from the platform",
+            "replicas listed",
+            "bytes/s",
+            [(n, rate) for n, rate, _ in lists],
+        ),
+        fit_line(
+            "an idle daemon's time, by the list",
+            "replicas listed",
+            "% of a core",
+            [(n, share) for n, _, share in lists],
+        ),
+        fit_line(
+            "platform calls of one start",
+            "deployments",
+            "calls",
+            [(n, start_point(n)) for n in (2, 5, 10, 20)],
+        ),
+        fit_line(
+            "a patch in force on all hosts, the longest of five",
+            "hosts",
+            "s",
+            [(n, adoption_point(n)) for n in (1, 2, 4, 8)],
+        ),
         fit_line(
             "a steward's writes at the platform",
             "deployments",
