Remember an engine's unfinished order while the list drops the engine

Cause: the daemon hands the lagging list to the order book at every tick; an engine that was missing once lost its order there. When it came back, a steward of engines that ignore numbers asked, heard of no order and could order another goal while the first copy was still on its way. Ruled out: forgetting after a while, as a copy on an engine without a limit on its connections has no end. Before: test_engine_missing_from_the_list_for_a_moment_keeps_its_order failed with a query in place of the same order (pytest libs/coordination/tests/test_orders.py); the state machine with a rule for it did not find it. After: 17 passed; machine and variants 2 passed.

--- a/libs/coordination/gypsumusher_coordination/orders.py
+++ b/libs/coordination/gypsumusher_coordination/orders.py
@@ -145,6 +145,7 @@
         self.outcome: tuple[str, str] | None = None
         self.wanted: dict[str, Any] | None = None
         self.tag: str | None = None
+        self.listed = True
         self.not_before_s = float("-inf")
 
 
@@ -225,10 +226,17 @@
         self.order_timeout_s = order_timeout_s
 
     def set_engines(self, now_s: float, engines: Iterable[str]) -> list[OrderEffect]:
-        """Take the deployment's engines; unfinished orders of new ones are settled."""
+        """Take the deployment's engines; unfinished orders of new ones are settled.
+
+        An engine that left the list while its order is unfinished is remembered: the
+        list lags and flickers, and forgetting a copy that is still on its way would
+        let another order go out before it.
+        """
         names = set(engines)
-        for name in sorted(set(self._engines) - names):
-            del self._engines[name]
+        for name, state in sorted(self._engines.items()):
+            state.listed = name in names
+            if not state.listed and state.order is None and state.tag is None:
+                del self._engines[name]
         for name in sorted(names - set(self._engines)):
             self._engines[name] = _Engine(name)
         return self.tick(now_s)
@@ -358,6 +366,8 @@
             return []
         if not self._may_act(now_s):
             return []
+        if not state.listed and state.step in {IDLE, SETTLE, SEND, POLL}:
+            return []
         if state.step == READ:
             return [ReadObject(self._tag(state), ORDER_KIND, state.name)]
         # A former steward's order may still arrive: nothing about this engine is
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -171,6 +171,30 @@
     assert not steward.book.has_open_sends()
 
 
+def test_engine_missing_from_the_list_for_a_moment_keeps_its_order():
+    """An engine changes to one role and, a second later, to another one.
+
+    The lagging list drops the engine while an order's answer is lost, and shows it
+    again. A steward that had forgotten the order would ask the engine, hear of none
+    and order another goal, and then the first copy arrives.
+    """
+    steward = Steward(Store(), fencing="ignores")
+    (send,) = steward.want(1.0, DECODE)
+    steward.run(1.1, steward.book.set_engines(1.1, []))
+    assert steward.fail(1.2, send, sent=True) == []
+    assert steward.tick(5.0) == []
+    (again,) = steward.run(6.0, steward.book.set_engines(6.0, ["e"]))
+    assert isinstance(again, SendOrder)
+    assert again.order_id == send.order_id
+    assert steward.answer(6.1, again, "running") == []
+    (query,) = steward.tick(7.0)
+    steward.run(7.1, steward.book.set_engines(7.1, []))
+    (settled,) = steward.answer(7.2, query, "done", send.order_id)
+    assert settled.state == "done"
+    steward.run(7.3, steward.book.set_engines(7.3, []))
+    assert steward.book.unfinished() == set()
+
+
 def test_engine_that_crashed_in_the_middle_forgot_its_order():
     """An engine restarts in the middle of a role change and is given a second one.
 
--- a/libs/coordination/tests/test_orders_machine.py
+++ b/libs/coordination/tests/test_orders_machine.py
@@ -478,6 +478,16 @@
         if engine.is_running():
             engine.states[engine.newest] = state
 
+    @rule(name=DEPLOYMENT, seconds=st.integers(0, 3))
+    def list_loses_engine(self, name, seconds):
+        for engines in ([], [name]):
+            for process in self.processes:
+                if process.runs():
+                    book = process.books[name]
+                    effects = book.set_engines(self.local_s(process), engines)
+                    self.carry_out(process, book, name, effects)
+            self.work_for([0, 1], seconds)
+
     @rule(name=DEPLOYMENT)
     def crash_engine(self, name):
         self.engines[name].crash()
