Give the orders' effects and events a module of their own

A field that was set and never read goes too. The client test's raw server now closes after its last reply, so that a truncated answer is seen at once and not after 5 s.

--- a/libs/coordination/gypsumusher_coordination/__init__.py
+++ b/libs/coordination/gypsumusher_coordination/__init__.py
@@ -68,15 +68,15 @@
 from gypsumusher_coordination.merge_patch import (
     merge_patch,
 )
-from gypsumusher_coordination.orders import (
+from gypsumusher_coordination.order_effects import (
     OrderAnswer,
-    OrderBook,
     OrderFailed,
     OrderSettled,
     QueryOrder,
     SendOrder,
     TermsSettled,
 )
+from gypsumusher_coordination.orders import OrderBook
 from gypsumusher_coordination.sealing import JournalSealer
 
 __all__ = [
--- a/libs/coordination/gypsumusher_coordination/orders.py
+++ b/libs/coordination/gypsumusher_coordination/orders.py
@@ -1,7 +1,7 @@
 """A steward's orders to engines: one unfinished order an engine, settled for sure."""
 
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from typing import Any
 
 from gypsumusher_coordination.effects import (
     CallEvent,
@@ -13,116 +13,29 @@
     WriteObject,
 )
 from gypsumusher_coordination.lease import CLOCK_DRIFT, Authority, OpenTerm
+from gypsumusher_coordination.order_effects import (
+    ACCEPTED,
+    FAILED,
+    FORGOTTEN,
+    INTENDED,
+    REFUSALS,
+    RUNNING,
+    OrderAnswer,
+    OrderEffect,
+    OrderFailed,
+    OrderSettled,
+    QueryOrder,
+    SendOrder,
+    TermsSettled,
+)
 
 ORDER_KIND = "orders"
 REFUSES = "refuses"
-IGNORES = "ignores"
 # A role change takes seconds; asking each half second costs an engine next to nothing
 # and frees it for new work soon after it is done.
 POLL_S = 0.5
 RETRY_S = 0.5
 
-INTENDED = "intended"
-DONE = "done"
-FAILED = "failed"
-
-ACCEPTED = "accepted"
-RUNNING = "running"
-NONE = "none"
-BUSY = "busy"
-STALE_TERM = "stale_term"
-REFUSALS = frozenset({BUSY, STALE_TERM})
-FORGOTTEN = "the engine does not know the order"
-
-
-class SendOrder(NamedTuple):
-    """Effect: post one order on a connection opened for it alone.
-
-    Open the connection, then read the clock, and write only if it is still before
-    `not_after_s`; otherwise close the connection and answer `OrderFailed` with
-    ``sent`` false. Answer each effect by one event with its tag.
-
-    Parameters
-    ----------
-    engine, order_id : str
-        The engine's name and the order's id, by which the engine knows a repeat.
-    term : int
-        The fencing number.
-    goal : dict
-        The engine's goal, as its interface describes it.
-    not_after_s : float
-        When the lease ends on this host's clock.
-    tag : str
-        Names this effect.
-    """
-
-    engine: str
-    order_id: str
-    term: int
-    goal: dict[str, Any]
-    not_after_s: float
-    tag: str
-
-
-class QueryOrder(NamedTuple):
-    """Effect: ask the engine for its newest order; answer by one event."""
-
-    engine: str
-    tag: str
-
-
-class OrderSettled(NamedTuple):
-    """Effect: an order has ended, and the engine may get another."""
-
-    engine: str
-    order_id: str
-    goal: dict[str, Any]
-    state: str
-    detail: str
-
-
-class TermsSettled(NamedTuple):
-    """Effect: orders of these former terms can come no more; tell the lease."""
-
-    terms: tuple[int, ...]
-
-
-class OrderAnswer(NamedTuple):
-    """Event: the engine answered.
-
-    Parameters
-    ----------
-    engine, order_id : str
-        The engine and the order that it spoke of, empty when it has none.
-    state : str
-        ``accepted``, ``running``, ``done``, ``failed``, ``none``, or a refusal:
-        ``busy``, ``stale_term``.
-    tag : str
-        The effect's tag.
-    detail : str
-        The engine's own words, for operators.
-    """
-
-    engine: str
-    order_id: str
-    state: str
-    tag: str
-    detail: str = ""
-
-
-class OrderFailed(NamedTuple):
-    """Event: no usable answer; ``sent`` is false only if no byte was written."""
-
-    engine: str
-    order_id: str
-    sent: bool
-    tag: str
-
-
-OrderEffect = (
-    ReadObject | WriteObject | SendOrder | QueryOrder | OrderSettled | TermsSettled
-)
-
 # Steps that an engine's order goes through.
 READ = "read"
 IDLE = "idle"
@@ -141,7 +54,6 @@
         self.version = 0
         # The unfinished order, or the newest intent whose write is open.
         self.order: dict[str, Any] | None = None
-        self.accepted = False
         self.outcome: tuple[str, str] | None = None
         self.wanted: dict[str, Any] | None = None
         self.tag: str | None = None
@@ -396,7 +308,6 @@
             "state": INTENDED,
             "detail": "",
         }
-        state.accepted = False
         state.outcome = None
         state.wanted = None
         return [self._write(state, dict(state.order))]
@@ -468,7 +379,6 @@
             state.step = IDLE
             return []
         state.order = intent
-        state.accepted = False
         state.outcome = None
         state.step = SETTLE
         return []
@@ -499,7 +409,6 @@
         if answer.order_id != order["order_id"]:
             return self._on_unknown_to_engine(state, answer)
         if answer.state in {ACCEPTED, RUNNING}:
-            state.accepted = True
             state.step = POLL
             return []
         return self._end(state, answer.state, answer.detail)
--- a/libs/platform/tests/test_client.py
+++ b/libs/platform/tests/test_client.py
@@ -79,6 +79,8 @@
                     return
                 writer.write(reply)
                 await writer.drain()
+                if not self.replies:
+                    return
         except (asyncio.IncompleteReadError, ConnectionError):
             return
         finally:
