--- a/libs/coordination/gypsumusher_coordination/claims.py
+++ b/libs/coordination/gypsumusher_coordination/claims.py
@@ -145,7 +145,9 @@
         self._is_unsettled = False
         if event.stored is None:
             # The lost create hasn't landed. Creating again either wins or meets it.
-            return [self._create()]
+            # With a pause, as a platform that answers a create so would be beaten on.
+            self._retry_at_s = now_s + RETRY_S
+            return []
         return self._end(self._answer_to(event.stored.value))
 
     def _answer_to(self, value):
