Bound the time and size of a body where the HTTP library doesn't; probe before a suspect

Cause: (1) a sender that stopped in mid-body held its connection for more than 10 s (test_slow_senders_do_not_hold_the_host): the library's limit covers the headers only. The body is read under body_timeout_s and max_body_bytes, and the refusal ends the connection; reading on for the rest, as the library does, would wait for ever.

--- a/libs/daemon/gypsumusher_daemon/callers.py
+++ b/libs/daemon/gypsumusher_daemon/callers.py
@@ -5,7 +5,7 @@
 from urllib.parse import unquote
 
 from sanic import Sanic
-from sanic.exceptions import SanicException
+from sanic.exceptions import PayloadTooLarge, SanicException
 from sanic.http.constants import Stage
 from sanic.response import raw
 
@@ -100,13 +100,22 @@
         body, headers = host.metrics.render(request.headers.getall("accept", []))
         return raw(body, headers=headers)
 
-    app.add_route(model_work, COMPLETIONS, methods=["POST"])
-    app.add_route(model_work, CHAT_COMPLETIONS, methods=["POST"], name="chat")
+    model_work = with_body(model_work, settings)
+    service = with_body(service, settings)
+    mint_key = with_body(mint_key, settings)
+    model_routes = {"methods": ["POST"], "stream": True}
+    app.add_route(model_work, COMPLETIONS, name="completions", **model_routes)
+    app.add_route(model_work, CHAT_COMPLETIONS, name="chat", **model_routes)
     app.add_route(models, "/v1/models")
     app.add_route(entry, "/v1/entry")
-    app.add_route(service, "/v1/services/<name:str>", methods=METHODS, name="service0")
-    app.add_route(service, "/v1/services/<name:str>/<path:path>", methods=METHODS)
-    app.add_route(mint_key, "/v1/keys", methods=["POST"])
+    service_routes = {"methods": METHODS, "stream": True}
+    app.add_route(
+        service, "/v1/services/<name:str>", name="service_root", **service_routes
+    )
+    app.add_route(
+        service, "/v1/services/<name:str>/<path:path>", name="service", **service_routes
+    )
+    app.add_route(mint_key, "/v1/keys", methods=["POST"], stream=True, name="mint")
     app.add_route(find_key, "/v1/keys/<key:str>")
     app.add_route(resume, "/v1/resume")
     app.add_route(healthz, "/healthz")
@@ -117,6 +126,71 @@
     return app
 
 
+def with_body(handler, settings):
+    """Return a handler that reads the request's body first, within bounds.
+
+    Failure guarded against: a sender that stops in mid-body, or never stops. The HTTP
+    library limits the time of the headers only, so that each slow sender would hold
+    a connection for as long as an answer may take, and it limits the size only where
+    it reads the body itself.
+
+    Parameters
+    ----------
+    handler : coroutine function
+        Takes the request with its whole body.
+    settings : dict
+        The daemon's settings.
+    """
+    timeout_s = settings["callers.body_timeout_s"]
+    max_bytes = settings["callers.max_body_bytes"]
+
+    async def handle(request, **arguments):
+        refusal = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                body = await _read_body(request, max_bytes)
+        except TimeoutError:
+            refusal = Refusal("body_timeout", "the body came too slowly", step="http")
+        except PayloadTooLarge:
+            message = f"the body is over {max_bytes} bytes"
+            refusal = Refusal("too_large", message, step="http")
+        if refusal is not None:
+            await _refuse_and_hang_up(request, refusal)
+            return None
+        request.body = body
+        return await handler(request, **arguments)
+
+    return handle
+
+
+async def _read_body(request, max_bytes):
+    """Return the whole body of a request."""
+    parts = []
+    size_bytes = 0
+    async for part in request.stream:
+        size_bytes += len(part)
+        if size_bytes > max_bytes:
+            raise PayloadTooLarge("body")
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def _refuse_and_hang_up(request, refusal):
+    """Refuse a request whose body has not come whole, and end its connection.
+
+    The library would go on to read the rest of the body before it serves the next
+    request on the connection; a slow sender has it wait for ever.
+    """
+    response = await request.respond(
+        status=STATUS_BY_CODE[refusal.code],
+        headers=refusal_headers(refusal),
+        content_type=JSON,
+    )
+    await response.send(refusal_body(refusal, ""))
+    await response.eof()
+    request.transport.close()
+
+
 def is_busy(connection):
     """Return whether a connection has a request or unsent bytes of an answer.
 
--- a/libs/daemon/gypsumusher_daemon/engine_sessions.py
+++ b/libs/daemon/gypsumusher_daemon/engine_sessions.py
@@ -78,16 +78,35 @@
         a crash: an engine that is slow to answer is no proof that it has gone.
         """
         try:
-            timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
-            url = f"http://{address}/load"
-            async with self.fresh.get(url, timeout=timeout) as response:
-                await response.read()
+            await self._probe(address)
         except aiohttp.ClientConnectorError:
             return False
         except (aiohttp.ClientError, TimeoutError, OSError):
             return True
         return True
 
+    async def responds(self, address):
+        """Return whether an engine answers a question now.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``.
+        """
+        try:
+            await self._probe(address)
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+        return True
+
+    async def _probe(self, address):
+        """Ask an engine for its load on a new connection."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        async with self.fresh.get(
+            f"http://{address}/load", timeout=timeout
+        ) as response:
+            await response.read()
+
     async def cancel(self, address, stream_id):
         """Ask an engine to stop a stream that nobody will read.
 
--- a/libs/daemon/gypsumusher_daemon/exchanges.py
+++ b/libs/daemon/gypsumusher_daemon/exchanges.py
@@ -192,6 +192,9 @@
         if endpoint is None:
             self._tell("on_failed", self.request_id, "connect", "no")
             return False
+        if not await self._is_worth_risking(endpoint):
+            self._tell("on_failed", self.request_id, "connect", "no")
+            return False
         attempt = self._create_attempt(action, endpoint.address)
         self._note(
             "start",
@@ -214,6 +217,18 @@
             return True
         return await self._failed(action, result)
 
+    async def _is_worth_risking(self, endpoint):
+        """Return whether an engine lives, before a suspected request goes to it.
+
+        Failure guarded against: a rack goes, an innocent request is retried on a
+        second engine that is already dying, and two engines lost convict it for
+        good. An engine that has just answered, and dies with the suspect, is proof.
+        """
+        verdict = self.context.quarantine.verdict(self.call.fingerprint)
+        if verdict != "suspect":
+            return True
+        return await self.context.sessions.responds(endpoint.address)
+
     async def _watch_attempt(self, action, attempt):
         """Run an attempt and account for what it does to its engine."""
         quarantine, fingerprint = self.context.quarantine, self.call.fingerprint
--- a/libs/daemon/gypsumusher_daemon/refusals.py
+++ b/libs/daemon/gypsumusher_daemon/refusals.py
@@ -10,6 +10,7 @@
     "malformed": 400,
     "unauthorized": 401,
     "unknown_deployment": 404,
+    "body_timeout": 408,
     "deadline_passed": 408,
     "key_unknown_outcome": 409,
     "key_not_run": 409,
