Write over an intent that came after the takeover instead of carrying it out

Cause: a replaced steward's write of an intent may land after the next steward has read that the engine is idle. The next steward met it as a conflict and settled it by sending it under its own term: an order of a steward without authority took effect.

--- a/libs/coordination/gypsumusher_coordination/orders.py
+++ b/libs/coordination/gypsumusher_coordination/orders.py
@@ -58,6 +58,8 @@
         self.wanted: dict[str, Any] | None = None
         self.tag: str | None = None
         self.listed = True
+        # Whether the intent was read under this term.
+        self.known = False
         self.not_before_s = float("-inf")
 
 
@@ -375,7 +377,14 @@
             # The intent did not arrive, so the order never went out.
             state.wanted = own["goal"]
         state.order = None
-        if intent is None or intent["state"] != INTENDED:
+        is_open = intent is not None and intent["state"] == INTENDED
+        # An order goes out only after its intent stands, and under a valid lease. An
+        # intent that came after this term's first read was written by a steward that
+        # had lost its lease, or is an own write that was given up: it was not sent
+        # and never will be, so it is written over and not carried out.
+        is_void = state.known
+        state.known = True
+        if not is_open or is_void:
             state.step = IDLE
             return []
         state.order = intent
--- a/libs/coordination/tests/test_orders.py
+++ b/libs/coordination/tests/test_orders.py
@@ -171,6 +171,23 @@
     assert not steward.book.has_open_sends()
 
 
+def test_intent_that_came_after_the_takeover_is_never_carried_out():
+    """An engine drains because a steward that was replaced had meant it to.
+
+    The former steward is paused with its intent's write on the way; the next one
+    reads that the engine is idle; the write lands. Its sender can't send the order
+    any more, so the next steward must not do it in its place.
+    """
+    store = Store({"e": intended() | {"state": "done"}})
+    steward = Steward(store, previous=OLD)
+    version = store.objects["e"].version
+    late = intended("a-1.1.2", {"drain": True})
+    store.apply(WriteObject("late", "orders", "e", late, version))
+    (send,) = steward.want(1.0, DECODE)
+    assert (send.goal, send.term) == (DECODE, 2)
+    assert store.objects["e"].value["goal"] == DECODE
+
+
 def test_engine_missing_from_the_list_for_a_moment_keeps_its_order():
     """An engine changes to one role and, a second later, to another one.
 
