--- a/libs/coordination/gypsumusher_coordination/journal.py
+++ b/libs/coordination/gypsumusher_coordination/journal.py
@@ -23,7 +23,6 @@
 another one.
 """
 
-import enum
 import hashlib
 from typing import Any, NamedTuple
 
@@ -46,17 +45,13 @@
     parse_key,
     segment_name,
 )
+from gypsumusher_coordination.remembered import KeyMemory, KeyRecord, KeyState
 
 JOURNAL_KIND = "journals"
 SEALED_BY_HOME = "home"
 
 # Quotes, colon, comma and blank around one key and its fingerprint in JSON.
 _ENTRY_OVERHEAD_BYTES = 7
-# Dropping an eighth of the remembered keys at once keeps the sort that finds the
-# oldest ones rare: it runs once in `remembered_keys / 8` claims.
-_FORGET_SHARE = 8
-# Marks of the mint count are taken this often in one retention.
-_MARKS_PER_RETENTION = 16
 
 
 class JournalPolicy(NamedTuple):
@@ -100,27 +95,6 @@
 DEFAULT_POLICY = JournalPolicy()
 
 
-class KeyState(enum.Enum):
-    """What a home knows of one of its keys."""
-
-    WAITING = "waiting"
-    RUNNING = "running"
-    DONE = "done"
-    WITHDRAWN = "withdrawn"
-
-
-class _Record:
-    """What a home remembers of one key."""
-
-    __slots__ = ("count", "deadline_s", "fingerprint", "state")
-
-    def __init__(self, count, fingerprint, state, deadline_s):
-        self.count = count
-        self.fingerprint = fingerprint
-        self.state = state
-        self.deadline_s = deadline_s
-
-
 class _Call(NamedTuple):
     """The journal's one call in flight; `value` is None for a read."""
 
@@ -151,12 +125,10 @@
         self.incarnation = incarnation
         self._writer = writer
         self._policy = policy
-        self._records = {}
+        self._memory = KeyMemory(policy.remembered_keys, policy.retention_s)
         self._waiting = {}
         self._running = 0
         self._minted = 0
-        self._floor = 0
-        self._marks = []
         self._segment = 0
         self._version = 0
         self._journaled = {}
@@ -190,7 +162,7 @@
     @property
     def remembered(self):
         """How many keys are held in memory."""
-        return len(self._records)
+        return len(self._memory)
 
     def mint(self, random_hex, unjournaled=False):
         """Return a new key of this home.
@@ -243,10 +215,10 @@
             If the key names another home.
         """
         parts = self._parts_of(key)
-        record = self._records.get(key)
+        record = self._memory.find(key)
         if record is not None:
             return [_refuse_repeat(key, fingerprint, record)]
-        if parts.count < self._floor:
+        if self._memory.is_forgotten(parts.count):
             # The home has forgotten what became of keys this old, so it must not run
             # them again, and can't deny that it did.
             return [ClaimRefused(key, "key_unknown_outcome", "unknown")]
@@ -279,13 +251,11 @@
         list
             Effects.
         """
-        record = self._records.get(key)
+        record = self._memory.find(key)
         if record is None or record.state is not KeyState.RUNNING:
             return []
-        record.state = KeyState.DONE
+        self._memory.finish(key)
         self._running -= 1
-        if record.count < self._floor:
-            del self._records[key]
         return self._advance(now_s)
 
     def resolve(self, now_s, key):
@@ -312,10 +282,10 @@
             If the key names another home.
         """
         parts = self._parts_of(key)
-        record = self._records.get(key)
+        record = self._memory.find(key)
         if record is None:
-            is_too_old = parts.count < self._floor
-            if is_too_old or parts.count >= self._minted:
+            is_forgotten = self._memory.is_forgotten(parts.count)
+            if is_forgotten or parts.count >= self._minted:
                 return "unknown"
             self._remember(now_s, key, parts, None, KeyState.WITHDRAWN)
             return "not_run"
@@ -359,11 +329,11 @@
         """
         effects = []
         for key in list(self._waiting):
-            if self._records[key].deadline_s > now_s:
+            if self._memory.find(key).deadline_s > now_s:
                 # Claims wait in the order in which they came.
                 break
             effects.append(self._withdraw(key))
-        self._forget_old(now_s)
+        self._memory.forget_old(now_s, self._minted)
         effects.extend(self._advance(now_s))
         if not self._is_sealed and not self._is_sealed_out:
             effects.extend(self._expiry.tick(now_s))
@@ -420,12 +390,10 @@
 
     def _remember(self, now_s, key, parts, fingerprint, state):
         deadline_s = now_s + self._policy.claim_wait_s
-        self._records[key] = _Record(parts.count, fingerprint, state, deadline_s)
-        if len(self._records) > self._policy.remembered_keys:
-            self._forget_share()
+        self._memory.add(key, KeyRecord(parts.count, fingerprint, state, deadline_s))
 
     def _grant(self, key):
-        self._records[key].state = KeyState.RUNNING
+        self._memory.find(key).state = KeyState.RUNNING
         self._running += 1
         return ClaimGranted(key)
 
@@ -435,7 +403,7 @@
         # key, so a grant now would run it twice. The state is final for the key, and
         # a landing write grants only keys that still wait.
         del self._waiting[key]
-        self._records[key].state = KeyState.WITHDRAWN
+        self._memory.find(key).state = KeyState.WITHDRAWN
         return ClaimRefused(key, "journal_unavailable", "no")
 
     def _advance(self, now_s):
@@ -460,7 +428,7 @@
         for key in self._waiting:
             if size_bytes >= self._policy.segment_bytes:
                 break
-            fingerprint = self._records[key].fingerprint
+            fingerprint = self._memory.find(key).fingerprint
             keys[key] = fingerprint
             size_bytes += _entry_bytes(key, fingerprint)
         return self._write(now_s, keys, None)
@@ -574,37 +542,6 @@
             effects.append(JournalSealed())
         return effects
 
-    def _forget_old(self, now_s):
-        policy = self._policy
-        interval_s = policy.retention_s / _MARKS_PER_RETENTION
-        if not self._marks or now_s - self._marks[-1][0] >= interval_s:
-            self._marks.append((now_s, self._minted))
-        floor = self._floor
-        while now_s - self._marks[0][0] >= policy.retention_s:
-            floor = self._marks.pop(0)[1]
-        if floor > self._floor:
-            self._raise_floor(floor)
-
-    def _forget_share(self):
-        counts = sorted(
-            record.count
-            for record in self._records.values()
-            if record.state in (KeyState.DONE, KeyState.WITHDRAWN)
-        )
-        if counts:
-            self._raise_floor(counts[len(counts) // _FORGET_SHARE] + 1)
-
-    def _raise_floor(self, floor):
-        """Forget finished keys below a mint count, and never grant one of them."""
-        # Guards at-most-once against forgetting: a forgotten key looks like one that
-        # was never claimed. The mint count in the key tells them apart for ever.
-        self._floor = max(self._floor, floor)
-        for key, record in list(self._records.items()):
-            if record.count >= self._floor:
-                continue
-            if record.state in (KeyState.DONE, KeyState.WITHDRAWN):
-                del self._records[key]
-
 
 def _refuse_repeat(key, fingerprint, record):
     if record.fingerprint not in (None, fingerprint):
