--- a/libs/coordination/gypsumusher_coordination/journal.py
+++ b/libs/coordination/gypsumusher_coordination/journal.py
@@ -355,7 +355,8 @@
             Effects.
         """
         self._expiry.handle(now_s, event)
-        if self._expiry.is_sealed_out and not self._is_sealed_out:
+        is_closed = self._is_sealed or self._is_sealed_out
+        if self._expiry.is_sealed_out and not is_closed:
             return self._shut_out()
         call = self._call
         if call is None or event.tag != call.tag:
--- a/libs/coordination/tests/test_journal.py
+++ b/libs/coordination/tests/test_journal.py
@@ -208,3 +208,22 @@
     event = ReadDone(read.tag, Stored(2, write.value))
     assert journal.handle(3.1, event) == [JournalSealed()]
     assert journal.tick(9.0) == []
+
+
+def test_a_survivor_that_seals_after_the_planned_stop_changes_nothing():
+    """A host stops in a planned way while its old segments are being removed.
+
+    A survivor seals segment zero. The host must not take itself for shut out and
+    begin a new incarnation while it stops.
+    """
+    journal = make_journal(segment_bytes=1, retention_s=10.0, writes_per_s=100.0)
+    for second in (0.0, 1.0):
+        key, [write] = claim(journal, second)
+        journal.handle(second, WriteDone(write.tag, 1))
+        journal.finish(second, key)
+    [expiry] = [e for e in journal.tick(20.0) if e.name == "home-1.0"]
+    [seal] = journal.seal(20.1)
+    assert journal.handle(20.2, WriteDone(seal.tag, 2)) == [JournalSealed()]
+    sealed = Stored(9, {**expiry.value, "sealed": "host-2"})
+    assert journal.handle(20.3, WriteConflict(expiry.tag, sealed)) == []
+    assert not journal.is_sealed_out
