Say what the cut-off rule does in fleets of two and of one

Cause: a reader of may_serve would not expect that one of two hosts stops when it loses the platform and its peer; the rule is as asked (strict by default), the page must say it.

--- a/libs/coordination/gypsumusher_coordination/cutoff.py
+++ b/libs/coordination/gypsumusher_coordination/cutoff.py
@@ -63,6 +63,8 @@
     off together prove nothing to each other, while a majority of the fleet can't be
     on both sides of a cut. What this can't see: a majority that lost the platform
     while a minority kept it; it serves on, as in an outage, until the cut ends.
+    And in a fleet of two, a host that lost both the platform and its only peer stops,
+    whichever of the two is gone.
 
     The limit lies under 12 s and leaves time for requests already admitted to get
     their answers: the host refuses new work and finishes what runs. A paused host
--- a/libs/coordination/tests/test_config.py
+++ b/libs/coordination/tests/test_config.py
@@ -338,3 +338,8 @@
     assert serves(100.0, 0.0, {"b": 99.0, "c": 95.0})
     assert not serves(100.0, 0.0, {"b": 99.0, "c": 91.0})
     assert not serves(100.0, 0.0, {"x": 99.0, "y": 99.0})
+    hosts[:] = ["a", "b"]
+    assert serves(100.0, 0.0, {"b": 99.0})
+    assert not serves(100.0, 0.0, {"b": 91.0})
+    hosts[:] = ["a"]
+    assert serves(100.0, 0.0, {})
