--- a/libs/daemon/gypsumusher_daemon/callers.py
+++ b/libs/daemon/gypsumusher_daemon/callers.py
@@ -10,6 +10,7 @@
 from sanic.response import raw
 
 from gypsumusher_daemon.forwarding import FORWARDED_HEADER
+from gypsumusher_daemon.host_views import entry_answer, models_answer
 from gypsumusher_daemon.model_requests import (
     CHAT_COMPLETIONS,
     COMPLETIONS,
@@ -69,21 +70,21 @@
         return await _serve_service(host, request, name, path)
 
     async def entry(request):
-        return _answer_json(host.entry_answer(request.args))
+        return _answer_json(entry_answer(host, request.args))
 
     async def models(request):
-        return _answer_json(host.models_answer())
+        return _answer_json(models_answer(host))
 
     async def mint_key(request):
-        refusal = host.refusal_of_state()
+        refusal = host.readiness.refusal_of_state()
         if refusal is not None:
             return send_refusal(refusal, "")
         deployment = request.args.get("deployment")
-        return _answer_json({"key": host.mint_key(deployment)})
+        return _answer_json({"key": host.flows.mint_key(deployment)})
 
     async def find_key(request, key):
         forwarded = FORWARDED_HEADER in request.headers
-        return _answer_json(await host.key_outcome(unquote(key), forwarded))
+        return _answer_json(await host.flows.key_outcome(unquote(key), forwarded))
 
     async def resume(request):
         return await _resume(host, request)
@@ -92,7 +93,7 @@
         return _answer_json({"host": host.name, "state": host.state})
 
     async def readyz(request):
-        ready = host.is_ready()
+        ready = host.readiness.is_ready()
         body = {"ready": ready, "state": host.state, "config_number": host.number}
         return _answer_json(body, 200 if ready else 503)
 
@@ -305,7 +306,7 @@
 
 async def _serve_model(host, request):
     """Serve one request for model work."""
-    refusal = host.refusal_of_state()
+    refusal = host.readiness.refusal_of_state()
     if refusal is not None:
         return send_refusal(refusal, "")
     call = parse_model_request(
@@ -313,16 +314,16 @@
     )
     if isinstance(call, Refusal):
         return send_refusal(call, "")
-    await host.follow_deployment(call.deployment)
+    await host.flows.follow_deployment(call.deployment)
     if call.idempotent:
-        running = host.begin_model(call)
+        running = host.flows.begin_model(call)
         return await send_delivery(
-            request, running.delivery, lambda: host.abandon(running)
+            request, running.delivery, lambda: host.flows.abandon(running)
         )
-    key = call.key or host.mint_key(call.deployment)
+    key = call.key or host.flows.mint_key(call.deployment)
     forwarded = FORWARDED_HEADER in request.headers
-    answer = await host.serve_keyed(
-        key, call.fingerprint, host.model_runner(call, key), request, forwarded
+    answer = await host.flows.serve_keyed(
+        key, call.fingerprint, host.flows.model_runner(call, key), request, forwarded
     )
     if isinstance(answer, Refusal):
         return send_refusal(answer, "")
@@ -331,20 +332,20 @@
 
 async def _serve_service(host, request, name, path):
     """Serve one call of a plain service."""
-    refusal = host.refusal_of_state()
+    refusal = host.readiness.refusal_of_state()
     if refusal is not None:
         return send_refusal(refusal, "")
-    call = host.service_call(request, name, "/" + path)
+    call = host.flows.service_call(request, name, "/" + path)
     if isinstance(call, Refusal):
         return send_refusal(call, "")
     key = request.headers.get("idempotency-key")
     if key is None:
-        delivery = host.begin_service(call)
+        delivery = host.flows.begin_service(call)
         return await send_delivery(request, delivery, lambda: None)
     forwarded = FORWARDED_HEADER in request.headers
-    fingerprint = host.service_fingerprint(call)
-    answer = await host.serve_keyed(
-        key, fingerprint, host.service_runner(call, key), request, forwarded
+    fingerprint = host.flows.service_fingerprint(call)
+    answer = await host.flows.serve_keyed(
+        key, fingerprint, host.flows.service_runner(call, key), request, forwarded
     )
     if isinstance(answer, Refusal):
         return send_refusal(answer, "")
@@ -358,7 +359,9 @@
     if not last.isdigit() or len(last) > 9:
         refusal = Refusal("malformed", "Last-Event-ID must be a number", step="resume")
         return send_refusal(refusal, "")
-    resumed = await host.begin_resume(token, int(last))
+    resumed = await host.flows.begin_resume(token, int(last))
     if isinstance(resumed, Refusal):
         return send_refusal(resumed, "")
-    return await send_delivery(request, resumed.delivery, lambda: host.abandon(resumed))
+    return await send_delivery(
+        request, resumed.delivery, lambda: host.flows.abandon(resumed)
+    )
--- a/libs/daemon/gypsumusher_daemon/cell.py
+++ b/libs/daemon/gypsumusher_daemon/cell.py
@@ -6,6 +6,7 @@
 from returns.result import Success
 
 from gypsumusher_coordination import Membership, MembershipPolicy
+from gypsumusher_coordination.membership import LEAVING, LIVE, SUSPECT
 from gypsumusher_peers import Identity, PeerLink, PeerServer
 
 __all__ = ["LEAVING", "LIVE", "SUSPECT", "Cell", "CellParts"]
@@ -17,9 +18,6 @@
 # A host that is suspected for this long was replaced without a planned stop; its
 # record is deleted. If it lives all the same, it publishes itself again.
 FORGET_AFTER_S = 600.0
-LIVE = "live"
-SUSPECT = "suspect"
-LEAVING = "leaving"
 
 
 class CellParts(NamedTuple):
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -2,25 +2,21 @@
 
 import asyncio
 import random
-import secrets
 import socket
-import time
 
 from returns.result import Success
 
-from gypsumusher_coordination import heard_s, may_serve
 from gypsumusher_daemon.abandoned import AbandonedStreams
 from gypsumusher_daemon.callers import create_callers_app, is_busy
-from gypsumusher_daemon.cell import LEAVING, LIVE, SUSPECT, Cell, CellParts
-from gypsumusher_daemon.cell_members import cell_of, gossip_hosts, own_deployments
+from gypsumusher_daemon.cell import LEAVING, LIVE, SUSPECT, Cell
+from gypsumusher_daemon.cell_members import own_deployments
 from gypsumusher_daemon.clock import boot_time_s
 from gypsumusher_daemon.configuration import Configuration
 from gypsumusher_daemon.crashing_requests import CrashingRequests
-from gypsumusher_daemon.delivery import Delivery
 from gypsumusher_daemon.dispatch import Dispatcher
 from gypsumusher_daemon.endpoints import EndpointTable
 from gypsumusher_daemon.engine_sessions import EngineSessions
-from gypsumusher_daemon.exchanges import Exchange, ExchangeContext
+from gypsumusher_daemon.exchanges import ExchangeContext
 from gypsumusher_daemon.forwarding import Forwarder
 from gypsumusher_daemon.hosts_directory import HostRecord, HostsDirectory
 from gypsumusher_daemon.journals import Journals, journal_policy, new_incarnation
@@ -28,60 +24,24 @@
 from gypsumusher_daemon.keyed_requests import KeyedRequests
 from gypsumusher_daemon.metrics import Metrics
 from gypsumusher_daemon.operators import create_operators_app
-from gypsumusher_daemon.refusals import Refusal
+from gypsumusher_daemon.peer_news import PeerNews
+from gypsumusher_daemon.readiness import STARTING, STOPPED, Readiness
 from gypsumusher_daemon.reports import ReportPoller
+from gypsumusher_daemon.request_flows import RequestFlows
 from gypsumusher_daemon.requests_log import RequestsLog
-from gypsumusher_daemon.resuming import begin_resume
-from gypsumusher_daemon.service_flow import (
-    ServiceFlow,
-    read_service_call,
-    service_fingerprint,
-)
+from gypsumusher_daemon.service_flow import ServiceFlow
 from gypsumusher_daemon.services import Services
 from gypsumusher_daemon.stewards import Stewards
 from gypsumusher_peers import KeyRing
 from gypsumusher_platform import BudgetLimits, CallBudget, PlatformClient
-from gypsumusher_policy import Quarantine, choose_cell, choose_entry
+from gypsumusher_policy import Quarantine
 
-__all__ = ["EntryHost", "Running"]
+__all__ = ["EntryHost"]
 
-STARTING = "starting"
-STOPPED = "stopped"
-RETRY_STARTING_S = 1.0
-RETRY_BUSY_S = 1.0
 STOP_POLL_S = 0.05
 SEAL_TIMEOUT_S = 5.0
 LISTEN_BACKLOG = 1024
 RELOADED_SETTINGS = frozenset({"operators.token", "peers.keys"})
-SEED_PAUSE_S = 0.5
-# Hosts that are told to callers who name no deployment.
-ENTRY_CELL_HOSTS = 8
-# The first report of an engine comes within one interval and a round trip.
-FIRST_REPORT_S = 2.0
-
-
-class Running:
-    """A request in this host, for those who may have to end it.
-
-    Attributes
-    ----------
-    delivery : Delivery
-        Its answer.
-    task : asyncio.Task
-        Sees it through.
-    exchange : Exchange
-        Knows where its stream is.
-    """
-
-    def __init__(self, delivery, exchange):
-        self.delivery = delivery
-        self.exchange = exchange
-        self.task = None
-
-    @property
-    def place(self):
-        """Where its stream is, or None."""
-        return self.exchange.place
 
 
 class EntryHost:
@@ -115,7 +75,6 @@
         self.servers = []
         self._loops = []
         self._addresses = {}
-        self._cut_off_logged = False
         self._create_parts()
 
     def _create_parts(self):
@@ -150,21 +109,14 @@
         self.directory = HostsDirectory(
             self.client, log, settings["platform.watch_s"], self._on_hosts_changed
         )
+        self.news = PeerNews(self)
         self.cell = Cell(
             settings,
             self.keys,
             self.directory,
             clock,
             log,
-            CellParts(
-                self._choose_gossip,
-                self._tell,
-                self._tell_short,
-                self._hear,
-                self._lose,
-                self._answer_peer,
-                self._introduce,
-            ),
+            self.news.parts(),
         )
         self.crashing = CrashingRequests(
             self.quarantine, self.client, clock, log, self.cell.tell_all, self.track
@@ -177,7 +129,7 @@
             log,
             settings["platform.watch_s"],
             self._on_adopted,
-            self._section_from_peers,
+            self.news.section_from_peers,
         )
         self.abandoned = AbandonedStreams(self.sessions, log)
         self.context = ExchangeContext(
@@ -196,6 +148,8 @@
         self.services = Services(self.sessions, self.endpoints, self.zone, clock, log)
         self.service_flow = ServiceFlow(self.name, self.services, self.track)
         self.stewards = Stewards(self)
+        self.readiness = Readiness(self)
+        self.flows = RequestFlows(self)
 
     def _create_keyed_parts(self):
         """Create what serves requests that run at most once."""
@@ -270,11 +224,11 @@
             "operators": operators,
             "peers": f"{settings['peers.address']}:{peers_port}",
         }
-        self.directory.publish(self._record())
+        self.directory.publish(self.record())
         await self.directory.start()
         await self.configuration.start()
         self._loops.append(asyncio.ensure_future(self._follow_list()))
-        self._loops.append(asyncio.ensure_future(self._find_seeds()))
+        self._loops.append(asyncio.ensure_future(self.news.find_seeds()))
         self._loops.append(asyncio.ensure_future(self.crashing.load()))
         self._on_hosts_changed()
         await self.stewards.start()
@@ -365,7 +319,7 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    def _record(self):
+    def record(self):
         """Return this host's record for the directory."""
         return HostRecord(
             name=self.name,
@@ -379,7 +333,7 @@
         """Publish the home that new keys name."""
         self.incarnation = incarnation
         if self.state == LIVE:
-            self.directory.publish(self._record())
+            self.directory.publish(self.record())
 
     # What comes from the platform and from peers
 
@@ -423,120 +377,6 @@
         hosts[self.name] = self.zone
         return list(hosts.items())
 
-    def _choose_gossip(self):
-        """Return the hosts to gossip with."""
-        hosts = [(r.name, r.zone) for r in self.directory.records.values()]
-        return gossip_hosts(self.document, hosts, self.name)
-
-    async def _find_seeds(self):
-        """Ask the seeds for the other hosts while the platform doesn't tell."""
-        while len(self.directory.records) < 2:
-            for address in self.settings["peers.seeds"]:
-                self._learn_hosts(await self.cell.ask_seed(address, self._greeting()))
-            await asyncio.sleep(SEED_PAUSE_S)
-
-    async def _introduce(self, peer):
-        """Tell a host that doesn't know this one of all that are known here."""
-        self._learn_hosts(await self.cell.ask(peer, self._greeting()))
-
-    def _greeting(self):
-        """Return the message by which hosts get to know each other."""
-        records = [record._asdict() for record in self.directory.records.values()]
-        return {
-            "type": "introduce",
-            "record": self._record()._asdict(),
-            "records": records,
-        }
-
-    def _learn_hosts(self, message):
-        """Take another host's record and those that it knows."""
-        message = message or {}
-        if message.get("record") is not None:
-            self.directory.learn(HostRecord(**message["record"]), first_hand=True)
-        for record in message.get("records", ()):
-            if record["name"] != self.name:
-                self.directory.learn(HostRecord(**record), first_hand=False)
-
-    def _tell(self):
-        """Return this host's news for its peers."""
-        loads, demands = {}, {}
-        for name, scheduler in self.dispatcher.schedulers.items():
-            load = scheduler.own_load()
-            if load:
-                loads[name] = load
-            if name in self.reports.deployments:
-                demands[name] = scheduler.demand()
-        return {**self._tell_short(), "loads": loads, "demands": demands}
-
-    def _tell_short(self):
-        """Return the numbers by which peers see that they missed something."""
-        return {
-            "config": self.number,
-            "convicted": len(self.quarantine.convictions),
-        }
-
-    def _hear(self, peer, gossip):
-        """Take another host's news."""
-        loads = gossip.get("loads")
-        if loads is not None:
-            for deployment in self.dispatcher.schedulers:
-                self.dispatcher.apply(
-                    deployment, "on_peer_load", peer, loads.get(deployment, {})
-                )
-        self.stewards.hear(peer, gossip.get("demands", {}))
-        self.endpoints.publish()
-        if gossip.get("convicted", 0) > len(self.quarantine.convictions):
-            self.track(asyncio.ensure_future(self._convictions_from(peer)))
-        if gossip.get("config", 0) > self.number:
-            self.track(asyncio.ensure_future(self._head_from(peer)))
-
-    def _lose(self, peer):
-        """Forget the load of a host that is suspected or gone."""
-        for deployment in self.dispatcher.schedulers:
-            self.dispatcher.apply(deployment, "on_peer_load", peer, {})
-
-    async def _convictions_from(self, peer):
-        """Ask a host that knows more convictions for them."""
-        answer = await self.cell.ask(peer, {"type": "convictions"})
-        if answer:
-            self.crashing.hear_convictions(answer.get("convictions", {}))
-
-    async def _head_from(self, peer):
-        """Ask a host that has a newer configuration for its head."""
-        answer = await self.cell.ask(peer, {"type": "head"})
-        if answer and isinstance(answer.get("head"), dict):
-            self.configuration.offer(answer["head"])
-
-    async def _section_from_peers(self, section_hash):
-        """Return a section of the configuration from any peer that has it."""
-        answer = await self.cell.ask_any({"type": "section", "hash": section_hash})
-        return answer.get("value") if answer else None
-
-    async def _answer_peer(self, peer, message):
-        """Answer another host's question."""
-        kind = message.get("type")
-        if kind == "head":
-            return {"head": self.configuration.replica.head}
-        if kind == "section":
-            value = self.configuration.section(message.get("hash"))
-            return {} if value is None else {"value": value}
-        if kind == "resumed":
-            self.abandoned.taken_up(message.get("stream_id"))
-            return {}
-        if kind == "crash":
-            self.crashing.hear_crash(message.get("suspicions", {}))
-            return {}
-        if kind == "convictions":
-            self.crashing.hear_convictions(message.get("convictions", {}))
-            return {"convictions": dict(self.quarantine.convictions)}
-        if kind == "introduce":
-            self._learn_hosts(message)
-            return self._greeting()
-        self.log("warning", "peer_message_unknown", peer=peer, kind=str(kind)[:40])
-        return {"error": "unknown message"}
-
-    # What callers and operators ask for
-
     @property
     def number(self):
         """Number of the configuration in force."""
@@ -546,290 +386,3 @@
     def document(self):
         """The configuration in force, or None."""
         return self.configuration.document
-
-    def is_ready(self):
-        """Return whether callers may be sent here."""
-        return self.state == LIVE and self.refusal_of_state() is None
-
-    def refusal_of_state(self):
-        """Return why this host serves nothing now, or None."""
-        if self.state == STOPPED:
-            return Refusal(
-                "stopping",
-                "this host is stopping; ask /v1/entry for another one",
-                step="state",
-                peer=self.name,
-                retry_after_s=RETRY_BUSY_S,
-            )
-        if self.document is None:
-            return Refusal(
-                "not_ready",
-                "this host has no configuration yet",
-                step="state",
-                peer=self.name,
-                retry_after_s=RETRY_STARTING_S,
-            )
-        if self._is_cut_off():
-            return Refusal(
-                "not_ready",
-                "this host can't know which configuration is in force",
-                step="state",
-                peer=self.name,
-                retry_after_s=RETRY_STARTING_S,
-            )
-        if len(self.tasks) >= self.settings["callers.max_requests"]:
-            return Refusal(
-                "overloaded",
-                "this host has too many requests",
-                step="state",
-                peer=self.name,
-                retry_after_s=RETRY_BUSY_S,
-            )
-        return None
-
-    def _is_cut_off(self):
-        """Return whether this host can't know which configuration is in force.
-
-        See `gypsumusher_coordination.may_serve` for the decision and its reasons.
-        """
-        settings = self.document["hosts"]
-        now_s = self.clock()
-        last_s = heard_s(
-            now_s,
-            self.configuration.heard_platform_s,
-            self.cell.heard_s,
-            self.name,
-            [self.name, *self.cell.members],
-        )
-        cut_off = not may_serve(
-            now_s, last_s, settings["stale_config"], settings["stale_limit_s"]
-        )
-        if cut_off != self._cut_off_logged:
-            self._cut_off_logged = cut_off
-            self.log("warning" if cut_off else "info", "cut_off", cut_off=cut_off)
-        return cut_off
-
-    def new_request_id(self):
-        """Return an id for a request, unique over hosts and restarts."""
-        return f"{self.name}-{secrets.token_hex(8)}"
-
-    async def follow_deployment(self, deployment):
-        """Follow the engines of a deployment whose cell this host isn't in.
-
-        A caller may come to any host. It is served directly: the host reads the
-        engines' reports for a while, as the members of the cell do.
-        """
-        if deployment in self.reports.deployments:
-            return
-        self.reports.visit(deployment)
-        end_s = self.clock() + FIRST_REPORT_S
-        while self.clock() < end_s:
-            entries = self.endpoints.group("engine", deployment)
-            if any(entry.name in self.endpoints.roles for entry in entries):
-                return
-            await asyncio.sleep(STOP_POLL_S)
-
-    def begin_model(self, call):
-        """Begin idempotent model work; return it as `Running`."""
-        delivery = Delivery()
-        exchange = Exchange(self.context, call, self.new_request_id(), delivery)
-        running = Running(delivery, exchange)
-        running.task = self.track(asyncio.ensure_future(exchange.run()))
-        return running
-
-    def model_runner(self, call, key):
-        """Return the coroutine function that runs keyed model work."""
-
-        async def run(entry, claim):
-            exchange = Exchange(
-                self.context,
-                call,
-                self.new_request_id(),
-                entry.delivery,
-                claim,
-                {"Idempotency-Key": key},
-            )
-            try:
-                await exchange.run()
-            finally:
-                entry.sent = entry.sent or exchange.sent
-
-        return run
-
-    def service_call(self, request, name, path):
-        """Return the service call that a request means, or the refusal."""
-        return read_service_call(
-            request, name, path, self.new_request_id(), self.document
-        )
-
-    def service_fingerprint(self, call):
-        """Return a hash of what decides a call's effect."""
-        return service_fingerprint(call)
-
-    def begin_service(self, call):
-        """Begin a service call; return the delivery of its answer."""
-        return self.service_flow.begin(call)
-
-    def service_runner(self, call, key):
-        """Return the coroutine function that runs a keyed service call."""
-        return self.service_flow.runner(call, key)
-
-    async def serve_keyed(self, key, fingerprint, run, request, forwarded):
-        """Serve a keyed request where it belongs; return a delivery or a refusal."""
-        answer = await self.keyed_flow.serve(key, fingerprint, run, request, forwarded)
-        entry = self.keyed.find(key)
-        if entry is not None and not entry.task.done():
-            self.track(entry.task)
-        return answer
-
-    async def key_outcome(self, key, forwarded=False):
-        """Return what became of a key."""
-        return await self.keyed_flow.outcome(key, forwarded)
-
-    def mint_key(self, deployment):
-        """Return a new key that names this host as its home."""
-        section = (self.document or {}).get("deployments", {}).get(deployment, {})
-        unjournaled = section.get("platform_down", "refuse") == "run_unjournaled"
-        return self.journals.mint(unjournaled)
-
-    def abandon(self, running):
-        """Note that the caller of a stream has gone."""
-        self.abandoned.leave(running.task, lambda: running.place)
-
-    async def begin_resume(self, token, after):
-        """Take up a stream; return it or a refusal."""
-        resumed = begin_resume(
-            token,
-            after,
-            self.context.keys,
-            self.name,
-            self.endpoints,
-            self.sessions,
-        )
-        if isinstance(resumed, Refusal):
-            return resumed
-        self.track(resumed.task)
-        place = resumed.place
-        self.abandoned.taken_up(place.stream_id)
-        if place.host != self.name:
-            message = {"type": "resumed", "stream_id": place.stream_id}
-            self.track(asyncio.ensure_future(self.cell.ask(place.host, message)))
-        return resumed
-
-    def entry_answer(self, arguments):
-        """Return the hosts that a caller should use."""
-        hosts = self._entry_hosts()
-        deployment = arguments.get("deployment") or ""
-        cell = cell_of(self.document or {}, hosts, deployment)
-        if not cell:
-            cell = choose_cell(hosts, deployment, ENTRY_CELL_HOSTS)
-        zone = arguments.get("zone") or self.zone
-        count = self.settings["callers.entry_count"]
-        chosen = []
-        for name in choose_entry(hosts, cell, zone, count):
-            record = self.directory.records[name]
-            chosen.append(
-                {"name": name, "address": record.callers, "zone": record.zone}
-            )
-        return {"hosts": chosen, "max_age_s": self.settings["callers.entry_max_age_s"]}
-
-    def _entry_hosts(self):
-        """Return (name, zone) of the hosts that take new callers."""
-        drained = (self.document or {}).get("hosts", {}).get("drain", ())
-        hosts = []
-        for name, zone in self.cell.live_hosts():
-            if name in drained:
-                continue
-            if name == self.name and self.state != LIVE:
-                continue
-            hosts.append((name, zone))
-        return hosts
-
-    def models_answer(self):
-        """Return the deployments in the form of a list of models."""
-        created = int(time.time())
-        data = []
-        for name in sorted((self.document or {}).get("deployments", {})):
-            data.append(
-                {
-                    "id": name,
-                    "object": "model",
-                    "created": created,
-                    "owned_by": "gypsumusher",
-                }
-            )
-        return {"object": "list", "data": data}
-
-    def explain(self, request_id):
-        """Return what became of a request here, or None."""
-        events = self.history.find(request_id)
-        if events is None:
-            return None
-        decisions = []
-        for scheduler in self.dispatcher.schedulers.values():
-            decisions.extend(scheduler.explain(request_id))
-        return sorted([*events, *decisions], key=lambda event: event.get("at_s", 0.0))
-
-    def status(self):
-        """Return this host's view of the fleet, for operators."""
-        hosts = []
-        for name, record in sorted(self.directory.records.items()):
-            own = name == self.name
-            hosts.append(
-                {
-                    "name": name,
-                    "zone": record.zone,
-                    "incarnation": record.incarnation,
-                    "state": self._shown_state() if own else self.cell.state(name),
-                    "config_number": self.number
-                    if own
-                    else self.cell.numbers.get(name, 0),
-                }
-            )
-        return {
-            "host": self.name,
-            "state": self._shown_state(),
-            "config_number": self.number,
-            "platform": {
-                "state": "up" if self.client.is_up() else "down",
-                "calls": dict(self.client.calls),
-            },
-            "hosts": hosts,
-            "endpoints": self._endpoint_rows(),
-            "stewards": self.stewards.rows(),
-            "convictions": sorted(self.quarantine.convictions),
-        }
-
-    def _shown_state(self):
-        """Return this host's state as operators know it."""
-        return LEAVING if self.state == STOPPED else self.state
-
-    def _endpoint_rows(self):
-        """Return the endpoints as operators see them."""
-        loads = {}
-        for scheduler in self.dispatcher.schedulers.values():
-            loads.update(scheduler.own_load())
-        rows = []
-        for name, entry in sorted(self.endpoints.entries.items()):
-            report = self.endpoints.reports.get(name)
-            if self.endpoints.is_leaving(entry):
-                state = LEAVING
-            elif self.endpoints.is_silent(name):
-                state = "silent"
-            else:
-                state = LIVE
-            rows.append(
-                {
-                    "name": name,
-                    "kind": entry.kind,
-                    "group": entry.group,
-                    "zone": entry.zone,
-                    "role": self.endpoints.roles.get(name),
-                    "state": state,
-                    "running": report.running if report else None,
-                    "waiting": report.waiting if report else None,
-                    "report_age_s": report.age_s if report else None,
-                    "in_flight": loads.get(name, (0, 0))[0],
-                }
-            )
-        return rows
--- a/libs/daemon/gypsumusher_daemon/operators.py
+++ b/libs/daemon/gypsumusher_daemon/operators.py
@@ -15,6 +15,8 @@
     check_document,
     merge_patch,
 )
+from gypsumusher_daemon.host_views import explain as explain_request
+from gypsumusher_daemon.host_views import status as host_status
 
 __all__ = ["create_operators_app"]
 
@@ -81,17 +83,17 @@
         return _json({"number": head["number"], "patches": head["patches"]})
 
     async def status(request):
-        return _json(host.status())
+        return _json(host_status(host))
 
     async def explain(request, request_id):
-        events = host.explain(request_id)
+        events = explain_request(host, request_id)
         if events is None:
             message = "this host has no record of it; ask the host that served it"
             return _error(404, "unknown_request", message)
         return _json({"request_id": request_id, "events": events})
 
     async def find_key(request, key):
-        return _json(await host.key_outcome(key))
+        return _json(await host.flows.key_outcome(key))
 
     async def confirm_dead(request, deployment):
         body = _read_object(request)
