Run suspects of a crash one at a time, and clear them when the culprit is convicted

Cause: whatever ran on a crashed engine was retried at once and together, so that the next engine crashed with several suspects on it and innocent requests were convicted or ran out of retries. Each host now runs its suspects one after another, on an engine that its place among the hosts gives it, until their prompt is done; a conviction clears the others that were suspected for the same crashes. Crash retries no longer use the budget.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -408,7 +408,8 @@
                 urgent.append(outcome.first_token_s - request.arrived_s)
             late += outcome.code == "done" and not good
             failed += outcome.code == "endpoint_failed"
-            if outcome.code == "endpoint_failed" and request.fingerprint != "poison":
+            lost = outcome.code in ("endpoint_failed", "crashing_request")
+            if lost and request.fingerprint != "poison":
                 innocents += request.idempotent
             if good:
                 on_time += 1
--- a/libs/policy/gypsumusher_policy/quarantine.py
+++ b/libs/policy/gypsumusher_policy/quarantine.py
@@ -12,19 +12,26 @@
 MAX_SUSPECTS = 4096
 
 
+# Time for which a crash that a conviction has explained blames nobody else, in
+# seconds: the other hosts' word of it comes within that time.
+EXPLAINED_S = 5.0
+
+
 class Quarantine:
     """Which request contents are suspected or convicted of crashing engines.
 
     Guards against one request that crashes each engine in turn while its caller
     sends it again. It shows as engines that crash one after another. Whatever ran on
     a crashed engine is a suspect; suspects run apart from each other, so that a
-    second crash has one suspect alone, which is convicted and refused for good.
+    second crash has one suspect alone, which is convicted and refused for good. The
+    others that were suspected for the same crashes are clear again at once.
     """
 
     def __init__(self):
         self.running = {}
         self.suspects = OrderedDict()
         self.convictions = {}
+        self.explained_s = {}
 
     def on_start(self, now_s: float, fingerprint: str, endpoint: str) -> None:
         """Note that an endpoint began to run a content."""
@@ -46,17 +53,18 @@
 
     def on_crash(self, now_s: float, endpoint: str) -> list[Convict]:
         """Note that an endpoint crashed; return the contents convicted by it."""
-        convicts = []
-        for fingerprint in self.running.pop(endpoint, {}):
-            convict = self._blame(fingerprint, endpoint)
-            if convict is not None:
-                convicts.append(convict)
-        return convicts
+        lost = {name: [endpoint] for name in self.running.pop(endpoint, {})}
+        return self.on_peer_suspicions(now_s, lost)
 
-    def convict(self, fingerprint: str, reason: str) -> None:
+    def convict(self, fingerprint: str, reason: str, now_s: float = 0.0) -> None:
         """Take over a conviction, from a peer or the platform."""
         self.convictions[fingerprint] = reason
-        self.suspects.pop(fingerprint, None)
+        lost = self.suspects.pop(fingerprint, ())
+        for endpoint in lost:
+            self.explained_s[endpoint] = now_s
+        for other, endpoints in list(self.suspects.items()):
+            if set(endpoints) <= set(lost):
+                del self.suspects[other]
 
     def verdict(self, fingerprint: str) -> str:
         """Return ``"clear"``, ``"suspect"`` or ``"convicted"``."""
@@ -73,31 +81,34 @@
     def on_peer_suspicions(
         self, now_s: float, suspicions: dict[str, list[str]]
     ) -> list[Convict]:
-        """Take over a peer's suspicions; return the contents convicted by them."""
+        """Take over suspicions; return the contents convicted by them.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time, in seconds.
+        suspicions : dict of str to list of str
+            Endpoints that crashed while they ran each content.
+        """
+        for fingerprint, endpoints in suspicions.items():
+            for endpoint in endpoints:
+                self._blame(now_s, fingerprint, endpoint)
         convicts = []
-        for fingerprint, lost in suspicions.items():
-            for endpoint in lost:
-                convict = self._blame(fingerprint, endpoint)
-                if convict is not None:
-                    convicts.append(convict)
+        for fingerprint in suspicions:
+            lost = self.suspects.get(fingerprint, ())
+            if len(lost) < CRASHES_TO_CONVICT:
+                continue
+            self.convict(fingerprint, "crashed " + ",".join(lost), now_s)
+            convicts.append(Convict(fingerprint, tuple(lost)))
         return convicts
 
-    def runs_suspect(self, endpoint: str) -> bool:
-        """Say whether an endpoint runs a suspect now."""
-        for fingerprint in self.running.get(endpoint, ()):
-            if fingerprint in self.suspects:
-                return True
-        return False
-
-    def _blame(self, fingerprint, endpoint):
+    def _blame(self, now_s, fingerprint, endpoint):
         if fingerprint in self.convictions:
-            return None
+            return
+        if now_s - self.explained_s.get(endpoint, -EXPLAINED_S) < EXPLAINED_S:
+            return
         lost = self.suspects.setdefault(fingerprint, [])
         if endpoint not in lost:
             lost.append(endpoint)
-        if len(lost) >= CRASHES_TO_CONVICT:
-            self.convict(fingerprint, "crashed " + ",".join(lost))
-            return Convict(fingerprint, tuple(lost))
         if len(self.suspects) > MAX_SUSPECTS:
             self.suspects.popitem(last=False)
-        return None
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -17,6 +17,7 @@
 )
 from gypsumusher_policy.queueing import Queued, RequestQueue, lane_of
 from gypsumusher_policy.retries import RetryBudget, may_retry
+from gypsumusher_policy.suspects import SuspectList, host_turn
 from gypsumusher_policy.types import (
     Action,
     DeploymentPolicy,
@@ -106,6 +107,7 @@
         self.queue = RequestQueue()
         self.flights = {}
         self.pending_decode = []
+        self.suspects = SuspectList()
         self.peers = {}
         self.cache = CacheTable()
         self.outputs = OutputEstimate()
@@ -201,7 +203,7 @@
         self.meter.add(now_s, flight.rank, *flight.work)
         self.flights[request.request_id] = flight
         self._note(now_s, request.request_id, "admitted", queued=len(self.queue))
-        self._enqueue(flight)
+        self._enqueue(now_s, flight)
         return self._dispatch(now_s)
 
     def on_prefill_done(self, now_s: float, request_id: str) -> list[Action]:
@@ -209,6 +211,7 @@
         flight = self.flights.get(request_id)
         if flight is None or flight.stage != "prefill":
             return []
+        self.suspects.on_survived(request_id)
         holder = flight.state
         holder.health.on_success()
         self._leave(flight)
@@ -227,6 +230,7 @@
         if flight is None or flight.state is None:
             return
         flight.first_token_s = now_s
+        self.suspects.on_survived(request_id)
         self._release_cache(flight)
         flight.state.own_prompt_tokens -= flight.prompt_tokens
         flight.prompt_tokens = 0
@@ -239,6 +243,7 @@
         flight = self.flights.pop(request_id, None)
         if flight is None:
             return []
+        self.suspects.on_survived(request_id)
         if flight.state is not None:
             flight.state.health.on_success()
         self._leave(flight)
@@ -282,11 +287,18 @@
         if ran != "no":
             flight.ran = "unknown"
         self._note(now_s, request_id, "failed", reason=reason, ran=ran, endpoint=peer)
+        self.suspects.remove(request_id)
         actions = []
-        if self._retries(now_s, flight, ran):
+        if self._verdict(flight) == "convicted":
+            del self.flights[request_id]
+            refusal = Refuse(
+                request_id, "crashing_request", flight.ran, None, reason, peer
+            )
+            actions.append(self._note_refusal(now_s, refusal))
+        elif self._retries(now_s, flight, ran, reason):
             flight.attempt += 1
             self._forgive(flight, peer)
-            self._enqueue(flight)
+            self._enqueue(now_s, flight)
         else:
             del self.flights[request_id]
             refusal = Refuse(
@@ -301,6 +313,7 @@
         if flight is None:
             return []
         self.queue.remove(request_id)
+        self.suspects.remove(request_id)
         if flight.waits_decode:
             self.pending_decode.remove(flight)
         self._leave(flight)
@@ -309,15 +322,14 @@
 
     def tick(self, now_s: float) -> list[Action]:
         """Refuse what can't be on time any longer, and place what waits."""
-        self.meter.roll(now_s)
         return self._dispatch(now_s)
 
     def next_wakeup_s(self) -> float | None:
         """Return when `tick` has to be called next, or None."""
         times = [flight.request.deadline_s for flight in self.pending_decode]
-        late_s = self.queue.next_late_s()
-        if late_s is not None:
-            times.append(late_s)
+        for due_s in (self.queue.next_late_s(), self.suspects.next_s()):
+            if due_s is not None:
+                times.append(due_s)
         if self.resume_s is not None and (times or self.queue):
             times.append(self.resume_s)
         return min(times, default=None)
@@ -368,9 +380,8 @@
     def _refusal(self, now_s, flight):
         request = flight.request
         request_id = request.request_id
-        if self.quarantine is not None:
-            if self.quarantine.verdict(request.fingerprint) == "convicted":
-                return Refuse(request_id, "crashing_request", "no", None, "admit", "")
+        if self._verdict(flight) == "convicted":
+            return Refuse(request_id, "crashing_request", "no", None, "admit", "")
         if all(state.leaving for state in self.states.values()):
             retry_s = NO_ENDPOINT_RETRY_S
             return Refuse(request_id, "no_endpoint", "no", retry_s, "admit", "")
@@ -385,8 +396,22 @@
         retry_s = admission.retry_after_s(wait_s, slack_s)
         return Refuse(request_id, "overloaded", "no", retry_s, "admit", "")
 
-    def _enqueue(self, flight):
+    def _verdict(self, flight):
+        if self.quarantine is None:
+            return "clear"
+        return self.quarantine.verdict(flight.request.fingerprint)
+
+    def _suspect_engines(self):
+        rows = self.index.by_role
+        return max(len(rows["prefill"]), len(rows["mixed"]))
+
+    def _enqueue(self, now_s, flight):
         request = flight.request
+        if self._verdict(flight) == "suspect":
+            engines = max(1, self._suspect_engines())
+            _, wait_s = host_turn(self.host, list(self.peers), engines)
+            self.suspects.push(flight, now_s + wait_s)
+            return
         latest_s = admission.latest_start_s(request.deadline_s, self._service_s(flight))
         weight = self.policy.tenant_weights.get(request.tenant, 1.0)
         item = Queued(request, flight.rank, flight.work, latest_s, flight.attempt)
@@ -404,20 +429,24 @@
             return
         flight.tried = {last} if len(usable) > 1 else set()
 
-    def _retries(self, now_s, flight, ran):
+    def _retries(self, now_s, flight, ran, reason):
         if flight.attempt >= MAX_ATTEMPTS:
             return False
         if now_s >= flight.request.deadline_s:
             return False
         if not may_retry(ran, flight.request.idempotent):
             return False
-        return ran == "no" or self.budget.take()
+        # A crash loses a batch that had been admitted, and suspects run one at a
+        # time: their retries can't add up to a storm.
+        return ran == "no" or reason == "crash" or self.budget.take()
 
     def _dispatch(self, now_s):
         """Start whatever has room now, after refusing what has become too late."""
         if self.resume_s is not None and now_s >= self.resume_s:
             self.resume_s = None
+        self.meter.roll(now_s)
         actions = self._refuse_late(now_s)
+        actions += self._run_suspects(now_s)
         for flight in list(self.pending_decode):
             start = self._place(now_s, flight, ("decode", "mixed"), "decode")
             if start is not None:
@@ -438,6 +467,48 @@
                 actions.append(start)
         return actions
 
+    def _run_suspects(self, now_s):
+        """Run suspects one at a time, and let go those that are clear again."""
+        actions = []
+        for request_id, flight in list(self.suspects.waiting.items()):
+            verdict = self._verdict(flight)
+            if verdict == "suspect" and now_s < flight.request.deadline_s:
+                continue
+            self.suspects.remove(request_id)
+            if verdict == "clear":
+                self._enqueue(now_s, flight)
+                continue
+            if verdict == "suspect":
+                actions.append(self._give_up(now_s, request_id, "quarantine"))
+                continue
+            del self.flights[request_id]
+            refusal = Refuse(
+                request_id, "crashing_request", flight.ran, None, "quarantine", ""
+            )
+            actions.append(self._note_refusal(now_s, refusal))
+        flight = self.suspects.first(now_s)
+        if flight is None:
+            return actions
+        state = self._suspect_endpoint(now_s, flight)
+        if state is None:
+            return actions
+        self.suspects.start(flight.request.request_id)
+        stage = "prefill" if state.role == "prefill" else "whole"
+        actions.append(self._start(now_s, flight, state, stage))
+        return actions
+
+    def _suspect_endpoint(self, now_s, flight):
+        states = []
+        for role in ("prefill", "mixed"):
+            for _, state in self.index.by_role[role]:
+                if state.takes_work(now_s, flight.request.idempotent):
+                    states.append((role != "prefill", state.name, state))
+        if not states:
+            return None
+        states.sort()
+        place, _ = host_turn(self.host, list(self.peers), len(states))
+        return states[place][2]
+
     def _refuse_late(self, now_s):
         """Give the final refusal to what waits but can't be on time any longer."""
         actions = []
