--- a/libs/coordination/gypsumusher_coordination/journal.py
+++ b/libs/coordination/gypsumusher_coordination/journal.py
@@ -73,6 +73,10 @@
         Size at which a segment is left for the next. Each write carries the whole
         segment, so a large one multiplies the bytes of every write by its fill, and a
         small one gives a survivor more segments to seal. 16 KiB holds about 150 keys.
+    segment_s : float
+        Age at which a segment is left for the next. A host with few keys would fill a
+        segment over minutes and send it again with each key. Ten seconds keep one
+        key a second under a node's 2 KB/s; a survivor then finds about 70 segments.
     remembered_keys : int
         Keys kept in memory, about 330 bytes each as measured.
     waiting_keys : int
@@ -86,6 +90,7 @@
     claim_wait_s: float = 2.0
     retention_s: float = 600.0
     segment_bytes: int = 16 * 1024
+    segment_s: float = 10.0
     remembered_keys: int = 50_000
     waiting_keys: int = 2_000
     backoff_first_s: float = 0.1
@@ -130,6 +135,7 @@
         self._running = 0
         self._minted = 0
         self._segment = 0
+        self._segment_opened_s = 0.0
         self._version = 0
         self._journaled = {}
         self._journaled_bytes = 0
@@ -422,8 +428,12 @@
         return []
 
     def _write_waiting(self, now_s):
-        if self._journaled_bytes >= self._policy.segment_bytes:
+        is_full = self._journaled_bytes >= self._policy.segment_bytes
+        is_old = now_s - self._segment_opened_s >= self._policy.segment_s
+        if self._journaled and (is_full or is_old):
             self._open_next_segment(now_s)
+        if not self._journaled:
+            self._segment_opened_s = now_s
         keys = dict(self._journaled)
         size_bytes = self._journaled_bytes
         for key in self._waiting:
--- a/libs/coordination/tests/test_at_most_once_machine.py
+++ b/libs/coordination/tests/test_at_most_once_machine.py
@@ -34,6 +34,7 @@
     claim_wait_s=1.0,
     retention_s=5.0,
     segment_bytes=50,
+    segment_s=4.0,
     remembered_keys=4,
     waiting_keys=4,
     backoff_first_s=0.1,
--- a/libs/coordination/tests/test_journal.py
+++ b/libs/coordination/tests/test_journal.py
@@ -184,7 +184,7 @@
 
 
 def test_segments_roll_below_their_limit():
-    journal = make_journal(segment_bytes=500, writes_per_s=1e6)
+    journal = make_journal(segment_bytes=500, segment_s=1e6, writes_per_s=1e6)
     sizes_bytes = {}
     for step in range(100):
         _, [write] = claim(journal, float(step), "f" * 32)
@@ -194,6 +194,17 @@
     assert len(sizes_bytes) > 5 and max(sizes_bytes.values()) < 800
 
 
+def test_few_keys_a_second_cost_little_more_than_themselves():
+    """One key a second: each write would carry all keys of the last minutes."""
+    journal = make_journal()
+    sent_bytes = 0
+    for second in range(120):
+        _, [write] = claim(journal, float(second), "f" * 32)
+        sent_bytes += len(json.dumps(write.value))
+        journal.handle(second + 0.1, WriteDone(write.tag, second + 1))
+    assert sent_bytes / 120 < 2_000
+
+
 def test_a_planned_stop_finishes_what_it_granted_then_seals():
     journal = make_journal()
     key, [write] = claim(journal, 0.0)
