Learn each endpoint's speed from its answers and count its slots by it

Cause: an engine at a fifth of its speed kept its full share of second stages, because its fullness looked like any other's.

The planner doesn't know of it yet.

--- a/libs/policy/gypsumusher_policy/endpoints.py
+++ b/libs/policy/gypsumusher_policy/endpoints.py
@@ -12,6 +12,11 @@
 # An engine that says it takes nothing is asked again after this time, so that one
 # refusal during a role change doesn't become a storm of them.
 REFUSED_PAUSE_S = 1.0
+# Weight of the newest answer in an endpoint's speed: some ten answers show a slow one.
+SPEED_STEP = 0.1
+# Least speed that is believed, so that a slow endpoint keeps a trickle of work by
+# which its recovery is seen.
+LEAST_SPEED = 0.1
 
 
 class EndpointState:
@@ -45,6 +50,7 @@
         self.peers_running = 0
         self.peers_prompt_tokens = 0
         self.health = Health()
+        self.speed = 1.0
         self.load_key = None
 
     def on_report(self, now_s: float, report: LoadReport) -> bool:
@@ -95,9 +101,22 @@
         """Return the seconds of prompt processing that wait here."""
         return self.prompt_tokens() / self.prefill_tokens_per_s
 
+    def on_pace(self, seconds: float, tokens: int) -> None:
+        """Learn from the time that an answer's tokens took.
+
+        A stream of a full batch gets its share of the engine's rate; an endpoint that
+        gives less is slower than it says.
+        """
+        promised_s = tokens * self.slots / self.decode_tokens_per_s
+        seen = min(1.0, promised_s / max(seconds, 1e-6))
+        self.speed += SPEED_STEP * (seen - self.speed)
+
     def fullness(self) -> float:
-        """Return the share of the batch slots in use; above 1 some wait."""
-        return self.running() / self.slots
+        """Return the share of the batch slots in use; above 1 some wait.
+
+        Of a slow endpoint only as many slots count as it is fast.
+        """
+        return self.running() / (self.slots * max(LEAST_SPEED, self.speed))
 
     def load(self) -> float:
         """Return the load by which endpoints of one role are ordered."""
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -246,6 +246,9 @@
         self.suspects.on_survived(request_id)
         if flight.state is not None:
             flight.state.health.on_success()
+            if flight.first_token_s is not None:
+                seconds = now_s - flight.first_token_s
+                flight.state.on_pace(seconds, output_tokens)
         self._leave(flight)
         request = flight.request
         self.outputs.on_answer(
@@ -589,6 +592,7 @@
 
     def _start(self, now_s, flight, state, stage):
         flight.state = state
+        flight.first_token_s = None
         flight.stage = stage
         flight.started_s = now_s
         state.health.on_start()
