Name the time in which the present queue is gone as retry-after

Cause: the excess of the wait over the slack was named, often half a second, and whoever came back then met the same overload.

--- a/libs/policy/gypsumusher_policy/admission.py
+++ b/libs/policy/gypsumusher_policy/admission.py
@@ -76,4 +76,6 @@
         Longest wait with which it would be on time.
     """
     over_s = wait_s - max(0.0, slack_s)
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, over_s))
+    # While the overload lasts, whoever comes back as soon as there is a gap finds it
+    # taken; whoever comes back when the present queue is gone mostly gets in.
+    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, over_s, wait_s))
