--- a/libs/coordination/tests/test_lease.py
+++ b/libs/coordination/tests/test_lease.py
@@ -130,6 +130,23 @@
     assert gained == LeaseGained(2, (OpenTerm(1, "a", "a-1"),))
 
 
+def test_clocks_that_run_apart_leave_no_moment_with_two_holders():
+    """For a few hundredths of a second two stewards order one engine about.
+
+    The holder's clock runs slow and the observer's fast, each by 4 in 1,000.
+    """
+    store = Store()
+    holder, observer = make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    run(observer, store, 0.0)
+    for step in range(500, 700):
+        real_s = step / 100
+        run(observer, store, real_s * 1.004)
+        both = holder.held(real_s * 0.996) and observer.held(real_s * 1.004)
+        assert not both, real_s
+    assert observer.held(7.0)
+
+
 def test_two_observers_race_and_one_wins():
     store = Store()
     gain(make_lease("a"), store, 0.0)
