--- a/libs/policy/gypsumusher_policy/shifting.py
+++ b/libs/policy/gypsumusher_policy/shifting.py
@@ -63,9 +63,7 @@
     return min(prompts, tokens, both)
 
 
-def lost_s(
-    split: Split, demand: Demand, slack_s: float, horizon_s: float = HORIZON_S
-) -> float:
+def lost_s(split: Split, demand: Demand, slack_s: float) -> float:
     """Return the work that will be too late within the horizon, in engine seconds.
 
     Work that waits is still on time, so that a swing which the queues can bear costs
@@ -79,8 +77,6 @@
         Arriving and waiting work, thought to go on as it is.
     slack_s : float
         Wait at which work is lost.
-    horizon_s : float
-        Time looked at, in seconds.
     """
     mixed = split.mixed * MIXED_SHARE
     total = demand.prefill + demand.decode
@@ -96,7 +92,7 @@
         # The queue grows by (rate - engines) a second and is served by the engines.
         room_s = slack_s * engines - queued_s
         full_s = max(0.0, room_s / (rate - engines))
-        late_s = max(0.0, horizon_s - full_s)
+        late_s = max(0.0, HORIZON_S - full_s)
         worst = max(worst, (1.0 - engines / rate) * late_s)
     return worst * total
 
@@ -162,8 +158,6 @@
     def __init__(self, policy: DeploymentPolicy):
         self.policy = policy
         self.changed_s = {}
-        self.regret_s = 0.0
-        self.planned_s = None
 
     def plan(
         self,
@@ -191,7 +185,6 @@
             return []
         demand = served_demand(demands, len(roles))
         old = count_roles(roles)
-        self._add_regret(now_s, old, demand)
         new = self._best(old, demand)
         if new == old:
             return []
@@ -199,27 +192,13 @@
         if change is None:
             return []
         self.changed_s[change.endpoint] = now_s
-        self.regret_s = 0.0
         return [change]
 
-    def _add_regret(self, now_s, old, demand):
-        """Add up the work that the present roles have lost since it began.
-
-        Made for a mix that stays off balance by a little: within the horizon no
-        change pays at a high price, yet the loss goes on for hours. Once it has cost
-        as much as a change, the change is made, so that both together are at most
-        twice what was unavoidable.
-        """
-        span_s = 0.0 if self.planned_s is None else now_s - self.planned_s
-        self.planned_s = now_s
-        rate = lost_s(old, demand, self._slack_s(), 1.0)
-        self.regret_s = self.regret_s + rate * span_s if rate > 0.0 else 0.0
-
     def _best(self, old, demand):
         policy = self.policy
         cost_s = policy.role_change_s + policy.role_change_price_s + DRAIN_S
         slack_s = self._slack_s()
-        best, best_s = old, lost_s(old, demand, slack_s) + self.regret_s
+        best, best_s = old, lost_s(old, demand, slack_s)
         if best_s <= cost_s:
             return old
         for split in all_splits(sum(old)):
