Show refusals that say not run of a booking that ran on another host

The same holds for stopping hosts, and for callers' own keys while the platform is down.

A host that can't look a key up can't know that no other host ran it. The repeat in an outage now checks what it is told too. Ruled out: reading run as of this attempt alone; the caller would take a new key and book twice.

--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -194,6 +194,7 @@
                         assert answer.text == expected_text(prompt, 8)
                         continue
                     assert answer.status in {409, 503}, answer
+                    assert answer.error["run"] == "unknown", answer
                 assert await fleet.runs_of(prompt, engines) == 1
 
     asyncio.run(run())
