--- a/libs/daemon/gypsumusher_daemon/configuration.py
+++ b/libs/daemon/gypsumusher_daemon/configuration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from datetime import UTC, datetime
 
 from returns.result import Success
 
@@ -114,7 +115,14 @@
         PatchAccepted, PatchInvalid, PatchOutdated, PatchUnavailable or PatchUnknown
         """
         attempt = PatchAttempt(
-            base_number, patch, patch_id, author, note, check_document
+            base_number,
+            patch,
+            patch_id,
+            author,
+            note,
+            check_document,
+            sections=self.replica.sections,
+            at=datetime.now(UTC).isoformat(timespec="seconds"),
         )
         future = asyncio.get_running_loop().create_future()
 
--- a/libs/daemon/gypsumusher_daemon/endpoints.py
+++ b/libs/daemon/gypsumusher_daemon/endpoints.py
@@ -54,6 +54,7 @@
         self.silent_polls = {}
         self.draining = {}
         self.crashed_s = {}
+        self.silence_listeners = {}
         self.crash_listeners = []
         self._membership = None
         self._dispatcher = dispatcher
@@ -155,6 +156,8 @@
         self.silent_polls[name] = count
         if count == SILENT_POLLS_MAX:
             self._log("warning", "endpoint_silent", endpoint=name, polls=count)
+            for listener in list(self.silence_listeners.get(name, ())):
+                listener()
             self.publish()
 
     def on_crash(self, name, started_s):
@@ -179,6 +182,31 @@
             listener(name)
         self.publish()
 
+    def listen_for_silence(self, name, listener):
+        """Have a function called when an engine falls silent.
+
+        Parameters
+        ----------
+        name : str
+            The engine.
+        listener : callable
+            Without arguments.
+
+        Returns
+        -------
+        callable
+            Takes the listener back.
+        """
+        listeners = self.silence_listeners.setdefault(name, set())
+        listeners.add(listener)
+
+        def take_back():
+            listeners.discard(listener)
+            if not listeners and self.silence_listeners.get(name) is listeners:
+                del self.silence_listeners[name]
+
+        return take_back
+
     def find(self, name):
         """Return an endpoint's entry, or None."""
         return self.entries.get(name)
--- a/libs/daemon/gypsumusher_daemon/exchanges.py
+++ b/libs/daemon/gypsumusher_daemon/exchanges.py
@@ -3,7 +3,12 @@
 import asyncio
 from typing import NamedTuple
 
-from gypsumusher_daemon.attempts import EXTRA_EVENTS, Attempt, run_attempt
+from gypsumusher_daemon.attempts import (
+    EXTRA_EVENTS,
+    Attempt,
+    AttemptResult,
+    run_attempt,
+)
 from gypsumusher_daemon.dispatch import create_request
 from gypsumusher_daemon.refusals import (
     STATUS_BY_CODE,
@@ -236,12 +241,7 @@
         quarantine.on_start(started_s, fingerprint, action.endpoint)
         completed = False
         try:
-            result = await run_attempt(
-                self.context.sessions,
-                attempt,
-                lambda stream_id: self._on_stream(action, attempt, stream_id),
-                self._on_events,
-            )
+            result = await self._run_unless_stuck(action, attempt)
             if result.reason == "crash":
                 # Before the request counts as ended: it is one of the suspects.
                 self.context.endpoints.on_crash(action.endpoint, started_s)
@@ -252,6 +252,41 @@
                 self.context.clock(), fingerprint, action.endpoint, completed
             )
 
+    async def _run_unless_stuck(self, action, attempt):
+        """Run an attempt, but leave an engine that falls silent before it answers.
+
+        Failure guarded against: an engine is paused or cut off after it has taken
+        requests; its connections stay open, and callers wait until it comes back or
+        the silence limit of a minute. Only work that may run again is taken away,
+        and only while its caller has seen nothing of the answer.
+        """
+        task = asyncio.ensure_future(
+            run_attempt(
+                self.context.sessions,
+                attempt,
+                lambda stream_id: self._on_stream(action, attempt, stream_id),
+                self._on_events,
+            )
+        )
+        stuck = False
+
+        def leave():
+            nonlocal stuck
+            if self.call.idempotent and self.delivery.head is None:
+                stuck = True
+                task.cancel()
+
+        take_back = self.context.endpoints.listen_for_silence(action.endpoint, leave)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not stuck or asyncio.current_task().cancelling():
+                task.cancel()
+                raise
+            return AttemptResult("broken", "unknown", detail="the engine is silent")
+        finally:
+            take_back()
+
     def _create_attempt(self, action, address):
         """Return what to send for one stage of the work."""
         body = dict(self.call.body)
--- a/libs/daemon/gypsumusher_daemon/journals.py
+++ b/libs/daemon/gypsumusher_daemon/journals.py
@@ -22,6 +22,10 @@
 BUSY_TICK_S = 0.01
 IDLE_TICK_S = 1.0
 SEALERS_MAX = 64
+# The platform is spared by the host's call budget, which backs off for all its calls
+# together; a second, longer wait on top would only keep callers waiting after an
+# outage has ended.
+BACKOFF_LIMIT_S = 0.5
 INCARNATION_BYTES = 9
 
 
@@ -269,6 +273,7 @@
         writes_per_s=1.0 / flush_s if flush_s else 1000.0,
         claim_wait_s=settings["journal.wait_s"],
         retention_s=settings["journal.retention_s"],
+        backoff_limit_s=BACKOFF_LIMIT_S,
     )
 
 
--- a/libs/daemon/gypsumusher_daemon/order_sender.py
+++ b/libs/daemon/gypsumusher_daemon/order_sender.py
@@ -13,6 +13,7 @@
 # States of an order that an engine names; anything else is no usable answer.
 ORDER_STATES = frozenset({"accepted", "running", "done", "failed", "none"})
 REFUSALS = frozenset({"busy", "stale_term"})
+NEVER_TAKEN_STATUSES = frozenset({400, 404, 405, 422, 501})
 
 
 class LeaseEnded(aiohttp.ClientError):
@@ -139,7 +140,7 @@
     code = answer.get("error", {}).get("code")
     if status == 409 and code in REFUSALS:
         return OrderAnswer(order.engine, order.order_id, code, order.tag)
-    if status == 400:
+    if status in NEVER_TAKEN_STATUSES:
         # The engine will never take this order, whoever sends it again.
         return OrderAnswer(order.engine, order.order_id, "failed", order.tag, str(code))
     return OrderFailed(order.engine, order.order_id, True, order.tag)
--- a/libs/daemon/gypsumusher_daemon/reports.py
+++ b/libs/daemon/gypsumusher_daemon/reports.py
@@ -8,7 +8,9 @@
 
 __all__ = ["ReportPoller"]
 
-POLL_TIMEOUT_S = 2.0
+# An engine answers in milliseconds; one that takes a second is stuck, and three such
+# polls make it silent within 5 s at the default interval.
+POLL_TIMEOUT_S = 1.0
 # Callers keep an answer of /v1/entry for seconds; one that came to the wrong host
 # asks again well before this.
 VISIT_S = 60.0
