Count a second crash of one engine, rerun suspects elsewhere, and test the policy

Cause, found by a new test: a suspect could be sent to the engine it had just crashed, and a second crash of that engine was taken for news of the first, so that nothing was convicted. Crashes of one engine now count apart after 5 s, and a suspect's second run is on another engine. The bench tells peers of a crash once, as the daemon does. Leaving endpoints stand in no index, so that capacity is read from its length.

--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -33,6 +33,7 @@
         self.fleet = fleet
         self.zone_delay_s = zone_delay_s
         self.on_outcome = on_outcome
+        self.tell_crash = None
         self.arrivals = {}
         self.first_token_s = {}
         self.held = {}
@@ -144,7 +145,10 @@
             return
         now_s = self.clock.now_s
         if event == "crash":
+            ran = list(quarantine.running.get(start.endpoint, ()))
             quarantine.on_crash(now_s, start.endpoint)
+            if ran:
+                self.tell_crash(self, {name: [start.endpoint] for name in ran})
             return
         fingerprint = self.arrivals[start.request_id][1].fingerprint
         quarantine.on_end(now_s, fingerprint, start.endpoint, event == "done")
--- a/bench/run_bench.py
+++ b/bench/run_bench.py
@@ -12,6 +12,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
+from decision_cost import measure_decision, run_two_years  # noqa: E402
 from plots import plot_swing  # noqa: E402
 from scenarios import BY_NAME, USERS, run_scenario  # noqa: E402
 from simulation import DECIDERS  # noqa: E402
@@ -41,6 +42,14 @@
 def run_one(job):
     """Run one scenario in a process of the pool; return its result as a dict."""
     user, name, decider, scale, plots = job
+    policy = None
+    if decider == "policy_cheap":
+        # The same user at the other one's price, to see what its own price costs.
+        policy = USERS[user].policy._replace(
+            role_change_price_s=USERS["hanbit"].policy.role_change_price_s
+        )
+        run, result = run_scenario(user, name, "policy", scale, policy)
+        return result._replace(decider=decider)._asdict()
     run, result = run_scenario(user, name, decider, scale)
     if plots and run.scenario.plot and decider == "policy":
         plot_swing(run, result, BUILD / "plots")
@@ -62,6 +71,9 @@
             for decider in options.deciders.split(","):
                 plots = not options.no_plots
                 jobs.append((user, name, decider, options.scale, plots))
+    if options.deciders == ",".join(DECIDERS) and "khadra" in options.users:
+        for name in options.scenarios.split(","):
+            jobs.append(("khadra", name, "policy_cheap", options.scale, False))
     (BUILD / "plots").mkdir(parents=True, exist_ok=True)
     shares = {}
     with (
@@ -73,11 +85,21 @@
             _show(result)
             share = result["goodput_share"]
             shares.setdefault(result["decider"], []).append(share)
+        if options.deciders == ",".join(DECIDERS):
+            for measure in _costs():
+                print(json.dumps(measure), file=out, flush=True)
+                print(" ".join(f"{name}={value}" for name, value in measure.items()))
     for decider, values in shares.items():
         mean = sum(values) / len(values)
         print(f"decider={decider} mean={mean:.4f} least={min(values):.4f}")
 
 
+def _costs():
+    for replicas in (6, 25, 100, 400):
+        yield measure_decision(replicas)
+    yield run_two_years()
+
+
 def _show(result):
     words = [result["user"], result["scenario"], result["decider"]]
     words += [f"{name}={result[name]}" for name in SHOWN]
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -153,6 +153,7 @@
                 self.user.zone_delay_s,
                 self._on_outcome,
             )
+            host.tell_crash = self._tell_crash
             self.hosts.append(host)
         self.planner = None
         if self.decider == "policy":
@@ -204,14 +205,13 @@
         for host in self.hosts:
             load = host.scheduler.own_load()
             quarantine = host.scheduler.quarantine
-            suspicions = quarantine.suspicions() if quarantine else {}
             convictions = dict(quarantine.convictions) if quarantine else {}
             for other in self.hosts:
                 if other is host:
                     continue
                 self.clock.after(GOSSIP_LAG_S, self._hear_peer(other, host.name, load))
-                if suspicions or convictions:
-                    self._hear_suspicions(other, suspicions, convictions)
+                if convictions:
+                    self._hear_convictions(other, convictions)
 
     def _hear_peer(self, host, peer, load):
         def act():
@@ -220,15 +220,28 @@
 
         return act
 
-    def _hear_suspicions(self, host, suspicions, convictions):
+    def _hear_convictions(self, host, convictions):
         def act():
             quarantine = host.scheduler.quarantine
-            quarantine.on_peer_suspicions(self.clock.now_s, suspicions)
             for fingerprint, reason in convictions.items():
-                quarantine.convict(fingerprint, reason)
+                if quarantine.verdict(fingerprint) != "convicted":
+                    quarantine.convict(fingerprint, reason, self.clock.now_s)
 
         self.clock.after(GOSSIP_LAG_S, act)
 
+    def _tell_crash(self, host, suspicions):
+        """Tell the peers what ran on an engine that crashed, once."""
+        for other in self.hosts:
+            if other is host:
+                continue
+            quarantine = other.scheduler.quarantine
+            self.clock.after(
+                GOSSIP_LAG_S,
+                lambda quarantine=quarantine: quarantine.on_peer_suspicions(
+                    self.clock.now_s, suspicions
+                ),
+            )
+
     def _report(self):
         lag_s = self.scenario.report_lag_s
         for engine in self.fleet.values():
--- a/libs/policy/gypsumusher_policy/placement.py
+++ b/libs/policy/gypsumusher_policy/placement.py
@@ -52,6 +52,13 @@
         del row[bisect_left(row, state.load_key, key=_first)]
         state.load_key = None
 
+    def set_member(self, state: EndpointState, member: bool) -> None:
+        """Let an endpoint stand in the index, or not: a leaving one gets no work."""
+        if state.load_key is not None:
+            self.remove(state)
+        if member:
+            self.add(state)
+
     def update(self, state: EndpointState) -> None:
         """Put an endpoint where its present load belongs."""
         if state.load_key is None:
--- a/libs/policy/gypsumusher_policy/quarantine.py
+++ b/libs/policy/gypsumusher_policy/quarantine.py
@@ -59,11 +59,11 @@
     def convict(self, fingerprint: str, reason: str, now_s: float = 0.0) -> None:
         """Take over a conviction, from a peer or the platform."""
         self.convictions[fingerprint] = reason
-        lost = self.suspects.pop(fingerprint, ())
+        lost = [endpoint for endpoint, _ in self.suspects.pop(fingerprint, ())]
         for endpoint in lost:
             self.explained_s[endpoint] = now_s
-        for other, endpoints in list(self.suspects.items()):
-            if set(endpoints) <= set(lost):
+        for other, crashes in list(self.suspects.items()):
+            if {endpoint for endpoint, _ in crashes} <= set(lost):
                 del self.suspects[other]
 
     def verdict(self, fingerprint: str) -> str:
@@ -76,7 +76,10 @@
 
     def suspicions(self) -> dict[str, list[str]]:
         """Return the suspects and the endpoints lost with each, for the peers."""
-        return {name: list(lost) for name, lost in self.suspects.items()}
+        found = {}
+        for name, crashes in self.suspects.items():
+            found[name] = [endpoint for endpoint, _ in crashes]
+        return found
 
     def on_peer_suspicions(
         self, now_s: float, suspicions: dict[str, list[str]]
@@ -95,9 +98,10 @@
                 self._blame(now_s, fingerprint, endpoint)
         convicts = []
         for fingerprint in suspicions:
-            lost = self.suspects.get(fingerprint, ())
-            if len(lost) < CRASHES_TO_CONVICT:
+            crashes = self.suspects.get(fingerprint, ())
+            if len(crashes) < CRASHES_TO_CONVICT:
                 continue
+            lost = [endpoint for endpoint, _ in crashes]
             self.convict(fingerprint, "crashed " + ",".join(lost), now_s)
             convicts.append(Convict(fingerprint, tuple(lost)))
         return convicts
@@ -107,8 +111,12 @@
             return
         if now_s - self.explained_s.get(endpoint, -EXPLAINED_S) < EXPLAINED_S:
             return
-        lost = self.suspects.setdefault(fingerprint, [])
-        if endpoint not in lost:
-            lost.append(endpoint)
+        crashes = self.suspects.setdefault(fingerprint, [])
+        for known, crashed_s in crashes:
+            # Several hosts tell of one crash; an engine that came back and crashed
+            # again is another.
+            if known == endpoint and now_s - crashed_s < EXPLAINED_S:
+                return
+        crashes.append((endpoint, now_s))
         if len(self.suspects) > MAX_SUSPECTS:
             self.suspects.popitem(last=False)
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -134,13 +134,11 @@
             state = self.states.get(endpoint.name)
             if state is None:
                 state = self.states[endpoint.name] = EndpointState(endpoint)
-                self.index.add(state)
-                continue
             state.leaving = endpoint.leaving
             state.zone = endpoint.zone
             if state.report_at_s is None:
                 state.role = endpoint.role
-                self.index.update(state)
+            self.index.set_member(state, not endpoint.leaving)
         for name in list(self.states):
             if name not in listed:
                 self._drop_endpoint(name)
@@ -373,12 +371,13 @@
 
     def _capacity(self):
         """Return this host's share of the engines: its peers drain theirs as well."""
-        counts = {"prefill": 0, "decode": 0, "mixed": 0}
-        for state in self.states.values():
-            if not state.leaving:
-                counts[state.role] += 1
         share = 1.0 / (1 + len(self.peers))
-        return Capacity(*(count * share for count in counts.values()))
+        rows = self.index.by_role
+        return Capacity(
+            len(rows["prefill"]) * share,
+            len(rows["decode"]) * share,
+            len(rows["mixed"]) * share,
+        )
 
     def _refusal(self, now_s, flight):
         request = flight.request
@@ -504,6 +503,9 @@
         states = []
         for role in ("prefill", "mixed"):
             for _, state in self.index.by_role[role]:
+                # Its second run must be elsewhere: the engine may be the cause.
+                if state.name in flight.tried:
+                    continue
                 if state.takes_work(now_s, flight.request.idempotent):
                     states.append((role != "prefill", state.name, state))
         if not states:
@@ -628,9 +630,8 @@
 
     def _drop_endpoint(self, name):
         state = self.states.pop(name)
-        if state.load_key is not None:
-            self.index.remove(state)
         state.leaving = True
+        self.index.set_member(state, False)
 
     def _note_refusal(self, now_s, refusal):
         self._note(
--- /dev/null
+++ b/libs/policy/tests/test_scheduler.py
@@ -0,0 +1,256 @@
+"""What callers get from one host's scheduler under load and faults."""
+
+import heapq
+
+import pytest
+
+from gypsumusher_policy import (
+    ClassPolicy,
+    DeploymentPolicy,
+    Endpoint,
+    LoadReport,
+    Quarantine,
+    Refuse,
+    Request,
+    Scheduler,
+    Start,
+)
+
+CLASSES = {
+    "counter": ClassPolicy("counter", 0, 1.5, 0.05, 10.0),
+    "standard": ClassPolicy("standard", 1, 5.0, 0.1, 60.0),
+    "bulk": ClassPolicy("bulk", 2, 30.0, 0.2, 600.0),
+}
+POLICY = DeploymentPolicy(
+    "letters", CLASSES, "standard", {}, 2.0, 5.0, 60.0, True, 0.1, 8, 2
+)
+
+
+def create_scheduler(roles=("mixed",), quarantine=None):
+    scheduler = Scheduler(POLICY, "host-0", "anyang", 1, quarantine)
+    endpoints = []
+    for number, role in enumerate(roles):
+        endpoints.append(Endpoint(f"e{number}", "anyang", role, False))
+    scheduler.set_endpoints(0.0, endpoints)
+    for number, role in enumerate(roles):
+        scheduler.on_report(
+            0.0,
+            LoadReport(
+                f"e{number}", 1, 0.0, role, False, 0, 0, 0, 8, 0, 200_000, 8e3, 2e3
+            ),
+        )
+    return scheduler
+
+
+def create_request(name, class_name="standard", at_s=0.0, tenant="t", **changes):
+    request = Request(
+        name, tenant, class_name, 100, 100, at_s, at_s + 60.0, (), True, f"f-{name}"
+    )
+    return request._replace(**changes)
+
+
+def serve(scheduler, arrivals, service_s, until_s):
+    """Play arrivals against engines that take ``service_s`` by name; return the end."""
+    due = [(at_s, 0, name, request) for at_s, name, request in arrivals]
+    heapq.heapify(due)
+    ends = {}
+
+    def carry_out(now_s, actions):
+        for action in actions:
+            if isinstance(action, Refuse):
+                ends[action.request_id] = (action.code, now_s, action)
+                continue
+            end_s = now_s + service_s(action.endpoint)
+            heapq.heappush(due, (end_s, 1, action.request_id, action))
+
+    while due and due[0][0] <= until_s:
+        wakeup_s = scheduler.next_wakeup_s()
+        if wakeup_s is not None and wakeup_s < due[0][0]:
+            carry_out(wakeup_s, scheduler.tick(wakeup_s))
+            continue
+        now_s, kind, name, item = heapq.heappop(due)
+        if kind == 0:
+            carry_out(now_s, scheduler.submit(now_s, item))
+            continue
+        if service_s(item.endpoint) < 0.02:
+            carry_out(now_s, scheduler.on_failed(now_s, name, "error", "unknown"))
+            continue
+        scheduler.on_first_token(now_s, name)
+        ends[name] = ("done", now_s, item)
+        carry_out(now_s, scheduler.on_done(now_s, name, 50))
+    return ends
+
+
+def test_burst_is_answered_whole_once_it_has_room():
+    scheduler = create_scheduler(["mixed", "mixed"])
+    arrivals = [(0.0, f"r{n}", create_request(f"r{n}")) for n in range(100)]
+    ends = serve(scheduler, arrivals, lambda name: 1.0, 50.0)
+    assert len(ends) == 100
+    assert {end[0] for end in ends.values()} == {"done"}
+
+
+def test_skewed_tenant_leaves_the_others_their_share():
+    scheduler = create_scheduler()
+    arrivals = []
+    for number in range(200):
+        request = create_request(f"big{number}", tenant="big")
+        arrivals.append((0.0, request.request_id, request))
+    for number in range(10):
+        request = create_request(f"small{number}", tenant="small", at_s=0.1)
+        arrivals.append((0.1, request.request_id, request))
+    ends = serve(scheduler, arrivals, lambda name: 1.0, 8.0)
+    served = [name for name, end in ends.items() if end[0] == "done"]
+    assert sum(name.startswith("small") for name in served) == 10
+
+
+def test_urgent_work_passes_a_full_queue_and_long_work_goes_on():
+    scheduler = create_scheduler()
+    arrivals = []
+    for number in range(100):
+        request = create_request(f"long{number}", "bulk", deadline_s=600.0)
+        arrivals.append((0.0, request.request_id, request))
+    for number in range(20):
+        at_s = 1.0 + number
+        request = create_request(
+            f"check{number}", "counter", at_s, deadline_s=at_s + 10
+        )
+        arrivals.append((at_s, request.request_id, request))
+    ends = serve(scheduler, arrivals, lambda name: 2.0, 30.0)
+    for number in range(20):
+        code, end_s, _ = ends[f"check{number}"]
+        assert code == "done"
+        assert end_s - (1.0 + number) <= 2.1
+    assert sum(name.startswith("long") for name in ends) >= 50
+
+
+def test_full_saturation_refuses_at_once_with_a_retry_after():
+    scheduler = create_scheduler()
+    arrivals = []
+    for number in range(3000):
+        at_s = number * 0.01
+        request = create_request(f"r{number}", at_s=at_s, deadline_s=at_s + 5.0)
+        arrivals.append((at_s, request.request_id, request))
+    ends = serve(scheduler, arrivals, lambda name: 1.0, 60.0)
+    refusals = [end[2] for end in ends.values() if end[0] == "overloaded"]
+    assert len(ends) == 3000
+    assert refusals
+    for refusal in refusals:
+        assert refusal.run == "no"
+        assert refusal.retry_after_s > 0.0
+    for name, end in ends.items():
+        if end[0] == "overloaded":
+            given_up_s = end[1] - int(name[1:]) * 0.01
+            assert given_up_s <= 5.0, "a given-up request was held back"
+
+
+def test_slow_endpoint_gets_little_of_the_work():
+    scheduler = create_scheduler(["mixed", "mixed"])
+    arrivals = []
+    for number in range(400):
+        at_s = number * 0.1
+        arrivals.append((at_s, f"r{number}", create_request(f"r{number}", at_s=at_s)))
+    ends = serve(scheduler, arrivals, lambda name: 4.0 if name == "e0" else 0.4, 60.0)
+    slow = sum(end[2].endpoint == "e0" for end in ends.values())
+    assert len(ends) == 400
+    assert slow < 100
+
+
+def test_black_hole_endpoint_is_left_after_few_failures():
+    """An engine answers each request at once with an error.
+
+    It always looks idle, so that the least loaded choice would send it everything.
+    Callers would see most requests fail while the other engine serves well.
+    """
+    scheduler = create_scheduler(["mixed", "mixed"])
+    arrivals = []
+    for number in range(300):
+        at_s = number * 0.05
+        arrivals.append((at_s, f"r{number}", create_request(f"r{number}", at_s=at_s)))
+    ends = serve(scheduler, arrivals, lambda name: 0.01 if name == "e0" else 0.3, 60.0)
+    assert {end[0] for end in ends.values()} == {"done"}
+    assert len(ends) == 300
+
+
+def test_leaving_endpoint_keeps_its_work_and_gets_none():
+    scheduler = create_scheduler(["mixed", "mixed"])
+    start = scheduler.submit(0.0, create_request("a"))[0]
+    endpoints = []
+    for name in ("e0", "e1"):
+        leaving = name == start.endpoint
+        endpoints.append(Endpoint(name, "anyang", "mixed", leaving))
+    scheduler.set_endpoints(0.1, endpoints)
+    assert scheduler.own_load()[start.endpoint][0] == 1
+    for number in range(6):
+        later = scheduler.submit(0.2, create_request(f"b{number}"))
+        assert later[0].endpoint != start.endpoint
+    assert scheduler.on_done(1.0, "a", 10) == []
+    assert start.endpoint not in scheduler.own_load()
+
+
+def test_two_stages_run_on_engines_of_their_roles():
+    scheduler = create_scheduler(["prefill", "decode"])
+    first = scheduler.submit(0.0, create_request("a"))
+    second = scheduler.on_prefill_done(0.1, "a")
+    assert first == [Start("a", "e0", "prefill", 1, 1)]
+    assert second == [Start("a", "e1", "decode", 1, 1)]
+
+
+@pytest.mark.parametrize(
+    ("ran", "idempotent", "retried"),
+    [("no", False, True), ("unknown", True, True), ("unknown", False, False)],
+)
+def test_only_what_cannot_run_twice_is_retried(ran, idempotent, retried):
+    """A booking's connection breaks after it was sent, and the caller gets no answer.
+
+    A retry would send a second crew if the first attempt had run. The caller must
+    see a refusal that says that the outcome is unknown.
+    """
+    scheduler = create_scheduler(["mixed", "mixed"])
+    start = scheduler.submit(0.0, create_request("a", idempotent=idempotent))[0]
+    action = scheduler.on_failed(0.5, "a", "broken", ran)[0]
+    if retried:
+        assert action.endpoint != start.endpoint
+        assert action.attempt == 2
+        return
+    assert action.code == "endpoint_failed"
+    assert action.run == "unknown"
+
+
+def test_refusal_after_an_attempt_that_may_have_run_says_so():
+    scheduler = create_scheduler()
+    scheduler.submit(0.0, create_request("a"))
+    actions = scheduler.on_failed(0.1, "a", "broken", "unknown")
+    for number in range(3):
+        actions = actions or scheduler.tick(0.2 + number)
+    while isinstance(actions[-1], Start):
+        actions = scheduler.on_failed(5.0, "a", "connect", "no")
+        actions = actions or scheduler.tick(scheduler.next_wakeup_s())
+    assert actions[-1].run == "unknown"
+
+
+def test_convicted_request_is_refused_and_its_neighbours_run():
+    """A request crashes its engine, is sent to the next and crashes that too.
+
+    Its neighbours on the first engine were suspects as well; they must get answers.
+    """
+    quarantine = Quarantine()
+    scheduler = create_scheduler(["mixed", "mixed", "mixed"], quarantine)
+    starts = {}
+    for name in ("bad", "good"):
+        request = create_request(name, prompt_tokens=9000 if name == "bad" else 10)
+        start = scheduler.submit(0.0, request)[0]
+        starts[name] = start.endpoint
+        quarantine.on_start(0.0, f"f-{name}", "e0")
+    quarantine.on_crash(1.0, "e0")
+    actions = scheduler.on_failed(1.0, "bad", "crash", "unknown")
+    actions += scheduler.on_failed(1.0, "good", "crash", "unknown")
+    assert len(actions) == 1, "suspects run one at a time"
+    again = actions[0]
+    quarantine.on_start(1.0, f"f-{again.request_id}", again.endpoint)
+    assert again.request_id == "bad"
+    convicts = quarantine.on_crash(2.0, again.endpoint)
+    assert [convict.fingerprint for convict in convicts] == ["f-bad"]
+    actions = scheduler.on_failed(2.0, "bad", "crash", "unknown")
+    assert actions[0].code == "crashing_request"
+    assert actions[1].request_id == "good"
+    assert scheduler.submit(3.0, create_request("bad"))[0].code == "crashing_request"
