--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -7,6 +7,7 @@
 from gypsumusher_policy.cache_table import CacheTable
 from gypsumusher_policy.draws import make_draw
 from gypsumusher_policy.endpoints import REFUSED_PAUSE_S, EndpointState
+from gypsumusher_policy.flights import Flight
 from gypsumusher_policy.forecast import DemandMeter
 from gypsumusher_policy.outputs import OutputEstimate
 from gypsumusher_policy.placement import (
@@ -15,7 +16,7 @@
     has_prefill_room,
     score,
 )
-from gypsumusher_policy.queueing import Queued, RequestQueue, lane_of
+from gypsumusher_policy.queueing import Queued, RequestQueue
 from gypsumusher_policy.retries import RetryBudget, may_retry
 from gypsumusher_policy.suspects import SuspectList, host_turn
 from gypsumusher_policy.types import (
@@ -42,32 +43,6 @@
 PEER_SILENT_S = 10.0
 
 
-class Flight:
-    """A request from its admission to its end."""
-
-    def __init__(self, request, rank, work, output_tokens, high_output_tokens):
-        self.request = request
-        self.rank = rank
-        self.work = work
-        self.lane = lane_of(rank, work)
-        self.output_tokens = output_tokens
-        self.high_output_tokens = high_output_tokens
-        self.attempt = 1
-        self.tried = set()
-        self.state = None
-        self.stage = ""
-        self.prompt_tokens = 0
-        self.started_s = None
-        self.first_token_s = None
-        self.waits_decode = False
-        self.cache_holder = None
-        self.ran = "no"
-
-    def kv_tokens(self):
-        """Return the KV cache that it needs, in tokens."""
-        return self.request.prompt_tokens + int(self.output_tokens)
-
-
 class Scheduler:
     """Admits, queues, places and retries the requests of one deployment.
 
@@ -431,6 +406,14 @@
             return
         flight.tried = {last} if len(usable) > 1 else set()
 
+    def _forget_tried(self, flight):
+        """Let a request go where it has failed, when it has been everywhere."""
+        for row in self.index.by_role.values():
+            for _, state in row:
+                if state.name not in flight.tried:
+                    return
+        flight.tried.clear()
+
     def _retries(self, now_s, flight, ran, reason):
         if flight.attempt >= MAX_ATTEMPTS:
             return False
@@ -629,9 +612,13 @@
         self.index.update(state)
 
     def _drop_endpoint(self, name):
-        state = self.states.pop(name)
+        state = self.states[name]
         state.leaving = True
         self.index.set_member(state, False)
+        # The platform's list lags and may drop an engine for a moment: while work runs
+        # there, it is remembered, so that its load is known when it comes back.
+        if not state.own_running:
+            del self.states[name]
 
     def _note_refusal(self, now_s, refusal):
         self._note(
--- a/libs/policy/tests/test_scheduler.py
+++ b/libs/policy/tests/test_scheduler.py
@@ -187,6 +187,37 @@
     assert start.endpoint not in scheduler.own_load()
 
 
+def test_endpoint_that_drops_off_the_list_for_a_moment_keeps_its_load():
+    """The platform's list lags and loses an engine that runs a long letter.
+
+    The engine comes back on the list a second later. If its load were forgotten, all
+    hosts would turn to it as to an idle one.
+    """
+    scheduler = create_scheduler(["mixed", "mixed"])
+    start = scheduler.submit(0.0, create_request("a"))[0]
+    both = [Endpoint(name, "anyang", "mixed", False) for name in ("e0", "e1")]
+    scheduler.set_endpoints(1.0, [one for one in both if one.name != start.endpoint])
+    scheduler.set_endpoints(2.0, both)
+    assert scheduler.own_load()[start.endpoint][0] == 1
+    assert scheduler.submit(2.0, create_request("b"))[0].endpoint != start.endpoint
+
+
+def test_only_endpoint_is_tried_again_when_it_never_got_the_request():
+    scheduler = create_scheduler()
+    scheduler.submit(0.0, create_request("a"))
+    assert scheduler.on_failed(0.1, "a", "connect", "no") == []
+    wakeup_s = scheduler.next_wakeup_s()
+    assert wakeup_s <= 2.0
+    assert scheduler.tick(wakeup_s) == [Start("a", "e0", "whole", 1, 2)]
+
+
+def test_no_endpoint_is_refused_at_once():
+    scheduler = create_scheduler()
+    scheduler.set_endpoints(0.0, [Endpoint("e0", "anyang", "mixed", True)])
+    refusal = scheduler.submit(0.0, create_request("a"))[0]
+    assert (refusal.code, refusal.run) == ("no_endpoint", "no")
+
+
 def test_two_stages_run_on_engines_of_their_roles():
     scheduler = create_scheduler(["prefill", "decode"])
     first = scheduler.submit(0.0, create_request("a"))
