Show every asked host's stewards and drained hosts; end a drain that can't be seen

Cause: on a live system status named no steward, because each host tells its own leases only, and a drained host looked like any other. Draining a host whose own address was not given would have waited for a state that a drain never brings (the host stays live until it is stopped), until the time was up.

--- a/libs/cli/gypsumusher_cli/commands.py
+++ b/libs/cli/gypsumusher_cli/commands.py
@@ -7,7 +7,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 from cleo.io.outputs.output import Type
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from gypsumusher_cli.access import find_access, require_operators
 from gypsumusher_cli.client import OperatorsClient
@@ -140,6 +140,18 @@
     return " ".join(word for word in words if word)
 
 
+async def read_statuses(client, addresses):
+    """Return the statuses of those hosts that answer."""
+    statuses = []
+    for address in addresses:
+        result = await client.call_at(address, "GET", "/admin/status")
+        if not isinstance(result, Success):
+            continue
+        if result.unwrap().status == HTTP_OK:
+            statuses.append(result.unwrap().body)
+    return statuses
+
+
 def quoted(name):
     """Return a name as one part of a URL's path."""
     return urllib.parse.quote(name, safe="")
--- a/libs/cli/gypsumusher_cli/drain_commands.py
+++ b/libs/cli/gypsumusher_cli/drain_commands.py
@@ -3,13 +3,12 @@
 import asyncio
 
 from cleo.helpers import argument, option
-from returns.result import Success
 
 from gypsumusher_cli.commands import (
     ACCESS_OPTIONS,
-    HTTP_OK,
     OperatorsCommand,
     body_of,
+    read_statuses,
     unwrap,
 )
 from gypsumusher_cli.config_commands import (
@@ -102,18 +101,6 @@
     )
 
 
-async def read_statuses(client, addresses):
-    """Return the statuses of those hosts that answer."""
-    statuses = []
-    for address in addresses:
-        result = await client.call_at(address, "GET", "/admin/status")
-        if not isinstance(result, Success):
-            continue
-        if result.unwrap().status == HTTP_OK:
-            statuses.append(result.unwrap().body)
-    return statuses
-
-
 def endpoint_work(statuses, name):
     """Return what an endpoint still does: its own count, and ours in flight."""
     running = 0
@@ -238,9 +225,9 @@
         }
         words = f"state {'/'.join(sorted(str(state) for state in states)) or 'gone'}"
         if not seen:
-            # Its own count is known to itself only: without its address the best
-            # sign is that no other host takes it for live any more.
-            return f"{words}, its own count was not asked for", "live" not in states
+            # Only the host itself knows what it still serves; the entry answers leave
+            # it out as soon as the configuration is in force.
+            return f"{words}, its own requests are not seen from here", True
         return f"{words}, {in_flight} requests in flight", in_flight == 0
 
 
--- a/libs/cli/gypsumusher_cli/status_commands.py
+++ b/libs/cli/gypsumusher_cli/status_commands.py
@@ -11,6 +11,7 @@
     OperatorsCommand,
     body_of,
     quoted,
+    read_statuses,
     unwrap,
 )
 from gypsumusher_cli.errors import CommandError
@@ -26,6 +27,24 @@
 }
 
 
+def merge_stewards(statuses):
+    """Return the leases that the asked hosts hold; each host tells its own only."""
+    stewards = []
+    for status in statuses:
+        stewards.extend(status.get("stewards", []))
+    return sorted(stewards, key=lambda item: str(item.get("deployment")))
+
+
+def mark_drained(status, drained):
+    """Return a status in which live hosts that get no new callers say so."""
+    hosts = []
+    for host in status.get("hosts", []):
+        if host.get("name") in drained and host.get("state") == "live":
+            host = {**host, "state": "live, drained"}
+        hosts.append(host)
+    return {**status, "hosts": hosts}
+
+
 def format_status(status):
     """Return a host's status as text: one block a kind of thing.
 
@@ -65,7 +84,9 @@
             "endpoints",
         ),
         _table(
-            status.get("stewards", []), ("deployment", "holder", "term"), "stewards"
+            status.get("stewards", []),
+            ("deployment", "holder", "term", "unfinished", "waiting_for"),
+            "stewards among the asked hosts",
         ),
     ]
     convictions = status.get("convictions", [])
@@ -88,6 +109,8 @@
         return "-"
     if isinstance(value, float):
         return f"{value:.1f}"
+    if isinstance(value, list):
+        return ", ".join(str(item) for item in value) or "-"
     return str(value)
 
 
@@ -99,8 +122,13 @@
     options = [JSON_OPTION, *ACCESS_OPTIONS]
 
     async def operate_with(self, client):
-        """Read and print the status."""
+        """Read and print the status, with the stewards of all asked hosts."""
         status = body_of(unwrap(await client.call("GET", "/admin/status")))
+        config = body_of(unwrap(await client.call("GET", "/admin/config")))
+        statuses = await read_statuses(client, self.access().operators)
+        status = {**status, "stewards": merge_stewards(statuses)}
+        drained = (config["document"].get("hosts") or {}).get("drain") or ()
+        status = mark_drained(status, drained)
         if self.option("json"):
             self.say(json.dumps(status, indent=2))
             return
--- a/libs/cli/tests/test_cmdline.py
+++ b/libs/cli/tests/test_cmdline.py
@@ -232,6 +232,26 @@
     assert json.loads(capsys.readouterr().out)["host"] == "host-a"
 
 
+def test_status_adds_the_stewards_of_all_asked_hosts(fake, monkeypatch, capsys):
+    other = FakeOperators()
+    other.start()
+    steward = {"deployment": "usher-llm", "holder": "host-b", "term": 9}
+    other.status["stewards"] = [{**steward, "unfinished": ["engine-3"]}]
+    addresses = f"{fake.address},{other.address}"
+    monkeypatch.setenv("GYPSUMUSHER_OPERATORS", addresses)
+    assert run(["status"]) == 0
+    other.close()
+    output = capsys.readouterr().out
+    for words in ("letter-models  host-a", "usher-llm      host-b", "engine-3"):
+        assert words in output
+
+
+def test_status_tells_a_drained_host(fake, capsys):
+    fake.document["hosts"]["drain"] = ["host-a"]
+    assert run(["status"]) == 0
+    assert "live, drained" in capsys.readouterr().out
+
+
 def test_draining_an_endpoint_is_shown_until_it_is_idle(fake, capsys):
     assert run(["drain", "endpoint", "engine-1"]) == 0
     output = capsys.readouterr().out
@@ -250,6 +270,12 @@
     assert "takes new work again" in capsys.readouterr().out
 
 
+def test_draining_a_host_that_is_not_asked_itself_says_so(fake, capsys):
+    fake.status["hosts"].append({"name": "host-b", "zone": "z", "state": "live"})
+    assert run(["drain", "host", "host-b"]) == 0
+    assert "its own requests are not seen from here" in capsys.readouterr().out
+
+
 def test_draining_what_is_not_there_names_what_is(fake, capsys):
     assert run(["drain", "endpoint", "engine-9"]) == 2
     assert "use one of ['engine-1']" in capsys.readouterr().err
