--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,11 @@
 import shlex
 
 from gypsumusher_cli.cmdline import COMMANDS
+from gypsumusher_coordination import (
+    DEPLOYMENT_DEFAULTS,
+    HOSTS_DEFAULTS,
+    SERVICE_DEFAULTS,
+)
 from gypsumusher_daemon.refusals import STATUS_BY_CODE
 from gypsumusher_daemon.settings import REQUIRED, SETTINGS
 
@@ -121,6 +126,14 @@
         gc.enable()
 
 
+def test_the_configuration_s_keys_stand_on_the_operators_page():
+    section = OPERATING.split("## Configuration")[1].split("\n## ")[0]
+    rows = re.findall(r"^\| ([a-z_, ]+) \|", section, re.MULTILINE)
+    documented = {key.strip() for row in rows for key in row.split(",")}
+    known = {*DEPLOYMENT_DEFAULTS, *SERVICE_DEFAULTS, *HOSTS_DEFAULTS}
+    assert documented - {"model", "version", "classes", "default_class"} == known
+
+
 def literal_arguments(function_names, position):
     """Return one positional argument's literals in the daemon's calls of functions."""
     found = set()
