--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -558,23 +558,38 @@
 
     def _place(self, now_s, flight, roles, stage):
         names, parts = self.cache.longest(flight.request.prefix_hashes)
-        best, best_score = None, None
+        roomy = []
         for role in roles:
             for state in self._shortlist(role, now_s, flight):
                 # A second stage is sent at once: its cache stands on the prefill
                 # engine until it is fetched, and the engine orders what waits.
                 if stage is None and not self._room(state, flight):
                     continue
-                cached = parts * PREFIX_TOKENS if state.name in names else 0
-                value = score(state, self.zone, cached)
-                if best is None or value < best_score:
-                    best, best_score = state, value
+                roomy.append(state)
+        best, best_score = None, None
+        for state in self._draw_two(roomy, names):
+            cached = parts * PREFIX_TOKENS if state.name in names else 0
+            value = score(state, self.zone, cached)
+            if best is None or value < best_score:
+                best, best_score = state, value
         if best is None:
             return None
         if stage is None:
             stage = "prefill" if best.role == "prefill" else "whole"
         return self._start(now_s, flight, best, stage)
 
+    def _draw_two(self, states, cached_names):
+        """Return two of the states by draw, and those with the prompt's prefix."""
+        if len(states) <= 2:
+            return states
+        first = self.draw(len(states))
+        second = (first + 1 + self.draw(len(states) - 1)) % len(states)
+        drawn = [states[first], states[second]]
+        for state in states:
+            if state.name in cached_names and state not in drawn:
+                drawn.append(state)
+        return drawn
+
     def _start(self, now_s, flight, state, stage):
         flight.state = state
         flight.first_token_s = None
