Count what waits for its second stage in the projected wait

Cause: prompts that wait on the decode engines were missing from the projection, so that requests were let in which then became too late in the queue.

It now starts both on the only engine and adds the others after, and also asserts that the second run is elsewhere. pytest libs/policy: 30 passed, four times.

--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -344,6 +344,16 @@
         decode_s = flight.high_output_tokens * slots / decode_rate
         return flight.request.prompt_tokens / prefill_rate + decode_s
 
+    def _wait_s(self, rank):
+        """Return the projected wait for a start of this class, in seconds."""
+        ahead = self.queue.ahead(rank)
+        prefilled_s = 0.0
+        for other, decode_s in self.prefilled_s.items():
+            if other <= rank:
+                prefilled_s += decode_s
+        work = Work(ahead.prefill_s, ahead.decode_s + prefilled_s)
+        return admission.drain_s(work, self._capacity())
+
     def _capacity(self):
         """Return this host's share of the engines: its peers drain theirs as well."""
         share = 1.0 / (1 + len(self.peers))
@@ -366,7 +376,7 @@
             return Refuse(request_id, "deadline_passed", "no", None, "admit", "")
         if not self.queue:
             return None
-        wait_s = admission.drain_s(self.queue.ahead(flight.rank), self._capacity())
+        wait_s = self._wait_s(flight.rank)
         slack_s = request.deadline_s - now_s - self._service_s(flight)
         if wait_s <= slack_s and len(self.queue) < admission.MAX_QUEUED:
             return None
@@ -517,7 +527,7 @@
 
     def _give_up(self, now_s, request_id, step):
         flight = self.flights.pop(request_id)
-        wait_s = admission.drain_s(self.queue.ahead(flight.rank), self._capacity())
+        wait_s = self._wait_s(flight.rank)
         retry_s = admission.retry_after_s(wait_s, 0.0)
         refusal = Refuse(request_id, "overloaded", flight.ran, retry_s, step, "")
         return self._note_refusal(now_s, refusal)
--- a/libs/policy/tests/test_scheduler.py
+++ b/libs/policy/tests/test_scheduler.py
@@ -265,13 +265,12 @@
     Its neighbours on the first engine were suspects as well; they must get answers.
     """
     quarantine = Quarantine()
-    scheduler = create_scheduler(["mixed", "mixed", "mixed"], quarantine)
-    starts = {}
+    scheduler = create_scheduler(["mixed"], quarantine)
     for name in ("bad", "good"):
-        request = create_request(name, prompt_tokens=9000 if name == "bad" else 10)
-        start = scheduler.submit(0.0, request)[0]
-        starts[name] = start.endpoint
-        quarantine.on_start(0.0, f"f-{name}", "e0")
+        start = scheduler.submit(0.0, create_request(name, prompt_tokens=10))[0]
+        quarantine.on_start(0.0, f"f-{name}", start.endpoint)
+    more = [Endpoint(f"e{n}", "anyang", "mixed", False) for n in range(3)]
+    scheduler.set_endpoints(0.5, more)
     quarantine.on_crash(1.0, "e0")
     actions = scheduler.on_failed(1.0, "bad", "crash", "unknown")
     actions += scheduler.on_failed(1.0, "good", "crash", "unknown")
@@ -279,6 +278,7 @@
     again = actions[0]
     quarantine.on_start(1.0, f"f-{again.request_id}", again.endpoint)
     assert again.request_id == "bad"
+    assert again.endpoint != "e0"
     convicts = quarantine.on_crash(2.0, again.endpoint)
     assert [convict.fingerprint for convict in convicts] == ["f-bad"]
     actions = scheduler.on_failed(2.0, "bad", "crash", "unknown")
