--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -34,9 +34,6 @@
 MAX_ATTEMPTS = 3
 # Requests whose history is kept for `Scheduler.explain`.
 MAX_EXPLAINED = 2000
-# The projected wait may be this much longer: work of the classes before goes on
-# arriving while a request waits, and one that is let in should be served.
-WAIT_MARGIN = 1.3
 # Characters that one prefix hash covers are about 64 tokens.
 PREFIX_TOKENS = 64
 # Retry-after of a refusal for which no endpoint is known, in seconds.
@@ -381,7 +378,7 @@
             return None
         wait_s = self._wait_s(flight.rank)
         slack_s = request.deadline_s - now_s - self._service_s(flight)
-        if WAIT_MARGIN * wait_s <= slack_s and len(self.queue) < admission.MAX_QUEUED:
+        if wait_s <= slack_s and len(self.queue) < admission.MAX_QUEUED:
             return None
         retry_s = admission.retry_after_s(wait_s, slack_s)
         return Refuse(request_id, "overloaded", "no", retry_s, "admit", "")
