Say "unknown" of a caller's own key when its claim can't be looked up

The claim refused with run "no" because this host hadn't run it; but the word is about the key, and another host had. Only the home of a minted key knows that nobody ran it.

The state machine now checks each "no" against what stands.

--- a/libs/coordination/gypsumusher_coordination/claims.py
+++ b/libs/coordination/gypsumusher_coordination/claims.py
@@ -29,7 +29,7 @@
 WITHDRAWN = "withdrawn"
 
 # The caller waits meanwhile, so the retry is quick and the whole wait short: the
-# caller then hears a true "not run" and may go elsewhere.
+# caller then hears that the outcome is unknown, and when to come back with its key.
 RETRY_S = 0.1
 CLAIM_WAIT_S = 2.0
 
@@ -103,10 +103,12 @@
         if self._is_done or self._deadline_s is None:
             return []
         if now_s >= self._deadline_s:
-            # A create in flight may still land. Then the object names this home and
-            # this nonce, but the attempt is over and never grants the key, so "not
-            # run" stays true; the key itself is spent.
-            return self._end(ClaimRefused(self.key, "journal_unavailable", "no"))
+            # Guards against a false "not run": the caller repeats its key here after
+            # the request ran through another host, and the object that says so can't
+            # be read now. Only the home of a minted key knows that nobody ran it. A
+            # create in flight may still land; the attempt is over and never grants
+            # the key.
+            return self._end(ClaimRefused(self.key, "journal_unavailable", "unknown"))
         if self._retry_at_s is None or now_s < self._retry_at_s:
             return []
         self._retry_at_s = None
--- a/libs/coordination/tests/test_claims_machine.py
+++ b/libs/coordination/tests/test_claims_machine.py
@@ -108,6 +108,9 @@
         for number, outcome in self.outcomes.items():
             if isinstance(outcome, ClaimGranted):
                 assert self.stored.value["nonce"] == f"nonce-{number}"
+            if isinstance(outcome, ClaimRefused) and outcome.run == "no":
+                # True only of a body that the key's holder can't have run.
+                assert self.bodies[number][1] != self.stored.value["fingerprint"]
             if isinstance(outcome, ClaimElsewhere):
                 value = self.stored.value
                 assert outcome.home == value["home"]
