Let a caller that obeys its retry-after go before the newcomers

Cause: in a long overload whoever came back met the same queue as everyone else. The host remembers what it told whom, by content, for 60 s after the named time; who comes back from then on passes admission once and stands first among its tenant's work in its class.

A caller that comes back to another host has no such place: not measured.

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -380,10 +380,14 @@
         if self.scenario.repeat_failed and poison:
             again_s = 1.0
         if again_s is not None:
-            self._come_again(arrival, request, again_s)
+            self._come_again(host, arrival, request, again_s)
 
-    def _come_again(self, arrival, request, again_s):
-        """Send it once more, as a new request of the same content."""
+    def _come_again(self, host, arrival, request, again_s):
+        """Send it once more, as a new request of the same content.
+
+        Callers keep the address of a host for a while, so that one that was told to
+        come back comes back to the same; one that failed tries any.
+        """
         turn = 1 + int(request.request_id.partition("~")[2] or 0)
         if request.fingerprint != "poison" and turn > 3:
             return
@@ -396,7 +400,8 @@
                 arrived_s=now_s,
                 deadline_s=now_s + span_s,
             )
-            self.draw.choice(self.hosts).submit(arrival, again)
+            back = host if self.scenario.obey else self.draw.choice(self.hosts)
+            back.submit(arrival, again)
 
         self.clock.after(again_s, act)
 
--- a/libs/policy/gypsumusher_policy/flights.py
+++ b/libs/policy/gypsumusher_policy/flights.py
@@ -22,6 +22,7 @@
         self.first_token_s = None
         self.waits_decode = False
         self.cache_holder = None
+        self.promised = False
         self.ran = "no"
 
     def kv_tokens(self):
--- a/libs/policy/gypsumusher_policy/queueing.py
+++ b/libs/policy/gypsumusher_policy/queueing.py
@@ -32,15 +32,15 @@
         Engine seconds that it is expected to take.
     latest_start_s : float
         Time after which it can't be on time any longer.
-    attempt : int
-        Number of the attempt that it waits for.
+    order_s : float
+        Its place within its tenant's work: the deadline, or earlier.
     """
 
     request: Request
     rank: int
     work: Work
     latest_start_s: float
-    attempt: int
+    order_s: float
 
 
 class LaneKey(NamedTuple):
@@ -83,7 +83,7 @@
             served_s = max(self.served_s.get(tenant, 0.0), self.virtual_s)
             self.served_s[tenant] = served_s
             heapq.heappush(self.order, (served_s, tenant))
-        key = (item.request.deadline_s, item.request.request_id)
+        key = (item.order_s, item.request.request_id)
         heapq.heappush(heap, (key, item, weight))
 
     def peek(self, live):
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -16,6 +16,7 @@
     has_prefill_room,
     score,
 )
+from gypsumusher_policy.promises import Promises
 from gypsumusher_policy.queueing import Queued, RequestQueue
 from gypsumusher_policy.retries import RetryBudget, may_retry
 from gypsumusher_policy.suspects import SuspectList, host_turn
@@ -88,6 +89,7 @@
         self.outputs = OutputEstimate()
         self.meter = DemandMeter()
         self.budget = RetryBudget(policy.retry_ratio)
+        self.promises = Promises()
         self.prefilled_s = {}
         self.explained = OrderedDict()
         self.rates = (4000.0, 1000.0, 8)
@@ -172,7 +174,7 @@
         self.budget.on_first_attempt()
         refusal = self._refusal(now_s, flight)
         if refusal is not None:
-            return [self._note_refusal(now_s, refusal)]
+            return [self._note_refusal(now_s, refusal, request.fingerprint)]
         self.meter.add(now_s, flight.rank, *flight.work)
         self.flights[request.request_id] = flight
         self._note(now_s, request.request_id, "admitted", queued=len(self.queue))
@@ -374,6 +376,9 @@
             return Refuse(request_id, "no_endpoint", "no", retry_s, "admit", "")
         if now_s >= request.deadline_s:
             return Refuse(request_id, "deadline_passed", "no", None, "admit", "")
+        if self.promises.take(now_s, request.fingerprint):
+            flight.promised = True
+            return None
         if not self.queue:
             return None
         wait_s = self._wait_s(flight.rank)
@@ -401,7 +406,9 @@
             return
         latest_s = admission.latest_start_s(request.deadline_s, self._service_s(flight))
         weight = self.policy.tenant_weights.get(request.tenant, 1.0)
-        item = Queued(request, flight.rank, flight.work, latest_s, flight.attempt)
+        # A caller that came back when it was told goes before the newcomers.
+        order_s = now_s if flight.promised else request.deadline_s
+        item = Queued(request, flight.rank, flight.work, latest_s, order_s)
         self.queue.push(item, max(weight, 1e-3))
 
     def _forgive(self, flight, last):
@@ -530,7 +537,7 @@
         wait_s = self._wait_s(flight.rank)
         retry_s = admission.retry_after_s(wait_s, 0.0)
         refusal = Refuse(request_id, "overloaded", flight.ran, retry_s, step, "")
-        return self._note_refusal(now_s, refusal)
+        return self._note_refusal(now_s, refusal, flight.request.fingerprint)
 
     def _forget_peers(self, now_s):
         for peer, heard_s in list(self.peers.items()):
@@ -645,7 +652,9 @@
         if not state.own_running:
             del self.states[name]
 
-    def _note_refusal(self, now_s, refusal):
+    def _note_refusal(self, now_s, refusal, fingerprint=None):
+        if fingerprint is not None and refusal.retry_after_s is not None:
+            self.promises.add(fingerprint, now_s + refusal.retry_after_s)
         self._note(
             now_s,
             refusal.request_id,
