Hold the ports of hosts that a test takes for dead

Cause: test_requests_that_no_host_takes_are_lost failed once in a run beside other work and passed in 30 runs after; its message was not kept. The ports of closed servers are free for anybody: with another server put on one, the same test body gives refused status_404 instead of lost, which fits. Ruled out: load alone (24 runs, three at a time, all passed). The dead addresses are now bound and not listening, so that nobody else is given them; what is asserted is unchanged.

Shown by pytest libs/cli, three times: 72 passed.

--- a/libs/cli/tests/test_loadrun.py
+++ b/libs/cli/tests/test_loadrun.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import socket
 
 import pytest
 from aiohttp import web
@@ -26,6 +27,7 @@
     """Two entry hosts in one process; what goes wrong is set by the test."""
 
     def __init__(self):
+        self.held = []
         self.runners = []
         self.addresses = []
         self.entry_asked = 0
@@ -54,6 +56,16 @@
     async def close(self):
         for runner in self.runners:
             await runner.cleanup()
+        for held in self.held:
+            held.close()
+
+    def dead_address(self):
+        # Bound and not listening: it refuses connections, and unlike the port of a
+        # closed server nobody else on the machine can be given it meanwhile.
+        held = socket.socket()
+        held.bind(("127.0.0.1", 0))
+        self.held.append(held)
+        return "{}:{}".format(*held.getsockname())
 
     async def entry(self, request):
         self.entry_asked += 1
@@ -169,7 +181,7 @@
 
 def test_a_host_that_takes_no_connection_is_passed_over():
     async def prepare(fake):
-        await fake.runners[0].cleanup()
+        fake.addresses[0] = fake.dead_address()
 
     _, outcomes = run(DOCUMENT, prepare)
     assert {item.result for item in outcomes} == {"served"}
@@ -211,8 +223,7 @@
     document["classes"] = {"counter": {"first_token_s": 0.1, "deadline_s": 0.1}}
 
     async def prepare(fake):
-        for runner in fake.runners:
-            await runner.cleanup()
+        fake.addresses = [fake.dead_address(), fake.dead_address()]
 
     _, outcomes = run(document, prepare)
     assert outcomes
