Speak for the key in early refusals; sign minted keys

Cause: (1) a host that was starting, stopping or cut off refused a keyed request with 'not run' before it looked the key up, while another host had run it (two of the parameters of test_no_host_calls_a_booking_not_run_that_ran_elsewhere were red). Such a refusal says 'unknown' now.

--- a/libs/coordination/gypsumusher_coordination/journal.py
+++ b/libs/coordination/gypsumusher_coordination/journal.py
@@ -192,11 +192,25 @@
         ValueError
             If `random_hex` can't stand in a key.
         """
-        parts = KeyParts(self.incarnation, self._segment, self._minted, unjournaled)
-        key = format_key(parts, random_hex)
+        key = format_key(self.next_parts(unjournaled), random_hex)
         self._minted += 1
         return key
 
+    def next_parts(self, unjournaled=False):
+        """Return what the next minted key will say, for a signature in its last part.
+
+        Parameters
+        ----------
+        unjournaled : bool, optional
+            As in `mint`.
+
+        Returns
+        -------
+        KeyParts
+            The parts.
+        """
+        return KeyParts(self.incarnation, self._segment, self._minted, unjournaled)
+
     def claim(self, now_s, key, fingerprint):
         """Ask for the licence to send the request that carries this key.
 
--- a/libs/daemon/gypsumusher_daemon/callers.py
+++ b/libs/daemon/gypsumusher_daemon/callers.py
@@ -304,16 +304,28 @@
     )
 
 
+def _careful(refusal, request):
+    """Return a refusal that speaks for the key too, not for this attempt alone.
+
+    Failure guarded against: a booking ran through one host, and its caller, who got
+    no answer, repeats the key through a host that refuses before it has looked the
+    key up. "Not run" would have the caller book anew under another key.
+    """
+    if "idempotency-key" not in request.headers or refusal.code == "malformed":
+        return refusal
+    return refusal._replace(run="unknown")
+
+
 async def _serve_model(host, request):
     """Serve one request for model work."""
     refusal = host.readiness.refusal_of_state()
     if refusal is not None:
-        return send_refusal(refusal, "")
+        return send_refusal(_careful(refusal, request), "")
     call = parse_model_request(
         request.path, request.headers, request.body, host.document
     )
     if isinstance(call, Refusal):
-        return send_refusal(call, "")
+        return send_refusal(_careful(call, request), "")
     await host.flows.follow_deployment(call.deployment)
     if call.idempotent:
         running = host.flows.begin_model(call)
@@ -334,10 +346,10 @@
     """Serve one call of a plain service."""
     refusal = host.readiness.refusal_of_state()
     if refusal is not None:
-        return send_refusal(refusal, "")
+        return send_refusal(_careful(refusal, request), "")
     call = host.flows.service_call(request, name, "/" + path)
     if isinstance(call, Refusal):
-        return send_refusal(call, "")
+        return send_refusal(_careful(call, request), "")
     key = request.headers.get("idempotency-key")
     if key is None:
         delivery = host.flows.begin_service(call)
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -161,6 +161,7 @@
             self.clock,
             self.log,
             journal_policy(settings),
+            self.context.keys,
             self._on_new_incarnation,
         )
         self.keyed = KeyedRequests(
--- a/libs/daemon/gypsumusher_daemon/journals.py
+++ b/libs/daemon/gypsumusher_daemon/journals.py
@@ -15,6 +15,7 @@
     Sealed,
 )
 from gypsumusher_daemon.effects import MachineRunner
+from gypsumusher_daemon.key_signatures import is_genuine, sign_parts
 
 __all__ = ["Journals", "journal_policy", "new_incarnation"]
 
@@ -49,6 +50,8 @@
         Boot-time clock and structured log.
     policy : JournalPolicy
         Limits of a journal.
+    keys : list of KeySettings
+        Shared secrets of the hosts, which sign minted keys.
     on_new_incarnation : callable
         Called with the new id after a survivor has sealed this host out.
 
@@ -59,7 +62,7 @@
     """
 
     def __init__(
-        self, host, incarnation, client, clock, log, policy, on_new_incarnation
+        self, host, incarnation, client, clock, log, policy, keys, on_new_incarnation
     ):
         self.incarnation = incarnation
         self._host = host
@@ -67,6 +70,7 @@
         self._clock = clock
         self._log = log
         self._policy = policy
+        self._keys = keys
         self._on_new_incarnation = on_new_incarnation
         self._runners = {}
         self._waiting = {}
@@ -110,7 +114,8 @@
         """
         is_down = not (self.journal.is_platform_reachable and self._client.is_up())
         unjournaled = run_unjournaled and is_down
-        return self.journal.mint(secrets.token_hex(8), unjournaled)
+        parts = self.journal.next_parts(unjournaled)
+        return self.journal.mint(sign_parts(parts, self._keys[0].secret), unjournaled)
 
     async def claim(self, incarnation, key, fingerprint):
         """Wait for the licence to send the request that carries one of our keys.
@@ -179,6 +184,9 @@
         str or None
             ``not_run`` or ``unknown``; None when the platform didn't answer in time.
         """
+        if not is_genuine(key, self._keys):
+            # Made up, or signed with a secret that has been taken away since.
+            return "unknown"
         if incarnation not in self._sealers:
             self._start_sealer(incarnation)
         runner, done = self._sealers[incarnation]
--- a/libs/daemon/gypsumusher_daemon/keyed_flow.py
+++ b/libs/daemon/gypsumusher_daemon/keyed_flow.py
@@ -10,6 +10,7 @@
     ClaimGranted,
     parse_key,
 )
+from gypsumusher_coordination.claims import WITHDRAWN
 from gypsumusher_daemon.delivery import Delivery
 from gypsumusher_daemon.forwarding import FORWARDED_HEADER, broken_forward
 from gypsumusher_daemon.keyed_requests import refusal_of_claim
@@ -24,7 +25,6 @@
 SEAL_TIMEOUT_S = 5.0
 ASK_HOME_TIMEOUT_S = 3.0
 RETRY_UNKNOWN_S = 3.0
-WITHDRAWN = "withdrawn"
 
 
 class KeyedFlow:
--- a/libs/daemon/gypsumusher_daemon/keyed_requests.py
+++ b/libs/daemon/gypsumusher_daemon/keyed_requests.py
@@ -72,6 +72,8 @@
     if claim.code == "in_progress":
         retry_after_s = RETRY_RUNNING_S
     message = messages.get(claim.code, claim.code.replace("_", " "))
+    if claim.code == "journal_unavailable" and claim.run == "unknown":
+        message = "the platform can't say now what became of this key; ask again"
     return Refusal(code, message, claim.run, "claim", None, retry_after_s)
 
 
