Send only requests that may run twice to an endpoint that has just failed one

Cause: each host found out about a black hole by three requests of any kind, so that bookings among them ended with an unknown outcome.

--- a/libs/policy/gypsumusher_policy/health.py
+++ b/libs/policy/gypsumusher_policy/health.py
@@ -33,12 +33,14 @@
     def allows(self, now_s: float, idempotent: bool) -> bool:
         """Say whether it may be sent a request.
 
-        After its pause it gets exactly one probe, which must be a request that may
-        run twice: a booking must not be the one to find out.
+        After its pause it gets exactly one probe. From the first failure on it gets
+        only requests that may run twice: a booking must not be the one to find out.
         """
+        if self.failures and not idempotent:
+            return False
         if not self.is_open():
             return True
-        return now_s >= self.until_s and not self.probing and idempotent
+        return now_s >= self.until_s and not self.probing
 
     def on_start(self) -> None:
         """Note that a request is sent; to a failed endpoint it is the probe."""
