--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -33,7 +33,6 @@
 # Attempts of one request: an engine that refuses is passed by, but a request that
 # three engines failed is likely the cause itself.
 MAX_ATTEMPTS = 3
-DRAWN = 3
 # Requests whose history is kept for `Scheduler.explain`.
 MAX_EXPLAINED = 2000
 # Characters that one prefix hash covers are about 64 tokens.
@@ -598,13 +597,11 @@
 
     def _draw_two(self, states, cached_names):
         """Return two of the states by draw, and those with the prompt's prefix."""
-        if len(states) <= DRAWN:
+        if len(states) <= 2:
             return states
         first = self.draw(len(states))
         second = (first + 1 + self.draw(len(states) - 1)) % len(states)
-        rest = [n for n in range(len(states)) if n not in (first, second)]
-        third = rest[self.draw(len(rest))]
-        drawn = [states[first], states[second], states[third]]
+        drawn = [states[first], states[second]]
         for state in states:
             if state.name in cached_names and state not in drawn:
                 drawn.append(state)
