Let work that runs once back to an endpoint that failed, after two seconds

Cause: from its first failure on, an endpoint got only requests that may run twice, until one of them had succeeded. With bookings alone there are none: once both engines had broken a connection, every booking waited until it was late. The endpoint is held back from such work for 2 s after a failure now, or 2 s after its pause, so that others probe first where there are any. Every end of a pause wakes the scheduler, not the last one alone.

--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -93,7 +93,7 @@
         self.prefilled_s = {}
         self.explained = OrderedDict()
         self.rates = (4000.0, 1000.0, 8)
-        self.resume_s = None
+        self.resume_times_s = set()
 
     def set_policy(self, now_s: float, policy: DeploymentPolicy) -> None:
         """Take new settings; requests already admitted keep their class."""
@@ -257,10 +257,12 @@
             flight.tried.add(state.name)
             if reason in ("refused", "connect"):
                 state.paused_until_s = now_s + REFUSED_PAUSE_S
-                self.resume_s = state.paused_until_s
+                self.resume_times_s.add(state.paused_until_s)
             state.health.on_failure(now_s, reason)
             if state.health.is_open():
-                self.resume_s = state.health.until_s
+                self.resume_times_s.add(state.health.until_s)
+            if state.health.failures:
+                self.resume_times_s.add(state.health.once_from_s())
         self._leave(flight)
         if ran != "no":
             flight.ran = "unknown"
@@ -308,8 +310,10 @@
         for due_s in (self.queue.next_late_s(), self.suspects.next_s()):
             if due_s is not None:
                 times.append(due_s)
-        if self.resume_s is not None and (times or self.queue):
-            times.append(self.resume_s)
+        if times or self.queue:
+            # Every end of a pause counts, not the last one alone: where reports come
+            # late, work would wait past the first endpoint that is back.
+            times.extend(self.resume_times_s)
         return min(times, default=None)
 
     def explain(self, request_id: str) -> list[dict]:
@@ -444,8 +448,7 @@
 
     def _dispatch(self, now_s):
         """Start whatever has room now, after refusing what has become too late."""
-        if self.resume_s is not None and now_s >= self.resume_s:
-            self.resume_s = None
+        self.resume_times_s = {at_s for at_s in self.resume_times_s if at_s > now_s}
         self.meter.roll(now_s)
         actions = self._refuse_late(now_s)
         actions += self._run_suspects(now_s)
