--- a/libs/daemon/gypsumusher_daemon/attempts.py
+++ b/libs/daemon/gypsumusher_daemon/attempts.py
@@ -18,7 +18,6 @@
 __all__ = ["Attempt", "AttemptResult", "relay_stream", "run_attempt"]
 
 ANSWER_BYTES_MAX = 64 * 1_048_576
-READ_BYTES = 65_536
 # Takes up a broken stream on the same engine: a connection that breaks while the
 # engine lives is repaired by the second try; more tries only delay the refusal.
 RESUMES_MAX = 4
--- a/libs/daemon/gypsumusher_daemon/dispatch.py
+++ b/libs/daemon/gypsumusher_daemon/dispatch.py
@@ -163,11 +163,6 @@
             timer.cancel()
         self._timers.clear()
 
-    @property
-    def waiting(self):
-        """Number of requests that have no final answer yet."""
-        return len(self._tickets)
-
     def _hand_out(self, action):
         """Give an action to the request that waits for it."""
         if not isinstance(action, Start | Refuse):
--- a/tools/relay_bench.py
+++ b/tools/relay_bench.py
@@ -2,31 +2,15 @@
 
 import asyncio
 import json
-import os
 import statistics
 import time
 
+from capacity_processes import FAST_ENGINE, cpu_s
 from testkit import DEPLOYMENT, Fleet
 
-# A fast stand-in: what is measured is the way through the daemon, not generation.
-ENGINE = {
-    "speed": 1,
-    "slots": 256,
-    "prefill_tokens_per_s": 1e9,
-    "decode_tokens_per_s": 1e9,
-    "kv_limit_tokens": 10**9,
-}
 ONE_BY_ONE = 200
 STREAMS = 32
 STREAM_TOKENS = 1500
-CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
-
-
-def cpu_s(pid):
-    """Return the processor time of a process so far, in seconds."""
-    with open(f"/proc/{pid}/stat") as stat:
-        fields = stat.read().rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
 
 async def first_token_s(session, address, number):
@@ -86,7 +70,7 @@
         await fleet.put_config(
             {"deployments": {"letter-models": DEPLOYMENT}, "services": {}}
         )
-        engine = await fleet.start_engine("e1", **ENGINE)
+        engine = await fleet.start_engine("e1", **FAST_ENGINE)
         host = await fleet.start_host("h1")
         await fleet.wait_until_served([host], 1)
         addresses = {"direct": engine.address, "daemon": host.addresses["callers"]}
