Take an answer without a length for broken when its connection was reset

Trace: at the end the socket's SO_ERROR is 104.

Ruled out: a parser error that is taken for an end (none logged); a kept connection.

Conclusion: the socket's pending error is looked at before an end is believed.

--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -206,6 +206,17 @@
                 self._fail("garbled")
             self.abort()
 
+    def eof_received(self):
+        """Tell a reset from an end, for answers that end with their connection.
+
+        Failure guarded against: an endpoint crashes in the middle of an answer without
+        a length. The reset shows to the loop as a plain end, and the caller would get
+        half an answer as a whole one. The socket still knows of the reset.
+        """
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._ends_with_connection = False
+
     def connection_lost(self, error):
         self._transport = None
         self._pool.forget(self)
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -48,6 +48,8 @@
         self.first_s = None
         self.possible_runs = 0
         self.sends = 0
+        self.events = 0
+        self.ran_at = None
         self.outcome = None
 
     @property
@@ -172,6 +174,8 @@
         service=exchange.service,
         version=context.configuration_version,
         sends=exchange.sends,
+        endpoint=exchange.ran_at,
+        events=exchange.events or None,
         first_ms=None if first_s is None else round(first_s * 1000),
         took_ms=round((now_s - exchange.arrived_s) * 1000),
         left_ms=round((exchange.ends_s - now_s) * 1000),
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -42,6 +42,7 @@
         # Counted before the first byte: from here on only the endpoint's own word
         # makes it sure that nothing ran.
         exchange.possible_runs += 1
+        exchange.ran_at = record.endpoint_id
     data = encode_send(exchange.request, send)
     return connection.send(data, exchange.request.request_id or None)
 
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -209,6 +209,7 @@
             exchange.first_s = self._context.clock()
             exchange.reply.start(head.status, head.headers)
         exchange.reply.write(event.raw)
+        exchange.events += 1
         if event.event_id is not None:
             self._last_event_id = str(event.event_id)
 
