Weigh the harm of a reading at a decode engine by what runs there

Cause: long answers (up to 476 tokens) missed their deadlines in mid-stream, since the pieces of prompts read at decode engines went between their tokens.

Ruled out: lost events, stalled writes (the logs show events at 75 to 90 ms each to the end). Conclusion: kept; reading apart is preferred the more streams run.

--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -24,9 +24,9 @@
 OTHER_ZONE_FACTOR = 2.0
 # Worth of a penalty of 1 against waiting, in seconds.
 PENALTY_S = 0.5
-# Each running request of a decode engine slows a reading there by this part, and is
-# slowed by it in turn.
-INTERFERENCE = 0.05
+# Harm that a reading at a decode engine does: its pieces go between the tokens of all
+# that run there, each of which is late by part of the reading's time.
+HARM_PER_RUN = 0.3
 # Part of a prompt's shared tokens that is believed to be kept at its home when this
 # host knows nothing of them: other hosts have sent it there if they saw it before.
 HOME_BELIEF = 0.5
@@ -113,7 +113,8 @@
         if is_apart:
             expected_s += HAND_OVER_S + transfer_s
         else:
-            expected_s *= 1.0 + INTERFERENCE * load.running
+            own_s = work / state.read_tokens_per_s()
+            expected_s += HARM_PER_RUN * load.running * own_s
         expected_s += PENALTY_S * state.health.penalty(now_s)
         key = (round(expected_s / EVEN_S), draw())
         if best_key is None or key < best_key:
