--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -121,6 +121,7 @@
         exchange.patience_s,
         urgency=urgency_of(exchange.route.rank),
         is_prefill=True,
+        kv_fetch=reading.fetch_address,
     )
     began_s = context.clock()
     queued_tokens = state.load(began_s).read_tokens
@@ -150,6 +151,7 @@
         endpoint=state.record.endpoint_id,
         tokens=exchange.request.generation.prompt_tokens,
         kept=reading.kept_tokens,
+        fetched_from=reading.fetch_address,
         queued=round(queued_tokens),
         expected_ms=round(reading.expected_s * 1000),
         took_ms=round(took_s * 1000),
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -119,6 +119,7 @@
             exchange.patience_s,
             urgency=urgency_of(exchange.route.rank),
             kv_source=None if prompt is None else prompt.source,
+            kv_fetch=None if reading is None else reading.fetch_address,
             last_event_id=self._last_event_id,
         )
         run = _Run(state, reading)
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -30,6 +30,9 @@
 # Part of a prompt's shared tokens that is believed to be kept at its home when this
 # host knows nothing of them: other hosts have sent it there if they saw it before.
 HOME_BELIEF = 0.5
+# Parts of fewer tokens are read again rather than fetched: the set-up of a transfer
+# takes as long.
+LEAST_FETCH_TOKENS = 512
 # Expected times closer than this don't differ, in seconds; the choice is drawn.
 EVEN_S = 0.001
 
@@ -49,6 +52,8 @@
         Work of the reading, as tokens without any before them.
     expected_s : float
         Expected time until the first token, in seconds.
+    fetch_from : EndpointState or None
+        Engine from which it first fetches parts that it doesn't keep itself.
     """
 
     state: EndpointState
@@ -56,6 +61,12 @@
     kept_tokens: int
     work_tokens: float
     expected_s: float
+    fetch_from: EndpointState | None
+
+    @property
+    def fetch_address(self):
+        """Address of the engine to fetch from, or None."""
+        return None if self.fetch_from is None else self.fetch_from.record.address
 
 
 def reading_work(prompt_tokens: int, kept_tokens: int) -> float:
@@ -99,26 +110,36 @@
     decodes = [state for state in states if state.record.stage != "prefill"]
     if not decodes:
         return None
-    transfer_s = _transfer_s(generation.prompt_tokens, limits)
+    hand_over_s = HAND_OVER_S + _transfer_s(generation.prompt_tokens, limits)
     home = _home_of(states, keys)
-    best, best_key = None, None
-    for state in _sound(now_s, states):
+    kept_by_id = {}
+    for state in states:
         kept = state.prefixes.kept_tokens(keys, generation.parts)
         if not kept and state is home:
             kept = int(_shared_tokens(generation) * HOME_BELIEF)
+        kept_by_id[state.record.endpoint_id] = kept
+    holder = max(states, key=lambda state: kept_by_id[state.record.endpoint_id])
+    held = holder.prefixes.kept_tokens(keys, generation.parts)
+    best, best_key = None, None
+    for state in _sound(now_s, states):
+        kept = kept_by_id[state.record.endpoint_id]
+        fetch_from, fetch_s = None, 0.0
+        if held - kept >= LEAST_FETCH_TOKENS:
+            fetch_from, fetch_s = holder, _fetch_s(state, holder, held - kept, limits)
+            kept = held
         work = reading_work(generation.prompt_tokens, kept)
         load = state.load(now_s)
-        expected_s = (load.read_tokens + work) / state.read_tokens_per_s()
+        own_s = work / state.read_tokens_per_s()
+        expected_s = load.read_tokens / state.read_tokens_per_s() + own_s + fetch_s
         is_apart = state.record.stage == "prefill"
         if is_apart:
-            expected_s += HAND_OVER_S + transfer_s
+            expected_s += hand_over_s
         else:
-            own_s = work / state.read_tokens_per_s()
             expected_s += HARM_PER_RUN * load.running * own_s
         expected_s += PENALTY_S * state.health.penalty(now_s)
         key = (round(expected_s / EVEN_S), draw())
         if best_key is None or key < best_key:
-            best = Reading(state, is_apart, kept, work, expected_s)
+            best = Reading(state, is_apart, kept, work, expected_s, fetch_from)
             best_key = key
     return best
 
@@ -168,6 +189,14 @@
     return tokens * limits.kv_token_bytes * 8.0 / limits.link_bits_per_s
 
 
+def _fetch_s(state, holder, tokens, limits):
+    """Return the time that an engine takes to fetch parts from another, in seconds."""
+    transfer_s = _transfer_s(tokens, limits)
+    if state.record.zone != holder.record.zone:
+        transfer_s *= OTHER_ZONE_FACTOR
+    return HAND_OVER_S / 2.0 + transfer_s
+
+
 def _shared_tokens(generation):
     """Return the tokens of all parts but the last, which is the request's own."""
     return sum(part.tokens for part in generation.parts[:-1])
