Let prompts that can be on time pass those that can't; learn rates from short queues

Cause: on khadra the prefill engines are nearly saturated (1.2 s a reading, first come first served), so one prompt of 40,000 tokens made all behind it late. Parts that were being read were read a second time elsewhere. Learned rates went to four times the real one, since the queue in front of a prompt was only guessed. Ruled out: the engines' own speed (a prompt that met no queue took what the sheet says).

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -120,15 +120,28 @@
         limit = self.configuration.services[service].max_connections
         return int(0.9 * limit / self.hosts_count())
 
-    def note_placement(self, state, keys, parts):
+    def note_placement(self, state, keys, parts, wait_s=0.0):
         """Note that an engine keeps parts of a prompt, here and for the peers.
 
-        The last part is the request's own; only its session could ask for it again.
+        Parameters
+        ----------
+        state : EndpointState
+            The engine.
+        keys, parts : sequence
+            The prompt's parts with their keys. The last one is the request's own, and
+            is told to nobody: only its session could ask for it again.
+        wait_s : float
+            Time until they are read, in seconds; 0 when they are.
         """
-        state.prefixes.note(keys, parts)
-        shared = [[key, part.tokens] for key, part in zip(keys, parts, strict=True)]
-        if len(shared) > 1:
-            self._placements.append([state.record.endpoint_id, shared[:-1]])
+        chain = [[key, part.tokens] for key, part in zip(keys, parts, strict=True)]
+        shared = chain[:-1]
+        if wait_s:
+            state.prefixes.note_coming(shared, self.clock() + wait_s)
+        else:
+            state.prefixes.note_chain(chain)
+        if shared:
+            placement = [state.record.endpoint_id, shared, round(wait_s, 2)]
+            self._placements.append(placement)
 
     def take_placements(self):
         """Return what was noted since the last call."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -62,6 +62,11 @@
         """Time until the caller or the operator expects an end, in seconds."""
         return self.ends_s - self.context.clock()
 
+    @property
+    def objective_left_s(self):
+        """Time until the answer, or its first event, is late, in seconds."""
+        return self.arrived_s + self.route.objective_s - self.context.clock()
+
     @property
     def patience_s(self):
         """Time for which an endpoint may work, in seconds."""
--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -156,6 +156,8 @@
             for endpoint_id in context.endpoints.drop_missing(context.clock()):
                 context.log("info", "endpoint_dropped", endpoint=endpoint_id)
             context.pool.drop_idle()
+            for state in context.endpoints.states.values():
+                state.prefixes.drop_coming(context.clock())
 
 
 def take_configuration(context, stored, source):
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -108,7 +108,8 @@
             if state.own_running or penalty:
                 loads[endpoint_id] = (
                     state.own_running,
-                    round(state.own_read_tokens),
+                    round(state.own_timely_tokens),
+                    round(state.own_late_tokens),
                     penalty,
                 )
         return (context.is_ready, context.configuration_version, loads)
@@ -158,12 +159,16 @@
         if not context.hosts.on_news(now_s, news):
             return
         for endpoint_id, state in context.endpoints.states.items():
-            running, read_tokens, penalty = loads.get(endpoint_id, (0, 0, 0.0))
-            state.on_peer_load(now_s, news.name, Load(running, read_tokens))
+            *load, penalty = loads.get(endpoint_id, (0, 0, 0, 0.0))
+            state.on_peer_load(now_s, news.name, Load(*load))
             state.health.on_peer(now_s, news.name, penalty)
-        for endpoint_id, chain in placements:
+        for endpoint_id, chain, wait_s in placements:
             state = context.endpoints.states.get(endpoint_id)
-            if state is not None:
+            if state is None:
+                continue
+            if wait_s:
+                state.prefixes.note_coming(chain, now_s + wait_s)
+            else:
                 state.prefixes.note_chain(chain)
 
 
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -93,6 +93,7 @@
             exchange.request.generation,
             keys,
             limits,
+            exchange.objective_left_s,
             context.draw,
         )
         if reading is None or not reading.is_apart:
@@ -119,14 +120,17 @@
     send = Send(
         state.record.endpoint_id,
         exchange.patience_s,
-        urgency=urgency_of(exchange.route.rank),
+        urgency=urgency_of(exchange.route.rank, reading.is_timely),
         is_prefill=True,
         kv_fetch=reading.fetch_address,
     )
     began_s = context.clock()
-    queued_tokens = state.load(began_s).read_tokens
+    load = state.load(began_s)
+    queued_tokens = load.timely_tokens if reading.is_timely else load.read_tokens
     state.own_running += 1
-    state.own_read_tokens += reading.work_tokens
+    state.add_reading(reading.work_tokens, reading.is_timely)
+    parts = exchange.request.generation.parts
+    context.note_placement(state, keys, parts, wait_s=reading.expected_s)
     limit_s = max(LEAST_SILENCE_S, SILENCE_FACTOR * reading.expected_s)
     try:
         async with asyncio.timeout(limit_s):
@@ -140,11 +144,11 @@
         return None
     finally:
         state.own_running -= 1
-        state.own_read_tokens -= reading.work_tokens
+        state.add_reading(-reading.work_tokens, reading.is_timely)
     took_s = context.clock() - began_s
-    state.on_read(queued_tokens + reading.work_tokens, took_s)
+    state.on_read(reading.work_tokens, queued_tokens, took_s)
     state.health.on_success(context.clock())
-    context.note_placement(state, keys, exchange.request.generation.parts)
+    context.note_placement(state, keys, parts)
     exchange.log(
         "info",
         "prompt_read",
@@ -152,6 +156,7 @@
         tokens=exchange.request.generation.prompt_tokens,
         kept=reading.kept_tokens,
         fetched_from=reading.fetch_address,
+        timely=reading.is_timely,
         queued=round(queued_tokens),
         expected_ms=round(reading.expected_s * 1000),
         took_ms=round(took_s * 1000),
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -106,7 +106,13 @@
             return state, None
         decodes = [s for s in states if s.record.stage != "prefill"]
         reading = choose_reading(
-            now_s, decodes, self._generation, self._keys, self._limits, context.draw
+            now_s,
+            decodes,
+            self._generation,
+            self._keys,
+            self._limits,
+            exchange.objective_left_s,
+            context.draw,
         )
         return (None, None) if reading is None else (reading.state, reading)
 
@@ -117,7 +123,9 @@
         send = Send(
             state.record.endpoint_id,
             exchange.patience_s,
-            urgency=urgency_of(exchange.route.rank),
+            urgency=urgency_of(
+                exchange.route.rank, reading is None or reading.is_timely
+            ),
             kv_source=None if prompt is None else prompt.source,
             kv_fetch=None if reading is None else reading.fetch_address,
             last_event_id=self._last_event_id,
@@ -232,17 +240,18 @@
         self.state = state
         self.reading = reading
         self.is_begun = False
+        self._is_timely = reading is None or reading.is_timely
         self._read_tokens = 0.0 if reading is None else reading.work_tokens
 
     def begin(self):
         """Count the run, and the prompt that is to be read for it."""
         self.state.own_running += 1
-        self.state.own_read_tokens += self._read_tokens
+        self.state.add_reading(self._read_tokens, self._is_timely)
 
     def on_first_event(self, context, generation, keys):
         """Note that the prompt is read, and is kept there now."""
         self.is_begun = True
-        self.state.own_read_tokens -= self._read_tokens
+        self.state.add_reading(-self._read_tokens, self._is_timely)
         self._read_tokens = 0.0
         if generation is not None:
             context.note_placement(self.state, keys, generation.parts)
@@ -250,5 +259,5 @@
     def end(self):
         """Take the run out of the counts."""
         self.state.own_running -= 1
-        self.state.own_read_tokens -= self._read_tokens
+        self.state.add_reading(-self._read_tokens, self._is_timely)
         self._read_tokens = 0.0
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -12,14 +12,18 @@
 # deployment starts careful; a handful of answers corrects it.
 FIRST_READ_TOKENS_PER_S = {"prefill": 40_000.0, "decode": 20_000.0}
 # Weight of a new answer in the learned rate.
-RATE_WEIGHT = 0.2
+RATE_WEIGHT = 0.3
+# Only a prompt that met a short queue tells the engine's rate: what other hosts sent
+# in between is known too late to be told from slowness. As a part of its own work.
+RATE_QUEUE_PART = 0.25
 # Shorter prompts tell more of the network than of the engine.
 RATE_MIN_TOKENS = 1500
-# Part of an answer's time that isn't reading, in seconds: connection and first step.
-FIXED_S = 0.02
+# Part of an answer's time that isn't reading, in seconds: the way there and back, and
+# the first token's own step. Seen as 0.1 s with prompts of a thousand tokens.
+FIXED_S = 0.1
 # The rate of one endpoint moves in these bounds around the first guess, so that a
 # single stalled answer doesn't shut it out for good.
-RATE_FLOOR, RATE_CEILING = 0.05, 8.0
+RATE_FLOOR, RATE_CEILING = 0.05, 4.0
 # A peer's counts are used for this long after they were heard, in seconds; by then it
 # has sent anew, or it is gone with what it had running.
 PEER_LOAD_S = 2.0
@@ -34,12 +38,20 @@
     ----------
     running : int
         Requests sent and not ended.
-    read_tokens : float
-        Prompt tokens that are still to be read.
+    timely_tokens : float
+        Work of prompts that are still to be read and can be on time.
+    late_tokens : float
+        Work of prompts that can't; the engine reads the others first.
     """
 
     running: int
-    read_tokens: float
+    timely_tokens: float
+    late_tokens: float
+
+    @property
+    def read_tokens(self) -> float:
+        """Work of all prompts that are still to be read."""
+        return self.timely_tokens + self.late_tokens
 
 
 class EndpointState:
@@ -58,7 +70,8 @@
         self.health = Health()
         self.prefixes = PrefixTable(kv_tokens)
         self.own_running = 0
-        self.own_read_tokens = 0.0
+        self.own_timely_tokens = 0.0
+        self.own_late_tokens = 0.0
         self.is_withdrawn = False
         self._peers = {}
         self._rate = None
@@ -81,13 +94,22 @@
 
     def load(self, now_s: float) -> Load:
         """Return what all hosts together have under way here."""
-        running, read_tokens = self.own_running, self.own_read_tokens
+        running = self.own_running
+        timely, late = self.own_timely_tokens, self.own_late_tokens
         for load, at_s in self._peers.values():
             if now_s - at_s > PEER_LOAD_S:
                 continue
             running += load.running
-            read_tokens += load.read_tokens
-        return Load(running, max(0.0, read_tokens))
+            timely += load.timely_tokens
+            late += load.late_tokens
+        return Load(running, max(0.0, timely), max(0.0, late))
+
+    def add_reading(self, work_tokens: float, is_timely: bool) -> None:
+        """Count a prompt that is sent here to be read; negative work takes it out."""
+        if is_timely:
+            self.own_timely_tokens += work_tokens
+        else:
+            self.own_late_tokens += work_tokens
 
     def read_tokens_per_s(self) -> float:
         """Return how fast it reads prompts, as far as is known."""
@@ -95,19 +117,23 @@
             return self._rate
         return FIRST_READ_TOKENS_PER_S.get(self.record.stage, 20_000.0)
 
-    def on_read(self, work_tokens: float, took_s: float) -> None:
+    def on_read(self, work_tokens: float, queued_tokens: float, took_s: float) -> None:
         """Learn from a prompt that was read.
 
         Parameters
         ----------
         work_tokens : float
-            What was to be read before it was done, this prompt included.
+            Work of the prompt.
+        queued_tokens : float
+            Work that was before it when it was sent.
         took_s : float
             Time from the send to the answer, in seconds.
         """
         if work_tokens < RATE_MIN_TOKENS:
             return
-        seen = work_tokens / max(0.001, took_s - FIXED_S)
+        if queued_tokens > RATE_QUEUE_PART * work_tokens:
+            return
+        seen = (work_tokens + queued_tokens) / max(0.001, took_s - FIXED_S)
         first = FIRST_READ_TOKENS_PER_S.get(self.record.stage, 20_000.0)
         seen = min(max(seen, first * RATE_FLOOR), first * RATE_CEILING)
         known = self.read_tokens_per_s()
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from gypsumusher_ports import EngineLimits, Generation
-from gypsumusher_routing.endpoint_state import EndpointState
+from gypsumusher_routing.endpoint_state import FIXED_S, EndpointState
 
 __all__ = ["Reading", "choose_decode", "choose_reading", "reading_work"]
 
@@ -54,6 +54,8 @@
         Expected time until the first token, in seconds.
     fetch_from : EndpointState or None
         Engine from which it first fetches parts that it doesn't keep itself.
+    is_timely : bool
+        Whether the first token can come within the objective.
     """
 
     state: EndpointState
@@ -62,6 +64,7 @@
     work_tokens: float
     expected_s: float
     fetch_from: EndpointState | None
+    is_timely: bool
 
     @property
     def fetch_address(self):
@@ -88,6 +91,7 @@
     generation: Generation,
     keys: tuple[int, ...],
     limits: EngineLimits,
+    objective_s: float,
     draw,
 ) -> Reading | None:
     """Return where a prompt is read first, or None when nothing can run it.
@@ -104,6 +108,8 @@
         Keys of its parts.
     limits : EngineLimits
         What the engines have in common.
+    objective_s : float
+        Time left until the first token should be there, in seconds.
     draw : callable
         Returns a number from 0 up to 1.
     """
@@ -114,12 +120,11 @@
     home = _home_of(states, keys)
     kept_by_id = {}
     for state in states:
-        kept = state.prefixes.kept_tokens(keys, generation.parts)
+        kept = state.prefixes.kept_tokens(keys, generation.parts, now_s)
         if not kept and state is home:
             kept = int(_shared_tokens(generation) * HOME_BELIEF)
         kept_by_id[state.record.endpoint_id] = kept
-    holder = max(states, key=lambda state: kept_by_id[state.record.endpoint_id])
-    held = holder.prefixes.kept_tokens(keys, generation.parts)
+    holder, held = _holder_of(states, keys, generation.parts)
     best, best_key = None, None
     for state in _sound(now_s, states):
         kept = kept_by_id[state.record.endpoint_id]
@@ -129,17 +134,22 @@
             kept = held
         work = reading_work(generation.prompt_tokens, kept)
         load = state.load(now_s)
-        own_s = work / state.read_tokens_per_s()
-        expected_s = load.read_tokens / state.read_tokens_per_s() + own_s + fetch_s
+        rate = state.read_tokens_per_s()
+        own_s = FIXED_S + work / rate + fetch_s
         is_apart = state.record.stage == "prefill"
         if is_apart:
-            expected_s += hand_over_s
-        else:
-            expected_s += HARM_PER_RUN * load.running * own_s
-        expected_s += PENALTY_S * state.health.penalty(now_s)
-        key = (round(expected_s / EVEN_S), draw())
+            own_s += hand_over_s
+        timely_s = own_s + load.timely_tokens / rate
+        is_timely = timely_s <= objective_s
+        expected_s = timely_s if is_timely else timely_s + load.late_tokens / rate
+        cost_s = expected_s + PENALTY_S * state.health.penalty(now_s)
+        if not is_apart:
+            cost_s += HARM_PER_RUN * load.running * work / rate
+        key = (round(cost_s / EVEN_S), draw())
         if best_key is None or key < best_key:
-            best = Reading(state, is_apart, kept, work, expected_s, fetch_from)
+            best = Reading(
+                state, is_apart, kept, work, expected_s, fetch_from, is_timely
+            )
             best_key = key
     return best
 
@@ -189,6 +199,16 @@
     return tokens * limits.kv_token_bytes * 8.0 / limits.link_bits_per_s
 
 
+def _holder_of(states, keys, parts):
+    """Return the engine that keeps most of a prompt, and how many tokens of it."""
+    holder, held = None, 0
+    for state in states:
+        kept = state.prefixes.kept_tokens(keys, parts)
+        if kept > held:
+            holder, held = state, kept
+    return holder, held
+
+
 def _fetch_s(state, holder, tokens, limits):
     """Return the time that an engine takes to fetch parts from another, in seconds."""
     transfer_s = _transfer_s(tokens, limits)
--- a/libs/routing/gypsumusher_routing/prefixes.py
+++ b/libs/routing/gypsumusher_routing/prefixes.py
@@ -45,6 +45,7 @@
     def __init__(self, limit_tokens: float):
         self._limit_tokens = limit_tokens * KEPT_SHARE
         self._kept = OrderedDict()
+        self._coming_s = {}
         self._tokens = 0
 
     def __len__(self):
@@ -68,6 +69,21 @@
             _, tokens = self._kept.popitem(last=False)
             self._tokens -= tokens
 
+    def note_coming(self, chain, until_s: float) -> None:
+        """Note parts that the engine is reading now, and until when that may take.
+
+        A second prompt with the same parts finds them there when its turn comes, if it
+        is sent to the same engine; elsewhere they would be read a second time.
+        """
+        for key, _ in chain:
+            self._coming_s[key] = max(until_s, self._coming_s.get(key, 0.0))
+
+    def drop_coming(self, now_s: float) -> None:
+        """Forget the parts that should have come by now."""
+        self._coming_s = {
+            key: until_s for key, until_s in self._coming_s.items() if until_s > now_s
+        }
+
     def forget(self, keys) -> None:
         """Note that parts are not there after all."""
         for key in keys:
@@ -76,13 +92,25 @@
     def clear(self) -> None:
         """Forget all, as the engine has."""
         self._kept.clear()
+        self._coming_s.clear()
         self._tokens = 0
 
-    def kept_tokens(self, keys, parts) -> int:
-        """Return how many tokens at the start of a prompt the engine keeps."""
+    def kept_tokens(self, keys, parts, coming_after_s=None) -> int:
+        """Return how many tokens at the start of a prompt the engine keeps.
+
+        Parameters
+        ----------
+        keys, parts : sequence
+            The prompt's parts with their keys.
+        coming_after_s : float or None
+            The present time, when parts that are being read count too.
+        """
         tokens = 0
         for key, part in zip(keys, parts, strict=True):
             if key not in self._kept:
-                break
+                if coming_after_s is None:
+                    break
+                if self._coming_s.get(key, 0.0) <= coming_after_s:
+                    break
             tokens += part.tokens
         return tokens
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -2,17 +2,26 @@
 
 __all__ = ["urgency_of"]
 
-# Urgency of the most and of the least urgent requests. Engines take 0 to 9; the ends
-# stay free for operators' own tools.
-FIRST_URGENCY, LAST_URGENCY = 1, 8
-# Steps between two priorities, so that one can be put between them.
-STEP = 2
+# Engines take 0, first, to 9, and serve the more urgent first. The ends stay free for
+# operators' own tools.
+FIRST_URGENCY = 2
+# A prompt that can't be on time any more is worth the same a second later, while one
+# that still can is worth three times as much on time. So the late ones stand back; not
+# at the very end, since they have a deadline too.
+LATE_URGENCY = 7
+LATE_LAST_URGENCY = 8
 
 
-def urgency_of(rank: int) -> int:
-    """Return the urgency of a priority; 0 is the first of each.
+def urgency_of(rank: int, is_timely: bool) -> int:
+    """Return the urgency of a request.
 
-    An engine admits the more urgent first and pre-empts the others for it, so short
-    urgent work passes long readings there.
+    Parameters
+    ----------
+    rank : int
+        Its priority, 0 first.
+    is_timely : bool
+        Whether it can still be on time.
     """
-    return min(LAST_URGENCY, FIRST_URGENCY + STEP * rank)
+    if is_timely:
+        return min(LATE_URGENCY - 1, FIRST_URGENCY + rank)
+    return LATE_URGENCY if rank == 0 else LATE_LAST_URGENCY
