--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -7,7 +7,7 @@
 from gypsumusher_entry.stream_exchange import serve_stream
 from gypsumusher_platform import encode_refusal
 from gypsumusher_ports import STREAM, Refusal
-from gypsumusher_routing import pick_service
+from gypsumusher_routing import first_event_limit_s, pick_service
 
 __all__ = ["Exchange", "create_handler"]
 
@@ -67,6 +67,17 @@
         """Time until the answer, or its first event, is late, in seconds."""
         return self.arrived_s + self.route.objective_s - self.context.clock()
 
+    @property
+    def limit_left_s(self):
+        """Time until the first event of a stream is of no use, in seconds."""
+        limit_s = first_event_limit_s(
+            self.route.objective_s,
+            self.route.pause_limit_s,
+            self.request.generation,
+            self.ends_s - self.arrived_s,
+        )
+        return self.arrived_s + limit_s - self.context.clock()
+
     @property
     def patience_s(self):
         """Time for which an endpoint may work, in seconds."""
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -6,7 +6,7 @@
 from gypsumusher_entry.sending import note_failure, open_send
 from gypsumusher_platform import decode_prefill, encode_free_handle
 from gypsumusher_ports import DecodeError, Send
-from gypsumusher_routing import choose_reading, urgency_of
+from gypsumusher_routing import LATE, choose_reading, urgency_of
 
 __all__ = ["Prompt", "read_prompt"]
 
@@ -94,6 +94,7 @@
             keys,
             limits,
             exchange.objective_left_s,
+            exchange.limit_left_s,
             context.draw,
         )
         if reading is None or not reading.is_apart:
@@ -120,15 +121,15 @@
     send = Send(
         state.record.endpoint_id,
         exchange.patience_s,
-        urgency=urgency_of(exchange.route.rank, reading.is_timely),
+        urgency=urgency_of(exchange.route.rank, reading.lane),
         is_prefill=True,
         kv_fetch=reading.fetch_address,
     )
     began_s = context.clock()
     load = state.load(began_s)
-    queued_tokens = load.timely_tokens if reading.is_timely else load.read_tokens
+    queued_tokens = load.timely_tokens if reading.lane != LATE else load.read_tokens
     state.own_running += 1
-    state.add_reading(reading.work_tokens, reading.is_timely)
+    state.add_reading(reading.work_tokens, reading.lane)
     parts = exchange.request.generation.parts
     context.note_placement(state, keys, parts, wait_s=reading.expected_s)
     limit_s = max(LEAST_SILENCE_S, SILENCE_FACTOR * reading.expected_s)
@@ -144,7 +145,7 @@
         return None
     finally:
         state.own_running -= 1
-        state.add_reading(-reading.work_tokens, reading.is_timely)
+        state.add_reading(-reading.work_tokens, reading.lane)
     took_s = context.clock() - began_s
     state.on_read(reading.work_tokens, queued_tokens, took_s)
     state.health.on_success(context.clock())
@@ -156,7 +157,7 @@
         tokens=exchange.request.generation.prompt_tokens,
         kept=reading.kept_tokens,
         fetched_from=reading.fetch_address,
-        timely=reading.is_timely,
+        lane=reading.lane,
         queued=round(queued_tokens),
         expected_ms=round(reading.expected_s * 1000),
         took_ms=round(took_s * 1000),
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -7,6 +7,7 @@
 from gypsumusher_entry.sending import may_retry_run, note_failure, open_send
 from gypsumusher_ports import Send
 from gypsumusher_routing import (
+    TIMELY,
     EventSplitter,
     chain_keys,
     choose_decode,
@@ -112,6 +113,7 @@
             self._keys,
             self._limits,
             exchange.objective_left_s,
+            exchange.limit_left_s,
             context.draw,
         )
         return (None, None) if reading is None else (reading.state, reading)
@@ -124,7 +126,7 @@
             state.record.endpoint_id,
             exchange.patience_s,
             urgency=urgency_of(
-                exchange.route.rank, reading is None or reading.is_timely
+                exchange.route.rank, TIMELY if reading is None else reading.lane
             ),
             kv_source=None if prompt is None else prompt.source,
             kv_fetch=None if reading is None else reading.fetch_address,
@@ -240,18 +242,18 @@
         self.state = state
         self.reading = reading
         self.is_begun = False
-        self._is_timely = reading is None or reading.is_timely
+        self._lane = TIMELY if reading is None else reading.lane
         self._read_tokens = 0.0 if reading is None else reading.work_tokens
 
     def begin(self):
         """Count the run, and the prompt that is to be read for it."""
         self.state.own_running += 1
-        self.state.add_reading(self._read_tokens, self._is_timely)
+        self.state.add_reading(self._read_tokens, self._lane)
 
     def on_first_event(self, context, generation, keys):
         """Note that the prompt is read, and is kept there now."""
         self.is_begun = True
-        self.state.add_reading(-self._read_tokens, self._is_timely)
+        self.state.add_reading(-self._read_tokens, self._lane)
         self._read_tokens = 0.0
         if generation is not None:
             context.note_placement(self.state, keys, generation.parts)
@@ -259,5 +261,5 @@
     def end(self):
         """Take the run out of the counts."""
         self.state.own_running -= 1
-        self.state.add_reading(-self._read_tokens, self._is_timely)
+        self.state.add_reading(-self._read_tokens, self._lane)
         self._read_tokens = 0.0
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -15,7 +15,14 @@
 from gypsumusher_routing.retry_share import RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
-from gypsumusher_routing.urgency import urgency_of
+from gypsumusher_routing.urgency import (
+    LATE,
+    SOON,
+    TIMELY,
+    choose_lane,
+    first_event_limit_s,
+    urgency_of,
+)
 
 __all__ = [
     "EndpointState",
@@ -25,16 +32,21 @@
     "Health",
     "HostNews",
     "HostTable",
+    "LATE",
     "Load",
     "OversizedEvent",
     "PrefixTable",
     "Reading",
     "RetryShare",
     "RouteTable",
+    "SOON",
+    "TIMELY",
     "chain_keys",
     "choose_decode",
     "choose_endpoint",
+    "choose_lane",
     "choose_reading",
+    "first_event_limit_s",
     "pick_service",
     "reading_work",
     "urgency_of",
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -5,6 +5,7 @@
 from gypsumusher_ports import EndpointRecord
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.prefixes import PrefixTable
+from gypsumusher_routing.urgency import LATE
 
 __all__ = ["EndpointState", "Load"]
 
@@ -39,9 +40,9 @@
     running : int
         Requests sent and not ended.
     timely_tokens : float
-        Work of prompts that are still to be read and can be on time.
+        Work of prompts that are still to be read, but for those of the last lane.
     late_tokens : float
-        Work of prompts that can't; the engine reads the others first.
+        Work of those; the engine reads the others first.
     """
 
     running: int
@@ -104,12 +105,12 @@
             late += load.late_tokens
         return Load(running, max(0.0, timely), max(0.0, late))
 
-    def add_reading(self, work_tokens: float, is_timely: bool) -> None:
+    def add_reading(self, work_tokens: float, lane: str) -> None:
         """Count a prompt that is sent here to be read; negative work takes it out."""
-        if is_timely:
-            self.own_timely_tokens += work_tokens
-        else:
+        if lane == LATE:
             self.own_late_tokens += work_tokens
+        else:
+            self.own_timely_tokens += work_tokens
 
     def read_tokens_per_s(self) -> float:
         """Return how fast it reads prompts, as far as is known."""
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -11,6 +11,7 @@
 
 from gypsumusher_ports import EngineLimits, Generation
 from gypsumusher_routing.endpoint_state import FIXED_S, EndpointState
+from gypsumusher_routing.urgency import LATE, choose_lane
 
 __all__ = ["Reading", "choose_decode", "choose_reading", "reading_work"]
 
@@ -54,8 +55,8 @@
         Expected time until the first token, in seconds.
     fetch_from : EndpointState or None
         Engine from which it first fetches parts that it doesn't keep itself.
-    is_timely : bool
-        Whether the first token can come within the objective.
+    lane : {"timely", "soon", "late"}
+        In which order it is read there.
     """
 
     state: EndpointState
@@ -64,7 +65,7 @@
     work_tokens: float
     expected_s: float
     fetch_from: EndpointState | None
-    is_timely: bool
+    lane: str
 
     @property
     def fetch_address(self):
@@ -91,7 +92,8 @@
     generation: Generation,
     keys: tuple[int, ...],
     limits: EngineLimits,
-    objective_s: float,
+    objective_left_s: float,
+    limit_left_s: float,
     draw,
 ) -> Reading | None:
     """Return where a prompt is read first, or None when nothing can run it.
@@ -108,8 +110,8 @@
         Keys of its parts.
     limits : EngineLimits
         What the engines have in common.
-    objective_s : float
-        Time left until the first token should be there, in seconds.
+    objective_left_s, limit_left_s : float
+        Time until the first token is late, and until it is of no use, in seconds.
     draw : callable
         Returns a number from 0 up to 1.
     """
@@ -140,16 +142,15 @@
         if is_apart:
             own_s += hand_over_s
         timely_s = own_s + load.timely_tokens / rate
-        is_timely = timely_s <= objective_s
-        expected_s = timely_s if is_timely else timely_s + load.late_tokens / rate
+        late_s = timely_s + load.late_tokens / rate
+        lane = choose_lane(timely_s, late_s, objective_left_s, limit_left_s)
+        expected_s = late_s if lane == LATE else timely_s
         cost_s = expected_s + PENALTY_S * state.health.penalty(now_s)
         if not is_apart:
             cost_s += HARM_PER_RUN * load.running * work / rate
         key = (round(cost_s / EVEN_S), draw())
         if best_key is None or key < best_key:
-            best = Reading(
-                state, is_apart, kept, work, expected_s, fetch_from, is_timely
-            )
+            best = Reading(state, is_apart, kept, work, expected_s, fetch_from, lane)
             best_key = key
     return best
 
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -1,27 +1,103 @@
-"""How urgent engines are told that a request is."""
+"""In which order engines read prompts: who passes whom, and until when one may wait."""
 
-__all__ = ["urgency_of"]
+__all__ = ["LATE", "SOON", "TIMELY", "choose_lane", "first_event_limit_s", "urgency_of"]
+
+# A prompt that can still be on time.
+TIMELY = "timely"
+# One that can't, and that its caller would give up if it stood back for others.
+SOON = "soon"
+# One that can't be on time, and can wait.
+LATE = "late"
 
 # Engines take 0, first, to 9, and serve the more urgent first. The ends stay free for
 # operators' own tools.
 FIRST_URGENCY = 2
-# A prompt that can't be on time any more is worth the same a second later, while one
-# that still can is worth three times as much on time. So the late ones stand back; not
-# at the very end, since they have a deadline too.
-LATE_URGENCY = 7
-LATE_LAST_URGENCY = 8
+SOON_URGENCY = 6
+LATE_URGENCY = 8
+# Callers give a stream up when nothing came for the longest of these: a time, so many
+# times the objective, or so many times the pause that the route allows.
+ABANDON_S = 2.0
+ABANDON_OBJECTIVES = 4.0
+ABANDON_PAUSES = 8.0
+# Part of that time in which the first event has to be expected; expectations err.
+USED_PART = 0.8
+# Time of one output token, in seconds, as a batch of ten streams makes them beside
+# prompts that are read between.
+TOKEN_S = 0.01
+# Callers' estimates of the output are often far off; twice as many tokens are counted
+# on, and no more than the request allows.
+ESTIMATE_FACTOR = 2.0
+
+
+def first_event_limit_s(objective_s, pause_limit_s, generation, left_s):
+    """Return by when the first event must come for the stream to be of use.
+
+    Parameters
+    ----------
+    objective_s : float
+        Objective of the route, in seconds.
+    pause_limit_s : float or None
+        Longest pause between events that the route allows, in seconds.
+    generation : Generation
+        The request.
+    left_s : float
+        Time until the caller's or the route's end, in seconds.
+
+    Returns
+    -------
+    float
+        Seconds from the caller's first byte for the first of two bounds, and from now
+        for the second; the smaller one, in seconds.
+    """
+    abandoned_s = max(
+        ABANDON_S,
+        ABANDON_OBJECTIVES * objective_s,
+        ABANDON_PAUSES * (pause_limit_s or 0.0),
+    )
+    output_tokens = generation.max_output_tokens
+    if generation.expected_output_tokens is not None:
+        estimate = ESTIMATE_FACTOR * generation.expected_output_tokens
+        output_tokens = min(output_tokens, estimate)
+    return min(USED_PART * abandoned_s, left_s - TOKEN_S * output_tokens)
+
+
+def choose_lane(timely_s, late_s, objective_left_s, limit_left_s):
+    """Return the lane of a prompt at one engine.
+
+    Parameters
+    ----------
+    timely_s, late_s : float
+        Expected time to the first event in the first two lanes, and in the last, in
+        seconds.
+    objective_left_s : float
+        Time until the first event is late, in seconds.
+    limit_left_s : float
+        Time until it is of no use any more, in seconds.
+
+    Notes
+    -----
+    Made for engines that are behind. First come, first served makes all prompts late
+    once one is; a late one is worth the same a second later, while one that still can
+    be on time is worth three times as much on time. So the late ones stand back, but
+    only as far as their callers wait.
+    """
+    if timely_s <= objective_left_s:
+        return TIMELY
+    if late_s <= limit_left_s:
+        return LATE
+    return SOON
 
 
-def urgency_of(rank: int, is_timely: bool) -> int:
-    """Return the urgency of a request.
+def urgency_of(rank: int, lane: str) -> int:
+    """Return the urgency that an engine is told.
 
     Parameters
     ----------
     rank : int
-        Its priority, 0 first.
-    is_timely : bool
-        Whether it can still be on time.
+        Priority of the request, 0 first.
+    lane : {"timely", "soon", "late"}
+        Its lane.
     """
-    if is_timely:
-        return min(LATE_URGENCY - 1, FIRST_URGENCY + rank)
-    return LATE_URGENCY if rank == 0 else LATE_LAST_URGENCY
+    if lane == TIMELY:
+        return min(SOON_URGENCY - 1, FIRST_URGENCY + rank)
+    return SOON_URGENCY if lane == SOON else LATE_URGENCY
