Send no word of when to come back with a failure that may have run; test a whole host

Cause: found by a test: a booking whose answer broke was answered 502 with Retry-After, which invites its caller to send it again. Tests: one host, whole, before stand-ins of the store (libs/standins/object_store.py) and of endpoints: at most once, true refusals, routes' times, versions, leaving endpoints, unreadable entries, a store that refuses or forgets, planned stops, beliefs from a peer, resumed streams.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -90,10 +90,12 @@
     def refuse(self, status, reason, retry_after_s=None):
         """Give the final answer of the system's own.
 
-        A status that promises that nothing ran is changed when something may have.
+        What promises that nothing ran is changed when something may have: the status,
+        and the word of when to come back, which invites the caller to send it again.
         """
-        if self.may_have_run and status == 503:
-            status, retry_after_s = 502, None
+        if self.may_have_run:
+            status = 502 if status == 503 else status
+            retry_after_s = None
         refusal = Refusal(status, reason, retry_after_s)
         headers, body = encode_refusal(refusal, self.request.request_id)
         if self.reply.is_started:
@@ -163,8 +165,7 @@
         status = 504 if exchange.may_have_run else 503
         exchange.refuse(status, "timeout", NO_ENDPOINT_RETRY_S)
     except EndpointError as error:
-        status = 502 if exchange.may_have_run else 503
-        exchange.refuse(status, error.reason, NO_ENDPOINT_RETRY_S)
+        exchange.refuse(503, error.reason, NO_ENDPOINT_RETRY_S)
 
 
 def _note_end(exchange):
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -57,7 +57,13 @@
         self._listener = CallerListener(create_handler(self.context), clock, log)
 
     async def start(self):
-        """Start all parts; callers are taken once there is a configuration."""
+        """Start all parts; callers are taken once there is a configuration.
+
+        Returns
+        -------
+        dict of str to str
+            The real address of each listener: callers, ready, directory, peers.
+        """
         context = self.context
         settings = context.settings
         context.configuration_listeners.append(
@@ -72,14 +78,20 @@
         ]
         if self._metrics_port is not None:
             addresses.append(f"{settings.ip}:{self._metrics_port}")
-        await self._web.start(addresses)
+        bound = await self._web.start(addresses)
         await self._follower.start()
         await self._registration.start()
         await self._peer_beliefs.start()
         await self._wait_for_configuration()
         ip, _, port = settings.callers_address.rpartition(":")
-        await self._listener.start(ip, int(port))
+        real_port = await self._listener.start(ip, int(port))
         self._gossip.tell_now()
+        return {
+            "callers": f"{ip}:{real_port}",
+            "ready": bound[0],
+            "directory": bound[1],
+            "peers": bound[2],
+        }
 
     def reload(self, settings):
         """Take over bounds and seeds; addresses stay until the next start.
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -144,8 +144,7 @@
             exchange.deliver(*self._failed_answer)
             return
         reason = "no_endpoint" if self._last_error is None else self._last_error.reason
-        status = 502 if exchange.may_have_run else 503
-        exchange.refuse(status, reason, NO_ROOM_RETRY_S)
+        exchange.refuse(503, reason, NO_ROOM_RETRY_S)
 
 
 async def _send(exchange, state):
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -231,8 +231,7 @@
             exchange.deliver(*self._failed_answer)
             return
         reason = "no_endpoint" if error is None else error.reason
-        status = 502 if exchange.may_have_run else 503
-        exchange.refuse(status, reason, NO_ROOM_RETRY_S)
+        exchange.refuse(503, reason, NO_ROOM_RETRY_S)
 
 
 class _Run:
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -1,5 +1,6 @@
 """The listeners that answer in one piece: readiness, directory, peers, metrics."""
 
+import itertools
 import socket
 
 import msgpack
@@ -16,6 +17,7 @@
 # and a dead host is tried for that long; each caller asks once in this time.
 DIRECTORY_TTL_S = 1.0
 BACKLOG = 256
+_numbers = itertools.count()
 
 
 class WebListeners:
@@ -33,7 +35,8 @@
         self._app = _create_app(context)
 
     async def start(self, addresses):
-        """Listen on each of the addresses ``ip:port``."""
+        """Listen on each of the addresses ``ip:port``; return them with real ports."""
+        bound = []
         for address in addresses:
             ip, _, port = address.rpartition(":")
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -48,17 +51,21 @@
             if not self._servers:
                 await server.startup()
             self._servers.append(server)
+            bound.append(f"{ip}:{sock.getsockname()[1]}")
+        return bound
 
     async def close(self):
         """Stop listening."""
         for server in self._servers:
-            server.close()
+            await server.close()
 
 
 def _create_app(context):
     """Return the application."""
+    # The library keeps all applications of a process by name.
+    name = f"gypsumusher-{next(_numbers)}"
     # Its usual configuration reads the environment and prints a banner.
-    app = Sanic("gypsumusher", configure_logging=False, env_prefix="GYPSUMUSHER_WEB_")
+    app = Sanic(name, configure_logging=False, env_prefix="GYPSUMUSHER_WEB_")
     app.config.MOTD = False
     app.config.ACCESS_LOG = False
     app.config.KEEP_ALIVE_TIMEOUT = 30
--- /dev/null
+++ b/libs/entry/tests/test_host.py
@@ -0,0 +1,499 @@
+"""One entry host, whole, before stand-ins of the store and of endpoints."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from replies import ScriptedEndpoint, answer_to, request_id_of
+
+from gypsumusher_entry.host import EntryHost
+from gypsumusher_ports import Bounds, HostSettings
+from gypsumusher_standins.object_store import ObjectStore
+
+BOUNDS = Bounds(2.0, 2.0, 8.0, 3.0, 3.0, 0.3, 0.2, 54.0, 10.0, 5.0, False)
+ANY = {"kind": "idempotent", "attempts": 2}
+ONCE = {"kind": "non_idempotent", "attempts": 1}
+STREAM = {"kind": "stream", "attempts": 1, "sticky": True}
+RESUMABLE = {"kind": "stream", "attempts": 2, "sticky": True, "resumable": True}
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 4194304,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def run(coroutine):
+    return asyncio.run(asyncio.wait_for(coroutine, 30))
+
+
+def configuration(version, *routes):
+    """Return a configuration as operators write it."""
+    items = []
+    for number, fields in enumerate(routes):
+        route = {
+            "name": f"r-{number}",
+            "host": "shop.example",
+            "path_prefix": f"/{number}/",
+            "timeout_ms": 1500,
+            "goal_ms": 100,
+            "priority": 0,
+            "service": "svc",
+        }
+        items.append({**route, **fields})
+    services = [{"name": "svc", "health_path": "/healthz", "max_conns": 100}]
+    return {
+        "version": version,
+        "routes": items,
+        "services": services,
+        "limits": LIMITS,
+    }
+
+
+def entry(address, state="ready", beat=1, **fields):
+    """Return an endpoint's entry as it writes it."""
+    return {
+        "service": "svc",
+        "addr": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 6,
+        "state": state,
+        "warmup_left_ms": 0,
+        "seq": beat,
+        **fields,
+    }
+
+
+def settings(store_address, ip="127.0.0.1", name="host-1", seeds=(), port=0):
+    return HostSettings(
+        name, ip, "zone-a", "region", f"{ip}:0", f"{ip}:0", f"{ip}:0", f"{ip}:0", port,
+        port, seeds, store_address, 20.0, 1.2, BOUNDS,
+    )  # fmt: skip
+
+
+class World:
+    """A store, scripted endpoints, and one host before them."""
+
+    def __init__(self, *scripts, routes=(ANY,)):
+        self.endpoints = [ScriptedEndpoint(script) for script in scripts]
+        self.routes = routes
+        self.log_lines = []
+        self.store = ObjectStore()
+
+    def log(self, level, event, **fields):
+        self.log_lines.append((event, fields))
+
+    async def __aenter__(self):
+        store_address = await self.store.start()
+        self.store.put("config", "main", configuration(1, *self.routes))
+        for number, endpoint in enumerate(self.endpoints):
+            address = await endpoint.start()
+            self.store.put("servers", f"e-{number}", entry(address))
+        self.host = EntryHost(settings(store_address), self.log)
+        self.addresses = await self.host.start()
+        await until(
+            lambda: len(self.host.context.endpoints.states) == len(self.endpoints)
+        )
+        self.session = aiohttp.ClientSession(
+            base_url=f"http://{self.addresses['callers']}"
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        await self.session.close()
+        await self.host.close()
+        for endpoint in self.endpoints:
+            await endpoint.close()
+        await self.store.close()
+
+    async def ask(self, path="/0/x", method="GET", request_id="r-1", **headers):
+        headers = {
+            "Host": "shop.example",
+            "X-Gypsumusher-Request-Id": request_id,
+            "X-Gypsumusher-Deadline-Ms": "1500",
+            **headers,
+        }
+        async with self.session.request(method, path, headers=headers) as answer:
+            return answer.status, dict(answer.headers), await answer.read()
+
+    def arrivals(self):
+        return sum(len(endpoint.requests) for endpoint in self.endpoints)
+
+
+async def until(condition):
+    """Wait for a condition; the test's own time limit ends a wait in vain."""
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+async def well(number, head, body, writer):
+    writer.write(answer_to(request_id_of(head)))
+
+
+async def not_run(number, head, body, writer):
+    extra = ("X-Gypsumusher-Not-Run: 1",)
+    status = "503 Service Unavailable"
+    writer.write(answer_to(request_id_of(head), b"", status, extra))
+
+
+async def broken(number, head, body, writer):
+    writer.write(answer_to(request_id_of(head), b"half", framing="Content-Length: 9"))
+    writer.close()
+
+
+async def silent(number, head, body, writer):
+    await asyncio.Event().wait()
+
+
+async def failing(number, head, body, writer):
+    writer.write(answer_to(request_id_of(head), b"no", "500 Internal Server Error"))
+
+
+def test_an_answer_comes_back_as_the_endpoint_made_it():
+    async def scenario():
+        async with World(well) as world:
+            status, headers, body = await world.ask()
+            assert (status, body) == (200, b"whole")
+            assert headers["X-Gypsumusher-Server-Seal"] == "seal"
+            head = world.endpoints[0].requests[0][0].decode()
+            assert "X-Gypsumusher-Expect-Instance: e-0" in head
+            left = int(head.split("Deadline-Ms: ")[1].split("\r\n")[0])
+            assert 0 < left < 1500
+
+    run(scenario())
+
+
+def test_a_caller_cannot_set_what_only_the_system_sets():
+    # A caller names a KV cache that another request left at an engine. Passed on, its
+    # request would go on from the other's memory.
+    async def scenario():
+        async with World(well) as world:
+            await world.ask(
+                **{
+                    "X-Gypsumusher-Kv-Source": "10.0.0.1:1/abc",
+                    "X-Gypsumusher-Kv-Hold": "h",
+                    "X-Gypsumusher-Stage": "prefill",
+                    "Kv-Fetch": "10.0.0.1:1",
+                }
+            )
+            head = world.endpoints[0].requests[0][0].lower()
+            for name in (b"kv-source", b"kv-hold", b"stage", b"kv-fetch"):
+                assert name not in head
+
+    run(scenario())
+
+
+def test_a_booking_whose_answer_broke_is_not_sent_again():
+    # The endpoint ran a booking, and its answer was lost on the way. Sent again, it
+    # would run twice; answered with 503, its caller would take it for not run.
+    async def scenario():
+        async with World(broken, broken, routes=(ONCE,)) as world:
+            status, headers, _ = await world.ask(method="POST")
+            assert status == 502
+            assert "Retry-After" not in headers
+            assert world.arrivals() == 1
+
+    run(scenario())
+
+
+def test_a_booking_that_an_endpoint_refused_goes_to_another():
+    async def scenario():
+        async with World(not_run, well, routes=(ONCE,)) as world:
+            world.host.context.started_s -= 100.0
+            for number in range(4):
+                status, _, _ = await world.ask(method="POST", request_id=f"r-{number}")
+                assert status == 200
+
+    run(scenario())
+
+
+def test_a_refusal_says_when_to_come_back_and_is_true():
+    async def scenario():
+        async with World(not_run, routes=(ONCE,)) as world:
+            status, headers, _ = await world.ask(method="POST")
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+
+    run(scenario())
+
+
+def test_an_idempotent_request_leaves_an_endpoint_that_is_silent():
+    # An endpoint hangs with its health check good. Waiting for it until the deadline
+    # helps nobody, and another endpoint answers in time.
+    async def scenario():
+        async with World(silent, well) as world:
+            world.host.context.started_s -= 100.0
+            for number in range(4):
+                status, _, body = await world.ask(request_id=f"r-{number}")
+                assert (status, body) == (200, b"whole")
+
+    run(scenario())
+
+
+def test_an_endpoint_s_own_failure_is_passed_on_when_no_other_does_better():
+    async def scenario():
+        async with World(failing, failing) as world:
+            world.host.context.started_s -= 100.0
+            status, headers, body = await world.ask()
+            assert (status, body) == (500, b"no")
+            assert headers["X-Gypsumusher-Server-Seal"] == "seal"
+            assert world.arrivals() == 2
+
+    run(scenario())
+
+
+def test_the_route_s_time_ends_in_an_answer_at_once():
+    # The operator's time for a route is up while its endpoint still works. The caller
+    # hears so then, and not when its own, longer patience ends.
+    async def scenario():
+        route = {**ONCE, "timeout_ms": 200}
+        async with World(silent, routes=(route,)) as world:
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            status, _, _ = await world.ask(method="POST")
+            assert status == 504
+            assert 0.15 < loop.time() - began_s < 0.6
+
+    run(scenario())
+
+
+def test_a_request_goes_nowhere_without_a_route():
+    async def scenario():
+        async with World(well) as world:
+            assert (await world.ask(path="/9/x"))[0] == 404
+
+    run(scenario())
+
+
+def test_a_new_configuration_is_in_force_soon_and_an_old_one_never_again():
+    async def scenario():
+        async with World(well) as world:
+            world.store.put("config", "main", configuration(5, ANY, ANY))
+            context = world.host.context
+            await until(lambda: context.configuration_version == 5)
+            assert (await world.ask(path="/1/x"))[0] == 200
+            world.store.put("config", "main", configuration(4, ANY))
+            world.store.put("config", "main", configuration(7, ANY, ANY, ANY))
+            await until(lambda: context.configuration_version == 7)
+            versions = [
+                fields["version"]
+                for event, fields in world.log_lines
+                if event == "configuration_adopted"
+            ]
+            assert versions == [1, 5, 7]
+
+    run(scenario())
+
+
+def test_a_leaving_endpoint_gets_no_new_work():
+    async def scenario():
+        async with World(well, well) as world:
+            address = world.host.context.endpoints.states["e-0"].record.address
+            world.store.put("servers", "e-0", entry(address, "draining", beat=2))
+            await until(
+                lambda: world.host.context.endpoints.states["e-0"].record.is_leaving
+            )
+            for number in range(6):
+                await world.ask(request_id=f"r-{number}")
+            assert world.endpoints[0].requests == []
+
+    run(scenario())
+
+
+def test_entries_that_cannot_be_read_hide_no_others():
+    # Another writer puts entries with missing fields, other types and odd states
+    # among the endpoints'. The good ones are to be used as before.
+    async def scenario():
+        async with World(well) as world:
+            for number, content in enumerate(
+                (None, 7, [], {}, "text", entry("nowhere"), entry("10.0.0.1:80", "odd"))
+            ):
+                world.store.put("servers", f"odd-{number}", content)
+            world.store.put("servers", "odd-slots", entry("10.0.0.1:80", slots=True))
+            world.store.put("servers", "last", entry("10.0.0.9:80", "draining"))
+            states = world.host.context.endpoints.states
+            await until(lambda: "last" in states)
+            assert set(states) == {"e-0", "last"}
+            assert (await world.ask())[0] == 200
+
+    run(scenario())
+
+
+def test_a_store_that_refuses_or_forgets_stops_nobody():
+    # The store turns this host away for a while, and drops its history. Requests go on
+    # by what is known, and what changed meanwhile is known soon after.
+    async def scenario():
+        async with World(well) as world:
+            context = world.host.context
+            world.store.fault = "refuse"
+            world.store.forget_history()
+            await until(
+                lambda: any(event == "dependency_lost" for event, _ in world.log_lines)
+            )
+            assert (await world.ask())[0] == 200
+            world.store.put("config", "main", configuration(9, ANY, ANY))
+            world.store.fault = ""
+            await until(lambda: context.configuration_version == 9)
+
+    run(scenario())
+
+
+def test_a_planned_stop_cuts_nothing():
+    # A host is told to stop while it serves. The directory stops naming it at once,
+    # what runs is answered whole, and what still comes in is served too.
+    async def slow(number, head, body, writer):
+        await asyncio.sleep(0.4)
+        await well(number, head, body, writer)
+
+    async def scenario():
+        async with World(slow, routes=({**ONCE, "timeout_ms": 3000},)) as world:
+            running = asyncio.ensure_future(world.ask(method="POST"))
+            await until(lambda: world.arrivals() == 1)
+            stopping = asyncio.ensure_future(world.host.stop())
+            await asyncio.sleep(0.05)
+            url = f"http://{world.addresses['ready']}/v1/readyz"
+            async with world.session.get(url) as answer:
+                assert answer.status == 503
+            late = await world.ask(method="POST", request_id="r-2")
+            assert late[0] == 200
+            assert late[1]["Connection"] == "close"
+            assert (await running)[0] == 200
+            await stopping
+
+    run(scenario())
+
+
+def test_the_directory_names_the_host_and_how_long_that_holds():
+    async def scenario():
+        async with World(well) as world:
+            url = f"http://{world.addresses['directory']}/v1/resolve?name=shop.example"
+            async with world.session.get(url) as answer:
+                body = await answer.json()
+            assert len(body["addresses"]) == 1
+            assert 0 < body["ttl_s"] <= BOUNDS.directory_ttl_max_s
+
+    run(scenario())
+
+
+def test_a_host_that_the_store_turns_away_hears_the_news_from_a_peer():
+    # The store serves one host and refuses the other, and a new configuration comes.
+    # The refused host would serve by the old one; its peer tells it the new one.
+    async def scenario():
+        store, blind = ObjectStore(), ObjectStore()
+        blind.fault = "refuse"
+        address, nowhere = await store.start(), await blind.start()
+        store.put("config", "main", configuration(1, ANY))
+        endpoint = ScriptedEndpoint(well)
+        store.put("servers", "e-0", entry(await endpoint.start()))
+        port = free_datagram_port()
+        seeing = EntryHost(
+            settings(address, "127.0.0.2", "host-2", (), port), lambda *a, **f: None
+        )
+        listens = await seeing.start()
+        # The stand-in's ports are drawn, so the host is told of its real ones.
+        seeing.context.settings = seeing.context.settings._replace(
+            peers_address=listens["peers"]
+        )
+        seeds = ("127.0.0.2:0",)
+        turned_away = EntryHost(
+            settings(nowhere, "127.0.0.3", "host-3", seeds, port), lambda *a, **f: None
+        )
+        await turned_away.start()
+        seeing.context.hosts.on_record("host-3", "127.0.0.3")
+        await until(lambda: turned_away.context.configuration_version == 1)
+        store.put("config", "main", configuration(4, ANY, ANY))
+        await until(lambda: turned_away.context.configuration_version == 4)
+        assert list(turned_away.context.endpoints.states) == ["e-0"]
+        for part in (turned_away, seeing, endpoint, store, blind):
+            await part.close()
+
+    run(scenario())
+
+
+def free_datagram_port():
+    """Return a port that is free for datagrams on a few loopback addresses."""
+    import socket
+
+    with contextlib.ExitStack() as stack:
+        first = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+        first.bind(("127.0.0.2", 0))
+        return first.getsockname()[1]
+
+
+EVENTS = [
+    f"id: {number}\ndata: {json.dumps(number)}\n\n".encode() for number in range(6)
+]
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def stream_of(events, is_ended=True):
+    async def script(number, head, body, writer):
+        first = 0
+        if b"Last-Event-Id: " in head:
+            first = 1 + int(head.split(b"Last-Event-Id: ")[1].split(b"\r\n")[0])
+        writer.write(
+            answer_to(request_id_of(head), b"", framing="Transfer-Encoding: chunked")
+        )
+        for event in events[first:] if is_ended else events[first:3]:
+            writer.write(chunk(event))
+        if not is_ended:
+            # Half an event, and the connection breaks.
+            writer.write(chunk(events[3][:4]))
+            writer.close()
+            return
+        writer.write(b"0\r\n\r\n")
+
+    return script
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_a_gap_or_a_repeat():
+    # An engine breaks off in the middle of an event. The stream may be resumed: another
+    # engine goes on behind the last whole event, in the same answer.
+    async def scenario():
+        scripts = (stream_of(EVENTS, False), stream_of(EVENTS, False))
+        async with World(*scripts, routes=(RESUMABLE,)) as world:
+            world.host.context.started_s -= 100.0
+            world.endpoints[1]._script = world.endpoints[0]._script
+            seen = []
+
+            async def switch(number, head, body, writer):
+                seen.append(head)
+                is_first = len(seen) == 1
+                await stream_of(EVENTS, not is_first)(number, head, body, writer)
+
+            for endpoint in world.endpoints:
+                endpoint._script = switch
+            status, _, body = await world.ask(method="POST")
+            assert (status, body) == (200, b"".join(EVENTS))
+            assert b"Last-Event-Id: 2" in seen[1]
+
+    run(scenario())
+
+
+def test_a_stream_that_may_not_be_resumed_ends_broken():
+    async def scenario():
+        async with World(stream_of(EVENTS, False), routes=(STREAM,)) as world:
+            world.host.context.started_s -= 100.0
+            try:
+                await world.ask(method="POST")
+                raise AssertionError("the answer looked complete")
+            except aiohttp.ClientPayloadError:
+                assert world.arrivals() == 1
+
+    run(scenario())
+
+
+def test_a_caller_s_own_resumption_is_passed_on():
+    # A caller takes up a stream whose connection broke. Without its last event's id
+    # the stream would begin anew, and its pieces would come twice.
+    async def scenario():
+        async with World(stream_of(EVENTS), routes=(RESUMABLE,)) as world:
+            _, _, body = await world.ask(method="POST", **{"Last-Event-Id": "3"})
+            assert body == b"".join(EVENTS[4:])
+
+    run(scenario())
