--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -2,13 +2,27 @@
 
 import asyncio
 import random
+import time
 
 from gypsumusher_entry.endpoint_connections import EndpointPool
 from gypsumusher_ports import DecodeError
-from gypsumusher_routing import EndpointTable, HostTable, RetryShare, RouteTable
+from gypsumusher_routing import (
+    EndpointTable,
+    HostNews,
+    HostTable,
+    RetryShare,
+    RouteTable,
+    capacity_of,
+    choose_active,
+    choose_watchers,
+)
 
 __all__ = ["Context"]
 
+# The active hosts are chosen anew this often, in seconds: a host is silent for longer
+# before it counts as dead, and the choice costs a sort of all hosts.
+ACTIVE_KEPT_S = 0.2
+
 
 class Context:
     """The state that one entry host's parts work on.
@@ -39,6 +53,10 @@
         self.hosts = HostTable(settings.name)
         self.pool = EndpointPool(clock, log)
         self.is_leaving = False
+        self.sees_store = False
+        self.started_ms = int(time.time() * 1000)
+        self._active = []
+        self._active_at_s = float("-inf")
         self.configuration_listeners = []
         self._retry_shares = {}
         self._placements = []
@@ -54,9 +72,59 @@
         """Version in force, 0 without one."""
         return 0 if self.configuration is None else self.configuration.version
 
+    def own_news(self, beat=0, period_s=0.0):
+        """Return what this host says of itself.
+
+        Parameters
+        ----------
+        beat : int
+            Number of the message.
+        period_s : float
+            After how long the next one comes at the latest, in seconds.
+        """
+        settings = self.settings
+        return HostNews(
+            name=settings.name,
+            started_ms=self.started_ms,
+            beat=beat,
+            ip=settings.ip,
+            zone=settings.zone,
+            callers_address=settings.callers_address,
+            peers_address=settings.peers_address,
+            is_ready=self.is_ready,
+            configuration_version=self.configuration_version,
+            endpoints_revision=self.endpoints.revision,
+            capacity=capacity_of(settings.cores, settings.link_mbps),
+            sees_store=self.sees_store,
+            period_s=period_s,
+        )
+
+    def active_hosts(self):
+        """Return the hosts that callers are sent to, in their common order."""
+        now_s = self.clock()
+        if now_s - self._active_at_s > ACTIVE_KEPT_S:
+            hosts = [news for news in self.hosts.live(now_s) if news.is_ready]
+            if self.is_ready:
+                hosts.append(self.own_news())
+            self._active = choose_active(hosts)
+            self._active_at_s = now_s
+        return self._active
+
+    def watches_store(self):
+        """Say whether this host is one that watches the store for all.
+
+        A host that hears of none that sees the store looks for itself.
+        """
+        active = self.active_hosts()
+        watchers = choose_watchers(active)
+        if any(news.name == self.settings.name for news in watchers):
+            return True
+        now_s = self.clock()
+        return not any(news.sees_store for news in self.hosts.live(now_s))
+
     def hosts_count(self):
-        """Return the number of live hosts, this one among them."""
-        return 1 + len(self.hosts.live(self.clock()))
+        """Return the number of hosts that share the work, this one among them."""
+        return max(1, len(self.active_hosts()))
 
     def adopt(self, configuration, stored, source):
         """Put a configuration in force, unless it is older than the one that is.
--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -22,6 +22,8 @@
 # Pauses between calls to a store that doesn't answer, in seconds: it is asked again
 # soon, since bounds count from its return, and by all hosts, which its rates must bear.
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.1, 0.5
+# How often a host that others watch for looks whether they still do, in seconds.
+IDLE_POLL_S = 0.2
 # Endpoints that are missing are dropped this often, in seconds.
 DROP_S = 0.2
 
@@ -49,11 +51,6 @@
         wait_s = bounds.stable_window_s + least_s - WATCH_RESERVE_S
         self._watch_s = min(WATCH_MAX_S, max(WATCH_MIN_S, wait_s))
 
-    @property
-    def is_connected(self):
-        """Whether the store answered the last calls of both kinds."""
-        return not self._lost
-
     async def start(self):
         """Begin to follow."""
         self._lost = {CONFIGURATION_KIND, ENDPOINTS_KIND}
@@ -76,6 +73,10 @@
         revision = None
         pause_s = FIRST_PAUSE_S
         while True:
+            if self._has_peers_that_watch():
+                revision = None
+                await asyncio.sleep(IDLE_POLL_S)
+                continue
             if revision is None:
                 result = await self._store.list(kind)
             else:
@@ -97,6 +98,15 @@
             take(found, revision is None)
             revision = found.revision
 
+    def _has_peers_that_watch(self):
+        """Say whether others watch for this host, which knows all that it needs."""
+        context = self._context
+        if context.configuration is None or context.watches_store():
+            return False
+        self._lost.clear()
+        context.sees_store = False
+        return True
+
     def _on_configurations(self, found, is_listing):
         if is_listing:
             stored = found.objects
@@ -126,6 +136,7 @@
         context.endpoints.revision = max(context.endpoints.revision, found.revision)
 
     def _on_lost(self, kind, error):
+        self._context.sees_store = False
         if kind in self._lost:
             return
         self._lost.add(kind)
@@ -143,6 +154,7 @@
         if kind not in self._lost:
             return
         self._lost.discard(kind)
+        self._context.sees_store = not self._lost
         context = self._context
         if kind == ENDPOINTS_KIND:
             context.endpoints.on_store_returned(context.clock())
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import socket
-import time
 
 import msgpack
 
@@ -20,12 +19,11 @@
 # Least time between two messages while the load changes, in seconds. A prompt is read
 # in a tenth of a second or more, so older counts still tell.
 CHANGED_S = 0.05
-# Time between two messages at rest, in seconds: three fit in the time after which a
-# host counts as silent.
-REST_S = 0.4
-# Hosts told at once; where there are more, each message goes to some of them, drawn
-# anew, which bounds the bytes a host sends.
-FANOUT_MAX = 12
+# Time between two messages at rest among the active hosts, and from and to the others,
+# in seconds. Sixty hosts that told each other all of it twice a second would spend a
+# hundredth of a core and ten times the bytes that control may take.
+REST_S = 0.45
+FAR_S = 1.0
 MAX_DATAGRAM_BYTES = 60_000
 # Placements told in one message; more wait for the next.
 MAX_PLACEMENTS = 64
@@ -45,9 +43,9 @@
         self._transport = None
         self._task = None
         self._beat = 0
-        self._started_ms = int(time.time() * 1000)
         self._told = None
-        self._told_s = 0.0
+        self._told_active_s = 0.0
+        self._told_all_s = 0.0
         self._unreadable = 0
 
     async def start(self):
@@ -68,8 +66,9 @@
             self._transport.close()
 
     def tell_now(self):
-        """Tell at once, as before a planned stop."""
-        self._tell(self._context.clock())
+        """Tell all hosts at once, as before a planned stop."""
+        now_s = self._context.clock()
+        self._tell(now_s, self._state(now_s), is_for_all=True)
 
     # Called by the transport
 
@@ -96,8 +95,15 @@
         while True:
             await asyncio.sleep(CHANGED_S)
             now_s = self._context.clock()
-            if now_s - self._told_s >= REST_S or self._state(now_s) != self._told:
-                self._tell(now_s)
+            state = self._state(now_s)
+            if now_s - self._told_all_s >= FAR_S or self._is_news(state):
+                self._tell(now_s, state, is_for_all=True)
+            elif now_s - self._told_active_s >= REST_S or state != self._told:
+                self._tell(now_s, state, is_for_all=False)
+
+    def _is_news(self, state):
+        """Say whether more has changed than the load."""
+        return self._told is None or state[:-1] != self._told[:-1]
 
     def _state(self, now_s):
         """Return what this host has to say now, but for the placements."""
@@ -112,45 +118,58 @@
                     round(state.own_late_tokens),
                     penalty,
                 )
-        return (context.is_ready, context.configuration_version, loads)
+        return (
+            context.is_ready,
+            context.configuration_version,
+            context.sees_store,
+            loads,
+        )
 
-    def _tell(self, now_s):
-        context, settings = self._context, self._context.settings
-        state = self._state(now_s)
-        self._told, self._told_s = state, now_s
+    def _tell(self, now_s, state, is_for_all):
+        """Tell the active hosts, and from time to time the others."""
+        context = self._context
+        active, others = self._targets()
+        self._told = state
+        self._told_active_s = now_s
         self._beat += 1
-        news = HostNews(
-            name=settings.name,
-            started_ms=self._started_ms,
-            beat=self._beat,
-            ip=settings.ip,
-            zone=settings.zone,
-            callers_address=settings.callers_address,
-            peers_address=settings.peers_address,
-            is_ready=state[0],
-            configuration_version=state[1],
-            endpoints_revision=context.endpoints.revision,
-        )
         placements = context.take_placements()[:MAX_PLACEMENTS]
-        data = msgpack.packb([FORMAT, list(news), state[2], placements])
+        is_active = any(
+            news.name == context.settings.name for news in context.active_hosts()
+        )
+        period_s = REST_S if is_active else FAR_S
+        if is_active or is_for_all:
+            self._send(active, period_s, state, placements)
+        if is_for_all:
+            self._told_all_s = now_s
+            # What the engines have under way is of use to the active hosts only.
+            self._send(others if is_active else (), FAR_S, (*state[:-1], {}), [])
+
+    def _send(self, ips, period_s, state, placements):
+        """Send one message to some hosts."""
+        if not ips:
+            return
+        context = self._context
+        news = context.own_news(self._beat, period_s)
+        data = msgpack.packb([FORMAT, list(news), state[-1], placements])
         if len(data) > MAX_DATAGRAM_BYTES:
             context.log("error", "gossip_too_large", bytes=len(data))
             return
-        for ip in self._targets():
-            self._transport.sendto(data, (ip, settings.first_peer_port))
+        for ip in ips:
+            self._transport.sendto(data, (ip, context.settings.first_peer_port))
 
     def _targets(self):
-        """Return the IPs of the hosts to tell now."""
+        """Return the IPs of the active hosts, and of the others."""
         context = self._context
-        known = list(context.hosts.addresses().values())
+        own_ip = context.settings.ip
+        known = set(context.hosts.addresses().values())
         if not known:
             # Nobody is known yet: the store may be away. The seeds may live.
-            known = [seed.rpartition(":")[0] for seed in context.settings.seeds]
-        known = [ip for ip in known if ip != context.settings.ip]
-        if len(known) <= FANOUT_MAX:
-            return known
-        known.sort(key=lambda _: context.draw())
-        return known[:FANOUT_MAX]
+            known = {seed.rpartition(":")[0] for seed in context.settings.seeds}
+        known.discard(own_ip)
+        active = {news.ip for news in context.active_hosts()} & known
+        if not active:
+            return known, set()
+        return active, known - active
 
     def _take(self, news, loads, placements):
         """Take in a peer's message."""
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -51,7 +51,7 @@
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
         self._follower = StoreFollower(self.context, self._store)
         self._registration = Registration(self.context, self._store)
-        self._peer_beliefs = PeerBeliefs(self.context, self._follower)
+        self._peer_beliefs = PeerBeliefs(self.context)
         self._gossip = Gossip(self.context)
         self._web = WebListeners(self.context)
         self._listener = CallerListener(create_handler(self.context), clock, log)
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -1,8 +1,8 @@
-"""What a host that can't read the store learns from its peers.
+"""What a host that doesn't read the store learns from its peers.
 
-Guards against a store that turns some hosts away while it serves the others and the
-operators: those hosts would go on by an old configuration, and send work to endpoints
-that have left.
+A few hosts watch the store for all. And a store may turn some hosts away while it
+serves the others and the operators: those hosts would go on by an old configuration,
+and send work to endpoints that have left.
 """
 
 import asyncio
@@ -17,7 +17,9 @@
 __all__ = ["PeerBeliefs"]
 
 # How often a host without the store looks whether a peer knows more, in seconds.
-ASK_S = 0.3
+ASK_S = 0.1
+# Least time between two questions to peers, in seconds.
+PAUSE_S = 0.2
 ANSWER_TIMEOUT_S = 0.5
 MAX_BYTES = 4 * 1024 * 1024
 
@@ -29,13 +31,10 @@
     ----------
     context : Context
         Takes what is learnt.
-    follower : StoreFollower
-        Tells whether the store answers.
     """
 
-    def __init__(self, context, follower):
+    def __init__(self, context):
         self._context = context
-        self._follower = follower
         self._session = None
         self._task = None
 
@@ -55,7 +54,7 @@
         context = self._context
         while True:
             await asyncio.sleep(ASK_S)
-            if self._follower.is_connected:
+            if context.sees_store:
                 continue
             ahead = context.hosts.ahead(
                 context.clock(),
@@ -66,6 +65,7 @@
                 continue
             peer = ahead[int(context.draw() * len(ahead))]
             await self._ask(peer)
+            await asyncio.sleep(PAUSE_S)
 
     async def _ask(self, peer):
         """Take over what one peer believes."""
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -79,9 +79,9 @@
 
     @app.get(RESOLVE_PATH)
     async def resolve(request):
-        addresses = context.hosts.for_callers(context.clock())
-        if context.is_ready or not addresses:
-            addresses.append(context.settings.callers_address)
+        addresses = [news.callers_address for news in context.active_hosts()]
+        if not addresses:
+            addresses = [context.settings.callers_address]
         addresses.sort(key=lambda _: context.draw())
         ttl_s = min(DIRECTORY_TTL_S, context.settings.bounds.directory_ttl_max_s)
         return json(encode_hosts(addresses, ttl_s))
--- a/libs/ports/gypsumusher_ports/hosts.py
+++ b/libs/ports/gypsumusher_ports/hosts.py
@@ -63,6 +63,10 @@
         For how long the store keeps its history, in seconds.
     heartbeat_s : float
         How often an endpoint renews its entry, in seconds.
+    cores : float
+        Cores that the process may use.
+    link_mbps : float
+        Bandwidth of the host's link.
     bounds : Bounds
         The operator's bounds.
     """
@@ -81,4 +85,6 @@
     store_address: str
     history_s: float
     heartbeat_s: float
+    cores: float
+    link_mbps: float
     bounds: Bounds
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -1,5 +1,6 @@
 """Decisions on a request's way to an endpoint, without input, output or a clock."""
 
+from gypsumusher_routing.active_hosts import choose_active, choose_watchers
 from gypsumusher_routing.endpoint_state import EndpointState, Load
 from gypsumusher_routing.endpoint_table import EndpointTable
 from gypsumusher_routing.engine_choice import (
@@ -10,7 +11,7 @@
 )
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
 from gypsumusher_routing.health import Health
-from gypsumusher_routing.hosts import HostNews, HostTable
+from gypsumusher_routing.hosts import HostNews, HostTable, capacity_of
 from gypsumusher_routing.prefixes import PrefixTable, chain_keys
 from gypsumusher_routing.retry_share import RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
@@ -41,11 +42,14 @@
     "RouteTable",
     "SOON",
     "TIMELY",
+    "capacity_of",
     "chain_keys",
+    "choose_active",
     "choose_decode",
     "choose_endpoint",
     "choose_lane",
     "choose_reading",
+    "choose_watchers",
     "first_event_limit_s",
     "pick_service",
     "reading_work",
--- /dev/null
+++ b/libs/routing/gypsumusher_routing/active_hosts.py
@@ -0,0 +1,58 @@
+"""Which hosts callers are sent to, and which of them watch the store.
+
+Made for many small hosts before one fleet of engines. Sixty hosts that each see a
+sixtieth of the load know little of what the engines have under way and keep, and open
+connections and watches sixty times over; and the weakest of them, with a link of a few
+Mbit/s, are as likely to be picked as the strongest. So callers are sent to a part of
+the hosts, the strong ones first, spread over the zones. The others stay ready: they
+serve whoever comes, and take a place as soon as a host falls silent.
+"""
+
+import zlib
+
+from gypsumusher_routing.hosts import HostNews
+
+__all__ = ["WATCHERS", "choose_active", "choose_watchers"]
+
+# With so many hosts or fewer all are active: losing any of them must not lose much.
+ACTIVE_MIN = 9
+# Part of the hosts that is active where there are more. At the two-year size 55 hosts
+# with 135 requests a second each use half of a core, at 4 ms a request.
+ACTIVE_PART = 1 / 6
+# Hosts that watch the store for all. Each watch is a call that is paid for and counts
+# against the store's rate; five bear the loss of some, and of the store for some.
+WATCHERS = 5
+
+
+def choose_active(hosts: list[HostNews]) -> list[HostNews]:
+    """Return the hosts that callers are sent to, in an order that all hosts agree on.
+
+    Parameters
+    ----------
+    hosts : list of HostNews
+        The live hosts that take callers.
+    """
+    count = max(ACTIVE_MIN, round(len(hosts) * ACTIVE_PART))
+    by_zone = {}
+    for host in hosts:
+        by_zone.setdefault(host.zone, []).append(host)
+    for zone_hosts in by_zone.values():
+        zone_hosts.sort(key=_order)
+    chosen = []
+    for place in range(len(hosts)):
+        for zone in sorted(by_zone):
+            if place < len(by_zone[zone]):
+                chosen.append(by_zone[zone][place])
+        if len(chosen) >= count:
+            break
+    return chosen
+
+
+def choose_watchers(active: list[HostNews]) -> list[HostNews]:
+    """Return those of the active hosts that watch the store."""
+    return active[:WATCHERS]
+
+
+def _order(host):
+    """Return the place of a host in its zone: the strong first, else by its name."""
+    return (-host.capacity, zlib.crc32(host.name.encode()))
--- a/libs/routing/gypsumusher_routing/hosts.py
+++ b/libs/routing/gypsumusher_routing/hosts.py
@@ -6,10 +6,11 @@
 
 from typing import NamedTuple
 
-__all__ = ["HostNews", "HostTable"]
+__all__ = ["HostNews", "HostTable", "capacity_of"]
 
-# Silence after which a host isn't named to callers, in seconds: several of its beats,
-# so that lost datagrams don't take a live host out.
+# Silence after which a host isn't named to callers: so many of its periods, and not
+# before the least time, in seconds, so that lost datagrams don't take a live host out.
+SILENT_PERIODS = 2.6
 SILENT_AFTER_S = 1.5
 # Silence after which it is forgotten, in seconds: a host that froze or was cut off is
 # back by then, and its record stands in the store in any case.
@@ -35,6 +36,12 @@
         The configuration that it has in force.
     endpoints_revision : int
         Revision of the endpoints that it knows.
+    capacity : float
+        Work that it can do, in whole classes of hosts; see `capacity_of`.
+    sees_store : bool
+        Whether the store answers it.
+    period_s : float
+        After how long its next message comes at the latest, in seconds.
     """
 
     name: str
@@ -47,6 +54,23 @@
     is_ready: bool
     configuration_version: int
     endpoints_revision: int
+    capacity: float
+    sees_store: bool
+    period_s: float
+
+
+def capacity_of(cores: float, link_mbps: float) -> float:
+    """Return how strong a host is, in steps, so that like hosts count alike.
+
+    Parameters
+    ----------
+    cores : float
+        Cores that its process may use.
+    link_mbps : float
+        Bandwidth of its link. A request carries tens of kB twice, so some ten
+        requests a second take 5 Mbit/s.
+    """
+    return min(2.0, float(int(cores * 2)) / 2.0, float(int(link_mbps / 20.0)))
 
 
 class HostTable:
@@ -103,14 +127,11 @@
         """Return the hosts that were heard of late."""
         found = []
         for name, news in self._news.items():
-            if now_s - self._heard_s[name] <= SILENT_AFTER_S:
+            silent_s = max(SILENT_AFTER_S, SILENT_PERIODS * news.period_s)
+            if now_s - self._heard_s[name] <= silent_s:
                 found.append(news)
         return found
 
-    def for_callers(self, now_s: float) -> list[str]:
-        """Return the callers' addresses of the other hosts to use."""
-        return [news.callers_address for news in self.live(now_s) if news.is_ready]
-
     def ahead(self, now_s: float, version: int, revision: int) -> list[HostNews]:
         """Return the live hosts that know a newer configuration or newer endpoints."""
         found = []
