--- a/libs/entry/gypsumusher_entry/errors.py
+++ b/libs/entry/gypsumusher_entry/errors.py
@@ -2,7 +2,7 @@
 
 from gypsumusher_ports import GypsumusherError
 
-__all__ = ["EndpointError"]
+__all__ = ["EndpointError", "OverloadedError"]
 
 
 class EndpointError(GypsumusherError):
@@ -27,3 +27,20 @@
         self.peer = peer
         self.reason = reason
         self.may_have_run = may_have_run
+
+
+class OverloadedError(GypsumusherError):
+    """No endpoint would begin in time; nothing was sent.
+
+    Parameters
+    ----------
+    expected_s : float
+        When an endpoint would begin, in seconds.
+    limit_s : float
+        Until when it must, in seconds.
+    """
+
+    def __init__(self, expected_s, limit_s):
+        super().__init__(f"expected_s={expected_s:.2f} limit_s={limit_s:.2f}")
+        self.expected_s = expected_s
+        self.limit_s = limit_s
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError
+from gypsumusher_entry.errors import EndpointError, OverloadedError
 from gypsumusher_entry.service_exchange import serve_from_service
 from gypsumusher_entry.stream_exchange import serve_stream
 from gypsumusher_platform import encode_refusal
@@ -17,6 +17,10 @@
 # When to come back when no endpoint is known or well, in seconds: entries and crashed
 # endpoints are back within a few seconds.
 NO_ENDPOINT_RETRY_S = 1.0
+# Part of its limit in which a request that comes back should begin, and the least
+# time until then, in seconds.
+OVERLOAD_PART = 0.5
+LEAST_RETRY_S = 0.3
 # Time left to a caller that is too short for any work, in seconds.
 LEAST_PATIENCE_S = 0.005
 # What the way back takes, in seconds: an endpoint must not work on for an answer that
@@ -164,6 +168,11 @@
         # endpoint still does.
         status = 504 if exchange.may_have_run else 503
         exchange.refuse(status, "timeout", NO_ENDPOINT_RETRY_S)
+    except OverloadedError as error:
+        exchange.log("info", "request_refused", reason="overloaded", detail=error)
+        # By then the backlog has gone so far that it would begin within its limit.
+        wait_s = error.expected_s - OVERLOAD_PART * error.limit_s
+        exchange.refuse(503, "overloaded", max(LEAST_RETRY_S, wait_s))
     except EndpointError as error:
         exchange.refuse(503, error.reason, NO_ENDPOINT_RETRY_S)
 
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError
+from gypsumusher_entry.errors import EndpointError, OverloadedError
 from gypsumusher_entry.sending import note_failure, open_send
 from gypsumusher_platform import decode_prefill, encode_free_handle
 from gypsumusher_ports import DecodeError, Send
-from gypsumusher_routing import LATE, choose_reading, urgency_of
+from gypsumusher_routing import HOPELESS, LATE, choose_reading, urgency_of
 
 __all__ = ["Prompt", "read_prompt"]
 
@@ -81,6 +81,11 @@
     -------
     Prompt or None
         None when the engine that makes the tokens is to read it.
+
+    Raises
+    ------
+    OverloadedError
+        When no engine would begin before the caller gives up.
     """
     context = exchange.context
     tried = set()
@@ -97,7 +102,11 @@
             exchange.limit_left_s,
             context.draw,
         )
-        if reading is None or not reading.is_apart:
+        if reading is None:
+            return None
+        if reading.lane == HOPELESS:
+            raise OverloadedError(reading.expected_s, exchange.limit_left_s)
+        if not reading.is_apart:
             return None
         if tried and not _may_ask_again(exchange):
             return None
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -17,6 +17,7 @@
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.urgency import (
+    HOPELESS,
     LATE,
     SOON,
     TIMELY,
@@ -32,6 +33,7 @@
     "EventSplitter",
     "Health",
     "HostNews",
+    "HOPELESS",
     "HostTable",
     "LATE",
     "Load",
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -1,6 +1,14 @@
 """In which order engines read prompts: who passes whom, and until when one may wait."""
 
-__all__ = ["LATE", "SOON", "TIMELY", "choose_lane", "first_event_limit_s", "urgency_of"]
+__all__ = [
+    "HOPELESS",
+    "LATE",
+    "SOON",
+    "TIMELY",
+    "choose_lane",
+    "first_event_limit_s",
+    "urgency_of",
+]
 
 # A prompt that can still be on time.
 TIMELY = "timely"
@@ -9,6 +17,9 @@
 # One that can't be on time, and can wait.
 LATE = "late"
 
+# One that its caller would give up before it is read, in whatever order.
+HOPELESS = "hopeless"
+
 # Engines take 0, first, to 9, and serve the more urgent first. The ends stay free for
 # operators' own tools.
 FIRST_URGENCY = 2
@@ -26,6 +37,9 @@
 FAIR_PART = 0.35
 # Part of that time in which the first event has to be expected; expectations err.
 USED_PART = 0.8
+# A prompt counts as hopeless when its expected time is over its limit by this factor.
+# Expectations err, and one that is refused for nothing is served late at best.
+HOPELESS_FACTOR = 1.1
 # Time of one output token, in seconds, as a batch of ten streams makes them beside
 # prompts that are read between.
 TOKEN_S = 0.01
@@ -96,6 +110,8 @@
         return TIMELY
     if late_s <= limit_left_s:
         return LATE
+    if timely_s > HOPELESS_FACTOR * limit_left_s:
+        return HOPELESS
     return SOON
 
 
