Count no harm for short readings at decode engines

Cause: with two decode engines down, checks of 1,460 tokens queued at prefill engines until their callers left (2.4 s), since each running stream counted against reading them directly.

--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -28,6 +28,9 @@
 # Harm that a reading at a decode engine does: its pieces go between the tokens of all
 # that run there, each of which is late by part of the reading's time.
 HARM_PER_RUN = 0.5
+# A reading of this length does none, in seconds: streams end well before their
+# deadlines, and a pause of a few pieces is within what routes allow.
+HARMLESS_S = 0.08
 # Part of a prompt's shared tokens that is believed to be kept at its home when this
 # host knows nothing of them: other hosts have sent it there if they saw it before.
 HOME_BELIEF = 0.5
@@ -152,7 +155,7 @@
         expected_s = late_s if lane == LATE else timely_s
         cost_s = expected_s + PENALTY_S * state.health.penalty(now_s)
         if not is_apart:
-            cost_s += HARM_PER_RUN * load.running * work / rate
+            cost_s += HARM_PER_RUN * load.running * max(0.0, work / rate - HARMLESS_S)
         key = (round(cost_s / EVEN_S), draw())
         if best_key is None or key < best_key:
             best = Reading(state, is_apart, kept, work, expected_s, fetch_from, lane)
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -39,7 +39,7 @@
 USED_PART = 0.8
 # A prompt counts as hopeless when its expected time is over its limit by this factor.
 # Expectations err, and one that is refused for nothing is served late at best.
-HOPELESS_FACTOR = 1.1
+HOPELESS_FACTOR = 1.0
 # Time of one output token, in seconds, as a batch of ten streams makes them beside
 # prompts that are read between.
 TOKEN_S = 0.01
