--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import signal
 import sys
 
@@ -74,6 +75,8 @@
         await host.close()
         raise StartError(f"step=listen {error}; free the address") from error
     check_no_ring()
+    # What was loaded stays; collections need not look at it again.
+    gc.freeze()
     log("info", "ready", version=host.context.configuration_version)
     await stop.wait()
     await host.stop()
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Context"]
 
+# For how long callers keep the list of hosts, in seconds. A stop waits for three times
+# as long, and a dead host is tried for that long; each caller asks once in this time.
+DIRECTORY_TTL_S = 1.0
 # The active hosts are chosen anew this often, in seconds: a host is silent for longer
 # before it counts as dead, and the choice costs a sort of all hosts.
 ACTIVE_KEPT_S = 0.2
@@ -170,6 +173,10 @@
         )
         return True
 
+    def directory_ttl_s(self):
+        """Return for how long callers may keep the list of hosts, in seconds."""
+        return min(DIRECTORY_TTL_S, self.settings.bounds.directory_ttl_max_s)
+
     def retry_share(self, service):
         """Return this host's share of the retries of a service."""
         share = self._retry_shares.get(service)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -10,7 +10,6 @@
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.peer_beliefs import PeerBeliefs
 from gypsumusher_entry.registration import Registration
-from gypsumusher_entry.web import DIRECTORY_TTL_S, WebListeners
 from gypsumusher_platform import StoreClient
 
 __all__ = ["EntryHost"]
@@ -27,6 +26,8 @@
 # seconds: a refused connection sends a caller on at once, while a refusal costs it one
 # of its few tries; but with the store away everywhere, somebody has to answer.
 START_PATIENCE_S = 3.0
+# The store answers in milliseconds when it answers.
+FIRST_WAIT_S = 0.3
 POLL_S = 0.02
 
 
@@ -53,7 +54,7 @@
         self._registration = Registration(self.context, self._store)
         self._peer_beliefs = PeerBeliefs(self.context)
         self._gossip = Gossip(self.context)
-        self._web = WebListeners(self.context)
+        self._web = None
         self._listener = CallerListener(create_handler(self.context), clock, log)
 
     async def start(self):
@@ -71,6 +72,27 @@
         )
         await self._store.start()
         await self._gossip.start()
+        await self._follower.start()
+        await self._registration.start()
+        await self._peer_beliefs.start()
+        # After the loss of all hosts each tenth of a second here costs callers their
+        # requests, and loading the web library takes about that long: where the
+        # configuration comes at once, callers are taken first.
+        bound = None
+        if not await self._wait_for_configuration(FIRST_WAIT_S):
+            bound = await self._start_web()
+            await self._wait_for_configuration(START_PATIENCE_S)
+        ip, _, port = settings.callers_address.rpartition(":")
+        real_port = await self._listener.start(ip, int(port))
+        self._gossip.tell_now()
+        bound = bound or await self._start_web()
+        return {"callers": f"{ip}:{real_port}", **bound}
+
+    async def _start_web(self):
+        """Start the other listeners; return their addresses by name."""
+        from gypsumusher_entry.web import WebListeners
+
+        settings = self.context.settings
         addresses = [
             settings.ready_address,
             settings.directory_address,
@@ -78,20 +100,9 @@
         ]
         if self._metrics_port is not None:
             addresses.append(f"{settings.ip}:{self._metrics_port}")
+        self._web = WebListeners(self.context)
         bound = await self._web.start(addresses)
-        await self._follower.start()
-        await self._registration.start()
-        await self._peer_beliefs.start()
-        await self._wait_for_configuration()
-        ip, _, port = settings.callers_address.rpartition(":")
-        real_port = await self._listener.start(ip, int(port))
-        self._gossip.tell_now()
-        return {
-            "callers": f"{ip}:{real_port}",
-            "ready": bound[0],
-            "directory": bound[1],
-            "peers": bound[2],
-        }
+        return dict(zip(("ready", "directory", "peers"), bound[:3], strict=True))
 
     def reload(self, settings):
         """Take over bounds and seeds; addresses stay until the next start.
@@ -129,7 +140,7 @@
         self._listener.is_leaving = True
         self._gossip.tell_now()
         self.log("info", "stop_began", busy=self._listener.busy())
-        kept_s = DIRECTORY_KEPT_FACTOR * DIRECTORY_TTL_S
+        kept_s = DIRECTORY_KEPT_FACTOR * context.directory_ttl_s()
         await asyncio.sleep(min(kept_s, bounds.stop_s / 2.0))
         self._listener.stop_accepting()
         while self._listener.busy() and context.clock() < ends_s:
@@ -150,21 +161,24 @@
         await self._registration.close()
         await self._follower.close()
         await self._gossip.close()
-        await self._web.close()
+        if self._web is not None:
+            await self._web.close()
         await self.context.close()
         await self._store.close()
 
-    async def _wait_for_configuration(self):
-        """Wait until this host knows what to do with a request."""
+    async def _wait_for_configuration(self, patience_s):
+        """Wait until this host knows what to do with a request; say whether it does."""
         context = self.context
-        until_s = context.clock() + START_PATIENCE_S
+        until_s = context.clock() + patience_s
         while context.clock() < until_s:
             if context.configuration is not None and context.endpoints.states:
-                return
+                return True
             await asyncio.sleep(POLL_S)
         self.log(
             "warning",
-            "started_blind",
+            "configuration_missing",
             version=context.configuration_version,
             endpoints=len(context.endpoints.states),
+            waited_s=patience_s,
         )
+        return False
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -11,11 +11,12 @@
 import msgpack
 
 from gypsumusher_entry.following import take_configuration
-from gypsumusher_entry.web import BELIEFS_PATH
 from gypsumusher_ports import EndpointRecord, StoredObject
 
-__all__ = ["PeerBeliefs"]
+__all__ = ["BELIEFS_PATH", "PeerBeliefs"]
 
+# Where one host tells another what it believes.
+BELIEFS_PATH = "/v1/beliefs"
 # How often a host without the store looks whether a peer knows more, in seconds.
 ASK_S = 0.1
 # Least time between two questions to peers, in seconds.
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -7,15 +7,11 @@
 from sanic import Sanic
 from sanic.response import json, raw
 
+from gypsumusher_entry.peer_beliefs import BELIEFS_PATH
 from gypsumusher_platform import READY_PATH, RESOLVE_PATH, encode_hosts
 
-__all__ = ["BELIEFS_PATH", "WebListeners"]
+__all__ = ["WebListeners"]
 
-# What one host tells another that can't read the store.
-BELIEFS_PATH = "/v1/beliefs"
-# For how long callers keep the list of hosts, in seconds. A stop waits for that long,
-# and a dead host is tried for that long; each caller asks once in this time.
-DIRECTORY_TTL_S = 1.0
 BACKLOG = 256
 _numbers = itertools.count()
 
@@ -83,7 +79,7 @@
         if not addresses:
             addresses = [context.settings.callers_address]
         addresses.sort(key=lambda _: context.draw())
-        ttl_s = min(DIRECTORY_TTL_S, context.settings.bounds.directory_ttl_max_s)
+        ttl_s = context.directory_ttl_s()
         return json(encode_hosts(addresses, ttl_s))
 
     @app.get(BELIEFS_PATH)
