--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -195,20 +195,20 @@
         limit = self.configuration.services[service].max_connections
         return int(0.9 * limit / self.hosts_count())
 
-    def note_placement(self, state, keys, parts, wait_s=0.0):
+    def note_placement(self, state, parts, wait_s=0.0):
         """Note that an engine keeps parts of a prompt, here and for the peers.
 
         Parameters
         ----------
         state : EndpointState
             The engine.
-        keys, parts : sequence
-            The prompt's parts with their keys. The last one is the request's own, and
-            is told to nobody: only its session could ask for it again.
+        parts : sequence of PromptPart
+            The prompt's parts. The last one is the request's own, and is told to
+            nobody: only its session could ask for it again.
         wait_s : float
             Time until they are read, in seconds; 0 when they are.
         """
-        chain = [[key, part.tokens] for key, part in zip(keys, parts, strict=True)]
+        chain = [[part.part_id, part.tokens] for part in parts]
         shared = chain[:-1]
         if wait_s:
             state.prefixes.note_coming(shared, self.clock() + wait_s)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -7,6 +7,7 @@
 from gypsumusher_entry.exchange import create_handler
 from gypsumusher_entry.following import StoreFollower
 from gypsumusher_entry.gossip import Gossip
+from gypsumusher_entry.kept_parts import KeptParts
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.peer_beliefs import PeerBeliefs
 from gypsumusher_entry.registration import Registration
@@ -54,6 +55,7 @@
         self._registration = Registration(self.context, self._store)
         self._peer_beliefs = PeerBeliefs(self.context)
         self._gossip = Gossip(self.context)
+        self._kept_parts = KeptParts(self.context)
         self._web = None
         self._listener = CallerListener(create_handler(self.context), clock, log)
 
@@ -85,6 +87,7 @@
         ip, _, port = settings.callers_address.rpartition(":")
         real_port = await self._listener.start(ip, int(port))
         self._gossip.tell_now()
+        await self._kept_parts.start()
         bound = bound or await self._start_web()
         return {"callers": f"{ip}:{real_port}", **bound}
 
@@ -158,6 +161,7 @@
         """Close all parts at once."""
         await self._listener.close()
         await self._peer_beliefs.close()
+        await self._kept_parts.close()
         await self._registration.close()
         await self._follower.close()
         await self._gossip.close()
--- /dev/null
+++ b/libs/entry/gypsumusher_entry/kept_parts.py
@@ -0,0 +1,86 @@
+"""What engines keep, asked of them once by a host that has just started.
+
+Guards against a loss of all hosts, or of one, that costs as much as a loss of the
+engines' caches: the engines keep their parts, but a new process knows of none, and
+would have them read again on whatever engine is idle.
+"""
+
+import asyncio
+
+from gypsumusher_entry.errors import EndpointError
+from gypsumusher_platform import decode_kept_parts, encode_kept_parts_call
+from gypsumusher_ports import DecodeError
+
+__all__ = ["KeptParts"]
+
+# Engines that are on record this long after the start are asked, in seconds; one that
+# comes later is new itself and keeps nothing.
+ASKED_FOR_S = 3.0
+POLL_S = 0.1
+ANSWER_TIMEOUT_S = 1.0
+
+
+class KeptParts:
+    """Asks each engine once for its list.
+
+    Parameters
+    ----------
+    context : Context
+        Takes what the engines say.
+    """
+
+    def __init__(self, context):
+        self._context = context
+        self._asked = set()
+        self._task = None
+
+    async def start(self):
+        """Begin to ask, unless the engines are as new as this host."""
+        if not self._context.settings.is_first_start:
+            self._task = asyncio.ensure_future(self._run())
+
+    async def close(self):
+        """Stop asking."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self):
+        context = self._context
+        until_s = context.clock() + ASKED_FOR_S
+        while context.clock() < until_s:
+            # The call delays an engine's work, so only hosts that use it ask.
+            names = [news.name for news in context.active_hosts()]
+            if context.settings.name in names:
+                for state in list(context.endpoints.states.values()):
+                    if state.record.stage is None:
+                        continue
+                    if state.record.incarnation not in self._asked:
+                        self._asked.add(state.record.incarnation)
+                        context.spawn(self._ask(state))
+            await asyncio.sleep(POLL_S)
+
+    async def _ask(self, state):
+        """Take over what one engine keeps."""
+        context, record = self._context, state.record
+        answer = None
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                limit = context.connections_max(record.service)
+                connection = await context.pool.acquire(record, limit)
+                answer = connection.send(encode_kept_parts_call(record.address), None)
+                parts = decode_kept_parts(record.endpoint_id, await answer.body())
+        except (EndpointError, DecodeError, TimeoutError) as error:
+            # Without its list the engine is used as if it kept nothing.
+            context.log(
+                "info",
+                "kept_parts_unknown",
+                endpoint=record.endpoint_id,
+                error=str(error) or "timeout",
+            )
+            return
+        finally:
+            if answer is not None:
+                answer.close()
+        state.prefixes.note(parts)
+        context.log("info", "kept_parts", endpoint=record.endpoint_id, parts=len(parts))
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -65,15 +65,13 @@
                 answer.close()
 
 
-async def read_prompt(exchange, keys, limits):
+async def read_prompt(exchange, limits):
     """Have the prompt read apart, where that is expected to be done first.
 
     Parameters
     ----------
     exchange : Exchange
         The request.
-    keys : tuple of int
-        Keys of the prompt's parts.
     limits : EngineLimits
         What the engines have in common.
 
@@ -96,7 +94,6 @@
             context.clock(),
             states,
             exchange.request.generation,
-            keys,
             limits,
             exchange.objective_left_s,
             exchange.limit_left_s,
@@ -111,7 +108,7 @@
         if tried and not _may_ask_again(exchange):
             return None
         tried.add(reading.state.record.endpoint_id)
-        prompt = await _read_at(exchange, reading, keys)
+        prompt = await _read_at(exchange, reading)
         if prompt is not None:
             return prompt
     return None
@@ -124,7 +121,7 @@
     return share.take(context.clock(), context.hosts_count())
 
 
-async def _read_at(exchange, reading, keys):
+async def _read_at(exchange, reading):
     """Have one engine read the prompt; None when it doesn't."""
     context, state = exchange.context, reading.state
     send = Send(
@@ -140,7 +137,7 @@
     state.own_running += 1
     state.add_reading(reading.work_tokens, reading.lane)
     parts = exchange.request.generation.parts
-    context.note_placement(state, keys, parts, wait_s=reading.expected_s)
+    context.note_placement(state, parts, wait_s=reading.expected_s)
     limit_s = max(LEAST_SILENCE_S, SILENCE_FACTOR * reading.expected_s)
     try:
         async with asyncio.timeout(limit_s):
@@ -158,7 +155,7 @@
     took_s = context.clock() - began_s
     state.on_read(reading.work_tokens, queued_tokens, took_s)
     state.health.on_success(context.clock())
-    context.note_placement(state, keys, parts)
+    context.note_placement(state, parts)
     exchange.log(
         "info",
         "prompt_read",
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -9,7 +9,6 @@
 from gypsumusher_routing import (
     TIMELY,
     EventSplitter,
-    chain_keys,
     choose_decode,
     choose_endpoint,
     choose_reading,
@@ -52,9 +51,6 @@
         self._generation = exchange.request.generation
         service = exchange.context.configuration.services.get(exchange.service)
         self._limits = None if service is None else service.engine
-        self._keys = ()
-        if self._generation is not None:
-            self._keys = chain_keys(self._generation.parts)
         self._tried = set()
         self._prompt = None
         self._last_event_id = exchange.request.last_event_id
@@ -65,7 +61,7 @@
         exchange, context = self._exchange, self._context
         context.retry_share(exchange.service).on_first(context.clock())
         if self._is_generation():
-            self._prompt = await read_prompt(exchange, self._keys, self._limits)
+            self._prompt = await read_prompt(exchange, self._limits)
         error = None
         while exchange.sends < MAX_SENDS:
             state, reading = self._choose()
@@ -110,7 +106,6 @@
             now_s,
             decodes,
             self._generation,
-            self._keys,
             self._limits,
             exchange.objective_left_s,
             exchange.limit_left_s,
@@ -215,7 +210,7 @@
         """Write one whole event."""
         exchange = self._exchange
         if not run.is_begun:
-            run.on_first_event(self._context, self._generation, self._keys)
+            run.on_first_event(self._context, self._generation)
         if not exchange.reply.is_started:
             exchange.first_s = self._context.clock()
             exchange.reply.start(head.status, head.headers)
@@ -249,13 +244,13 @@
         self.state.own_running += 1
         self.state.add_reading(self._read_tokens, self._lane)
 
-    def on_first_event(self, context, generation, keys):
+    def on_first_event(self, context, generation):
         """Note that the prompt is read, and is kept there now."""
         self.is_begun = True
         self.state.add_reading(-self._read_tokens, self._lane)
         self._read_tokens = 0.0
         if generation is not None:
-            context.note_placement(self.state, keys, generation.parts)
+            context.note_placement(self.state, generation.parts)
 
     def end(self):
         """Take the run out of the counts."""
--- a/libs/ports/gypsumusher_ports/hosts.py
+++ b/libs/ports/gypsumusher_ports/hosts.py
@@ -63,6 +63,8 @@
         For how long the store keeps its history, in seconds.
     heartbeat_s : float
         How often an endpoint renews its entry, in seconds.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     cores : float
         Cores that the process may use.
     link_mbps : float
@@ -85,6 +87,7 @@
     store_address: str
     history_s: float
     heartbeat_s: float
+    is_first_start: bool
     cores: float
     link_mbps: float
     bounds: Bounds
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -12,7 +12,7 @@
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.hosts import HostNews, HostTable, capacity_of
-from gypsumusher_routing.prefixes import PrefixTable, chain_keys
+from gypsumusher_routing.prefixes import PrefixTable
 from gypsumusher_routing.retry_share import RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
@@ -45,7 +45,6 @@
     "SOON",
     "TIMELY",
     "capacity_of",
-    "chain_keys",
     "choose_active",
     "choose_decode",
     "choose_endpoint",
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -93,7 +93,6 @@
     now_s: float,
     states: list[EndpointState],
     generation: Generation,
-    keys: tuple[int, ...],
     limits: EngineLimits,
     objective_left_s: float,
     limit_left_s: float,
@@ -109,8 +108,6 @@
         Engines of the service that may get work.
     generation : Generation
         The request.
-    keys : tuple of int
-        Keys of its parts.
     limits : EngineLimits
         What the engines have in common.
     objective_left_s, limit_left_s : float
@@ -122,17 +119,17 @@
     if not decodes:
         return None
     hand_over_s = HAND_OVER_S + _transfer_s(generation.prompt_tokens, limits)
-    home = _home_of(states, keys)
+    home = _home_of(states, generation.parts)
     kept_by_id = {}
     for state in states:
-        kept = state.prefixes.kept_tokens(keys, generation.parts, now_s)
+        kept = state.prefixes.kept_tokens(generation.parts, now_s)
         if not kept and state is home:
             kept = int(_shared_tokens(generation) * HOME_BELIEF)
         kept_by_id[state.record.endpoint_id] = kept
-    chance = _chance_of(keys)
+    chance = _chance_of(generation.parts)
     # Fetching from an engine that has gone silent would hold the reading up.
     sound = _sound(now_s, states)
-    holder, held = _holder_of(sound, keys, generation.parts)
+    holder, held = _holder_of(sound, generation.parts)
     best, best_key = None, None
     for state in sound:
         kept = kept_by_id[state.record.endpoint_id]
@@ -208,11 +205,11 @@
     return tokens * limits.kv_token_bytes * 8.0 / limits.link_bits_per_s
 
 
-def _holder_of(states, keys, parts):
+def _holder_of(states, parts):
     """Return the engine that keeps most of a prompt, and how many tokens of it."""
     holder, held = None, 0
     for state in states:
-        kept = state.prefixes.kept_tokens(keys, parts)
+        kept = state.prefixes.kept_tokens(parts)
         if kept > held:
             holder, held = state, kept
     return holder, held
@@ -226,11 +223,11 @@
     return HAND_OVER_S / 2.0 + transfer_s
 
 
-def _chance_of(keys):
+def _chance_of(parts):
     """Return a number from 0 up to 1 that a request has at each of its choices."""
-    if not keys:
+    if not parts:
         return 1.0
-    return (keys[-1] % 9973) / 9973.0
+    return (parts[-1].part_id % 9973) / 9973.0
 
 
 def _shared_tokens(generation):
@@ -238,15 +235,15 @@
     return sum(part.tokens for part in generation.parts[:-1])
 
 
-def _home_of(states, keys):
+def _home_of(states, parts):
     """Return the prefill engine on which all hosts look for a prompt's shared parts.
 
     Rendezvous hashing of the last shared part: no messages, and an engine that leaves
     moves only its own parts.
     """
-    if len(keys) < 2:
+    if len(parts) < 2:
         return None
-    shared = keys[-2]
+    shared = parts[-2].part_id
     best, best_weight = None, -1
     for state in states:
         if state.record.stage != "prefill":
--- a/libs/routing/gypsumusher_routing/prefixes.py
+++ b/libs/routing/gypsumusher_routing/prefixes.py
@@ -2,29 +2,11 @@
 
 from collections import OrderedDict
 
-from gypsumusher_ports import PromptPart
-
-__all__ = ["PrefixTable", "chain_keys"]
+__all__ = ["PrefixTable"]
 
 # Share of an engine's memory that is counted on for kept parts: what runs needs memory
 # too, and an engine gives up the least recently used parts for it.
 KEPT_SHARE = 0.8
-_KEY_BITS = (1 << 61) - 1
-_KEY_FACTOR = 0x9E3779B97F4A7C15
-
-
-def chain_keys(parts: tuple[PromptPart, ...]) -> tuple[int, ...]:
-    """Return a key for each part that also stands for all parts before it.
-
-    A part that is kept is of use only if all parts before it are kept too, so the key
-    of the same part behind another one must differ. All hosts get the same keys.
-    """
-    keys = []
-    key = 0
-    for part in parts:
-        key = ((key ^ part.part_id) * _KEY_FACTOR + part.tokens) & _KEY_BITS
-        keys.append(key)
-    return tuple(keys)
 
 
 class PrefixTable:
@@ -51,14 +33,12 @@
     def __len__(self):
         return len(self._kept)
 
-    def note(self, keys, parts) -> None:
+    def note(self, parts) -> None:
         """Note that the engine has read, or got, the parts of a prompt."""
-        self.note_chain(
-            [key, part.tokens] for key, part in zip(keys, parts, strict=True)
-        )
+        self.note_chain([part.part_id, part.tokens] for part in parts)
 
     def note_chain(self, chain) -> None:
-        """Note parts given as pairs of key and tokens, in their order."""
+        """Note parts given as pairs of id and tokens, in their order."""
         for key, tokens in chain:
             if key in self._kept:
                 self._kept.move_to_end(key)
@@ -84,33 +64,30 @@
             key: until_s for key, until_s in self._coming_s.items() if until_s > now_s
         }
 
-    def forget(self, keys) -> None:
-        """Note that parts are not there after all."""
-        for key in keys:
-            self._tokens -= self._kept.pop(key, 0)
-
     def clear(self) -> None:
         """Forget all, as the engine has."""
         self._kept.clear()
         self._coming_s.clear()
         self._tokens = 0
 
-    def kept_tokens(self, keys, parts, coming_after_s=None) -> int:
+    def kept_tokens(self, parts, coming_after_s=None) -> int:
         """Return how many tokens at the start of a prompt the engine keeps.
 
+        A part is of use only if all parts before it are kept too.
+
         Parameters
         ----------
-        keys, parts : sequence
-            The prompt's parts with their keys.
+        parts : sequence of PromptPart
+            The prompt's parts.
         coming_after_s : float or None
             The present time, when parts that are being read count too.
         """
         tokens = 0
-        for key, part in zip(keys, parts, strict=True):
-            if key not in self._kept:
+        for part in parts:
+            if part.part_id not in self._kept:
                 if coming_after_s is None:
                     break
-                if self._coming_s.get(key, 0.0) <= coming_after_s:
+                if self._coming_s.get(part.part_id, 0.0) <= coming_after_s:
                     break
             tokens += part.tokens
         return tokens
