--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -8,7 +8,7 @@
 from replies import ScriptedEndpoint, answer_to, request_id_of
 
 from gypsumusher_entry.host import EntryHost
-from gypsumusher_ports import Bounds, HostSettings, PromptPart
+from gypsumusher_ports import Bounds, HostSettings
 from gypsumusher_standins.object_store import ObjectStore
 
 BOUNDS = Bounds(2.0, 2.0, 8.0, 3.0, 3.0, 0.3, 0.2, 54.0, 10.0, 5.0, False)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -31,6 +31,48 @@
 
 
 def test_decision_logic_does_no_input_or_output():
-    for library in ("policy", "coordination"):
+    for library in ("policy", "coordination", "routing", "ports"):
         for path in (ROOT / "libs" / library).glob("gypsumusher_*/*.py"):
             assert not BANNED & set(imported_modules(path)), path
+
+
+# Names that only the adapter of the users' platform may know.
+WIRE_NAMES = (
+    "X-Gypsumusher-",
+    "x-gypsumusher-",
+    "kv_",
+    "path_prefix",
+    "goal_ms",
+    "timeout_ms",
+    "drain_ms",
+    "grace_s",
+    "/v1/objects",
+    "/v1/kv-",
+    "/v1/order",
+    "/v1/resolve",
+    "/v1/readyz",
+)
+# The product's own field names that begin as one on the wire does.
+OWN_NAMES = ("kv_tokens", "kv_token_bytes", "kv_source", "kv_fetch", "path_prefix")
+
+
+def test_only_the_adapter_knows_the_platform_s_names():
+    # A name of the wire that spreads has to be changed everywhere when the wire does,
+    # and is decoded twice, in two ways, long before.
+    for library in ("ports", "routing", "entry", "process"):
+        for path in (ROOT / "libs" / library).glob("gypsumusher_*/*.py"):
+            text = path.read_text()
+            for name in OWN_NAMES:
+                text = text.replace(name, "")
+            found = [name for name in WIRE_NAMES if name in text]
+            assert not found, (path, found)
+
+
+def test_the_adapter_is_small_and_decides_nothing():
+    lines = 0
+    for path in (ROOT / "platform" / "gypsumusher_platform").glob("*.py"):
+        lines += len(path.read_text().splitlines())
+        for name in imported_modules(path):
+            is_own = not name.startswith("gypsumusher_")
+            assert is_own or name in ("gypsumusher_platform", "gypsumusher_ports"), path
+    assert lines < 2000
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,284 @@
+"""What comes over the platform's wire, well formed or not."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumusher_platform import (
+    decode_configuration,
+    decode_endpoint,
+    decode_head,
+    decode_kept_parts,
+    decode_prefill,
+    decode_request,
+    decode_settings,
+    encode_refusal,
+    encode_send,
+    encode_stage_order,
+)
+from gypsumusher_ports import (
+    AT_MOST_ONCE,
+    STREAM,
+    DecodeError,
+    EndpointRecord,
+    PromptPart,
+    Refusal,
+    Send,
+    ServiceShare,
+    StoredObject,
+)
+
+ENTRY = {
+    "service": "svc",
+    "addr": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "warmup_left_ms": 250,
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1_700_000_000_000,
+}
+ROUTE = {
+    "name": "r",
+    "host": "Shop.Example",
+    "path_prefix": "/a/",
+    "kind": "stream",
+    "timeout_ms": 4000,
+    "goal_ms": 600,
+    "priority": 1,
+    "service": "svc",
+    "attempts": 2,
+    "sticky": True,
+    "resumable": True,
+    "gap_target_ms": 300,
+}
+SERVICE = {
+    "name": "svc",
+    "health_path": "/healthz",
+    "max_conns": 360,
+    "engine": {
+        "slots": 64,
+        "kv_tokens": 451_179,
+        "kv_token_bytes": 35_136,
+        "link_mbps": 740_000.0,
+        "handle_ttl_s": 5.0,
+        "switch_s": 3.0,
+    },
+}
+CONFIGURATION = {"version": 7, "routes": [ROUTE], "services": [SERVICE], "limits": {}}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from([*ENTRY, *ROUTE, "routes"]), inner, max_size=4
+        )
+    ),
+    max_leaves=8,
+)
+
+
+def stored(content, name="e-1"):
+    return StoredObject(name, 5, content, None)
+
+
+def test_an_entry_is_decoded_once_into_plain_words():
+    record = decode_endpoint(stored(ENTRY))
+    assert record.incarnation == ("e-1", 1_700_000_000_000)
+    assert (record.warmup_left_s, record.beat, record.is_leaving) == (0.25, 4, False)
+    assert decode_endpoint(stored({**ENTRY, "state": "draining"})).is_leaving
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("state", "asleep"),
+        ("state", None),
+        ("slots", "64"),
+        ("slots", True),
+        ("slots", 0),
+        ("addr", "10.0.0.1"),
+        ("addr", "nowhere:80"),
+        ("addr", "10.0.0.1:99999"),
+        ("seq", 1.5),
+        ("stage", "both"),
+        ("service", 7),
+    ],
+)
+def test_an_entry_of_another_writer_names_no_endpoint(field, value):
+    with pytest.raises(DecodeError) as caught:
+        decode_endpoint(stored({**ENTRY, field: value}))
+    assert caught.value.peer == "e-1"
+
+
+@given(JSON)
+def test_no_entry_and_no_configuration_breaks_the_adapter(content):
+    for decode in (lambda item: decode_endpoint(stored(item)), decode_configuration):
+        try:
+            decode(content)
+        except DecodeError:
+            continue
+
+
+@given(st.sampled_from(sorted(ENTRY)), JSON)
+def test_a_spoilt_field_is_refused_or_read_as_it_is_meant(field, value):
+    try:
+        record = decode_endpoint(stored({**ENTRY, field: value}))
+    except DecodeError:
+        return
+    assert isinstance(record.address, str) and record.slots >= 1
+    assert isinstance(record.beat, int)
+
+
+def test_a_configuration_is_decoded_with_its_units():
+    configuration = decode_configuration(CONFIGURATION)
+    route = configuration.routes[0]
+    assert (route.kind, route.host, route.timeout_s) == (STREAM, "shop.example", 4.0)
+    assert (route.objective_s, route.pause_limit_s) == (0.6, 0.3)
+    assert (route.rank, route.max_endpoints, route.is_resumable) == (1, 2, True)
+    assert route.shares == (ServiceShare("svc", 1.0),)
+    engine = configuration.services["svc"].engine
+    assert (engine.link_bits_per_s, engine.role_change_s) == (740e9, 3.0)
+
+
+def test_a_split_goes_before_a_service_and_drops_shares_without_weight():
+    split = [{"service": "one", "weight": 90}, {"service": "two", "weight": 0}]
+    route = {**ROUTE, "split": split, "kind": "non_idempotent"}
+    decoded = decode_configuration({**CONFIGURATION, "routes": [route]}).routes[0]
+    assert decoded.shares == (ServiceShare("one", 90.0),)
+    assert decoded.kind == AT_MOST_ONCE
+
+
+def test_settings_need_what_the_process_cannot_do_without():
+    table = {
+        "node": "h",
+        "ip": "10.0.0.1",
+        "zone": "a",
+        "port_range": [7380, 7395],
+        "listen": {
+            "front": "10.0.0.1:1",
+            "ready": "10.0.0.1:2",
+            "control": "10.0.0.1:3",
+            "directory": "10.0.0.1:4",
+        },
+        "platform_store": {"addr": "10.0.0.9:1"},
+        "bounds": {"drain_ms": 1500, "new_one": 1},
+        "something_new": {"x": 1},
+    }
+    settings = decode_settings("node.toml", table)
+    assert (settings.name, settings.bounds.drain_s) == ("h", 1.5)
+    for name in ("node", "ip", "zone", "listen", "platform_store"):
+        with pytest.raises(DecodeError, match=name):
+            decode_settings("node.toml", {k: v for k, v in table.items() if k != name})
+
+
+HEADERS = [
+    ("Host", "Shop.Example:80"),
+    ("X-Gypsumusher-Request-Id", "r-1"),
+    ("X-Gypsumusher-Deadline-Ms", "8000"),
+    ("X-Gypsumusher-Model", "m"),
+    ("X-Gypsumusher-Token-Count", "1460,80"),
+    ("X-Gypsumusher-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    ("X-Gypsumusher-Length-Hint", "40"),
+    ("Connection", "keep-alive, X-Secret"),
+    ("X-Secret", "this hop only"),
+    ("X-Other", "kept"),
+    ("Transfer-Encoding", "chunked"),
+    ("X-Gypsumusher-Kv-Source", "10.0.0.1:1/other"),
+]
+
+
+def test_a_request_keeps_what_is_the_caller_s_and_nothing_of_its_connection():
+    request = decode_request("POST", "/a/b?c=d", HEADERS, b"body")
+    assert (request.host, request.patience_s) == ("shop.example", 8.0)
+    assert request.generation.parts[0] == PromptPart(0x5C1E07A2, 800)
+    assert request.generation.expected_output_tokens == 40
+    data = encode_send(request, Send("e-1", 1.25, urgency=3, kv_source="10.0.0.2:1/h"))
+    head, _, body = data.decode().partition("\r\n\r\n")
+    assert body == "body"
+    assert head.startswith("POST /a/b?c=d HTTP/1.1\r\n")
+    for line in ("X-Other: kept", "X-Gypsumusher-Deadline-Ms: 1250",
+                 "X-Gypsumusher-Expect-Instance: e-1", "Content-Length: 4",
+                 "X-Gypsumusher-Kv-Source: 10.0.0.2:1/h"):  # fmt: skip
+        assert line in head.split("\r\n")
+    for word in ("X-Secret", "Transfer-Encoding", "other", "Connection", "8000"):
+        assert word not in head
+
+
+def test_a_caller_cannot_have_its_request_s_identity_dropped():
+    headers = [*HEADERS, ("Connection", "X-Gypsumusher-Request-Id")]
+    data = encode_send(decode_request("GET", "/", headers, b""), Send("e", 1.0))
+    assert b"X-Gypsumusher-Request-Id: r-1" in data
+
+
+@given(st.text(max_size=30), st.text(max_size=30))
+def test_odd_headers_leave_a_request_without_a_generation_or_with_a_sound_one(
+    counts, prefix
+):
+    headers = [
+        ("X-Gypsumusher-Token-Count", counts),
+        ("X-Gypsumusher-Prompt-Prefix", prefix),
+        ("X-Gypsumusher-Deadline-Ms", counts),
+    ]
+    request = decode_request("POST", "/", headers, b"")
+    assert request.patience_s is None or request.patience_s > 0
+    if request.generation is not None:
+        assert request.generation.prompt_tokens > 0
+        assert all(part.tokens > 0 for part in request.generation.parts)
+
+
+def test_an_answer_s_head_says_what_ran():
+    head = decode_head(
+        200,
+        [
+            ("X-Gypsumusher-Request-Id", "r"),
+            ("X-Gypsumusher-Server-Seal", "s"),
+            ("Connection", "close"),
+            ("Content-Length", "5"),
+        ],
+    )
+    assert (head.request_id, head.is_sealed, head.is_not_run) == ("r", True, False)
+    assert [name for name, _ in head.headers] == [
+        "X-Gypsumusher-Request-Id",
+        "X-Gypsumusher-Server-Seal",
+    ]
+    assert decode_head(503, [("X-Gypsumusher-Not-Run", "1")]).is_not_run
+    assert not decode_head(503, []).is_not_run
+    assert decode_head(421, []).is_not_run
+
+
+@given(st.binary(max_size=40) | JSON.map(lambda item: json.dumps(item).encode()))
+def test_odd_bodies_of_engines_are_told_as_such(body):
+    for decode in (decode_prefill, decode_kept_parts):
+        try:
+            decode("e-1", body)
+        except DecodeError as error:
+            assert error.peer == "e-1"
+
+
+def test_a_refusal_says_when_to_come_back():
+    headers, body = encode_refusal(Refusal(503, "overloaded", 0.25), "r")
+    assert ("Retry-After", "0.250") in headers
+    assert json.loads(body) == {"error": "overloaded"}
+    assert len(encode_refusal(Refusal(502, "broken", None), "")[0]) == 1
+
+
+def test_an_order_holds_for_one_endpoint_and_one_number_of_orders():
+    record = EndpointRecord(
+        "e-1", 1, "s", "10.0.0.1:80", "a", 1, False, 0.0, "decode", 1
+    )
+    data = encode_stage_order(record, "prefill", "host-1", 41, order_count=2)
+    head, _, body = data.decode().partition("\r\n\r\n")
+    assert "X-Gypsumusher-Expect-Instance: e-1" in head
+    assert json.loads(body) == {
+        "op": "stage",
+        "stage": "prefill",
+        "holder": "host-1",
+        "fence": 41,
+        "precondition": 2,
+    }
