--- a/libs/cli/gypsumusher_cli/cmdline.py
+++ b/libs/cli/gypsumusher_cli/cmdline.py
@@ -16,6 +16,7 @@
 from gypsumusher_cli.errors import EXIT_FAILED, EXIT_USAGE
 from gypsumusher_cli.load_commands import LoadCompare, LoadRunCommand
 from gypsumusher_cli.status_commands import Explain, Key, Status
+from gypsumusher_cli.trace_commands import TraceCommand
 
 PROGRAM = "gypsumusher"
 VERSION = "0.1.0"
@@ -29,6 +30,7 @@
     DrainEndpoint,
     Explain,
     Key,
+    TraceCommand,
     LoadRunCommand,
     LoadCompare,
 )
--- /dev/null
+++ b/libs/cli/tests/test_trace.py
@@ -0,0 +1,49 @@
+"""A request's story from the logs of several hosts."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumusher_cli.trace import format_trace, join_trace
+from gypsumusher_process import format_fields, parse_fields
+
+LINES = [
+    "time=2026-02-05T01:28:30.1Z level=INFO event=endpoint_changed host=a endpoint=e-1",
+    "time=2026-02-05T01:28:30.2Z level=INFO event=endpoint_changed host=a endpoint=e-2",
+    "time=2026-02-05T01:28:30.3Z level=INFO event=endpoint_changed host=b endpoint=e-1",
+    "time=2026-02-05T01:28:31.5Z level=INFO event=send_failed host=a id=r endpoint=e-1 "
+    'detail="it broke off"',
+    "time=2026-02-05T01:28:32.0Z level=INFO event=request_ended host=a id=r "
+    "outcome=502:broken endpoint=e-1",
+    "time=2026-02-05T01:28:32.0Z level=INFO event=request_ended host=a id=other "
+    "outcome=200:answered",
+    "not a line of ours",
+]
+
+
+def test_a_story_holds_the_request_and_what_its_host_learnt_of_its_endpoints():
+    trace = join_trace("r", LINES[::-1])
+    events = [(line["event"], line.get("endpoint")) for line in trace.lines]
+    assert events == [
+        ("endpoint_changed", "e-1"),
+        ("send_failed", "e-1"),
+        ("request_ended", "e-1"),
+    ]
+    assert trace.outcome == "502:broken"
+    assert "broke its answer off" in format_trace(trace)
+
+
+def test_a_request_without_an_end_is_told_as_such():
+    # The host was killed while it served the request: no line tells of its end, and
+    # that is what the reader has to hear.
+    trace = join_trace("r", LINES[:4])
+    assert trace.outcome is None
+    assert "may have ended before it" in format_trace(trace)
+
+
+def test_an_unknown_request_has_no_lines():
+    assert join_trace("nobody", LINES).lines == []
+
+
+@given(st.dictionaries(st.from_regex(r"\A[a-z_]{1,8}\Z"), st.text(max_size=12)))
+def test_fields_come_back_as_they_were_written(fields):
+    assert parse_fields(format_fields(fields)) == fields
--- a/libs/process/gypsumusher_process/__init__.py
+++ b/libs/process/gypsumusher_process/__init__.py
@@ -1,7 +1,7 @@
 """What every process needs: the event loop, and logs that never block."""
 
 from gypsumusher_process.bounded import BoundedLog, create_bounded_log
-from gypsumusher_process.lines import create_log, format_fields
+from gypsumusher_process.lines import create_log, format_fields, parse_fields
 from gypsumusher_process.loop import check_no_ring, open_rings, run
 
 __all__ = [
@@ -11,5 +11,6 @@
     "create_log",
     "format_fields",
     "open_rings",
+    "parse_fields",
     "run",
 ]
--- a/libs/process/gypsumusher_process/lines.py
+++ b/libs/process/gypsumusher_process/lines.py
@@ -1,10 +1,14 @@
 """One line of key=value pairs for each event."""
 
+import re
 import sys
 
 import logbook
 
-__all__ = ["create_log", "format_fields"]
+__all__ = ["create_log", "format_fields", "parse_fields"]
+
+_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^ ]*)')
+_ESCAPES = {"n": "\n", "r": "\r"}
 
 
 def format_fields(fields):
@@ -33,6 +37,28 @@
     return " ".join(parts)
 
 
+def parse_fields(line):
+    """Return the values by key of a line that `format_fields` wrote.
+
+    Parameters
+    ----------
+    line : str
+        The line; what isn't a ``key=value`` pair is passed over.
+
+    Returns
+    -------
+    dict of str to str
+    """
+    fields = {}
+    for key, text in _FIELD.findall(line):
+        if text.startswith('"'):
+            text = re.sub(
+                r"\\(.)", lambda match: _ESCAPES.get(match[1], match[1]), text[1:-1]
+            )
+        fields[key] = text
+    return fields
+
+
 def create_log(host, level, stream=None):
     """Return a function that logs one event.
 
--- a/tests/test_docs_commands.py
+++ b/tests/test_docs_commands.py
@@ -22,6 +22,7 @@
     "status",
     "explain",
     "key",
+    "trace",
     "load-run",
     "load-compare",
     "drain-endpoint",
@@ -53,6 +54,8 @@
         "mix.yaml": (DOCS / "commands" / "load-run.md", "streams:"),
         "settings.yaml": (operating, "platform:"),
     }
+    trace = DOCS / "commands" / "trace.md"
+    (folder / "host-a.log").write_text(blocks(trace, "text")[0])
     for name, (page, words) in pages.items():
         (folder / name).write_text(first_block_with(page, words))
 
