--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -7,7 +7,12 @@
 from gypsumusher_entry.stream_exchange import serve_stream
 from gypsumusher_platform import encode_refusal
 from gypsumusher_ports import STREAM, Refusal
-from gypsumusher_routing import first_event_limit_s, pick_service
+from gypsumusher_routing import (
+    FirstEventLimits,
+    abandoned_after_s,
+    first_event_limit_s,
+    pick_service,
+)
 
 __all__ = ["Exchange", "create_handler"]
 
@@ -72,15 +77,16 @@
         return self.arrived_s + self.route.objective_s - self.context.clock()
 
     @property
-    def limit_left_s(self):
-        """Time until the first event of a stream is of no use, in seconds."""
-        limit_s = first_event_limit_s(
-            self.route.objective_s,
-            self.route.pause_limit_s,
-            self.request.generation,
-            self.ends_s - self.arrived_s,
+    def first_event_limits(self):
+        """Until when the first event of a stream is of use."""
+        route = self.route
+        waited_s = self.context.clock() - self.arrived_s
+        abandoned_s = abandoned_after_s(route.objective_s, route.pause_limit_s)
+        given_up_s = min(abandoned_s - waited_s, self.left_s)
+        wanted_s = first_event_limit_s(
+            abandoned_s - waited_s, self.request.generation, self.left_s
         )
-        return self.arrived_s + limit_s - self.context.clock()
+        return FirstEventLimits(wanted_s, given_up_s)
 
     @property
     def patience_s(self):
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -96,13 +96,15 @@
             exchange.request.generation,
             limits,
             exchange.objective_left_s,
-            exchange.limit_left_s,
+            exchange.first_event_limits,
             context.draw,
         )
         if reading is None:
             return None
         if reading.lane == HOPELESS:
-            raise OverloadedError(reading.expected_s, exchange.limit_left_s)
+            raise OverloadedError(
+                reading.expected_s, exchange.first_event_limits.given_up_s
+            )
         if not reading.is_apart:
             return None
         if tried and not _may_ask_again(exchange):
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -6,8 +6,13 @@
 
 __all__ = ["may_retry_run", "note_failure", "open_send"]
 
+# From this penalty on an endpoint is sent to on a new connection. One that has crashed
+# resets a kept connection only when the next request arrives there, which may then have
+# run for all that is known; a new connection is refused before anything is sent.
+FRESH_FROM_PENALTY = 0.2
 
-async def open_send(exchange, state, send, is_fresh=False):
+
+async def open_send(exchange, state, send):
     """Send a request to an endpoint; return the answer that is on its way.
 
     Parameters
@@ -19,8 +24,6 @@
         have begun to leave while a connection was opened.
     send : Send
         What this send adds.
-    is_fresh : bool
-        Whether a kept connection won't do.
 
     Returns
     -------
@@ -33,6 +36,7 @@
     """
     context, record = exchange.context, state.record
     limit = context.connections_max(record.service)
+    is_fresh = state.health.penalty(context.clock()) >= FRESH_FROM_PENALTY
     connection = await context.pool.acquire(record, limit, is_fresh)
     if not context.endpoints.is_current(state):
         context.pool.keep(connection)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -108,7 +108,7 @@
             self._generation,
             self._limits,
             exchange.objective_left_s,
-            exchange.limit_left_s,
+            exchange.first_event_limits,
             context.draw,
         )
         return (None, None) if reading is None else (reading.state, reading)
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -11,7 +11,7 @@
 
 from gypsumusher_ports import EngineLimits, Generation
 from gypsumusher_routing.endpoint_state import FIXED_S, EndpointState
-from gypsumusher_routing.urgency import LATE, choose_lane
+from gypsumusher_routing.urgency import LATE, FirstEventLimits, choose_lane
 
 __all__ = ["Reading", "choose_decode", "choose_reading", "reading_work"]
 
@@ -95,7 +95,7 @@
     generation: Generation,
     limits: EngineLimits,
     objective_left_s: float,
-    limit_left_s: float,
+    first_event: FirstEventLimits,
     draw,
 ) -> Reading | None:
     """Return where a prompt is read first, or None when nothing can run it.
@@ -110,8 +110,10 @@
         The request.
     limits : EngineLimits
         What the engines have in common.
-    objective_left_s, limit_left_s : float
-        Time until the first token is late, and until it is of no use, in seconds.
+    objective_left_s : float
+        Time until the first token is late, in seconds.
+    first_event : FirstEventLimits
+        Until when it is of use.
     draw : callable
         Returns a number from 0 up to 1.
     """
@@ -147,7 +149,7 @@
         timely_s = own_s + load.timely_tokens / rate
         late_s = timely_s + load.late_tokens / rate
         lane = choose_lane(
-            own_s, timely_s, late_s, objective_left_s, limit_left_s, chance
+            own_s, timely_s, late_s, objective_left_s, first_event, chance
         )
         expected_s = late_s if lane == LATE else timely_s
         cost_s = expected_s + PENALTY_S * state.health.penalty(now_s)
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -1,10 +1,14 @@
 """In which order engines read prompts: who passes whom, and until when one may wait."""
 
+from typing import NamedTuple
+
 __all__ = [
     "HOPELESS",
     "LATE",
     "SOON",
     "TIMELY",
+    "FirstEventLimits",
+    "abandoned_after_s",
     "choose_lane",
     "first_event_limit_s",
     "urgency_of",
@@ -39,7 +43,7 @@
 USED_PART = 0.8
 # A prompt counts as hopeless when its expected time is over its limit by this factor.
 # Expectations err, and one that is refused for nothing is served late at best.
-HOPELESS_FACTOR = 1.0
+HOPELESS_FACTOR = 0.8
 # Time of one output token, in seconds, as a batch of ten streams makes them beside
 # prompts that are read between.
 TOKEN_S = 0.01
@@ -48,8 +52,23 @@
 ESTIMATE_FACTOR = 2.0
 
 
-def first_event_limit_s(objective_s, pause_limit_s, generation, left_s):
-    """Return by when the first event must come for the stream to be of use.
+class FirstEventLimits(NamedTuple):
+    """Until when a stream's first event is of use.
+
+    Attributes
+    ----------
+    wanted_s : float
+        By when it should come for the last one to come in time, in seconds.
+    given_up_s : float
+        When the caller gives up, in seconds.
+    """
+
+    wanted_s: float
+    given_up_s: float
+
+
+def abandoned_after_s(objective_s, pause_limit_s):
+    """Return after how long callers give up a stream without its first event.
 
     Parameters
     ----------
@@ -57,6 +76,21 @@
         Objective of the route, in seconds.
     pause_limit_s : float or None
         Longest pause between events that the route allows, in seconds.
+    """
+    return max(
+        ABANDON_S,
+        ABANDON_OBJECTIVES * objective_s,
+        ABANDON_PAUSES * (pause_limit_s or 0.0),
+    )
+
+
+def first_event_limit_s(abandoned_s, generation, left_s):
+    """Return by when the first event should come, so that the last one does in time.
+
+    Parameters
+    ----------
+    abandoned_s : float
+        When the caller gives up, in seconds from now.
     generation : Generation
         The request.
     left_s : float
@@ -65,14 +99,9 @@
     Returns
     -------
     float
-        Seconds from the caller's first byte for the first of two bounds, and from now
-        for the second; the smaller one, in seconds.
+        Seconds from now. Estimates of the output are often far off, so this orders
+        prompts, and is no reason to refuse one.
     """
-    abandoned_s = max(
-        ABANDON_S,
-        ABANDON_OBJECTIVES * objective_s,
-        ABANDON_PAUSES * (pause_limit_s or 0.0),
-    )
     output_tokens = generation.max_output_tokens
     if generation.expected_output_tokens is not None:
         estimate = ESTIMATE_FACTOR * generation.expected_output_tokens
@@ -80,7 +109,7 @@
     return min(USED_PART * abandoned_s, left_s - TOKEN_S * output_tokens)
 
 
-def choose_lane(own_s, timely_s, late_s, objective_left_s, limit_left_s, chance):
+def choose_lane(own_s, timely_s, late_s, objective_left_s, limits, chance):
     """Return the lane of a prompt at one engine.
 
     Parameters
@@ -92,8 +121,8 @@
         seconds.
     objective_left_s : float
         Time until the first event is late, in seconds.
-    limit_left_s : float
-        Time until it is of no use any more, in seconds.
+    limits : FirstEventLimits
+        By when it should come, and when the caller gives up.
     chance : float
         Drawn once for a request, from 0 up to 1.
 
@@ -106,11 +135,11 @@
     """
     if timely_s <= objective_left_s:
         return TIMELY
-    if own_s > objective_left_s and chance < FAIR_PART and timely_s <= limit_left_s:
+    if own_s > objective_left_s and chance < FAIR_PART and timely_s <= limits.wanted_s:
         return TIMELY
-    if late_s <= limit_left_s:
+    if late_s <= limits.wanted_s:
         return LATE
-    if timely_s > HOPELESS_FACTOR * limit_left_s:
+    if timely_s > HOPELESS_FACTOR * limits.given_up_s:
         return HOPELESS
     return SOON
 
--- a/libs/routing/tests/test_engine_choice.py
+++ b/libs/routing/tests/test_engine_choice.py
@@ -2,13 +2,26 @@
 
 from samples import ENDLESS_S, LIMITS, engine, first_of_all, prompt
 
-from gypsumusher_routing import LATE, SOON, TIMELY, choose_decode, choose_reading
+from gypsumusher_routing import (
+    LATE,
+    SOON,
+    TIMELY,
+    FirstEventLimits,
+    choose_decode,
+    choose_reading,
+)
 from gypsumusher_routing.endpoint_state import Load
 
 
 def choose(states, generation, objective_s=0.8, limit_s=ENDLESS_S, now_s=0.0):
     return choose_reading(
-        now_s, states, generation, LIMITS, objective_s, limit_s, first_of_all
+        now_s,
+        states,
+        generation,
+        LIMITS,
+        objective_s,
+        FirstEventLimits(limit_s, limit_s),
+        first_of_all,
     )
 
 
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -18,12 +18,14 @@
     LATE,
     SOON,
     TIMELY,
+    FirstEventLimits,
     Health,
     HostNews,
     HostTable,
     PrefixTable,
     RetryShare,
     RouteTable,
+    abandoned_after_s,
     choose_active,
     choose_endpoint,
     choose_lane,
@@ -173,10 +175,13 @@
     assert names(table, 2.1) == ["host-2"]
 
 
+WITHIN_3_S = FirstEventLimits(3.0, 3.75)
+
+
 def test_a_late_prompt_stands_back_and_a_hurried_one_does_not():
-    assert choose_lane(0.2, 0.5, 3.0, 0.8, 3.0, 0.0) == TIMELY
-    assert choose_lane(0.2, 1.0, 2.0, 0.8, 3.0, 0.0) == LATE
-    assert choose_lane(0.2, 1.0, 4.0, 0.8, 3.0, 0.0) == SOON
+    assert choose_lane(0.2, 0.5, 3.0, 0.8, WITHIN_3_S, 0.0) == TIMELY
+    assert choose_lane(0.2, 1.0, 2.0, 0.8, WITHIN_3_S, 0.0) == LATE
+    assert choose_lane(0.2, 1.0, 4.0, 0.8, WITHIN_3_S, 0.0) == SOON
     lanes = [urgency_of(rank, TIMELY) for rank in range(9)]
     assert max(lanes) < urgency_of(0, SOON) < urgency_of(0, LATE) <= 9
 
@@ -185,29 +190,40 @@
     # Long site reviews take over a second to read, with an objective of 0.8 s. At full
     # load timely prompts never stop coming, and not one long review would be read.
     lanes = [
-        choose_lane(1.2, 1.9, 9.0, 0.8, 3.0, number / 100) for number in range(100)
+        choose_lane(1.2, 1.9, 9.0, 0.8, WITHIN_3_S, number / 100)
+        for number in range(100)
     ]
     assert lanes.count(TIMELY) == 35
     assert lanes.count(SOON) == 65
     # One that would come too late all the same passes nobody.
-    assert choose_lane(1.2, 3.2, 9.0, 0.8, 3.0, 0.0) == HOPELESS
+    assert choose_lane(1.2, 3.2, 9.0, 0.8, WITHIN_3_S, 0.0) == HOPELESS
 
 
 def test_a_prompt_that_no_engine_reads_in_time_is_hopeless():
     # A burst fills all engines for five seconds; callers leave after three. Held until
     # then, a request is lost, and what was read of it was read in vain; refused at
     # once, it comes back when the backlog is gone.
-    assert choose_lane(0.2, 5.0, 9.0, 0.8, 3.0, 1.0) == HOPELESS
+    assert choose_lane(0.2, 5.0, 9.0, 0.8, WITHIN_3_S, 1.0) == HOPELESS
 
 
 def test_a_long_answer_has_to_begin_sooner():
     short = prompt(1, 100, 100)
     long = short._replace(max_output_tokens=600, expected_output_tokens=None)
-    assert first_event_limit_s(0.8, 0.3, short, 6.0) > first_event_limit_s(
-        0.8, 0.3, long, 6.0
+    abandoned_s = abandoned_after_s(0.8, 0.3)
+    assert abandoned_s == 3.2
+    assert first_event_limit_s(abandoned_s, short, 6.0) > first_event_limit_s(
+        abandoned_s, long, 6.0
     )
 
 
+def test_an_estimate_of_the_output_is_no_reason_to_refuse():
+    # A caller comes back with two seconds left and an estimate of 300 tokens, which
+    # would take three. Half of the estimates are too high: it is served first, and not
+    # refused for what it may turn out to be.
+    limits = FirstEventLimits(wanted_s=-1.0, given_up_s=2.0)
+    assert choose_lane(0.2, 0.9, 2.0, 0.8, limits, 1.0) == SOON
+
+
 def test_work_goes_to_the_endpoint_with_the_most_room():
     busy, free, far = engine("s1"), engine("s2"), engine("s3", zone="b")
     busy.own_running = 20
