--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -5,6 +5,7 @@
 import time
 
 from gypsumusher_entry.endpoint_connections import EndpointPool
+from gypsumusher_entry.overdue import OverdueWatch
 from gypsumusher_ports import DecodeError
 from gypsumusher_routing import (
     EndpointTable,
@@ -55,6 +56,7 @@
         self.endpoints = EndpointTable()
         self.hosts = HostTable(settings.name)
         self.pool = EndpointPool(clock, log)
+        self.overdue = OverdueWatch(clock, log)
         self.is_leaving = False
         self.sees_store = False
         self.started_ms = int(time.time() * 1000)
@@ -232,6 +234,7 @@
 
     async def close(self):
         """End what runs in the background."""
+        await self.overdue.close()
         for task in list(self._background):
             task.cancel()
         await asyncio.gather(*self._background, return_exceptions=True)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -72,6 +72,7 @@
         context.configuration_listeners.append(
             lambda configuration: self._listener.set_limits(configuration.limits)
         )
+        await self.context.overdue.start()
         await self._store.start()
         await self._gossip.start()
         await self._follower.start()
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -17,6 +17,9 @@
 # that have no room.
 MAX_SENDS = 4
 NO_ROOM_RETRY_S = 0.5
+# An endpoint without an answer after so many times the objective counts as silent; an
+# answer that late is worth a third, and hardly any takes as long.
+OVERDUE_OBJECTIVES = 4.0
 
 
 class _Result(NamedTuple):
@@ -49,7 +52,7 @@
     def __init__(self, exchange):
         self._exchange = exchange
         self._tried = set()
-        self._tasks = set()
+        self._tasks = {}
         self._failed_answer = None
         self._last_error = None
 
@@ -58,6 +61,12 @@
         for task in self._tasks:
             task.cancel()
 
+    def _note_slow(self):
+        """Count endpoints against which another one, asked later, has won."""
+        now_s = self._exchange.context.clock()
+        for state in self._tasks.values():
+            state.health.on_failure(now_s, "slow")
+
     async def run(self):
         """Send until there is an answer, or none can come any more."""
         exchange = self._exchange
@@ -76,7 +85,7 @@
                 self._retry("slow")
                 continue
             for task in done:
-                self._tasks.discard(task)
+                del self._tasks[task]
                 if self._settle(task.result()):
                     return
         self._give_up()
@@ -107,7 +116,7 @@
         if state is None:
             return False
         self._tried.add(state.record.endpoint_id)
-        self._tasks.add(asyncio.ensure_future(_send(exchange, state)))
+        self._tasks[asyncio.ensure_future(_send(exchange, state))] = state
         return True
 
     def _settle(self, result):
@@ -121,6 +130,7 @@
             return False
         result.state.health.on_success(now_s)
         if result.head.status < 500:
+            self._note_slow()
             exchange.deliver(result.head, result.body)
             return True
         self._failed_answer = (result.head, result.body)
@@ -151,6 +161,8 @@
     """Send once; return how that ended."""
     send = Send(state.record.endpoint_id, exchange.patience_s)
     answer = None
+    limit_s = OVERDUE_OBJECTIVES * exchange.route.objective_s
+    wait = exchange.context.overdue.begin(exchange.request.request_id, state, limit_s)
     state.own_running += 1
     try:
         answer = await open_send(exchange, state, send)
@@ -161,6 +173,7 @@
         return _Result(state, None, b"", error)
     finally:
         state.own_running -= 1
+        exchange.context.overdue.end(wait)
         if answer is not None:
             answer.close()
 
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -20,6 +20,11 @@
 # Sends of one request, refused ones among them.
 MAX_SENDS = 4
 NO_ROOM_RETRY_S = 1.0
+# An engine that hasn't sent the first event after this time and twice the expected
+# wait, or the next one after the second time, counts as silent, in seconds. Pieces
+# come each tenth of a second, and under full load each fifth.
+FIRST_EVENT_SLACK_S = 1.0
+NEXT_EVENT_S = 1.2
 # A resumable stream without its first event is taken up elsewhere after this many times
 # the expected wait, and not before the least one, in seconds. Only a silent engine
 # takes so long; a busy one is within twice the expectation.
@@ -128,11 +133,17 @@
             last_event_id=self._last_event_id,
         )
         run = _Run(state, reading)
+        expected_s = 0.0 if reading is None else reading.expected_s
+        wait = context.overdue.begin(
+            exchange.request.request_id,
+            state,
+            FIRST_EVENT_SLACK_S + 2.0 * expected_s,
+        )
         answer = None
         run.begin()
         try:
             answer = await open_send(exchange, state, send)
-            await self._pass_on(answer, run)
+            await self._pass_on(answer, run, wait)
         except EndpointError as error:
             note_failure(exchange, state, error, kv_source=send.kv_source)
             if prompt is not None and not error.may_have_run:
@@ -143,12 +154,13 @@
             return error
         finally:
             run.end()
+            context.overdue.end(wait)
             if answer is not None:
                 answer.close()
         state.health.on_success(context.clock())
         return None
 
-    async def _pass_on(self, answer, run):
+    async def _pass_on(self, answer, run, wait):
         """Pass the events of one answer on.
 
         Raises
@@ -175,6 +187,7 @@
             data = await answer.read()
             if not data:
                 break
+            wait.due_s = self._context.clock() + NEXT_EVENT_S
             for event in splitter.feed(data):
                 self._pass_event_on(head, event, run)
             await exchange.reply.drain()
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -232,6 +232,45 @@
     run(scenario())
 
 
+def test_a_silent_endpoint_is_left_while_its_requests_still_wait():
+    # An endpoint falls silent with its connections open. Its bookings wait until their
+    # callers leave, and none of that is a failed send: it looked idle and well, and
+    # each new booking went there too.
+    async def scenario():
+        async with World(silent, well, routes=(ONCE,)) as world:
+            health = world.host.context.endpoints.states["e-0"].health
+            clock = world.host.context.clock
+            lost = []
+            while not world.endpoints[0].requests:
+                asking = world.ask(method="POST", request_id=f"r-{len(lost)}")
+                lost.append(asyncio.ensure_future(asking))
+                await asyncio.sleep(0.01)
+            await until(lambda: health.is_avoided(clock()))
+            arrived = len(world.endpoints[0].requests)
+            for number in range(4):
+                await world.ask(method="POST", request_id=f"s-{number}")
+            assert len(world.endpoints[0].requests) == arrived
+            await asyncio.gather(*lost)
+
+    run(scenario())
+
+
+def test_after_a_break_a_booking_goes_out_on_a_new_connection():
+    # An endpoint crashes. A kept connection shows that only when the next booking has
+    # been sent on it, which may then have run; a new connection is refused before.
+    async def scenario():
+        async with World(well, routes=(ONCE,)) as world:
+            await world.ask(method="POST", request_id="r-1")
+            await world.ask(method="POST", request_id="r-2")
+            assert world.endpoints[0].connections == 1
+            state = world.host.context.endpoints.states["e-0"]
+            state.health.on_failure(world.host.context.clock(), "broken")
+            await world.ask(method="POST", request_id="r-3")
+            assert world.endpoints[0].connections == 2
+
+    run(scenario())
+
+
 def test_an_endpoint_s_own_failure_is_passed_on_when_no_other_does_better():
     async def scenario():
         async with World(failing, failing) as world:
--- a/libs/routing/gypsumusher_routing/health.py
+++ b/libs/routing/gypsumusher_routing/health.py
@@ -17,6 +17,8 @@
     # It said nothing for far longer than its work takes: a request of a caller is lost
     # with each try, so one is enough for a pause.
     "silent": 1.0,
+    # Another one, asked later, answered sooner. Chance does that now and then.
+    "slow": 0.25,
     # It answered with bytes that aren't its answer.
     "garbled": 0.3,
     # It had no room. Others learn of it by the counts that the hosts share.
