--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -11,7 +11,6 @@
     EndpointTable,
     HostNews,
     HostTable,
-    Promises,
     RetryShare,
     RouteTable,
     capacity_of,
@@ -66,8 +65,6 @@
         self.configuration_listeners = []
         self._retry_shares = {}
         self._placements = []
-        self._promises = Promises()
-        self._refused = []
         self._background = set()
 
     @property
@@ -223,33 +220,6 @@
             placement = [state.record.endpoint_id, shared, round(wait_s, 2)]
             self._placements.append(placement)
 
-    def note_refused(self, generation, wait_s):
-        """Note when a refused request was told to come back, here and for the peers.
-
-        Each attempt of a caller has an id of its own; what two attempts of one request
-        share is the last part of their prompt.
-        """
-        if generation.parts:
-            part_id = generation.parts[-1].part_id
-            self._promises.add(part_id, self.clock() + wait_s)
-            self._refused.append([part_id, round(wait_s, 2)])
-
-    def note_peer_refused(self, refused):
-        """Note when requests that a peer has refused were told to come back."""
-        for part_id, wait_s in refused:
-            self._promises.add(part_id, self.clock() + wait_s)
-
-    def has_returned(self, generation):
-        """Say whether a request has come back as it was told; that counts once."""
-        if not generation.parts:
-            return False
-        return self._promises.take(self.clock(), generation.parts[-1].part_id)
-
-    def take_refused(self):
-        """Return the refused requests that peers have not been told of."""
-        refused, self._refused = self._refused, []
-        return refused
-
     def take_placements(self):
         """Return what was noted since the last call."""
         placements, self._placements = self._placements, []
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -26,9 +26,6 @@
 # time until then, in seconds.
 OVERLOAD_PART = 0.5
 LEAST_RETRY_S = 0.3
-# Callers wait for this part of the time that they have left at most, whatever they are
-# told, so no later moment is worth naming.
-HONOURED_PART = 1 / 3
 # Time left to a caller that is too short for any work, in seconds.
 LEAST_PATIENCE_S = 0.005
 # What the way back takes, in seconds: an endpoint must not work on for an answer that
@@ -58,7 +55,6 @@
         self.service = None
         self.ends_s = self.arrived_s
         self.first_s = None
-        self.is_returned = False
         self.possible_runs = 0
         self.sends = 0
         self.events = 0
@@ -90,7 +86,7 @@
         wanted_s = first_event_limit_s(
             abandoned_s - waited_s, self.request.generation, self.left_s
         )
-        return FirstEventLimits(wanted_s, given_up_s, self.is_returned)
+        return FirstEventLimits(wanted_s, given_up_s)
 
     @property
     def patience_s(self):
@@ -182,9 +178,7 @@
         exchange.log("info", "request_refused", reason="overloaded", detail=error)
         # By then the backlog has gone so far that it would begin within its limit.
         wait_s = error.expected_s - OVERLOAD_PART * error.limit_s
-        wait_s = min(max(LEAST_RETRY_S, wait_s), HONOURED_PART * exchange.left_s)
-        context.note_refused(request.generation, wait_s)
-        exchange.refuse(503, "overloaded", wait_s)
+        exchange.refuse(503, "overloaded", max(LEAST_RETRY_S, wait_s))
     except EndpointError as error:
         exchange.refuse(503, error.reason, NO_ENDPOINT_RETRY_S)
 
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -79,13 +79,12 @@
     def datagram_received(self, data, address):
         """Take in one message; an unreadable one changes nothing."""
         try:
-            news, loads, placements, refused = _decode(data)
+            news, loads, placements = _decode(data)
         except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
             self._unreadable += 1
             self._context.log("warning", "gossip_unreadable", error=repr(error))
             return
         self._take(news, loads, placements)
-        self._context.note_peer_refused(refused)
 
     def error_received(self, error):
         """Pass over a refused datagram."""
@@ -134,25 +133,24 @@
         self._told_active_s = now_s
         self._beat += 1
         placements = context.take_placements()[:MAX_PLACEMENTS]
-        refused = context.take_refused()
         is_active = any(
             news.name == context.settings.name for news in context.active_hosts()
         )
         period_s = REST_S if is_active else FAR_S
         if is_active or is_for_all:
-            self._send(active, period_s, state, placements, refused)
+            self._send(active, period_s, state, placements)
         if is_for_all:
             self._told_all_s = now_s
             # What the engines have under way is of use to the active hosts only.
-            self._send(others if is_active else (), FAR_S, (*state[:-1], {}), [], [])
+            self._send(others if is_active else (), FAR_S, (*state[:-1], {}), [])
 
-    def _send(self, ips, period_s, state, placements, refused):
+    def _send(self, ips, period_s, state, placements):
         """Send one message to some hosts."""
         if not ips:
             return
         context = self._context
         news = context.own_news(self._beat, period_s)
-        data = msgpack.packb([FORMAT, list(news), state[-1], placements, refused])
+        data = msgpack.packb([FORMAT, list(news), state[-1], placements])
         if len(data) > MAX_DATAGRAM_BYTES:
             context.log("error", "gossip_too_large", bytes=len(data))
             return
@@ -195,7 +193,7 @@
 
 def _decode(data):
     """Return the parts of a message."""
-    version, news, loads, placements, refused = msgpack.unpackb(data)
+    version, news, loads, placements = msgpack.unpackb(data)
     if version != FORMAT:
         raise ValueError(f"format {version}")
-    return HostNews(*news), loads, placements, refused
+    return HostNews(*news), loads, placements
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -66,7 +66,6 @@
         exchange, context = self._exchange, self._context
         context.retry_share(exchange.service).on_first(context.clock())
         if self._is_generation():
-            exchange.is_returned = context.has_returned(self._generation)
             self._prompt = await read_prompt(exchange, self._limits)
         error = None
         while exchange.sends < MAX_SENDS:
--- a/libs/routing/gypsumusher_routing/promises.py
+++ b/libs/policy/gypsumusher_policy/promises.py
@@ -5,9 +5,6 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Hashable
-
-__all__ = ["Promises"]
 
 # Promises kept, at about 200 bytes each: some minutes of refusals at a host's rate.
 MAX_PROMISES = 5000
@@ -21,14 +18,14 @@
     def __init__(self):
         self.due_s = OrderedDict()
 
-    def add(self, fingerprint: Hashable, due_s: float) -> None:
+    def add(self, fingerprint: str, due_s: float) -> None:
         """Note that a caller was told to come back at a time."""
         self.due_s[fingerprint] = due_s
         self.due_s.move_to_end(fingerprint)
         if len(self.due_s) > MAX_PROMISES:
             self.due_s.popitem(last=False)
 
-    def take(self, now_s: float, fingerprint: Hashable) -> bool:
+    def take(self, now_s: float, fingerprint: str) -> bool:
         """Say whether this content comes back as it was told; once each.
 
         Whoever comes back sooner gets nothing for it.
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -16,6 +16,7 @@
     has_prefill_room,
     score,
 )
+from gypsumusher_policy.promises import Promises
 from gypsumusher_policy.queueing import Queued, RequestQueue
 from gypsumusher_policy.retries import RetryBudget, may_retry
 from gypsumusher_policy.suspects import SuspectList, host_turn
@@ -28,7 +29,6 @@
     Request,
     Start,
 )
-from gypsumusher_routing import Promises
 
 # Attempts of one request: an engine that refuses is passed by, but a request that
 # three engines failed is likely the cause itself.
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -13,7 +13,6 @@
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.hosts import HostNews, HostTable, capacity_of
 from gypsumusher_routing.prefixes import PrefixTable
-from gypsumusher_routing.promises import Promises
 from gypsumusher_routing.retry_share import RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
@@ -43,7 +42,6 @@
     "Load",
     "OversizedEvent",
     "PrefixTable",
-    "Promises",
     "Reading",
     "RetryShare",
     "RouteTable",
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -61,13 +61,10 @@
         By when it should come for the last one to come in time, in seconds.
     given_up_s : float
         When the caller gives up, in seconds.
-    is_returned : bool
-        Whether the request was refused before, and has come back as it was told.
     """
 
     wanted_s: float
     given_up_s: float
-    is_returned: bool = False
 
 
 def abandoned_after_s(objective_s, pause_limit_s):
@@ -142,8 +139,7 @@
         return TIMELY
     if late_s <= limits.wanted_s:
         return LATE
-    is_in_vain = timely_s > HOPELESS_FACTOR * limits.given_up_s
-    if is_in_vain and not limits.is_returned:
+    if timely_s > HOPELESS_FACTOR * limits.given_up_s:
         return HOPELESS
     return SOON
 
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -23,7 +23,6 @@
     HostNews,
     HostTable,
     PrefixTable,
-    Promises,
     RetryShare,
     RouteTable,
     abandoned_after_s,
@@ -207,19 +206,6 @@
     assert choose_lane(0.2, 5.0, 9.0, 0.8, WITHIN_3_S, 1.0) == HOPELESS
 
 
-def test_who_comes_back_as_told_is_let_in_once():
-    # A caller is refused, waits as long as it was told, and comes back to another host
-    # in the same burst. Refused again it gives up, though it was told to come.
-    promises = Promises()
-    promises.add(7, due_s=1.0)
-    assert not promises.take(0.5, 7)
-    assert not promises.take(1.0, 8)
-    assert promises.take(1.0, 7)
-    assert not promises.take(1.0, 7)
-    limits = WITHIN_3_S._replace(is_returned=True)
-    assert choose_lane(0.2, 5.0, 9.0, 0.8, limits, 1.0) == SOON
-
-
 def test_a_long_answer_has_to_begin_sooner():
     short = prompt(1, 100, 100)
     long = short._replace(max_output_tokens=600, expected_output_tokens=None)
