--- a/libs/entry/gypsumusher_entry/caller_connections.py
+++ b/libs/entry/gypsumusher_entry/caller_connections.py
@@ -25,7 +25,8 @@
 # closes just as the caller sends costs it a try.
 IDLE_MARGIN_S = 1.0
 # Used until a configuration says more.
-FIRST_IDLE_S, FIRST_HEADER_S, FIRST_BODY_BYTES = 15.0, 3.0, 4 * 1024 * 1024
+FIRST_IDLE_S, FIRST_HEADER_S = 15.0, 3.0
+FIRST_HEADER_BYTES, FIRST_BODY_BYTES = 16 * 1024, 4 * 1024 * 1024
 BACKLOG = 1024
 WRITE_HIGH_BYTES = 256 * 1024
 _REASONS = {
@@ -36,6 +37,7 @@
     408: b"Request Timeout",
     413: b"Content Too Large",
     429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
@@ -131,6 +133,7 @@
         self._transport = None
         self._target = b""
         self._headers = []
+        self._header_bytes = 0
         self._body = bytearray()
         self._ahead = deque()
         self._task = None
@@ -193,12 +196,15 @@
         self._is_reading = True
         self._target = b""
         self._headers = []
+        self._header_bytes = 0
         self._body = bytearray()
 
     def on_url(self, data):
         self._target += data
+        self._count_header(len(data))
 
     def on_header(self, name, value):
+        self._count_header(len(name) + len(value))
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
@@ -243,6 +249,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _count_header(self, size):
+        """Refuse a request whose header grows past the limit."""
+        self._header_bytes += size
+        if self._header_bytes > self._listener.header_bytes_max:
+            self._refuse(Refusal(431, "header_too_large", None), "")
+
     def _begin_next(self):
         """Serve the oldest request that was read."""
         request, reply = self._ahead.popleft()
@@ -269,6 +281,8 @@
 
     def _refuse(self, refusal, detail):
         """Answer a request that can't be read, and close the connection."""
+        if self._is_refused:
+            return
         self._is_refused = True
         self._listener.log(
             "warning",
@@ -302,6 +316,7 @@
         self.log = log
         self.connections = set()
         self.is_leaving = False
+        self.header_bytes_max = FIRST_HEADER_BYTES
         self.body_bytes_max = FIRST_BODY_BYTES
         self._idle_s = FIRST_IDLE_S
         self._header_s = FIRST_HEADER_S
@@ -325,6 +340,7 @@
 
     def set_limits(self, limits):
         """Take over the operator's limits."""
+        self.header_bytes_max = limits.header_bytes
         self.body_bytes_max = limits.body_bytes
         self._idle_s = limits.idle_timeout_s
         self._header_s = limits.header_timeout_s
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -23,6 +23,9 @@
 # For how long callers keep the list of hosts, in seconds. A stop waits for three times
 # as long, and a dead host is tried for that long; each caller asks once in this time.
 DIRECTORY_TTL_S = 1.0
+# Part of an endpoint's connections that all hosts together use: they don't agree on
+# their number at each moment, and a connection too many is reset.
+USED_CONNECTIONS_PART = 0.9
 # The active hosts are chosen anew this often, in seconds: a host is silent for longer
 # before it counts as dead, and the choice costs a sort of all hosts.
 ACTIVE_KEPT_S = 0.2
@@ -194,8 +197,12 @@
 
     def connections_max(self, service):
         """Return how many connections this host may have to one endpoint."""
-        limit = self.configuration.services[service].max_connections
-        return int(0.9 * limit / self.hosts_count())
+        known = self.configuration.services.get(service)
+        if known is None:
+            # A version that came meanwhile has dropped the service; what was begun
+            # under the one before ends on the few connections that every host may have.
+            return 0
+        return int(USED_CONNECTIONS_PART * known.max_connections / self.hosts_count())
 
     def note_placement(self, state, parts, wait_s=0.0):
         """Note that an engine keeps parts of a prompt, here and for the peers.
--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -30,8 +30,7 @@
 # TCP probes on idle connections, in seconds: a connection that has gone silent without
 # a reset is closed before a request is lost on it.
 PROBE_IDLE_S, PROBE_INTERVAL_S, PROBE_COUNT = 1, 1, 2
-# Part of an endpoint's connections that all hosts together use.
-USED_PART = 0.9
+# Connections to one endpoint that a host may have in any case.
 MIN_CONNECTIONS = 4
 _NO_BODY_STATUS = (204, 304)
 
--- a/libs/entry/tests/test_caller_connections.py
+++ b/libs/entry/tests/test_caller_connections.py
@@ -200,6 +200,17 @@
     run(scenario())
 
 
+def test_a_header_over_the_limit_is_refused_before_it_is_whole():
+    async def scenario():
+        async with Caller() as caller:
+            caller.listener.header_bytes_max = 100
+            caller.writer.write(b"GET /a HTTP/1.1\r\nX: " + b"x" * 200 + b"\r\nY: ")
+            assert (await caller.reader.read()).startswith(b"HTTP/1.1 431 ")
+            assert caller.requests == []
+
+    run(scenario())
+
+
 def test_a_body_over_the_limit_is_refused():
     async def scenario():
         async with Caller() as caller:
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -326,6 +326,20 @@
     run(scenario())
 
 
+def test_a_service_that_is_dropped_meanwhile_ends_what_was_begun():
+    # A version drops a service while one of its requests waits for a second endpoint.
+    # The request ends with an answer all the same, and not with a fault of the host.
+    async def scenario():
+        async with World(well, routes=(ONCE,)) as world:
+            context = world.host.context
+            state = context.endpoints.states["e-0"]
+            context.configuration = context.configuration._replace(services={})
+            assert context.connections_max(state.record.service) == 0
+            assert (await world.ask(method="POST"))[0] == 200
+
+    run(scenario())
+
+
 def test_a_leaving_endpoint_gets_no_new_work():
     async def scenario():
         async with World(well, well) as world:
