--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -40,10 +40,6 @@
 FAIR_PART = 0.35
 # Part of that time in which the first event has to be expected; expectations err.
 USED_PART = 0.8
-# What is expected of the last lane is multiplied by this: prompts that come later and
-# are timely go before it, so under load its backlog drains at a half of the rate or
-# less. Without it, such prompts waited until their callers left, on calm days too.
-LATE_FACTOR = 1.4
 # A prompt counts as hopeless when its first event is expected after this part of the
 # time until its caller gives up. Refused then, it comes back with a fresh wait; read
 # too late, it has held up others in vain. Tried from 0.85 to 1.1 of the other bound:
@@ -142,7 +138,7 @@
         return TIMELY
     if own_s > objective_left_s and chance < FAIR_PART and timely_s <= limits.wanted_s:
         return TIMELY
-    if LATE_FACTOR * late_s <= limits.wanted_s:
+    if late_s <= limits.wanted_s:
         return LATE
     if timely_s > HOPELESS_FACTOR * limits.given_up_s:
         return HOPELESS
