Ask for a second endpoint once, and count a retry only when there is somewhere to go

Cause: found by reading: a slow idempotent request without another endpoint asked for one a thousand times a second, and each time used up a retry of its service; so did a failed request with nowhere to go. The test fails without the mend.

--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -184,7 +184,7 @@
     finally:
         answer.close()
     peer = state.record.address
-    if head.status == 421:
+    if head.is_wrong_endpoint:
         exchange.context.endpoints.on_wrong_endpoint(state.record.endpoint_id)
     if head.status != 200:
         reason = "full" if head.is_not_run else f"status_{head.status}"
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -53,6 +53,7 @@
         self._exchange = exchange
         self._tried = set()
         self._tasks = {}
+        self._is_hedged = False
         self._failed_answer = None
         self._last_error = None
 
@@ -72,9 +73,11 @@
         exchange = self._exchange
         context = exchange.context
         context.retry_share(exchange.service).on_first(context.clock())
-        if not self._start():
+        state = self._next()
+        if state is None:
             exchange.refuse(503, "no_endpoint", NO_ROOM_RETRY_S)
             return
+        self._begin(state)
         while self._tasks:
             done, _ = await asyncio.wait(
                 self._tasks,
@@ -82,6 +85,7 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             if not done:
+                self._is_hedged = True
                 self._retry("slow")
                 continue
             for task in done:
@@ -91,33 +95,32 @@
         self._give_up()
 
     def _hedge_after_s(self):
-        """Return the wait until a second endpoint is asked; None when never."""
+        """Return the wait until a second endpoint is asked; None when never.
+
+        It is tried once: a request that waits on, with no other endpoint or no retry
+        left, would else ask for one a thousand times a second.
+        """
         exchange = self._exchange
-        if exchange.route.kind != ANY_TIMES or len(self._tasks) != 1:
-            return None
-        if exchange.possible_runs >= exchange.route.max_endpoints:
-            return None
-        if len(self._tried) >= MAX_SENDS:
+        if exchange.route.kind != ANY_TIMES or self._is_hedged:
             return None
         due_s = exchange.arrived_s + HEDGE_PART * exchange.route.objective_s
         return max(0.001, due_s - exchange.context.clock())
 
-    def _start(self):
-        """Send to the next endpoint; say whether there was one."""
-        exchange = self._exchange
-        context = exchange.context
-        state = choose_endpoint(
+    def _next(self):
+        """Return the endpoint to send to next, or None when there is none."""
+        context = self._exchange.context
+        return choose_endpoint(
             context.clock(),
-            context.endpoints.of_service(exchange.service),
+            context.endpoints.of_service(self._exchange.service),
             self._tried,
             context.settings.zone,
             context.draw,
         )
-        if state is None:
-            return False
+
+    def _begin(self, state):
+        """Send to an endpoint."""
         self._tried.add(state.record.endpoint_id)
-        self._tasks[asyncio.ensure_future(_send(exchange, state))] = state
-        return True
+        self._tasks[asyncio.ensure_future(_send(self._exchange, state))] = state
 
     def _settle(self, result):
         """Take in the end of one send; say whether the caller has its answer."""
@@ -142,10 +145,11 @@
         exchange = self._exchange
         if len(self._tried) >= MAX_SENDS:
             return
-        if not may_retry_run(exchange):
+        state = self._next()
+        if state is None or not may_retry_run(exchange):
             return
-        if self._start():
-            exchange.log("info", "request_retried", reason=reason)
+        exchange.log("info", "request_retried", reason=reason)
+        self._begin(state)
 
     def _give_up(self):
         """Give the final answer when no send brought one to pass on."""
@@ -181,7 +185,7 @@
 def _judge(exchange, state, head, body):
     """Return the result of a whole answer."""
     record = state.record
-    if head.status == 421:
+    if head.is_wrong_endpoint:
         exchange.context.endpoints.on_wrong_endpoint(record.endpoint_id)
     if head.is_not_run:
         exchange.possible_runs -= 1
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -70,14 +70,12 @@
         error = None
         while exchange.sends < MAX_SENDS:
             state, reading = self._choose()
-            if state is None:
+            if state is None or (error is not None and not may_retry_run(exchange)):
                 break
             error = await self._try(state, reading)
             if error is None:
                 return
             self._tried.add(state.record.endpoint_id)
-            if not may_retry_run(exchange):
-                break
         self._give_up(error)
 
     def free_handle(self):
@@ -177,7 +175,7 @@
         exchange = self._exchange
         head = await self._head_in_time(answer, run)
         peer = run.state.record.address
-        if head.status == 421:
+        if head.is_wrong_endpoint:
             self._context.endpoints.on_wrong_endpoint(run.state.record.endpoint_id)
         if head.is_not_run:
             exchange.possible_runs -= 1
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -232,6 +232,19 @@
     run(scenario())
 
 
+def test_a_request_without_another_endpoint_uses_up_no_retries():
+    # The only endpoint of a service is slow. Each request that waited for it asked for
+    # a second one a thousand times a second, and each time used up a retry of all.
+    async def scenario():
+        async with World(silent) as world:
+            world.host.context.started_s -= 100.0
+            assert (await world.ask())[0] == 504
+            share = world.host.context.retry_share("svc")
+            assert len(share._retries_s) == 0
+
+    run(scenario())
+
+
 def test_a_silent_endpoint_is_left_while_its_requests_still_wait():
     # An endpoint falls silent with its connections open. Its bookings wait until their
     # callers leave, and none of that is a failed send: it looked idle and well, and
--- a/libs/ports/gypsumusher_ports/answers.py
+++ b/libs/ports/gypsumusher_ports/answers.py
@@ -16,6 +16,8 @@
         The request that it answers.
     is_not_run : bool
         Whether the endpoint states that the request hasn't run and won't.
+    is_wrong_endpoint : bool
+        Whether another endpoint than the one that was named answers at the address.
     is_sealed : bool
         Whether it bears the endpoint's signature.
     is_encoded : bool
@@ -27,6 +29,7 @@
     status: int
     request_id: str | None
     is_not_run: bool
+    is_wrong_endpoint: bool
     is_sealed: bool
     is_encoded: bool
     headers: tuple[tuple[str, str], ...]
