Tell peers of no endpoint that is only kept in case its entry comes back

Found in the logs: endpoint_deleted on four hosts, then endpoints_from_peer with the same endpoint as changed on the two others. The test fails without.

--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -64,7 +64,9 @@
             )
             if not ahead:
                 continue
-            peer = ahead[int(context.draw() * len(ahead))]
+            # A peer that doesn't see the store has its beliefs from another one.
+            seeing = [news for news in ahead if news.sees_store] or ahead
+            peer = seeing[int(context.draw() * len(seeing))]
             await self._ask(peer)
             await asyncio.sleep(PAUSE_S)
 
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -85,13 +85,10 @@
     @app.get(BELIEFS_PATH)
     async def beliefs(request):
         stored = context.configuration_source
-        endpoints = []
-        for state in context.endpoints.states.values():
-            endpoints.append(list(state.record))
         body = msgpack.packb(
             {
                 "configuration": None if stored is None else list(stored),
-                "endpoints": endpoints,
+                "endpoints": [list(record) for record in context.endpoints.listed()],
                 "revision": context.endpoints.revision,
             }
         )
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -34,6 +34,23 @@
         """Note that the store answers again after it was away."""
         self._grace_until_s = now_s + RETURN_GRACE_S
 
+    def is_in_grace(self, now_s: float) -> bool:
+        """Say whether entries that are missing may still come back."""
+        return now_s < self._grace_until_s
+
+    def listed(self) -> list[EndpointRecord]:
+        """Return the endpoints whose entries stand, for the peers.
+
+        One that is only kept because its entry may come back is not among them: a peer
+        that has rightly dropped it would take it up again, and send it work after it
+        has left.
+        """
+        return [
+            state.record
+            for endpoint_id, state in self.states.items()
+            if endpoint_id not in self._missing_since_s
+        ]
+
     def on_listing(self, now_s: float, records, revision: int) -> list[str]:
         """Take over a whole list; return the ids of endpoints that are new or changed.
 
--- a/libs/routing/tests/test_endpoint_table.py
+++ b/libs/routing/tests/test_endpoint_table.py
@@ -50,6 +50,19 @@
     assert usable(table) == ["e-2"]
 
 
+def test_an_endpoint_that_is_kept_in_case_is_told_to_no_peer():
+    # One host is cut off from the store while an endpoint leaves. Back again, it keeps
+    # the missing entry for a while, in case the store had lost it; its peers, which
+    # had dropped the endpoint, heard of it from this host and sent it work again.
+    table = EndpointTable()
+    table.on_listing(0.0, [record(), record("e-2", address="10.0.0.2:80")], 10)
+    table.on_store_returned(100.0)
+    table.on_listing(100.0, [record("e-2", address="10.0.0.2:80")], 20)
+    assert usable(table) == ["e-1", "e-2"]
+    assert [item.endpoint_id for item in table.listed()] == ["e-2"]
+    assert table.is_in_grace(101.0) and not table.is_in_grace(103.0)
+
+
 def test_an_entry_that_goes_while_the_store_is_well_is_gone():
     table = EndpointTable()
     table.on_listing(0.0, [record()], 10)
