--- a/tools/testkit.py
+++ b/tools/testkit.py
@@ -434,8 +434,8 @@
                 if not await host.is_ready():
                     return False
                 status = await host.status()
-                # An engine counts once its first report has come: until then its role is
-                # unknown and it gets no work, however live its entry says it is.
+                # An engine counts once its first report has come: until then its role
+                # is unknown and it gets no work, however live its entry says it is.
                 known = [e for e in status["endpoints"] if e["state"] == "live"]
                 if sum(1 for e in known if e["role"]) < engines:
                     return False
