Let one piece of code judge a run's head, call engines, and take a retry

Found on a last read of the change: the check of an answer's head stood in the exchange with a service and in the one with a stream; the call that frees a handle and the one that lists kept parts had the same frame; the reading of prompts took a retry the way a run does. Each is one function now (check_head, ask_engine, Context.take_retry); PrefixTable.clear was dead.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -195,6 +195,10 @@
             )
         return share
 
+    def take_retry(self, service):
+        """Use one retry of a service; False when this host's share is spent."""
+        return self.retry_share(service).take(self.clock(), self.hosts_count())
+
     def connections_max(self, service):
         """Return how many connections this host may have to one endpoint."""
         known = self.configuration.services.get(service)
--- a/libs/entry/gypsumusher_entry/kept_parts.py
+++ b/libs/entry/gypsumusher_entry/kept_parts.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from gypsumusher_entry.errors import EndpointError
+from gypsumusher_entry.sending import ask_engine
 from gypsumusher_platform import decode_kept_parts, encode_kept_parts_call
 from gypsumusher_ports import DecodeError
 
@@ -63,13 +64,10 @@
     async def _ask(self, state):
         """Take over what one engine keeps."""
         context, record = self._context, state.record
-        answer = None
+        call = encode_kept_parts_call(record.address)
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                limit = context.connections_max(record.service)
-                connection = await context.pool.acquire(record, limit)
-                answer = connection.send(encode_kept_parts_call(record.address), None)
-                parts = decode_kept_parts(record.endpoint_id, await answer.body())
+            body = await ask_engine(context, record, call, ANSWER_TIMEOUT_S)
+            parts = decode_kept_parts(record.endpoint_id, body)
         except (EndpointError, DecodeError, TimeoutError) as error:
             # Without its list the engine is used as if it kept nothing.
             context.log(
@@ -79,8 +77,5 @@
                 error=str(error) or "timeout",
             )
             return
-        finally:
-            if answer is not None:
-                answer.close()
         state.prefixes.note(parts)
         context.log("info", "kept_parts", endpoint=record.endpoint_id, parts=len(parts))
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from gypsumusher_entry.errors import EndpointError, OverloadedError
-from gypsumusher_entry.sending import note_failure, open_send
+from gypsumusher_entry.sending import ask_engine, note_failure, open_send
 from gypsumusher_platform import decode_prefill, encode_free_handle
 from gypsumusher_ports import DecodeError, Send
 from gypsumusher_routing import HOPELESS, LATE, choose_reading, urgency_of
@@ -44,14 +44,9 @@
     async def free(self, context):
         """Have the engine free it: nobody will take it any more."""
         record = self.state.record
-        answer = None
+        call = encode_free_handle(record.address, self.handle)
         try:
-            async with asyncio.timeout(FREE_TIMEOUT_S):
-                limit = context.connections_max(record.service)
-                connection = await context.pool.acquire(record, limit)
-                call = encode_free_handle(record.address, self.handle)
-                answer = connection.send(call, None)
-                await answer.body()
+            await ask_engine(context, record, call, FREE_TIMEOUT_S)
         except (EndpointError, TimeoutError) as error:
             # It lapses by itself; until then it takes memory from others.
             context.log(
@@ -60,9 +55,6 @@
                 endpoint=record.endpoint_id,
                 error=str(error) or "timeout",
             )
-        finally:
-            if answer is not None:
-                answer.close()
 
 
 async def read_prompt(exchange, limits):
@@ -108,7 +100,7 @@
             )
         if not reading.is_apart:
             return None
-        if tried and not _may_ask_again(exchange):
+        if tried and not context.take_retry(exchange.service):
             return None
         tried.add(reading.state.record.endpoint_id)
         prompt = await _read_at(exchange, reading)
@@ -117,13 +109,6 @@
     return None
 
 
-def _may_ask_again(exchange):
-    """Say whether a second reading fits this host's share of the retries."""
-    context = exchange.context
-    share = context.retry_share(exchange.service)
-    return share.take(context.clock(), context.hosts_count())
-
-
 async def _read_at(exchange, reading):
     """Have one engine read the prompt; None when it doesn't."""
     context, state = exchange.context, reading.state
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -1,10 +1,12 @@
 """One send of a request to one endpoint, with the counts that go with it."""
 
+import asyncio
+
 from gypsumusher_entry.errors import EndpointError
 from gypsumusher_platform import encode_send
 from gypsumusher_ports import ANY_TIMES
 
-__all__ = ["may_retry_run", "note_failure", "open_send"]
+__all__ = ["ask_engine", "check_head", "may_retry_run", "note_failure", "open_send"]
 
 # From this penalty on an endpoint is sent to on a new connection. One that has crashed
 # resets a kept connection only when the next request arrives there, which may then have
@@ -51,6 +53,65 @@
     return connection.send(data, exchange.request.request_id or None)
 
 
+def check_head(exchange, state, head):
+    """Take in what the head of a run's answer says of the endpoint and of the run.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    state : EndpointState
+        The endpoint.
+    head : AnswerHead
+        The head.
+
+    Raises
+    ------
+    EndpointError
+        When nothing ran, or when it looks like a success that the endpoint didn't make.
+    """
+    record = state.record
+    if head.is_wrong_endpoint:
+        exchange.context.endpoints.on_wrong_endpoint(record.endpoint_id)
+    if head.is_not_run:
+        exchange.possible_runs -= 1
+        raise EndpointError("run", record.address, "full", False)
+    is_success = 200 <= head.status < 300
+    if is_success and (not head.is_sealed or head.is_encoded):
+        raise EndpointError("run", record.address, "garbled", True)
+
+
+async def ask_engine(context, record, call, timeout_s):
+    """Make a call to an engine that isn't a request of a caller; return its body.
+
+    Parameters
+    ----------
+    context : Context
+        Shared state.
+    record : EndpointRecord
+        The engine.
+    call : bytes
+        The encoded call.
+    timeout_s : float
+        Longest time for it, in seconds.
+
+    Raises
+    ------
+    EndpointError, TimeoutError
+        When no whole answer came.
+    """
+    answer = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            limit = context.connections_max(record.service)
+            connection = await context.pool.acquire(record, limit)
+            answer = connection.send(call, None)
+            return await answer.body()
+    finally:
+        if answer is not None:
+            answer.close()
+
+
 def note_failure(exchange, state, error, **fields):
     """Log a failed send, and count it against the endpoint."""
     context = exchange.context
@@ -85,6 +146,4 @@
         is_idempotent = route.kind == ANY_TIMES or route.is_resumable
         if not is_idempotent or exchange.possible_runs >= route.max_endpoints:
             return False
-    context = exchange.context
-    share = context.retry_share(exchange.service)
-    return share.take(context.clock(), context.hosts_count())
+    return exchange.context.take_retry(exchange.service)
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -4,7 +4,12 @@
 from typing import NamedTuple
 
 from gypsumusher_entry.errors import EndpointError
-from gypsumusher_entry.sending import may_retry_run, note_failure, open_send
+from gypsumusher_entry.sending import (
+    check_head,
+    may_retry_run,
+    note_failure,
+    open_send,
+)
 from gypsumusher_ports import ANY_TIMES, AnswerHead, Send
 from gypsumusher_routing import EndpointState, choose_endpoint
 
@@ -172,7 +177,8 @@
         answer = await open_send(exchange, state, send)
         head = await answer.head()
         body = await answer.body()
-        return _judge(exchange, state, head, body)
+        check_head(exchange, state, head)
+        return _Result(state, head, body, None)
     except EndpointError as error:
         return _Result(state, None, b"", error)
     finally:
@@ -180,20 +186,3 @@
         exchange.context.overdue.end(wait)
         if answer is not None:
             answer.close()
-
-
-def _judge(exchange, state, head, body):
-    """Return the result of a whole answer."""
-    record = state.record
-    if head.is_wrong_endpoint:
-        exchange.context.endpoints.on_wrong_endpoint(record.endpoint_id)
-    if head.is_not_run:
-        exchange.possible_runs -= 1
-        error = EndpointError("run", record.address, "full", False)
-        return _Result(state, None, b"", error)
-    is_success = 200 <= head.status < 300
-    if is_success and (not head.is_sealed or head.is_encoded):
-        # Not what the endpoint made, though it looks like an answer.
-        error = EndpointError("run", record.address, "garbled", True)
-        return _Result(state, None, b"", error)
-    return _Result(state, head, body, None)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -4,7 +4,12 @@
 
 from gypsumusher_entry.errors import EndpointError
 from gypsumusher_entry.reading import read_prompt
-from gypsumusher_entry.sending import may_retry_run, note_failure, open_send
+from gypsumusher_entry.sending import (
+    check_head,
+    may_retry_run,
+    note_failure,
+    open_send,
+)
 from gypsumusher_ports import Send
 from gypsumusher_routing import (
     TIMELY,
@@ -174,17 +179,9 @@
         """
         exchange = self._exchange
         head = await self._head_in_time(answer, run)
-        peer = run.state.record.address
-        if head.is_wrong_endpoint:
-            self._context.endpoints.on_wrong_endpoint(run.state.record.endpoint_id)
-        if head.is_not_run:
-            exchange.possible_runs -= 1
-            raise EndpointError("run", peer, "full", False)
-        is_success = 200 <= head.status < 300
-        if is_success and (not head.is_sealed or head.is_encoded):
-            raise EndpointError("run", peer, "garbled", True)
-        if not is_success:
-            await self._pass_failure_on(answer, head, peer)
+        check_head(exchange, run.state, head)
+        if not 200 <= head.status < 300:
+            await self._pass_failure_on(answer, head, run.state.record.address)
             return
         splitter = EventSplitter()
         while True:
--- a/libs/routing/gypsumusher_routing/prefixes.py
+++ b/libs/routing/gypsumusher_routing/prefixes.py
@@ -64,12 +64,6 @@
             key: until_s for key, until_s in self._coming_s.items() if until_s > now_s
         }
 
-    def clear(self) -> None:
-        """Forget all, as the engine has."""
-        self._kept.clear()
-        self._coming_s.clear()
-        self._tokens = 0
-
     def kept_tokens(self, parts, coming_after_s=None) -> int:
         """Return how many tokens at the start of a prompt the engine keeps.
 
