Convict only the request that was alone when the engine crashed

The question whether it lives was taken and dropped, which counted as a sign of life: the crash was "broken", nobody was suspected, and up to four engines went. - A suspect past its prompt ran on while the next one was tried on the same engine. Both had then lost two engines; the first in order was convicted, and its conviction cleared the guilty one. - Hosts that hadn't heard each other's load yet took the same engine for their suspects: an innocent one of one host was convicted by the crash that another host's request caused. - Each host counted its place among the engines its own request may use.

Mended: a dropped question is asked again for 0.6 s; a verdict waits 0.5 s for the other hosts' word and falls only on one that was alone at its prompt (one past it needs a third crash); hosts are known from membership; engines are dealt out by the list of all of them.

Ruled out: load as such (the logs show each order of events); the wait for peers' word alone (the innocent was alone on its host).

--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -237,7 +237,7 @@
             quarantine = other.scheduler.quarantine
             self.clock.after(
                 GOSSIP_LAG_S,
-                lambda quarantine=quarantine: quarantine.on_peer_suspicions(
+                lambda quarantine=quarantine: quarantine.on_suspicions(
                     self.clock.now_s, suspicions
                 ),
             )
--- a/libs/daemon/gypsumusher_daemon/crashing_requests.py
+++ b/libs/daemon/gypsumusher_daemon/crashing_requests.py
@@ -10,6 +10,9 @@
 RETRY_S = 2.0
 READ_TRIES = 30
 
+# Least pause before a verdict is asked for again, in seconds.
+SETTLE_POLL_S = 0.01
+
 
 class CrashingRequests:
     """Tells the quarantine of crashes here and elsewhere.
@@ -33,13 +36,14 @@
         ``track(task)`` keeps a task until it is done.
     """
 
-    def __init__(self, quarantine, client, clock, log, tell_all, track):
+    def __init__(self, quarantine, client, clock, log, tell_all, track, on_settled):
         self._quarantine = quarantine
         self._client = client
         self._clock = clock
         self._log = log
         self._tell_all = tell_all
         self._track = track
+        self._on_settled = on_settled
 
     async def load(self):
         """Read the convictions that stand on the platform, when it answers."""
@@ -55,23 +59,52 @@
     def on_crash(self, endpoint):
         """Take note that an engine of ours crashed."""
         running = list(self._quarantine.running.get(endpoint, ()))
+        past_prompt = sorted(self._quarantine.past_prompt.get(endpoint, ()))
         convicted = self._quarantine.on_crash(self._clock(), endpoint)
         self._publish(convicted)
-        if running:
-            suspicions = {fingerprint: [endpoint] for fingerprint in running}
-            message = {"type": "crash", "suspicions": suspicions}
+        self._settle_later()
+        # A crash that a conviction has just explained makes nobody else suspect.
+        suspicions = {
+            fingerprint: [endpoint]
+            for fingerprint in running
+            if self._quarantine.verdict(fingerprint) == "suspect"
+        }
+        if suspicions:
+            message = {
+                "type": "crash",
+                "suspicions": suspicions,
+                "past_prompt": past_prompt,
+            }
             self._track(asyncio.ensure_future(self._tell_all(message)))
 
-    def hear_crash(self, suspicions):
+    def hear_crash(self, suspicions, past_prompt):
         """Take a peer's word of a crash and of what ran there.
 
         Parameters
         ----------
         suspicions : dict
             Endpoints lost by fingerprint.
+        past_prompt : list of str
+            The fingerprints whose prompt had been got through.
         """
-        convicted = self._quarantine.on_peer_suspicions(self._clock(), suspicions)
+        now_s = self._clock()
+        convicted = self._quarantine.on_suspicions(now_s, suspicions, past_prompt)
         self._publish(convicted)
+        self._settle_later()
+
+    def _settle_later(self):
+        """Judge what has been lost once the other hosts have had time to tell."""
+        if self._quarantine.accused:
+            self._track(asyncio.ensure_future(self._settle()))
+
+    async def _settle(self):
+        # A timer may fire a little before its time by the other clock, and nobody
+        # would ask again: suspects would wait for a verdict for good.
+        while self._quarantine.accused:
+            due_s = self._quarantine.settling_until_s
+            await asyncio.sleep(max(SETTLE_POLL_S, due_s - self._clock()))
+            self._publish(self._quarantine.settle(self._clock()))
+        self._on_settled()
 
     def hear_convictions(self, convictions):
         """Take a peer's convictions.
--- a/libs/daemon/gypsumusher_daemon/dispatch.py
+++ b/libs/daemon/gypsumusher_daemon/dispatch.py
@@ -89,6 +89,24 @@
         self._clock = clock
         self._tickets = {}
         self._timers = {}
+        self._hosts = []
+
+    def set_hosts(self, names):
+        """Tell the schedulers which other hosts send work to the same engines.
+
+        Parameters
+        ----------
+        names : list of str
+            The hosts.
+        """
+        self._hosts = names
+        for deployment in self.schedulers:
+            self.apply(deployment, "set_hosts", names)
+
+    def tick(self):
+        """Have the schedulers look again at what waits."""
+        for deployment in self.schedulers:
+            self.apply(deployment, "tick")
 
     def set_document(self, document):
         """Take over a configuration: new, changed and withdrawn deployments.
@@ -108,6 +126,7 @@
             self.schedulers[name] = Scheduler(
                 policy, self._host, self._zone, seed, self._quarantine
             )
+            self.apply(name, "set_hosts", self._hosts)
         for name in list(self.schedulers):
             if name not in sections:
                 # Running requests keep their scheduler through their tickets' calls
--- a/libs/daemon/gypsumusher_daemon/engine_sessions.py
+++ b/libs/daemon/gypsumusher_daemon/engine_sessions.py
@@ -1,5 +1,7 @@
 """HTTP sessions to engines, with every limit of the library set on purpose."""
 
+import asyncio
+
 import aiohttp
 
 from gypsumusher_objects import forbid_repeats
@@ -7,6 +9,11 @@
 __all__ = ["EngineSessions"]
 
 PROBE_TIMEOUT_S = 2.0
+# Questions to an engine that drops the connection without an answer, and the pause
+# before the first repeat, which doubles: 0.6 s in all. A process that dies closes its
+# listener some milliseconds after its connections, 20 ms and more on a busy machine.
+DYING_PROBES = 5
+DYING_PAUSE_S = 0.02
 READ_BUFFER_BYTES = 65_536
 KEEPALIVE_S = 30.0
 
@@ -76,12 +83,26 @@
         -----
         Tells a crash from a broken connection. Only a refused connection counts as
         a crash: an engine that is slow to answer is no proof that it has gone.
+
+        Failure guarded against: the engine is asked in the moment in which its
+        process ends, and its listener, which goes last, still takes the connection.
+        It shows as a request that crashes engine after engine and is never
+        convicted. Asked again, the engine refuses.
         """
-        try:
-            await self._probe(address)
-        except aiohttp.ClientConnectorError:
-            return False
-        except (aiohttp.ClientError, TimeoutError, OSError):
+        pause_s = DYING_PAUSE_S
+        for _ in range(DYING_PROBES):
+            try:
+                await self._probe(address)
+            except TimeoutError:
+                return True
+            except aiohttp.ClientConnectorError:
+                return False
+            except (aiohttp.ClientConnectionError, OSError):
+                await asyncio.sleep(pause_s)
+                pause_s *= 2
+                continue
+            except aiohttp.ClientError:
+                return True
             return True
         return True
 
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -35,6 +35,7 @@
 from gypsumusher_objects import BudgetLimits, CallBudget, PlatformClient
 from gypsumusher_peers import KeyRing
 from gypsumusher_policy import Quarantine
+from gypsumusher_policy.quarantine import SETTLE_S
 
 __all__ = ["EntryHost"]
 
@@ -70,7 +71,7 @@
         self.state = STARTING
         self.metrics = Metrics()
         self.history = RequestsLog()
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(SETTLE_S)
         self.tasks = set()
         self.servers = []
         self._loops = []
@@ -119,7 +120,13 @@
             self.news.parts(),
         )
         self.crashing = CrashingRequests(
-            self.quarantine, self.client, clock, log, self.cell.tell_all, self.track
+            self.quarantine,
+            self.client,
+            clock,
+            log,
+            self.cell.tell_all,
+            self.track,
+            self.dispatcher.tick,
         )
         self.endpoints.crash_listeners.append(self.crashing.on_crash)
         self.configuration = Configuration(
@@ -356,12 +363,14 @@
         self.dispatcher.set_document(document)
         self.endpoints.set_drained(document)
         self.cell.follow_directory()
+        self.dispatcher.set_hosts(self.cell.members)
         self._choose_deployments()
         self.endpoints.publish()
 
     def _on_hosts_changed(self):
         """Follow the hosts that have come or gone."""
         self.cell.follow_directory()
+        self.dispatcher.set_hosts(self.cell.members)
         self._choose_deployments()
 
     def _choose_deployments(self):
--- a/libs/daemon/gypsumusher_daemon/peer_news.py
+++ b/libs/daemon/gypsumusher_daemon/peer_news.py
@@ -140,7 +140,9 @@
             self._host.abandoned.taken_up(message.get("stream_id"))
             return {}
         if kind == "crash":
-            self._host.crashing.hear_crash(message.get("suspicions", {}))
+            self._host.crashing.hear_crash(
+                message.get("suspicions", {}), message.get("past_prompt", [])
+            )
             return {}
         if kind == "convictions":
             self._host.crashing.hear_convictions(message.get("convictions", {}))
--- a/libs/policy/gypsumusher_policy/quarantine.py
+++ b/libs/policy/gypsumusher_policy/quarantine.py
@@ -1,12 +1,17 @@
 """Requests that crash the engine that runs them: suspects and convictions."""
 
 from collections import OrderedDict
+from collections.abc import Collection
 
 from gypsumusher_policy.types import Convict
 
 # Crashes that convict: one may be the engine's own fault, and a third would cost
 # another engine.
 CRASHES_TO_CONVICT = 2
+# The same for a content that was past its prompt at the last crash. What crashes
+# engines mostly does so at its prompt, and whatever else ran there, for another host
+# too, is likelier the cause: one engine more is the price of sparing an innocent.
+CRASHES_TO_CONVICT_LATE = 3
 # Suspicions kept; a crash adds at most a batch of them, and an old one only costs a
 # request some company.
 MAX_SUSPECTS = 4096
@@ -15,6 +20,9 @@
 # Time for which a crash that a conviction has explained blames nobody else, in
 # seconds: the other hosts' word of it comes within that time.
 EXPLAINED_S = 5.0
+# Time for which a verdict waits for the other hosts' word of the same crash, in
+# seconds: a connection that breaks tells them of it within 0.1 s on busy machines.
+SETTLE_S = 0.5
 
 
 class Quarantine:
@@ -25,10 +33,32 @@
     a crashed engine is a suspect; suspects run apart from each other, so that a
     second crash has one suspect alone, which is convicted and refused for good. The
     others that were suspected for the same crashes are clear again at once.
+
+    A suspect that has got through its prompt runs on while the next one starts, on the
+    same engine where there is no other. Of several that a crash might convict, only
+    one that was alone at its prompt is; else none, and each is tried again.
+
+    Parameters
+    ----------
+    settle_s : float
+        How long a verdict waits for the other hosts' word of the same crash, in
+        seconds; 0 where no other host has a word.
+
+    Attributes
+    ----------
+    settling_until_s : float
+        When all crashes that are known by now can be judged.
+    accused : dict of str to (float, dict of str to bool)
+        When each crash may be judged, and whether each content that it might convict
+        was past its prompt, by endpoint.
     """
 
-    def __init__(self):
+    def __init__(self, settle_s: float = 0.0):
+        self.settle_s = settle_s
+        self.settling_until_s = 0.0
+        self.accused = {}
         self.running = {}
+        self.past_prompt = {}
         self.suspects = OrderedDict()
         self.convictions = {}
         self.explained_s = {}
@@ -38,6 +68,10 @@
         counts = self.running.setdefault(endpoint, {})
         counts[fingerprint] = counts.get(fingerprint, 0) + 1
 
+    def on_first_token(self, fingerprint: str, endpoint: str) -> None:
+        """Note that a content's prompt has done an endpoint no harm."""
+        self.past_prompt.setdefault(endpoint, set()).add(fingerprint)
+
     def on_end(
         self, now_s: float, fingerprint: str, endpoint: str, completed: bool = False
     ) -> None:
@@ -48,13 +82,15 @@
             counts[fingerprint] = left
         else:
             counts.pop(fingerprint, None)
+            self.past_prompt.get(endpoint, set()).discard(fingerprint)
         if completed:
             self.suspects.pop(fingerprint, None)
 
     def on_crash(self, now_s: float, endpoint: str) -> list[Convict]:
         """Note that an endpoint crashed; return the contents convicted by it."""
         lost = {name: [endpoint] for name in self.running.pop(endpoint, {})}
-        return self.on_peer_suspicions(now_s, lost)
+        past_prompt = self.past_prompt.pop(endpoint, set())
+        return self.on_suspicions(now_s, lost, past_prompt)
 
     def convict(self, fingerprint: str, reason: str, now_s: float = 0.0) -> None:
         """Take over a conviction, from a peer or the platform."""
@@ -81,10 +117,13 @@
             found[name] = [endpoint for endpoint, _ in crashes]
         return found
 
-    def on_peer_suspicions(
-        self, now_s: float, suspicions: dict[str, list[str]]
+    def on_suspicions(
+        self,
+        now_s: float,
+        suspicions: dict[str, list[str]],
+        past_prompt: Collection[str] = (),
     ) -> list[Convict]:
-        """Take over suspicions; return the contents convicted by them.
+        """Take over suspicions, own or a peer's; return the contents convicted by them.
 
         Parameters
         ----------
@@ -92,20 +131,58 @@
             The present time, in seconds.
         suspicions : dict of str to list of str
             Endpoints that crashed while they ran each content.
+        past_prompt : collection of str
+            The contents whose prompt the endpoint had got through.
         """
         for fingerprint, endpoints in suspicions.items():
             for endpoint in endpoints:
                 self._blame(now_s, fingerprint, endpoint)
+        for fingerprint, endpoints in suspicions.items():
+            is_past_prompt = fingerprint in past_prompt
+            if not self._is_due(fingerprint, is_past_prompt):
+                continue
+            for endpoint in endpoints:
+                due_s = now_s + self.settle_s
+                _, names = self.accused.setdefault(endpoint, (due_s, {}))
+                names[fingerprint] = is_past_prompt
+                self.settling_until_s = max(self.settling_until_s, due_s)
+        return self.settle(now_s)
+
+    def settle(self, now_s: float) -> list[Convict]:
+        """Judge the crashes of which all hosts have had time to tell."""
         convicts = []
-        for fingerprint in suspicions:
-            crashes = self.suspects.get(fingerprint, ())
-            if len(crashes) < CRASHES_TO_CONVICT:
+        for endpoint, (due_s, names) in list(self.accused.items()):
+            if due_s > now_s:
                 continue
-            lost = [endpoint for endpoint, _ in crashes]
-            self.convict(fingerprint, "crashed " + ",".join(lost), now_s)
-            convicts.append(Convict(fingerprint, tuple(lost)))
+            del self.accused[endpoint]
+            convict = self._judge(now_s, names)
+            if convict is not None:
+                convicts.append(convict)
         return convicts
 
+    def _judge(self, now_s, names):
+        """Convict the one content that can have caused a crash, or none.
+
+        Failure guarded against: an innocent suspect and the content that crashes
+        engines are lost together a second time, through one host or two. The first of
+        them would be convicted, and its conviction would explain the crashes and
+        clear the guilty one.
+        """
+        found = [name for name, past in names.items() if self._is_due(name, past)]
+        if len(found) > 1:
+            found = [name for name in found if not names[name]]
+        if len(found) != 1:
+            return None
+        lost = tuple(endpoint for endpoint, _ in self.suspects[found[0]])
+        self.convict(found[0], "crashed " + ",".join(lost), now_s)
+        return Convict(found[0], lost)
+
+    def _is_due(self, fingerprint, is_past_prompt):
+        crashes = len(self.suspects.get(fingerprint, ()))
+        if is_past_prompt:
+            return crashes >= CRASHES_TO_CONVICT_LATE
+        return crashes >= CRASHES_TO_CONVICT
+
     def _blame(self, now_s, fingerprint, endpoint):
         if fingerprint in self.convictions:
             return
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -19,7 +19,7 @@
 from gypsumusher_policy.promises import Promises
 from gypsumusher_policy.queueing import Queued, RequestQueue
 from gypsumusher_policy.retries import RetryBudget, may_retry
-from gypsumusher_policy.suspects import SuspectList, host_turn
+from gypsumusher_policy.suspects import SuspectList, host_turn, own_engine
 from gypsumusher_policy.types import (
     Action,
     DeploymentPolicy,
@@ -85,6 +85,7 @@
         self.pending_decode = []
         self.suspects = SuspectList()
         self.peers = {}
+        self.cell_hosts = []
         self.cache = CacheTable()
         self.outputs = OutputEstimate()
         self.meter = DemandMeter()
@@ -121,6 +122,13 @@
                 self._drop_endpoint(name)
         return self._dispatch(now_s)
 
+    def set_hosts(self, now_s: float, names: list[str]) -> None:
+        """Take the names of the other hosts that send work to these engines.
+
+        The news of their loads would come too late for what hangs on who they are.
+        """
+        self.cell_hosts = names
+
     def on_report(self, now_s: float, report: LoadReport) -> list[Action]:
         """Take in an engine's load report."""
         state = self.states.get(report.endpoint)
@@ -206,6 +214,9 @@
             return
         flight.first_token_s = now_s
         self.suspects.on_survived(request_id)
+        if self.quarantine is not None:
+            fingerprint = flight.request.fingerprint
+            self.quarantine.on_first_token(fingerprint, flight.state.name)
         self._release_cache(flight)
         flight.state.own_prompt_tokens -= flight.prompt_tokens
         flight.prompt_tokens = 0
@@ -405,7 +416,7 @@
         request = flight.request
         if self._verdict(flight) == "suspect":
             engines = max(1, self._suspect_engines())
-            _, wait_s = host_turn(self.host, list(self.peers), engines)
+            _, wait_s = host_turn(self.host, self._other_hosts(), engines)
             self.suspects.push(flight, now_s + wait_s)
             return
         latest_s = admission.latest_start_s(request.deadline_s, self._service_s(flight))
@@ -492,7 +503,8 @@
             )
             actions.append(self._note_refusal(now_s, refusal))
         flight = self.suspects.first(now_s)
-        if flight is None:
+        # While a crash is being judged, one of the suspects is about to be convicted.
+        if flight is None or self.quarantine.accused:
             return actions
         state = self._suspect_endpoint(now_s, flight)
         if state is None:
@@ -502,20 +514,22 @@
         actions.append(self._start(now_s, flight, state, stage))
         return actions
 
+    def _other_hosts(self):
+        return sorted({*self.peers, *self.cell_hosts} - {self.host})
+
     def _suspect_endpoint(self, now_s, flight):
-        states = []
+        names = []
+        usable = {}
         for role in ("prefill", "mixed"):
             for _, state in self.index.by_role[role]:
+                names.append((role != "prefill", state.name))
                 # Its second run must be elsewhere: the engine may be the cause.
                 if state.name in flight.tried:
                     continue
                 if state.takes_work(now_s, flight.request.idempotent):
-                    states.append((role != "prefill", state.name, state))
-        if not states:
-            return None
-        states.sort()
-        place, _ = host_turn(self.host, list(self.peers), len(states))
-        return states[place][2]
+                    usable[state.name] = state
+        name = own_engine(self.host, self._other_hosts(), sorted(names), usable)
+        return usable.get(name)
 
     def _refuse_late(self, now_s):
         """Give the final refusal to what waits but can't be on time any longer."""
--- a/libs/policy/gypsumusher_policy/suspects.py
+++ b/libs/policy/gypsumusher_policy/suspects.py
@@ -6,6 +6,8 @@
 its turn where there are fewer engines than hosts.
 """
 
+from collections.abc import Collection
+
 # Wait between the hosts that share an engine for their suspects, in seconds: in this
 # time the hosts before have mostly found the one that crashes engines.
 TURN_S = 5.0
@@ -81,3 +83,32 @@
     """
     place = sorted([host, *peers]).index(host)
     return place % engines, place // engines * TURN_S
+
+
+def own_engine(
+    host: str, peers: list[str], engines: list, usable: Collection[str]
+) -> str | None:
+    """Return the engine on which a host tries its suspects, or None.
+
+    The engines are dealt out by their place in the list of all of them, not of those
+    that one request may use: that list differs between hosts, and two would take the
+    same engine for different places.
+
+    Parameters
+    ----------
+    host : str
+        This host.
+    peers : list of str
+        The other hosts of the cell.
+    engines : list of (bool, str)
+        All engines in order, the name last.
+    usable : collection of str
+        Names of those that may run the request now.
+    """
+    hosts = sorted([host, *peers])
+    place = hosts.index(host)
+    left = [name for _, name in engines if name in usable]
+    own = [name for _, name in engines[place :: len(hosts)] if name in usable]
+    if own:
+        return own[0]
+    return left[place % len(left)] if left else None
