Let hosts say at once that they see the store, and forget hosts that are gone

Cause: since a host that waits for lapsed entries mustn't be relied on, it said for 2.2 s after each start and outage that it didn't see the store, so that all hosts watched: each change of 75 endpoints woke 90 watches. Nothing called drop_forgotten, so that replaced hosts stayed known and their records stayed in the store.

Now sight of the store and knowledge of all endpoints are told apart: a peer's list that may lack endpoints adds and changes, and drops none. Hosts silent for 60 s are forgotten, the watchers delete their records, and one that comes back writes its record again.

Ruled out: no wait on a first start alone (a host that starts right after an outage would have its peers drop every endpoint).

--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -104,7 +104,9 @@
     def _has_peers_that_watch(self):
         """Say whether others watch for this host, which knows all that it needs."""
         context = self._context
-        if context.configuration is None or context.watches_store():
+        if context.configuration is None or not context.endpoints.states:
+            return False
+        if context.watches_store():
             return False
         self._lost.clear()
         self._answered.clear()
@@ -163,24 +165,13 @@
                 context.endpoints.on_store_returned(context.clock())
             context.log("info", "dependency_regained", dependency="store", kind=kind)
         self._answered.add(kind)
-        self._update_sight()
-
-    def _update_sight(self):
-        """Say whether peers may rely on what this host sees.
-
-        Not while entries that lapsed may still come back: until then this host doesn't
-        know which endpoints are gone, and peers that do must not ask it.
-        """
-        context = self._context
-        is_settled = not context.endpoints.is_in_grace(context.clock())
-        context.sees_store = is_settled and self._answered == FOLLOWED
+        context.sees_store = self._answered == FOLLOWED
 
     async def _drop_missing(self):
         """Drop endpoints whose entries have not come back."""
         context = self._context
         while True:
             await asyncio.sleep(DROP_S)
-            self._update_sight()
             for endpoint_id in context.endpoints.drop_missing(context.clock()):
                 context.log("info", "endpoint_dropped", endpoint=endpoint_id)
             context.pool.drop_idle()
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -21,6 +21,9 @@
 ASK_S = 0.1
 # Least time between two questions to peers, in seconds.
 PAUSE_S = 0.2
+# The same while the peer waits for entries that may come back, in seconds: each answer
+# holds all endpoints again, and what it lacks isn't told until the wait is over.
+PARTIAL_PAUSE_S = 0.5
 ANSWER_TIMEOUT_S = 0.5
 MAX_BYTES = 4 * 1024 * 1024
 
@@ -67,11 +70,16 @@
             # A peer that doesn't see the store has its beliefs from another one.
             seeing = [news for news in ahead if news.sees_store] or ahead
             peer = seeing[int(context.draw() * len(seeing))]
-            await self._ask(peer)
-            await asyncio.sleep(PAUSE_S)
+            is_whole = await self._ask(peer)
+            await asyncio.sleep(PAUSE_S if is_whole else PARTIAL_PAUSE_S)
 
     async def _ask(self, peer):
-        """Take over what one peer believes."""
+        """Take over what one peer believes; say whether it knows all endpoints.
+
+        Failure guarded against: the store returns without the entries that lapsed
+        meanwhile. A host that reads it then lacks endpoints that live; as the whole
+        list its word would have every other host drop them, and refuse all work.
+        """
         context = self._context
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
@@ -82,6 +90,7 @@
             news = msgpack.unpackb(data, strict_map_key=False)
             stored, revision = news["configuration"], news["revision"]
             records = [EndpointRecord(*fields) for fields in news["endpoints"]]
+            is_whole = news["is_whole"]
             if stored is not None:
                 stored = StoredObject(*stored)
         except (
@@ -93,15 +102,21 @@
             TypeError,
         ) as error:
             context.log("warning", "peer_not_heard", peer=peer.name, error=repr(error))
-            return
+            return True
         if stored is not None:
             take_configuration(context, stored, peer.name)
-        changed = context.endpoints.on_listing(context.clock(), records, revision)
+        endpoints = context.endpoints
+        if is_whole:
+            changed = endpoints.on_listing(context.clock(), records, revision)
+        else:
+            changed = endpoints.on_part(records, revision)
         if changed:
             context.log(
                 "info",
                 "endpoints_from_peer",
                 peer=peer.name,
                 revision=revision,
+                is_whole=is_whole,
                 changed=",".join(changed),
             )
+        return is_whole
--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -46,6 +46,7 @@
         while True:
             await asyncio.sleep(REREAD_S * (0.5 + self._context.draw()))
             await self._until_done(self._reread)
+            await self._drop_forgotten()
 
     async def _until_done(self, call):
         """Repeat a call until the store has done it."""
@@ -70,12 +71,34 @@
     async def _read(self, is_stale=False):
         """Read all records; say whether that worked."""
         result = await self._store.list(HOSTS_KIND, is_stale=is_stale)
-        if isinstance(result, Success):
-            for stored in result.unwrap().objects:
-                ip = stored.content.get("ip") if isinstance(stored.content, dict) else 0
-                if isinstance(ip, str):
-                    self._context.hosts.on_record(stored.name, ip)
-        return self._note("records_read", result)
+        if isinstance(result, Failure):
+            return self._note("records_read", result)
+        context = self._context
+        stored = result.unwrap().objects
+        for item in stored:
+            ip = item.content.get("ip") if isinstance(item.content, dict) else None
+            if isinstance(ip, str):
+                context.hosts.on_record(context.clock(), item.name, ip)
+        if context.settings.name not in [item.name for item in stored]:
+            # The others took this host for gone while it was cut off.
+            context.log("warning", "record_missing", host=context.settings.name)
+            return await self._write()
+        return True
+
+    async def _drop_forgotten(self):
+        """Delete the records of hosts that have been silent for long.
+
+        Only the hosts that watch the store do, which are few and see it.
+        """
+        context = self._context
+        for name in context.hosts.drop_forgotten(context.clock()):
+            context.log("info", "host_forgotten", host=name)
+            if not context.watches_store():
+                continue
+            result = await self._store.delete(HOSTS_KIND, name)
+            if isinstance(result, Failure) and result.failure().code == "absent":
+                continue
+            self._note("record_deleted", result)
 
     def _note(self, event, result):
         """Log a failure; say whether the call was done."""
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -90,6 +90,7 @@
                 "configuration": None if stored is None else list(stored),
                 "endpoints": [list(record) for record in context.endpoints.listed()],
                 "revision": context.endpoints.revision,
+                "is_whole": not context.endpoints.is_in_grace(context.clock()),
             }
         )
         return raw(body, content_type="application/msgpack")
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -411,7 +411,6 @@
     async def scenario():
         async with World(well) as world:
             context = world.host.context
-            # Not at once: entries that lapsed may come back for two seconds.
             await until(lambda: context.sees_store)
             watches = context.watches_store
             context.watches_store = lambda: False
@@ -485,7 +484,7 @@
             settings(nowhere, "127.0.0.3", "host-3", seeds, port), lambda *a, **f: None
         )
         await turned_away.start()
-        seeing.context.hosts.on_record("host-3", "127.0.0.3")
+        seeing.context.hosts.on_record(0.0, "host-3", "127.0.0.3")
         await until(lambda: turned_away.context.configuration_version == 1)
         store.put("config", "main", configuration(4, ANY, ANY))
         await until(lambda: turned_away.context.configuration_version == 4)
--- /dev/null
+++ b/libs/entry/tests/test_registration.py
@@ -0,0 +1,96 @@
+"""The records by which the hosts find each other, when hosts come and go."""
+
+import asyncio
+from types import SimpleNamespace
+
+from returns.result import Failure, Success
+
+from gypsumusher_entry.registration import Registration
+from gypsumusher_ports import Listing, PlatformError, StoredObject
+from gypsumusher_routing import HostTable
+
+
+class RecordStore:
+    """The store's records, as one host after another reads and writes them."""
+
+    def __init__(self, *names):
+        self.records = {name: {"ip": "10.0.0.9", "zone": "a"} for name in names}
+
+    async def list(self, kind, is_stale=False):
+        objects = [
+            StoredObject(name, 1, content, None)
+            for name, content in self.records.items()
+        ]
+        return Success(Listing(tuple(objects), 1))
+
+    async def create(self, kind, name, content):
+        if name in self.records:
+            return Failure(PlatformError("create", "store", "conflict", ""))
+        return await self.replace(kind, name, content)
+
+    async def replace(self, kind, name, content, revision=None):
+        self.records[name] = content
+        return Success(StoredObject(name, 1, content, None))
+
+    async def delete(self, kind, name, revision=None):
+        if self.records.pop(name, None) is None:
+            return Failure(PlatformError("delete", "store", "absent", ""))
+        return Success(None)
+
+
+def create_context(is_watcher=True):
+    clock = SimpleNamespace(now_s=0.0)
+    return clock, SimpleNamespace(
+        settings=SimpleNamespace(name="host-1", ip="10.0.0.1", zone="a"),
+        hosts=HostTable("host-1"),
+        clock=lambda: clock.now_s,
+        log=lambda *_, **__: None,
+        watches_store=lambda: is_watcher,
+    )
+
+
+def reread_at(clock, registration, now_s):
+    async def run():
+        clock.now_s = now_s
+        assert await registration._reread()
+        await registration._drop_forgotten()
+
+    asyncio.run(run())
+
+
+def test_the_record_of_a_host_that_is_gone_is_deleted_by_a_host_that_watches():
+    """Records of replaced hosts stay for ever, and every host goes on calling them."""
+    store = RecordStore("host-1", "host-2")
+    clock, context = create_context()
+    registration = Registration(context, store)
+    reread_at(clock, registration, 0.0)
+    assert "host-2" in context.hosts.addresses()
+    reread_at(clock, registration, 59.0)
+    assert "host-2" in store.records
+    reread_at(clock, registration, 61.0)
+    assert list(store.records) == ["host-1"]
+    assert not context.hosts.addresses()
+
+
+def test_a_host_that_does_not_watch_leaves_the_records_alone():
+    """Three hundred hosts each delete the same record, at the store's expense."""
+    store = RecordStore("host-1", "host-2")
+    clock, context = create_context(is_watcher=False)
+    registration = Registration(context, store)
+    reread_at(clock, registration, 0.0)
+    reread_at(clock, registration, 61.0)
+    assert "host-2" in store.records
+
+
+def test_a_host_that_was_taken_for_gone_writes_its_record_again():
+    """A host is cut off for a minute, and nobody ever speaks to it again.
+
+    The others have deleted its record meanwhile; it wrote that at its start only.
+    """
+    store = RecordStore("host-1")
+    clock, context = create_context()
+    registration = Registration(context, store)
+    reread_at(clock, registration, 0.0)
+    del store.records["host-1"]
+    reread_at(clock, registration, 15.0)
+    assert store.records["host-1"] == {"ip": "10.0.0.1", "zone": "a"}
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -71,6 +71,15 @@
                 self._miss(now_s, endpoint_id)
         return changed
 
+    def on_part(self, records, revision: int) -> list[str]:
+        """Take over a list that may lack endpoints; return the ids that changed.
+
+        The list's revision isn't taken for known: the whole list at it is to come.
+        """
+        if revision < self.revision:
+            return []
+        return [record.endpoint_id for record in records if self._take(record)]
+
     def on_record(self, record: EndpointRecord, revision: int) -> bool:
         """Take over one entry; say whether that changed anything."""
         self.revision = max(self.revision, revision)
--- a/libs/routing/gypsumusher_routing/hosts.py
+++ b/libs/routing/gypsumusher_routing/hosts.py
@@ -13,7 +13,7 @@
 SILENT_PERIODS = 2.6
 SILENT_AFTER_S = 1.5
 # Silence after which it is forgotten, in seconds: a host that froze or was cut off is
-# back by then, and its record stands in the store in any case.
+# back by then. One that comes later writes its record again.
 FORGOTTEN_AFTER_S = 60.0
 
 
@@ -88,10 +88,13 @@
         self._heard_s = {}
         self._known = {}
 
-    def on_record(self, name: str, ip: str) -> None:
+    def on_record(self, now_s: float, name: str, ip: str) -> None:
         """Note that a host exists, from its record in the store."""
-        if name != self._own_name:
-            self._known[name] = ip
+        if name == self._own_name:
+            return
+        self._known[name] = ip
+        # One that is never heard of has been silent since its record was found.
+        self._heard_s.setdefault(name, now_s)
 
     def on_news(self, now_s: float, news: HostNews) -> bool:
         """Take in a message; say whether it is newer than what is known."""
@@ -110,11 +113,17 @@
         return True
 
     def drop_forgotten(self, now_s: float) -> list[str]:
-        """Forget hosts that have been silent for long; return their names."""
+        """Forget hosts that have been silent for long; return their names.
+
+        Failure guarded against: hosts that were replaced stay known for ever; each of
+        them costs a message a second from every host, and the callers' list grows
+        with records that lead nowhere.
+        """
         dropped = []
         for name, heard_s in list(self._heard_s.items()):
             if now_s - heard_s > FORGOTTEN_AFTER_S:
-                del self._heard_s[name], self._news[name]
+                del self._heard_s[name]
+                self._news.pop(name, None)
                 self._known.pop(name, None)
                 dropped.append(name)
         return dropped
--- a/libs/routing/tests/test_endpoint_table.py
+++ b/libs/routing/tests/test_endpoint_table.py
@@ -50,6 +50,20 @@
     assert usable(table) == ["e-2"]
 
 
+def test_a_peers_list_that_may_lack_endpoints_takes_none_away():
+    # The store returns empty. The five hosts that read it know that entries may come
+    # back; the others have it from them, and dropped every endpoint at once.
+    table = EndpointTable()
+    both = [record(), record("e-2", address="10.0.0.2:80")]
+    table.on_listing(0.0, both, 10)
+    assert table.on_part([record(beat=2, leaving=True)], 20) == ["e-1"]
+    assert usable(table) == ["e-2"]
+    # The whole list of the same revision still counts, an older part doesn't.
+    assert table.on_part([record("e-3", address="10.0.0.3:80")], 9) == []
+    table.on_listing(3.0, [record(beat=3, leaving=True)], 20)
+    assert usable(table) == []
+
+
 def test_an_endpoint_that_is_kept_in_case_is_told_to_no_peer():
     # One host is cut off from the store while an endpoint leaves. Back again, it keeps
     # the missing entry for a while, in case the store had lost it; its peers, which
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -175,6 +175,20 @@
     assert names(table, 2.1) == ["host-2"]
 
 
+def test_a_host_that_is_gone_for_good_is_forgotten():
+    # Hosts are replaced again and again. Each that has gone would cost a message a
+    # second from every other one for as long as the fleet lives.
+    table = HostTable("host-1")
+    table.on_record(0.0, "host-2", "10.0.0.2")
+    table.on_record(0.0, "host-3", "10.0.0.3")
+    table.on_news(50.0, news("host-3"))
+    assert table.drop_forgotten(59.0) == []
+    assert table.drop_forgotten(61.0) == ["host-2"]
+    assert list(table.addresses()) == ["host-3"]
+    assert table.drop_forgotten(111.0) == ["host-3"]
+    assert not table.addresses()
+
+
 WITHIN_3_S = FirstEventLimits(3.0, 3.75)
 
 
