--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PARTS := platform $(addprefix libs/,$(LIBS))
 STAMP := $(VENV)/.installed
 
-.PHONY: setup format lint test bench demo fuzz capacity clean
+.PHONY: setup format lint test bench demo fuzz soak capacity clean
 
 $(STAMP): requirements.txt $(foreach lib,$(PARTS),$(lib)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -37,6 +37,9 @@
 fuzz: setup
 	$(BIN)/python tools/fuzz.py
 
+soak: setup
+	$(BIN)/python soak/run_soak.py --seeds 1:50 --jobs 4
+
 capacity: setup
 	$(BIN)/python tools/capacity.py
 
--- a/libs/standins/gypsumusher_standins/object_store.py
+++ b/libs/standins/gypsumusher_standins/object_store.py
@@ -68,6 +68,10 @@
         self._note(kind, item, False)
         return item
 
+    def has(self, kind, name):
+        """Say whether an object stands."""
+        return (kind, name) in self._objects
+
     def remove(self, kind, name):
         """Remove an object."""
         item = self._objects.pop((kind, name))
@@ -88,14 +92,25 @@
 
     async def _serve(self, request):
         self.calls.append((request.method, request.path))
+        refusal = await self._refuse()
+        if refusal is not None:
+            return refusal
+        answer = await self._answer(request)
+        # A watch that was open when the store went away isn't answered either.
+        if request.method == "GET":
+            refusal = await self._refuse()
+            if refusal is not None:
+                return refusal
+        if self.fault == "lost" and request.transport is not None:
+            request.transport.abort()
+        return answer
+
+    async def _refuse(self):
         if self.fault == "silent":
             await asyncio.Event().wait()
         if self.fault == "refuse":
             return web.json_response({"error": "refused"}, status=503)
-        answer = await self._answer(request)
-        if self.fault == "lost":
-            request.transport.abort()
-        return answer
+        return None
 
     async def _answer(self, request):
         kind = request.match_info["kind"]
--- /dev/null
+++ b/soak/hosts.py
@@ -0,0 +1,96 @@
+"""Entry hosts of the soak: real processes, each on an address of its own."""
+
+import os
+import pathlib
+import socket
+import sys
+
+from processes import Process
+
+__all__ = ["EntryProcess", "write_settings"]
+
+SETTINGS = """node = "{name}"
+ip = "{ip}"
+zone = "{zone}"
+region = "region"
+port_range = [{peer_port}, {peer_port}]
+bootstrap = false
+
+[listen]
+front = "{ip}:{callers_port}"
+ready = "{ip}:{ready_port}"
+directory = "{ip}:{directory_port}"
+control = "{ip}:{peer_port}"
+
+[platform_store]
+addr = "{store}"
+
+[bounds]
+drain_ms = 2000
+config_ms = 2000
+grace_s = 6
+stable_window_ms = 3000
+ttl_max_s = 2
+retry_slack = 1000
+"""
+
+
+class EntryProcess(Process):
+    """One host's process; started again it is another one on the same address."""
+
+    def __init__(self, name, ip, settings_path, log_path):
+        variable = f"GYPSUMUSHER_SETTINGS={settings_path}"
+        argv = ["/usr/bin/env", variable, sys.executable, "-m", "gypsumusher_entry"]
+        super().__init__(name, argv, log_path)
+        self.ip = ip
+        self.lives = 0
+
+    async def start(self):
+        """Start it without waiting for anything: the store may be away."""
+        self.lives += 1
+        self.spawn()
+
+    def hang_up(self):
+        """Have it read its settings again."""
+        if self.exit_code() is None:
+            os.kill(self.pid, 1)
+
+
+def write_settings(path, name, ip, zone, store, ports):
+    """Write a host's settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        Where to.
+    name, ip, zone, store : str
+        The host, and the address of its way to the store.
+    ports : sequence of int
+        Callers', readiness, directory and peers' port.
+    """
+    callers_port, ready_port, directory_port, peer_port = ports
+    text = SETTINGS.format(
+        name=name, ip=ip, zone=zone, store=store, callers_port=callers_port,
+        ready_port=ready_port, directory_port=directory_port, peer_port=peer_port,
+    )  # fmt: skip
+    pathlib.Path(path).write_text(text)
+
+
+def free_ports(ip, count):
+    """Return ports that are free on an address, for TCP and for datagrams."""
+    found, kept = [], []
+    while len(found) < count:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.bind((ip, 0))
+        kept.append(stream)
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        kept.append(datagram)
+        port = stream.getsockname()[1]
+        try:
+            datagram.bind((ip, port))
+        except OSError:
+            continue
+        found.append(port)
+    for each in kept:
+        each.close()
+    return found
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,120 @@
+"""A loopback proxy that delays, holds back, or resets what passes through it."""
+
+import asyncio
+import socket
+import struct
+
+__all__ = ["Proxy"]
+
+READ_BYTES = 65_536
+# Closing a socket with this option drops what is under way and sends a reset.
+RESET = struct.pack("ii", 1, 0)
+
+
+class Proxy:
+    """Connections to one address, and what befalls them.
+
+    Attributes
+    ----------
+    target : str
+        ``ip:port`` to which connections lead; may change between connections.
+    delay_s : float
+        How long each piece is held, in seconds.
+    holds_there, holds_back : bool
+        Whether nothing passes to the target, or from it, until it may again. Held
+        pieces aren't lost, as packets aren't that TCP sends again.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.address = ""
+        self.delay_s = 0.0
+        self.holds_there = False
+        self.holds_back = False
+        self._pairs = set()
+        self._tasks = set()
+        self._server = None
+        self._changed = asyncio.Event()
+
+    async def start(self):
+        """Listen on a free port; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self.address
+
+    async def close(self):
+        """Stop, and end all connections."""
+        self._server.close()
+        self.reset()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_holds(self, there, back):
+        """Hold back one direction, both or none."""
+        self.holds_there, self.holds_back = there, back
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def reset(self):
+        """Reset all open connections on both sides."""
+        for writer in list(self._pairs):
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self._pairs.add(writer)
+        try:
+            await self._until_free("holds_there")
+            ip, _, port = self.target.rpartition(":")
+            back_reader, back_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            # Nobody listens there: the caller of the proxy sees a reset.
+            sock = writer.get_extra_info("socket")
+            if sock is not None and sock.fileno() >= 0:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+            self._forget(writer)
+            return
+        self._pairs.add(back_writer)
+        try:
+            await asyncio.gather(
+                self._pump(reader, back_writer, "holds_there"),
+                self._pump(back_reader, writer, "holds_back"),
+            )
+        except asyncio.CancelledError:
+            # The proxy is closed; the library would report the cancelled task.
+            return
+        finally:
+            for side in (writer, back_writer):
+                side.close()
+                self._forget(side)
+
+    def _forget(self, writer):
+        self._pairs.discard(writer)
+        self._tasks.discard(asyncio.current_task())
+
+    async def _pump(self, reader, writer, direction):
+        try:
+            while True:
+                data = await reader.read(READ_BYTES)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self._until_free(direction)
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except OSError:
+            # One side was reset, so that the other one has to be.
+            writer.transport.abort()
+
+    async def _until_free(self, direction):
+        while getattr(self, direction):
+            await self._changed.wait()
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,78 @@
+"""Short seeded runs of the soak: real processes, faults from outside, none broken.
+
+A failure here names its seed; `python soak/run_soak.py --seed N` plays it again.
+"""
+
+import asyncio
+import time
+
+import pytest
+from plan import CALM_AFTER_S, KINDS, draw_plan
+from proxy import Proxy
+from run_soak import kept_seeds, play
+
+# Time in which faults begin, in seconds: half of what a run by hand has.
+SHORT_S = 3.0
+# Chosen for what they bring together: planned stops beside an endpoint that leaves,
+# the loss of all hosts beside changes of the configuration, a store that forgets.
+SEEDS = (7, 19, 31)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_promise_is_broken(seed):
+    broken, counts = play(seed, SHORT_S)
+    assert not broken, broken
+    assert counts["served"] > 0.5 * counts["requests"] > 100
+
+
+def test_a_seed_brings_the_same_faults_each_time():
+    assert draw_plan(4, 6.0) == draw_plan(4, 6.0)
+    assert draw_plan(4, 6.0) != draw_plan(5, 6.0)
+
+
+def test_fifty_seeds_bring_every_kind_of_fault_and_a_calm_end():
+    found = set()
+    for seed in range(50):
+        plan = draw_plan(seed, 6.0)
+        found.update(fault.kind for fault in plan.faults)
+        last_s = max(fault.at_s + fault.for_s for fault in plan.faults)
+        assert plan.ends_s - last_s == pytest.approx(CALM_AFTER_S, abs=0.01)
+    assert found == set(KINDS)
+
+
+def test_every_kept_seed_names_its_cause():
+    for seed, cause in kept_seeds().items():
+        assert isinstance(seed, int) and len(cause) > 20
+
+
+def test_the_proxy_holds_one_direction_and_loses_nothing():
+    async def scenario():
+        async def echo(reader, writer):
+            while data := await reader.read(100):
+                writer.write(data)
+
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        ip, port = server.sockets[0].getsockname()
+        proxy = Proxy(f"{ip}:{port}")
+        await proxy.start()
+        ip, _, port = proxy.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        proxy.set_holds(False, True)
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.readexactly(3), 0.1)
+        began_s = time.monotonic()
+        proxy.set_holds(False, False)
+        assert await reader.readexactly(3) == b"two"
+        assert time.monotonic() - began_s < 5.0
+        proxy.reset()
+        with pytest.raises(ConnectionResetError):
+            await reader.readexactly(1)
+        writer.close()
+        await proxy.close()
+        server.close()
+
+    asyncio.run(scenario())
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -37,8 +37,8 @@
         self.addresses = {}
         self._child = None
 
-    async def start(self):
-        """Start it and wait for its ready line; the addresses come from there."""
+    def spawn(self):
+        """Start it without waiting for anything."""
         environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
         with open(self.log_path, "ab") as log:
             self._child = subprocess.Popen(
@@ -48,6 +48,10 @@
                 stderr=subprocess.STDOUT,
                 env=environment,
             )
+
+    async def start(self):
+        """Start it and wait for its ready line; the addresses come from there."""
+        self.spawn()
         loop = asyncio.get_running_loop()
         end_s = loop.time() + READY_TIMEOUT_S
         while not self._read_ready_line():
