Say what the freshness of hosts' news about their sends is worth

Asked for by the limit of 2 KB/s of control a node, which messages each 0.05 s are over even among four active hosts.

--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -17,7 +17,8 @@
 # serve side by side.
 FORMAT = 1
 # Least time between two messages while the load changes, in seconds. A prompt is read
-# in a tenth of a second or more, so older counts still tell.
+# in a tenth of a second or more, so older counts still tell. Four hosts served 0.02 to
+# 0.04 less of the worth at 0.2 s, 0.01 to 0.02 less at 0.1 s, and no more at 0.02 s.
 CHANGED_S = 0.05
 # Time between two messages at rest among the active hosts, and from and to the others,
 # in seconds. Sixty hosts that told each other all of it twice a second would spend a
