--- a/libs/standins/gypsumusher_standins/object_store.py
+++ b/libs/standins/gypsumusher_standins/object_store.py
@@ -14,8 +14,9 @@
     Attributes
     ----------
     fault : str
-        Empty, or what every call meets: ``refuse`` (503), ``silent`` (no answer) or
-        ``lost`` (done, and the connection closed).
+        Empty, or what every call meets: ``refuse`` (503), ``silent`` (no answer),
+        ``lost`` (done, and the connection closed) or ``stale`` (lists and single reads
+        tell what stood when the fault began; see `freeze`).
     calls : list of (str, str)
         Method and path of each call.
     """
@@ -25,6 +26,7 @@
         self.calls = []
         self.revision = 1
         self._objects = {}
+        self._frozen = ({}, 0)
         self._events = []
         self._oldest = 0
         self._changed = asyncio.Event()
@@ -85,6 +87,11 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def freeze(self):
+        """Have reads tell of the past from now on, until the fault is taken back."""
+        self._frozen = (dict(self._objects), self.revision)
+        self.fault = "stale"
+
     def _note(self, kind, item, is_deleted):
         self._events.append((self.revision, kind, item, is_deleted))
         self._changed.set()
@@ -116,14 +123,15 @@
         kind = request.match_info["kind"]
         name = request.match_info.get("name")
         if request.method == "GET":
-            if name is not None:
-                return self._as_answer(self._objects.get((kind, name)))
             if "watch" in request.query:
                 return await self._watch(request, kind)
-            items = [
-                item for (other, _), item in self._objects.items() if other == kind
-            ]
-            body = {"items": items, "has_more": False, "as_of": self.revision}
+            objects, revision = self._objects, self.revision
+            if self.fault == "stale":
+                objects, revision = self._frozen
+            if name is not None:
+                return self._as_answer(objects.get((kind, name)))
+            items = [item for (other, _), item in objects.items() if other == kind]
+            body = {"items": items, "has_more": False, "as_of": revision}
             return web.json_response(body)
         if request.method == "DELETE":
             if (kind, name) not in self._objects:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,9 @@
 PAUSE_S = (0.01, 0.05)
 # For how long a caller keeps the directory's answer, in seconds.
 DIRECTORY_S = 1.0
+# Part of the requests whose caller leaves before their end, and after how long, in
+# seconds.
+LEAVING, LEAVES_S = 0.05, (0.0, 0.1)
 # After this the caller gives up and counts the request as late, in seconds.
 GIVES_UP_S = PATIENCE_S + 2.0
 CONNECT_TIMEOUT_S = 0.5
@@ -78,12 +81,24 @@
                 continue
             host = self._draw.choice(self._hosts)
             kind = self._draw.choice(KINDS)
-            outcome = await self._ask(host, kind, next(self._ids))
+            call = self._ask(host, kind, next(self._ids))
+            if self._draw.random() < LEAVING:
+                await self._leave_early(call)
+                continue
+            outcome = await call
             self._outcomes.append(outcome)
             if outcome.problem == "connect":
                 # As callers do: another address, and the directory again.
                 self._hosts = [other for other in self._hosts if other != host]
 
+    async def _leave_early(self, call):
+        """Close a request's connection in the middle."""
+        try:
+            async with asyncio.timeout(self._draw.uniform(*LEAVES_S)):
+                await call
+        except TimeoutError:
+            return
+
     async def _find_hosts(self):
         if self._hosts and self._clock() < self._known_until_s:
             return
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -7,6 +7,8 @@
 # A slow link holds each piece for so long, in seconds: long against the work of 10 ms,
 # short against a caller's patience.
 LINK_DELAY_S = 0.15
+# The watches have told of a change by then, in seconds; reads still tell of the past.
+STALE_AFTER_S = 0.3
 # The endpoints' next beats come so long after the store is back, in seconds.
 BEATS_AFTER_S = 0.8
 
@@ -131,6 +133,18 @@
     world.store.forget_history()
 
 
+async def _store_stale(world, fault):
+    world.store.freeze()
+    # Something to be wrong about, and a reason to read anew.
+    await asyncio.sleep(fault.for_s / 2.0)
+    world.write_configuration()
+    await asyncio.sleep(STALE_AFTER_S)
+    world.store.forget_history()
+    await asyncio.sleep(fault.for_s / 2.0)
+    world.store.fault = ""
+    world.store.forget_history()
+
+
 async def _store_lapse(world, fault):
     world.store.fault = "refuse"
     world.lapse(True)
@@ -177,6 +191,7 @@
     "store_silent": _store_fault("silent"),
     "store_lost": _store_fault("lost"),
     "store_forget": _store_forget,
+    "store_stale": _store_stale,
     "store_lapse": _store_lapse,
     "host_store_cut": _host_store_cut,
     "config_change": _config_change,
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -27,6 +27,7 @@
     "store_silent": (0.5, 4.0),
     "store_lost": (0.5, 2.0),
     "store_forget": (0.0, 0.0),
+    "store_stale": (0.5, 3.0),
     "store_lapse": (0.5, 3.0),
     "host_store_cut": (0.5, 4.0),
     "config_change": (0.0, 0.0),
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -9,7 +9,7 @@
 import pytest
 from plan import CALM_AFTER_S, KINDS, draw_plan
 from proxy import Proxy
-from run_soak import kept_seeds, play
+from run_soak import kept_plans, play
 
 # Time in which faults begin, in seconds: half of what a run by hand has.
 SHORT_S = 3.0
@@ -21,7 +21,7 @@
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_promise_is_broken(seed):
-    broken, counts = play(seed, SHORT_S)
+    broken, counts = play(seed, draw_plan(seed, SHORT_S))
     assert not broken, broken
     assert counts["served"] > 0.5 * counts["requests"] > 100
 
@@ -41,9 +41,10 @@
     assert found == set(KINDS)
 
 
-def test_every_kept_seed_names_its_cause():
-    for seed, cause in kept_seeds().items():
-        assert isinstance(seed, int) and len(cause) > 20
+def test_every_kept_plan_can_be_played_and_names_its_cause():
+    for plan, cause in kept_plans().values():
+        assert {fault.kind for fault in plan.faults} <= set(KINDS)
+        assert plan.ends_s > plan.faults[-1].at_s and len(cause) > 20
 
 
 def test_the_proxy_holds_one_direction_and_loses_nothing():
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,7 +25,7 @@
 ASK_S = 0.1
 # After its entry says that it leaves, an endpoint stays for so long, in seconds; it is
 # longer than the bound after which work for it is a fault.
-LEAVES_FOR_S = 5.0
+LEAVES_FOR_S = 6.0
 START_TIMEOUT_S = 20.0
 LIMITS = {
     "max_header_bytes": 16384,
