--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -59,6 +59,7 @@
         self.sends = 0
         self.events = 0
         self.ran_at = None
+        self.waits_at = None
         self.outcome = None
 
     @property
@@ -207,6 +208,8 @@
         version=context.configuration_version,
         sends=exchange.sends,
         endpoint=exchange.ran_at,
+        # Set only when the request ended while its prompt was still to be read.
+        waited_at=exchange.waits_at,
         events=exchange.events or None,
         first_ms=None if first_s is None else round(first_s * 1000),
         took_ms=round((now_s - exchange.arrived_s) * 1000),
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -103,7 +103,9 @@
         if tried and not context.take_retry(exchange.service):
             return None
         tried.add(reading.state.record.endpoint_id)
+        exchange.waits_at = reading.state.record.endpoint_id
         prompt = await _read_at(exchange, reading)
+        exchange.waits_at = None
         if prompt is not None:
             return prompt
     return None
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -232,6 +232,33 @@
     run(scenario())
 
 
+def test_the_log_names_the_engine_for_which_a_caller_waited_in_vain():
+    # A caller leaves before its prompt is read. Its line said that one send was made
+    # and named no engine, so that nobody could find the slow one.
+    async def scenario():
+        async with World(silent, well, routes=(STREAM,)) as world:
+            content = configuration(2, STREAM)
+            content["services"][0]["engine"] = {"slots": 8}
+            world.store.put("config", "main", content)
+            states = world.host.context.endpoints.states
+            address = states["e-0"].record.address
+            world.store.put("servers", "e-0", entry(address, stage="prefill", beat=9))
+            await until(lambda: world.host.context.configuration_version == 2)
+            await until(lambda: states["e-0"].record.stage == "prefill")
+            asking = world.ask(
+                method="POST", **{"X-Gypsumusher-Token-Count": "30000,4"}
+            )
+            call = asyncio.ensure_future(asking)
+            await until(lambda: world.endpoints[0].requests)
+            call.cancel()
+            await until(lambda: any(e == "request_ended" for e, _ in world.log_lines))
+            fields = dict(world.log_lines[-1][1])
+            assert fields["outcome"] == "caller_left"
+            assert (fields["endpoint"], fields["waited_at"]) == (None, "e-0")
+
+    run(scenario())
+
+
 def test_a_request_without_another_endpoint_uses_up_no_retries():
     # The only endpoint of a service is slow. Each request that waited for it asked for
     # a second one a thousand times a second, and each time used up a retry of all.
