--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -52,7 +52,7 @@
         """Open the socket and begin to tell."""
         settings = self._context.settings
         loop = asyncio.get_running_loop()
-        address = (settings.ip, settings.first_peer_port)
+        address = (settings.ip, settings.datagram_port)
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=address, family=socket.AF_INET
         )
@@ -154,7 +154,7 @@
             context.log("error", "gossip_too_large", bytes=len(data))
             return
         for ip in ips:
-            self._transport.sendto(data, (ip, context.settings.first_peer_port))
+            self._transport.sendto(data, (ip, context.settings.datagram_port))
 
     def _targets(self):
         """Return the IPs of the active hosts, and of the others."""
--- a/libs/ports/gypsumusher_ports/hosts.py
+++ b/libs/ports/gypsumusher_ports/hosts.py
@@ -53,16 +53,12 @@
         The host.
     callers_address, ready_address, directory_address, peers_address : str
         ``ip:port`` of each listener.
-    first_peer_port, last_peer_port : int
-        Ports that are free for traffic between hosts.
+    datagram_port : int
+        Port for datagrams between hosts, the same on each.
     seeds : tuple of str
         Peers' addresses of a few hosts; they may be down.
     store_address : str
         ``ip:port`` of the platform's store.
-    history_s : float
-        For how long the store keeps its history, in seconds.
-    heartbeat_s : float
-        How often an endpoint renews its entry, in seconds.
     is_first_start : bool
         Whether the whole system starts for the first time.
     cores : float
@@ -81,12 +77,9 @@
     ready_address: str
     directory_address: str
     peers_address: str
-    first_peer_port: int
-    last_peer_port: int
+    datagram_port: int
     seeds: tuple[str, ...]
     store_address: str
-    history_s: float
-    heartbeat_s: float
     is_first_start: bool
     cores: float
     link_mbps: float
