--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -81,7 +81,7 @@
                 context.hosts.on_record(context.clock(), item.name, ip)
         if context.settings.name not in [item.name for item in stored]:
             # The others took this host for gone while it was cut off.
-            context.log("warning", "record_missing", host=context.settings.name)
+            context.log("warning", "record_missing", read=len(stored))
             return await self._write()
         return True
 
@@ -92,7 +92,7 @@
         """
         context = self._context
         for name in context.hosts.drop_forgotten(context.clock()):
-            context.log("info", "host_forgotten", host=name)
+            context.log("info", "host_forgotten", peer=name)
             if not context.watches_store():
                 continue
             result = await self._store.delete(HOSTS_KIND, name)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -50,6 +50,7 @@
         self._known_until_s = 0.0
         self._session = None
         self._task = None
+        self._is_closing = False
 
     async def start(self):
         """Begin to send."""
@@ -71,8 +72,6 @@
             if isinstance(result, Exception):
                 raise result
 
-    _is_closing = False
-
     async def _run(self):
         while not self._is_closing:
             await asyncio.sleep(self._draw.uniform(*PAUSE_S))
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -1,13 +1,13 @@
 """Entry hosts of the soak: real processes, each on an address of its own."""
 
 import os
-import pathlib
+import signal
 import socket
 import sys
 
 from processes import Process
 
-__all__ = ["EntryProcess", "write_settings"]
+__all__ = ["EntryProcess", "free_ports"]
 
 SETTINGS = """node = "{name}"
 ip = "{ip}"
@@ -36,13 +36,41 @@
 
 
 class EntryProcess(Process):
-    """One host's process; started again it is another one on the same address."""
+    """One host's process; started again it is another one on the same addresses.
 
-    def __init__(self, name, ip, settings_path, log_path):
-        variable = f"GYPSUMUSHER_SETTINGS={settings_path}"
+    Parameters
+    ----------
+    name, ip, zone : str
+        The host; its address is one of 127.0.0.0/8.
+    store : str
+        Address of its way to the store.
+    peer_port : int
+        Port for what the hosts tell each other, the same on each.
+    folder : pathlib.Path
+        Where its settings and its log go.
+
+    Attributes
+    ----------
+    callers, directory, peers : str
+        ``ip:port`` of listeners.
+    lives : int
+        How often it was started.
+    """
+
+    def __init__(self, name, ip, zone, store, peer_port, folder):
+        callers_port, ready_port, directory_port = free_ports(ip, 3)
+        path = folder / f"{name}.toml"
+        text = SETTINGS.format(
+            name=name, ip=ip, zone=zone, store=store, callers_port=callers_port,
+            ready_port=ready_port, directory_port=directory_port, peer_port=peer_port,
+        )  # fmt: skip
+        path.write_text(text)
+        variable = f"GYPSUMUSHER_SETTINGS={path}"
         argv = ["/usr/bin/env", variable, sys.executable, "-m", "gypsumusher_entry"]
-        super().__init__(name, argv, log_path)
-        self.ip = ip
+        super().__init__(name, argv, folder / f"{name}.log")
+        self.callers = f"{ip}:{callers_port}"
+        self.directory = f"{ip}:{directory_port}"
+        self.peers = f"{ip}:{peer_port}"
         self.lives = 0
 
     async def start(self):
@@ -53,27 +81,7 @@
     def hang_up(self):
         """Have it read its settings again."""
         if self.exit_code() is None:
-            os.kill(self.pid, 1)
-
-
-def write_settings(path, name, ip, zone, store, ports):
-    """Write a host's settings file.
-
-    Parameters
-    ----------
-    path : pathlib.Path
-        Where to.
-    name, ip, zone, store : str
-        The host, and the address of its way to the store.
-    ports : sequence of int
-        Callers', readiness, directory and peers' port.
-    """
-    callers_port, ready_port, directory_port, peer_port = ports
-    text = SETTINGS.format(
-        name=name, ip=ip, zone=zone, store=store, callers_port=callers_port,
-        ready_port=ready_port, directory_port=directory_port, peer_port=peer_port,
-    )  # fmt: skip
-    pathlib.Path(path).write_text(text)
+            os.kill(self.pid, signal.SIGHUP)
 
 
 def free_ports(ip, count):
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,7 +9,7 @@
 import msgpack
 from backend import Backend
 from callers import Caller
-from hosts import EntryProcess, free_ports, write_settings
+from hosts import EntryProcess, free_ports
 from proxy import Proxy
 from records import ANY_TIMES, ONCE, STREAM, Records
 
@@ -83,13 +83,14 @@
             link = Proxy(address)
             self.store_links.append(link)
             store = await link.start()
-            name = f"host-{number}"
-            path = self.folder / f"{name}.toml"
-            ports = [*free_ports(ip, 3), peer_port]
-            write_settings(path, name, ip, f"zone-{number % 2}", store, ports)
-            host = EntryProcess(name, ip, path, self.folder / f"{name}.log")
-            host.callers, host.directory = f"{ip}:{ports[0]}", f"{ip}:{ports[2]}"
-            host.peers = f"{ip}:{peer_port}"
+            host = EntryProcess(
+                f"host-{number}",
+                ip,
+                f"zone-{number % 2}",
+                store,
+                peer_port,
+                self.folder,
+            )
             self.hosts.append(host)
             await host.start()
         await self._until_ready()
