--- a/libs/daemon/gypsumusher_daemon/crashing_requests.py
+++ b/libs/daemon/gypsumusher_daemon/crashing_requests.py
@@ -34,6 +34,8 @@
         ``await tell_all(message)`` reaches the peers.
     track : callable
         ``track(task)`` keeps a task until it is done.
+    on_settled : callable
+        Called once crashes have been judged: suspects that waited may run.
     """
 
     def __init__(self, quarantine, client, clock, log, tell_all, track, on_settled):
--- a/libs/policy/gypsumusher_policy/quarantine.py
+++ b/libs/policy/gypsumusher_policy/quarantine.py
@@ -21,7 +21,8 @@
 # seconds: the other hosts' word of it comes within that time.
 EXPLAINED_S = 5.0
 # Time for which a verdict waits for the other hosts' word of the same crash, in
-# seconds: a connection that breaks tells them of it within 0.1 s on busy machines.
+# seconds: three hosts noted one crash within 0.04 s of each other beside twelve busy
+# loops on eight cores.
 SETTLE_S = 0.5
 
 
--- a/libs/policy/gypsumusher_policy/scheduler.py
+++ b/libs/policy/gypsumusher_policy/scheduler.py
@@ -515,6 +515,11 @@
         return actions
 
     def _other_hosts(self):
+        """Return the hosts that may try suspects too, whether heard of or only known.
+
+        Hosts that had not heard each other's load yet took the same engine, and an
+        innocent suspect was lost together with the guilty one.
+        """
         return sorted({*self.peers, *self.cell_hosts} - {self.host})
 
     def _suspect_endpoint(self, now_s, flight):
--- a/libs/policy/gypsumusher_policy/suspects.py
+++ b/libs/policy/gypsumusher_policy/suspects.py
@@ -96,10 +96,8 @@
 
     Parameters
     ----------
-    host : str
-        This host.
-    peers : list of str
-        The other hosts of the cell.
+    host, peers
+        As of `host_turn`.
     engines : list of (bool, str)
         All engines in order, the name last.
     usable : collection of str
@@ -111,4 +109,5 @@
     own = [name for _, name in engines[place :: len(hosts)] if name in usable]
     if own:
         return own[0]
+    # None of its own: together with another host's suspect is better than never.
     return left[place % len(left)] if left else None
