Name the soak's process module apart from the bench's hosts

Cause: the whole test run in a fresh clone imported bench/hosts.py as the soak's hosts; both folders stand on one search path. The soak's tests alone passed. A layout test holds the names apart from now on.

--- a/soak/world.py
+++ b/soak/world.py
@@ -9,7 +9,7 @@
 import msgpack
 from backend import Backend
 from callers import Caller
-from hosts import EntryProcess, free_ports
+from entry_process import EntryProcess, free_ports
 from proxy import Proxy
 from records import ANY_TIMES, ONCE, STREAM, Records
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -3,6 +3,7 @@
 import ast
 import gc
 import pathlib
+import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BANNED = {
@@ -76,3 +77,18 @@
             is_own = not name.startswith("gypsumusher_")
             assert is_own or name in ("gypsumusher_platform", "gypsumusher_ports"), path
     assert lines < 2000
+
+
+def test_flat_folders_hold_no_two_modules_of_one_name():
+    """A whole test run imports the bench's module in place of the soak's.
+
+    Each alone passes: the folders stand on one search path, and the first wins.
+    """
+    settings = tomllib.loads((ROOT / "pyproject.toml").read_text())
+    folders = settings["tool"]["pytest"]["ini_options"]["pythonpath"]
+    found = {}
+    for folder in folders:
+        for path in (ROOT / folder).glob("*.py"):
+            assert path.name not in found, (folder, found[path.name], path.name)
+            found[path.name] = folder
+    assert len(found) > 20
