Call what stood there already: one owner of background tasks, one start

Read once more for what the change wrote twice. Behaviour stays, but for one log line: a follower, registration, gossip or peer loop that dies is now logged as background_failed, as all that Context.spawn runs; each kept its own task before, and its exception was swallowed at close.

* following, registration, kept_parts: tasks by Context.spawn, which Context.close ends; gossip and peer_beliefs too, stopped by themselves as before.
Three close methods go.
* Exchange.give_up for the two copies in services and streams.
* run_program and handle_signals for the starts of both daemons.
* One LINE_FORMAT of a log line; Health.own without its twin; a list of endpoints taken without a source that was always the store.

--- a/libs/daemon/gypsumusher_daemon/cmdline.py
+++ b/libs/daemon/gypsumusher_daemon/cmdline.py
@@ -1,8 +1,7 @@
 """The command line of gypsumusherd."""
 
 import argparse
-import asyncio
-import signal
+import functools
 import sys
 
 # First, since it keeps io_uring off before uvloop is imported.
@@ -10,7 +9,8 @@
     check_no_ring,
     create_log,
     format_fields,
-    run,
+    handle_signals,
+    run_program,
 )
 
 from gypsumusher_daemon.errors import GypsumusherError, StartError
@@ -19,9 +19,6 @@
 
 __all__ = ["main"]
 
-EXIT_USAGE = 2
-EXIT_FAILED = 1
-
 
 def main(arguments=None):
     """Run the daemon until it is told to stop.
@@ -44,19 +41,13 @@
         "--check", action="store_true", help="check the settings and exit"
     )
     options = parser.parse_args(arguments)
-    try:
-        settings = load_settings(options.settings)
-    except GypsumusherError as error:
-        print(f"gypsumusherd: {error}", file=sys.stderr)
-        return EXIT_USAGE
-    if options.check:
-        print(f"{options.settings}: ok")
-        return 0
-    try:
-        return run(_serve(settings, options.settings))
-    except GypsumusherError as error:
-        print(f"gypsumusherd: {error}", file=sys.stderr)
-        return EXIT_FAILED
+    path = options.settings
+    return run_program(
+        "gypsumusherd",
+        functools.partial(load_settings, path),
+        functools.partial(_serve, path),
+        (lambda _: f"{path}: ok") if options.check else None,
+    )
 
 
 def _reload(host, path):
@@ -67,15 +58,11 @@
         host.log("error", "settings_refused", error=error)
 
 
-async def _serve(settings, path):
+async def _serve(path, settings):
     """Start the host, wait for a signal, stop as planned."""
     log = create_log(settings["host.name"], settings["log.level"])
     host = EntryHost(settings, log)
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
+    stop = handle_signals(functools.partial(_reload, host, path))
     try:
         addresses = await host.start()
     except OSError as error:
@@ -90,7 +77,6 @@
     log("info", "ready", **addresses)
     await stop.wait()
     await host.stop()
-    return 0
 
 
 if __name__ == "__main__":
--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -2,12 +2,16 @@
 
 import argparse
 import asyncio
+import functools
 import gc
-import signal
-import sys
 
 # First, since it keeps io_uring off before uvloop is imported.
-from gypsumusher_process import check_no_ring, create_bounded_log, run  # isort: skip
+from gypsumusher_process import (  # isort: skip
+    check_no_ring,
+    create_bounded_log,
+    handle_signals,
+    run_program,
+)
 
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_platform import load_settings
@@ -15,9 +19,6 @@
 
 __all__ = ["main"]
 
-EXIT_USAGE = 2
-EXIT_FAILED = 1
-
 
 def main(arguments=None):
     """Run the entry host until it is told to stop.
@@ -42,32 +43,25 @@
         "--check", action="store_true", help="check the settings and exit"
     )
     options = parser.parse_args(arguments)
-    try:
-        settings = load_settings()
-    except GypsumusherError as error:
-        print(f"gypsumusher_entry: {error}", file=sys.stderr)
-        return EXIT_USAGE
-    if options.check:
-        print(f"settings of host {settings.name}: ok")
-        return 0
-    try:
-        run(_serve(settings, options.metrics_port))
-    except GypsumusherError as error:
-        print(f"gypsumusher_entry: {error}", file=sys.stderr)
-        return EXIT_FAILED
-    return 0
+    return run_program(
+        "gypsumusher_entry",
+        load_settings,
+        functools.partial(_serve, options.metrics_port),
+        _describe if options.check else None,
+    )
+
+
+def _describe(settings):
+    return f"settings of host {settings.name}: ok"
 
 
-async def _serve(settings, metrics_port):
+async def _serve(metrics_port, settings):
     """Start the host, wait for a signal, stop as planned."""
     loop = asyncio.get_running_loop()
     bounded_log = create_bounded_log(settings.name, loop)
     log = bounded_log.log
-    stop = asyncio.Event()
     host = EntryHost(settings, log, metrics_port)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, host)
+    stop = handle_signals(functools.partial(_reload, host))
     log("info", "starting", zone=settings.zone, callers=settings.callers_address)
     try:
         await host.start()
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -121,6 +121,24 @@
         self.reply.send_whole(head.status, head.headers, body)
         self.outcome = f"{head.status}:answered"
 
+    def give_up(self, failed_answer, error, retry_after_s):
+        """Give the final answer when no send brought one to pass on.
+
+        Parameters
+        ----------
+        failed_answer : (AnswerHead, bytes) or None
+            An endpoint's own failure; it is passed on where nothing has been yet.
+        error : EndpointError or None
+            How the last send failed; None when there was nowhere to send.
+        retry_after_s : float
+            When to come back, in seconds.
+        """
+        if failed_answer is not None and not self.reply.is_started:
+            self.deliver(*failed_answer)
+            return
+        reason = "no_endpoint" if error is None else error.reason
+        self.refuse(503, reason, retry_after_s)
+
 
 def create_handler(context):
     """Return the coroutine that serves one request of a caller.
--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -13,7 +13,7 @@
 )
 from gypsumusher_ports import DecodeError
 
-__all__ = ["StoreFollower", "take_configuration", "take_endpoints"]
+__all__ = ["StoreFollower", "take_configuration"]
 
 # Kinds of objects that a host has to know of; it sees the store when it hears of all.
 FOLLOWED = frozenset((CONFIGURATION_KIND, ENDPOINTS_KIND))
@@ -44,7 +44,6 @@
     def __init__(self, context, store):
         self._context = context
         self._store = store
-        self._tasks = []
         self._lost = set()
         self._answered = set()
         bounds = context.settings.bounds
@@ -55,21 +54,12 @@
         self._watch_s = min(WATCH_MAX_S, max(WATCH_MIN_S, wait_s))
 
     async def start(self):
-        """Begin to follow."""
+        """Begin to follow, until the context is closed."""
         self._lost = set(FOLLOWED)
-        self._tasks = [
-            asyncio.ensure_future(
-                self._follow(CONFIGURATION_KIND, self._on_configurations)
-            ),
-            asyncio.ensure_future(self._follow(ENDPOINTS_KIND, self._on_endpoints)),
-            asyncio.ensure_future(self._drop_missing()),
-        ]
-
-    async def close(self):
-        """Stop to follow."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        spawn = self._context.spawn
+        spawn(self._follow(CONFIGURATION_KIND, self._on_configurations))
+        spawn(self._follow(ENDPOINTS_KIND, self._on_endpoints))
+        spawn(self._drop_missing())
 
     async def _follow(self, kind, take):
         """List a kind, then watch it; list again after each gap."""
@@ -124,7 +114,7 @@
 
     def _on_endpoints(self, found, is_listing):
         if is_listing:
-            take_endpoints(self._context, found.objects, found.revision, "store")
+            _take_listing(self._context, found)
             return
         context = self._context
         for change in found.changes:
@@ -138,7 +128,7 @@
             record = _decode_entry(context, stored)
             if record is not None:
                 if context.endpoints.on_record(record, found.revision):
-                    _log_endpoint(context, record, "store")
+                    _log_endpoint(context, record)
         context.endpoints.revision = max(context.endpoints.revision, found.revision)
 
     def _on_lost(self, kind, error):
@@ -199,29 +189,17 @@
     context.adopt(configuration, stored, source)
 
 
-def take_endpoints(context, objects, revision, source):
-    """Take over a whole list of endpoints.
-
-    Parameters
-    ----------
-    context : Context
-        Takes it.
-    objects : iterable of StoredObject
-        The entries.
-    revision : int
-        Revision of the list.
-    source : str
-        Who told of it.
-    """
+def _take_listing(context, listing):
+    """Take over a whole list of endpoints."""
     records = []
-    for stored in objects:
+    for stored in listing.objects:
         record = _decode_entry(context, stored)
         if record is not None:
             records.append(record)
-    changed = context.endpoints.on_listing(context.clock(), records, revision)
+    changed = context.endpoints.on_listing(context.clock(), records, listing.revision)
     for record in records:
         if record.endpoint_id in changed:
-            _log_endpoint(context, record, source)
+            _log_endpoint(context, record)
 
 
 def _decode_entry(context, stored):
@@ -233,7 +211,7 @@
         return None
 
 
-def _log_endpoint(context, record, source):
+def _log_endpoint(context, record):
     context.log(
         "info",
         "endpoint_changed",
@@ -245,5 +223,5 @@
         stage=record.stage,
         leaving=record.is_leaving,
         beat=record.beat,
-        source=source,
+        source="store",
     )
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -56,7 +56,7 @@
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=address, family=socket.AF_INET
         )
-        self._task = asyncio.ensure_future(self._run())
+        self._task = self._context.spawn(self._run())
 
     async def close(self):
         """Stop to tell and close the socket."""
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -162,9 +162,6 @@
         """Close all parts at once."""
         await self._listener.close()
         await self._peer_beliefs.close()
-        await self._kept_parts.close()
-        await self._registration.close()
-        await self._follower.close()
         await self._gossip.close()
         if self._web is not None:
             await self._web.close()
--- a/libs/entry/gypsumusher_entry/kept_parts.py
+++ b/libs/entry/gypsumusher_entry/kept_parts.py
@@ -33,18 +33,11 @@
     def __init__(self, context):
         self._context = context
         self._asked = set()
-        self._task = None
 
     async def start(self):
         """Begin to ask, unless the engines are as new as this host."""
         if not self._context.settings.is_first_start:
-            self._task = asyncio.ensure_future(self._run())
-
-    async def close(self):
-        """Stop asking."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+            self._context.spawn(self._run())
 
     async def _run(self):
         context = self._context
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -45,7 +45,7 @@
     async def start(self):
         """Begin to look after the store's silence."""
         self._session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
-        self._task = asyncio.ensure_future(self._run())
+        self._task = self._context.spawn(self._run())
 
     async def close(self):
         """Stop, and close the connections."""
--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -28,17 +28,10 @@
     def __init__(self, context, store):
         self._context = context
         self._store = store
-        self._task = None
 
     async def start(self):
-        """Begin; it goes on in the background until the store takes the record."""
-        self._task = asyncio.ensure_future(self._run())
-
-    async def close(self):
-        """Stop reading and writing."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        """Begin; it goes on in the background until the context is closed."""
+        self._context.spawn(self._run())
 
     async def _run(self):
         await self._until_done(self._write)
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -97,7 +97,7 @@
                 del self._tasks[task]
                 if self._settle(task.result()):
                     return
-        self._give_up()
+        exchange.give_up(self._failed_answer, self._last_error, NO_ROOM_RETRY_S)
 
     def _hedge_after_s(self):
         """Return the wait until a second endpoint is asked; None when never.
@@ -156,15 +156,6 @@
         exchange.log("info", "request_retried", reason=reason)
         self._begin(state)
 
-    def _give_up(self):
-        """Give the final answer when no send brought one to pass on."""
-        exchange = self._exchange
-        if self._failed_answer is not None:
-            exchange.deliver(*self._failed_answer)
-            return
-        reason = "no_endpoint" if self._last_error is None else self._last_error.reason
-        exchange.refuse(503, reason, NO_ROOM_RETRY_S)
-
 
 async def _send(exchange, state):
     """Send once; return how that ended."""
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -81,7 +81,7 @@
             if error is None:
                 return
             self._tried.add(state.record.endpoint_id)
-        self._give_up(error)
+        exchange.give_up(self._failed_answer, error, NO_ROOM_RETRY_S)
 
     def free_handle(self):
         """Have the engine that read the prompt free it, if nobody took it."""
@@ -233,15 +233,6 @@
         if event.event_id is not None:
             self._last_event_id = str(event.event_id)
 
-    def _give_up(self, error):
-        """Give the final answer when no send brought a whole stream."""
-        exchange = self._exchange
-        if self._failed_answer is not None and not exchange.reply.is_started:
-            exchange.deliver(*self._failed_answer)
-            return
-        reason = "no_endpoint" if error is None else error.reason
-        exchange.refuse(503, reason, NO_ROOM_RETRY_S)
-
 
 class _Run:
     """The counts of one run at one engine."""
--- a/libs/process/gypsumusher_process/bounded.py
+++ b/libs/process/gypsumusher_process/bounded.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from gypsumusher_process.lines import format_fields
+from gypsumusher_process.lines import LINE_FORMAT, format_fields
 
 __all__ = ["BoundedLog", "create_bounded_log"]
 
@@ -27,10 +27,7 @@
         self._take_line = take_line
 
     def emit(self, record):
-        self._take_line(
-            f"time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
-            f"level={record.level_name} {record.message}\n"
-        )
+        self._take_line(LINE_FORMAT.format(record=record) + "\n")
 
 
 class BoundedLog:
--- a/libs/process/gypsumusher_process/lines.py
+++ b/libs/process/gypsumusher_process/lines.py
@@ -7,6 +7,11 @@
 
 __all__ = ["create_log", "format_fields", "parse_fields"]
 
+# How a record of the log library becomes a line.
+LINE_FORMAT = (
+    "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
+    "level={record.level_name} {record.message}"
+)
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^ ]*)')
 _ESCAPES = {"n": "\n", "r": "\r"}
 
@@ -79,8 +84,7 @@
     handler = logbook.StreamHandler(
         stream or sys.stderr,
         level=level.upper(),
-        format_string="time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
-        "level={record.level_name} {record.message}",
+        format_string=LINE_FORMAT,
     )
     logger = logbook.Logger("gypsumusherd")
 
--- a/libs/routing/gypsumusher_routing/health.py
+++ b/libs/routing/gypsumusher_routing/health.py
@@ -46,12 +46,12 @@
     def on_failure(self, now_s: float, reason: str) -> None:
         """Note a failure; unknown reasons count as ``broken``."""
         added = FAILURE_PENALTIES.get(reason, FAILURE_PENALTIES["broken"])
-        self._penalty = min(PENALTY_MAX, self._own(now_s) + added)
+        self._penalty = min(PENALTY_MAX, self.own(now_s) + added)
         self._at_s = now_s
 
     def on_success(self, now_s: float) -> None:
         """Note a whole answer."""
-        self._penalty = self._own(now_s) * SUCCESS_FACTOR
+        self._penalty = self.own(now_s) * SUCCESS_FACTOR
         self._at_s = now_s
 
     def on_peer(self, now_s: float, peer: str, penalty: float) -> None:
@@ -63,11 +63,11 @@
 
     def own(self, now_s: float) -> float:
         """Return what this host itself has seen, for its peers."""
-        return self._own(now_s)
+        return _decayed(self._penalty, now_s - self._at_s)
 
     def penalty(self, now_s: float) -> float:
         """Return the penalty now, of all hosts together."""
-        total = self._own(now_s)
+        total = self.own(now_s)
         for penalty, at_s in self._peers.values():
             total += _decayed(penalty, now_s - at_s)
         return min(PENALTY_MAX, total)
@@ -76,9 +76,6 @@
         """Say whether it is left out while there are others."""
         return self.penalty(now_s) >= AVOIDED_FROM
 
-    def _own(self, now_s):
-        return _decayed(self._penalty, now_s - self._at_s)
-
 
 def _decayed(penalty, age_s):
     """Return what is left of a penalty; one that is spent is none."""
