Build the soak on the test kit instead of beside it

The soak had a second TCP proxy beside the one that holds back orders, a second scripted endpoint, a second configuration and entry, its own free ports, its own wait for a stop. Now tools/ has one of each: Proxy with OrderProxy on it, replies.ScriptedEndpoint, platform_samples, free_ports; Process.terminate_and_wait is used. A fault's span is noted in one place, also when the run's end breaks it off, instead of twice for some kinds.

--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -4,7 +4,8 @@
 import json
 
 import aiohttp
-from replies import ScriptedEndpoint, answer_to, request_id_of
+from processes import free_ports
+from replies import ScriptedEndpoint, answer_to, chunk, request_id_of
 from worlds import (
     ANY,
     BOUNDS,
@@ -14,7 +15,6 @@
     World,
     configuration,
     entry,
-    free_datagram_port,
     run,
     settings,
     until,
@@ -393,7 +393,7 @@
         store.put("config", "main", configuration(1, ANY))
         endpoint = ScriptedEndpoint(well)
         store.put("servers", "e-0", entry(await endpoint.start()))
-        port = free_datagram_port()
+        port = free_ports("127.0.0.2", 1)[0]
         seeing = EntryHost(
             settings(address, "127.0.0.2", "host-2", (), port), lambda *a, **f: None
         )
@@ -423,10 +423,6 @@
 ]
 
 
-def chunk(data):
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 def stream_of(events, is_ended=True):
     async def script(number, head, body, writer):
         first = 0
--- a/libs/entry/tests/test_store_calls.py
+++ b/libs/entry/tests/test_store_calls.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from worlds import ANY, configuration, entry, free_datagram_port, run, settings, until
+from processes import free_ports
+from worlds import ANY, configuration, entry, run, settings, until
 
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_standins.object_store import ObjectStore
@@ -27,7 +28,7 @@
         address = await self.store.start()
         self.store.put("config", "main", configuration(1, ANY))
         self.store.put("servers", "e-0", entry("127.0.0.1:9"))
-        port = free_datagram_port()
+        port = free_ports("127.0.0.2", 1)[0]
         for number in range(HOSTS):
             ip = f"127.0.0.{2 + number}"
             host = EntryHost(
--- a/libs/entry/tests/worlds.py
+++ b/libs/entry/tests/worlds.py
@@ -1,10 +1,9 @@
 """Entry hosts before stand-ins of the store and of endpoints, for tests."""
 
 import asyncio
-import contextlib
-import socket
 
 import aiohttp
+from platform_samples import configuration, entry
 from replies import ScriptedEndpoint
 
 from gypsumusher_entry.host import EntryHost
@@ -20,7 +19,6 @@
     "World",
     "configuration",
     "entry",
-    "free_datagram_port",
     "run",
     "settings",
     "until",
@@ -31,56 +29,12 @@
 ONCE = {"kind": "non_idempotent", "attempts": 1}
 STREAM = {"kind": "stream", "attempts": 1, "sticky": True}
 RESUMABLE = {"kind": "stream", "attempts": 2, "sticky": True, "resumable": True}
-LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": 4194304,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15000,
-}
 
 
 def run(coroutine):
     return asyncio.run(asyncio.wait_for(coroutine, 30))
 
 
-def configuration(version, *routes):
-    """Return a configuration as operators write it."""
-    items = []
-    for number, fields in enumerate(routes):
-        route = {
-            "name": f"r-{number}",
-            "host": "shop.example",
-            "path_prefix": f"/{number}/",
-            "timeout_ms": 1500,
-            "goal_ms": 100,
-            "priority": 0,
-            "service": "svc",
-        }
-        items.append({**route, **fields})
-    services = [{"name": "svc", "health_path": "/healthz", "max_conns": 100}]
-    return {
-        "version": version,
-        "routes": items,
-        "services": services,
-        "limits": LIMITS,
-    }
-
-
-def entry(address, state="ready", beat=1, **fields):
-    """Return an endpoint's entry as it writes it."""
-    return {
-        "service": "svc",
-        "addr": address,
-        "zone": "zone-a",
-        "version": "v1",
-        "slots": 6,
-        "state": state,
-        "warmup_left_ms": 0,
-        "seq": beat,
-        **fields,
-    }
-
-
 def settings(store_address, ip="127.0.0.1", name="host-1", seeds=(), port=0):
     return HostSettings(
         name, ip, "zone-a", "region", f"{ip}:0", f"{ip}:0", f"{ip}:0", f"{ip}:0", port,
@@ -141,11 +95,3 @@
     """Wait for a condition; the test's own time limit ends a wait in vain."""
     while not condition():
         await asyncio.sleep(0.005)
-
-
-def free_datagram_port():
-    """Return a port that is free for datagrams on a few loopback addresses."""
-    with contextlib.ExitStack() as stack:
-        first = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
-        first.bind(("127.0.0.2", 0))
-        return first.getsockname()[1]
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -1,13 +1,11 @@
 """Entry hosts of the soak: real processes, each on an address of its own."""
 
-import os
 import signal
-import socket
 import sys
 
-from processes import Process
+from processes import Process, free_ports
 
-__all__ = ["EntryProcess", "free_ports"]
+__all__ = ["EntryProcess"]
 
 SETTINGS = """node = "{name}"
 ip = "{ip}"
@@ -80,25 +78,4 @@
 
     def hang_up(self):
         """Have it read its settings again."""
-        if self.exit_code() is None:
-            os.kill(self.pid, signal.SIGHUP)
-
-
-def free_ports(ip, count):
-    """Return ports that are free on an address, for TCP and for datagrams."""
-    found, kept = [], []
-    while len(found) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind((ip, 0))
-        kept.append(stream)
-        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        kept.append(datagram)
-        port = stream.getsockname()[1]
-        try:
-            datagram.bind((ip, port))
-        except OSError:
-            continue
-        found.append(port)
-    for each in kept:
-        each.close()
-    return found
+        self._signal(signal.SIGHUP)
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from backend import Backend
+from entry_process import EntryProcess
+
 __all__ = ["inject"]
 
 # A slow link holds each piece for so long, in seconds: long against the work of 10 ms,
@@ -30,169 +33,151 @@
 
 
 async def _bring_about(world, fault):
+    """Bring one fault about, and note what it befell and when."""
+    parts_name, bring_about = _FAULTS[fault.kind]
+    part = None
+    if parts_name is not None:
+        parts = getattr(world, parts_name)
+        part = parts[fault.target % len(parts)]
     began_s = world.clock()
-    target = await _FAULTS[fault.kind](world, fault)
-    world.records.spans.append((fault.kind, target or "", began_s, world.clock()))
+    try:
+        await bring_about(world, part, fault.for_s)
+    finally:
+        # Also of a fault that the end of the run breaks off: it excuses what it did.
+        span = (fault.kind, _name_of(part), began_s, world.clock())
+        world.records.spans.append(span)
 
 
-def _of(parts, fault):
-    return parts[fault.target % len(parts)]
+def _name_of(part):
+    """Return what records call a host or an endpoint; nothing else has a name there."""
+    if isinstance(part, EntryProcess):
+        return part.callers
+    return part.name if isinstance(part, Backend) else ""
 
 
-async def _host_kill(world, fault):
-    host = _of(world.hosts, fault)
-    _announce(world, fault, host.callers)
-    await world.kill_host(host, fault.for_s)
-    return host.callers
+async def _all_hosts_kill(world, _, for_s):
+    await asyncio.gather(*(world.kill_host(host, for_s) for host in world.hosts))
 
 
-async def _all_hosts_kill(world, fault):
-    _announce(world, fault, "")
-    await asyncio.gather(*(world.kill_host(host, fault.for_s) for host in world.hosts))
+async def _host_kill(world, host, for_s):
+    await world.kill_host(host, for_s)
 
 
-async def _host_pause(world, fault):
-    host = _of(world.hosts, fault)
-    _announce(world, fault, host.callers)
+async def _host_pause(world, host, for_s):
     host.pause()
-    await asyncio.sleep(fault.for_s)
+    await asyncio.sleep(for_s)
     host.resume()
-    return host.callers
 
 
-async def _host_stop(world, fault):
-    host = _of(world.hosts, fault)
-    await world.stop_host(host, fault.for_s)
-    return host.callers
+async def _host_stop(world, host, for_s):
+    await world.stop_host(host, for_s)
 
 
-async def _host_reload(world, fault):
-    host = _of(world.hosts, fault)
+async def _host_reload(world, host, for_s):
     host.hang_up()
-    return host.callers
 
 
-async def _endpoint_restart(world, fault):
-    backend = _of(world.backends, fault)
-    _announce(world, fault, backend.name)
-    await world.restart_endpoint(backend, fault.for_s)
-    return backend.name
+async def _endpoint_restart(world, backend, for_s):
+    await world.restart_endpoint(backend, for_s)
 
 
-async def _endpoint_leave(world, fault):
-    backend = _of(world.backends, fault)
+async def _endpoint_leave(world, backend, for_s):
     await world.leave_endpoint(backend)
-    return backend.name
 
 
 def _endpoint_mode(mode):
-    async def bring_about(world, fault):
-        backend = _of(world.backends, fault)
-        _announce(world, fault, backend.name)
+    async def bring_about(world, backend, for_s):
         backend.mode = mode
-        await asyncio.sleep(fault.for_s)
+        await asyncio.sleep(for_s)
         backend.mode = "well"
-        return backend.name
 
     return bring_about
 
 
-async def _link_delay(world, fault):
-    link = _of(world.links, fault)
+async def _link_delay(world, link, for_s):
     link.delay_s = LINK_DELAY_S
-    await asyncio.sleep(fault.for_s)
+    await asyncio.sleep(for_s)
     link.delay_s = 0.0
 
 
-async def _link_reset(world, fault):
-    _announce(world, fault, "")
-    _of(world.links, fault).reset()
+async def _link_reset(world, link, for_s):
+    link.reset()
 
 
 def _link_hold(there, back):
-    async def bring_about(world, fault):
-        link = _of(world.links, fault)
-        _announce(world, fault, "")
+    async def bring_about(world, link, for_s):
         link.set_holds(there, back)
-        await asyncio.sleep(fault.for_s)
+        await asyncio.sleep(for_s)
         link.set_holds(False, False)
 
     return bring_about
 
 
 def _store_fault(name):
-    async def bring_about(world, fault):
+    async def bring_about(world, _, for_s):
         world.store.fault = name
-        await asyncio.sleep(fault.for_s)
+        await asyncio.sleep(for_s)
         world.store.fault = ""
 
     return bring_about
 
 
-async def _store_forget(world, fault):
+async def _store_forget(world, _, for_s):
     world.store.forget_history()
 
 
-async def _store_stale(world, fault):
+async def _store_stale(world, _, for_s):
     world.store.freeze()
     # Something to be wrong about, and a reason to read anew.
-    await asyncio.sleep(fault.for_s / 2.0)
+    await asyncio.sleep(for_s / 2.0)
     world.write_configuration()
     await asyncio.sleep(STALE_AFTER_S)
     world.store.forget_history()
-    await asyncio.sleep(fault.for_s / 2.0)
+    await asyncio.sleep(for_s / 2.0)
     world.store.fault = ""
     world.store.forget_history()
 
 
-async def _store_lapse(world, fault):
+async def _store_lapse(world, _, for_s):
     world.store.fault = "refuse"
     world.lapse(True)
-    await asyncio.sleep(fault.for_s)
+    await asyncio.sleep(for_s)
     world.store.fault = ""
     await asyncio.sleep(BEATS_AFTER_S)
     world.lapse(False)
 
 
-async def _host_store_cut(world, fault):
-    link = _of(world.store_links, fault)
-    link.set_holds(True, True)
-    await asyncio.sleep(fault.for_s)
-    link.set_holds(False, False)
+async def _host_store_cut(world, link, for_s):
+    await _link_hold(True, True)(world, link, for_s)
     link.reset()
 
 
-async def _config_change(world, fault):
+async def _config_change(world, _, for_s):
     world.write_configuration()
 
 
-def _announce(world, fault, target):
-    """Note a fault that is on before it is over, so that what it excuses is known."""
-    ends_s = fault.at_s + fault.for_s
-    world.records.spans.append((fault.kind, target, world.clock(), ends_s))
-
-
+# Which parts of the world a kind of fault befalls one of, and what brings it about.
 _FAULTS = {
-    "host_kill": _host_kill,
-    "host_pause": _host_pause,
-    "host_stop": _host_stop,
-    "host_reload": _host_reload,
-    "all_hosts_kill": _all_hosts_kill,
-    "endpoint_restart": _endpoint_restart,
-    "endpoint_leave": _endpoint_leave,
-    "endpoint_errors": _endpoint_mode("errors"),
-    "endpoint_hang": _endpoint_mode("hang"),
-    "endpoint_break": _endpoint_mode("break"),
-    "link_delay": _link_delay,
-    "link_reset": _link_reset,
-    "link_silent": _link_hold(True, True),
-    "link_one_way": _link_hold(False, True),
-    "store_refuse": _store_fault("refuse"),
-    "store_silent": _store_fault("silent"),
-    "store_lost": _store_fault("lost"),
-    "store_forget": _store_forget,
-    "store_stale": _store_stale,
-    "store_lapse": _store_lapse,
-    "host_store_cut": _host_store_cut,
-    "config_change": _config_change,
+    "host_kill": ("hosts", _host_kill),
+    "host_pause": ("hosts", _host_pause),
+    "host_stop": ("hosts", _host_stop),
+    "host_reload": ("hosts", _host_reload),
+    "all_hosts_kill": (None, _all_hosts_kill),
+    "endpoint_restart": ("backends", _endpoint_restart),
+    "endpoint_leave": ("backends", _endpoint_leave),
+    "endpoint_errors": ("backends", _endpoint_mode("errors")),
+    "endpoint_hang": ("backends", _endpoint_mode("hang")),
+    "endpoint_break": ("backends", _endpoint_mode("break")),
+    "link_delay": ("links", _link_delay),
+    "link_reset": ("links", _link_reset),
+    "link_silent": ("links", _link_hold(True, True)),
+    "link_one_way": ("links", _link_hold(False, True)),
+    "store_refuse": (None, _store_fault("refuse")),
+    "store_silent": (None, _store_fault("silent")),
+    "store_lost": (None, _store_fault("lost")),
+    "store_forget": (None, _store_forget),
+    "store_stale": (None, _store_stale),
+    "store_lapse": (None, _store_lapse),
+    "host_store_cut": ("store_links", _host_store_cut),
+    "config_change": (None, _config_change),
 }
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 from plan import CALM_AFTER_S, KINDS, draw_plan
-from proxy import Proxy
+from proxies import Proxy
 from run_soak import kept_plans, play
 
 # Time in which faults begin, in seconds: half of what a run by hand has.
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,8 +9,10 @@
 import msgpack
 from backend import Backend
 from callers import Caller
-from entry_process import EntryProcess, free_ports
-from proxy import Proxy
+from entry_process import EntryProcess
+from platform_samples import configuration, entry
+from processes import free_ports
+from proxies import Proxy
 from records import ANY_TIMES, ONCE, STREAM, Records
 
 from gypsumusher_entry.peer_beliefs import BELIEFS_PATH
@@ -27,12 +29,6 @@
 # longer than the bound after which work for it is a fault.
 LEAVES_FOR_S = 6.0
 START_TIMEOUT_S = 20.0
-LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": 4194304,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15000,
-}
 
 
 class World:
@@ -145,24 +141,14 @@
             routes.append(
                 {
                     "name": kind,
-                    "host": "shop.example",
                     "path_prefix": f"/{kind}/",
                     "kind": wire,
                     "attempts": attempts,
                     "resumable": kind == STREAM,
-                    "timeout_ms": 1500,
                     "goal_ms": 200 + self._version,
-                    "priority": 0,
-                    "service": "svc",
                 }
             )
-        services = [{"name": "svc", "health_path": "/healthz", "max_conns": 200}]
-        content = {
-            "version": self._version,
-            "routes": routes,
-            "services": services,
-            "limits": LIMITS,
-        }
+        content = configuration(self._version, *routes)
         self.store.put("config", "main", content)
         if self._version > 1:
             self.records.written.append((self.clock(), self._version))
@@ -193,9 +179,7 @@
 
     async def stop_host(self, host, pause_s):
         """Stop a host as planned, and start it again after a pause."""
-        host.terminate()
-        while host.exit_code() is None:
-            await asyncio.sleep(0.02)
+        await host.terminate_and_wait()
         await asyncio.sleep(pause_s)
         await host.start()
 
@@ -242,18 +226,14 @@
                 continue
             beats[1] = beat + 1
             number = self.backends.index(backend)
-            entry = {
-                "service": "svc",
-                "addr": self.links[number].address,
-                "zone": f"zone-{number % 2}",
-                "version": "v1",
-                "slots": 6,
-                "state": state,
-                "warmup_left_ms": 0,
-                "seq": beat,
-                "born": born,
-            }
-            self.store.put("servers", backend.name, entry)
+            content = entry(
+                self.links[number].address,
+                state,
+                beat,
+                zone=f"zone-{number % 2}",
+                born=born,
+            )
+            self.store.put("servers", backend.name, content)
 
     def _remove(self, name):
         if self.store.has("servers", name):
--- /dev/null
+++ b/tools/platform_samples.py
@@ -0,0 +1,48 @@
+"""What operators and endpoints write into the platform's store, for tests and soak."""
+
+__all__ = ["configuration", "entry"]
+
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 4194304,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def configuration(version, *routes):
+    """Return a configuration as operators write it."""
+    items = []
+    for number, fields in enumerate(routes):
+        route = {
+            "name": f"r-{number}",
+            "host": "shop.example",
+            "path_prefix": f"/{number}/",
+            "timeout_ms": 1500,
+            "goal_ms": 100,
+            "priority": 0,
+            "service": "svc",
+        }
+        items.append({**route, **fields})
+    services = [{"name": "svc", "health_path": "/healthz", "max_conns": 100}]
+    return {
+        "version": version,
+        "routes": items,
+        "services": services,
+        "limits": LIMITS,
+    }
+
+
+def entry(address, state="ready", beat=1, **fields):
+    """Return an endpoint's entry as it writes it."""
+    return {
+        "service": "svc",
+        "addr": address,
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 6,
+        "state": state,
+        "warmup_left_ms": 0,
+        "seq": beat,
+        **fields,
+    }
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -4,6 +4,7 @@
 import os
 import re
 import signal
+import socket
 import subprocess
 
 READY_PREFIX = "event=ready"
@@ -122,3 +123,23 @@
     def _signal(self, number):
         if self.exit_code() is None:
             os.kill(self.pid, number)
+
+
+def free_ports(ip, count):
+    """Return ports that are free on an address, for TCP and for datagrams."""
+    found, kept = [], []
+    while len(found) < count:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.bind((ip, 0))
+        kept.append(stream)
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        kept.append(datagram)
+        port = stream.getsockname()[1]
+        try:
+            datagram.bind((ip, port))
+        except OSError:
+            continue
+        found.append(port)
+    for each in kept:
+        each.close()
+    return found
--- a/tools/proxies.py
+++ b/tools/proxies.py
@@ -1,69 +1,151 @@
-"""A TCP relay between daemons and an engine that can hold back orders on their way."""
+"""Loopback proxies that delay, hold back, or reset what passes through them."""
 
 import asyncio
+import socket
+import struct
 
-READ_BYTES = 65536
-ORDER_PREFIX = b"POST /orders"
+__all__ = ["OrderProxy", "Proxy"]
 
+READ_BYTES = 65_536
+ORDER_PREFIX = b"POST /orders"
+# Closing a socket with this option drops what is under way and sends a reset.
+RESET = struct.pack("ii", 1, 0)
 
-class OrderProxy:
-    """Relays connections to one engine; holds the bytes of orders while told to.
 
-    The engine's side of each connection is opened as the daemon's side is, so that
-    the engine sees a held order as one from a steward that was paused after it had
-    connected.
+class Proxy:
+    """Connections to one address, and what befalls them.
 
-    Parameters
+    Attributes
     ----------
     target : str
-        ``IP:PORT`` of the engine.
+        ``ip:port`` to which connections lead; may change between connections.
+    delay_s : float
+        How long each piece is held, in seconds.
+    holds_there, holds_back : bool
+        Whether nothing passes to the target, or from it, until it may again. Held
+        pieces aren't lost, as packets aren't that TCP sends again.
     """
 
     def __init__(self, target):
         self.target = target
         self.address = ""
-        self.holds = False
-        self.held = asyncio.Event()
-        self.released = asyncio.Event()
-        self._server = None
+        self.delay_s = 0.0
+        self.holds_there = False
+        self.holds_back = False
+        self._pairs = set()
         self._tasks = set()
+        self._server = None
+        self._changed = asyncio.Event()
 
     async def start(self):
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._relay, "127.0.0.1", 0)
-        ip, port = self._server.sockets[0].getsockname()
-        self.address = f"{ip}:{port}"
+        """Listen on a free port; return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self.address
 
     async def close(self):
-        """End the listener and all connections."""
+        """Stop, and end all connections."""
         self._server.close()
+        self.reset()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _relay(self, reader, writer):
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        ip, port = self.target.split(":")
+    def set_holds(self, there, back):
+        """Hold back one direction, both or none."""
+        self.holds_there, self.holds_back = there, back
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def reset(self):
+        """Reset all open connections on both sides."""
+        for writer in list(self._pairs):
+            _reset(writer)
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        self._pairs.add(writer)
+        try:
+            await self._until_free("holds_there", b"")
+            ip, _, port = self.target.rpartition(":")
+            back_reader, back_writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            # Nobody listens there: the caller of the proxy sees a reset.
+            _reset(writer)
+            self._forget(writer)
+            return
+        self._pairs.add(back_writer)
         try:
-            far_reader, far_writer = await asyncio.open_connection(ip, int(port))
             await asyncio.gather(
-                self._carry(reader, far_writer, self.holds),
-                self._carry(far_reader, writer, False),
+                self._pump(reader, back_writer, "holds_there"),
+                self._pump(back_reader, writer, "holds_back"),
             )
-        except (OSError, asyncio.CancelledError):
-            # A side that has gone ends the relay, as the test's end does.
-            pass
+        except asyncio.CancelledError:
+            # The proxy is closed; the library would report the cancelled task.
+            return
         finally:
-            self._tasks.discard(task)
+            for side in (writer, back_writer):
+                side.close()
+                self._forget(side)
+
+    def _forget(self, writer):
+        self._pairs.discard(writer)
+        self._tasks.discard(asyncio.current_task())
+
+    async def _pump(self, reader, writer, direction):
+        try:
+            while True:
+                data = await reader.read(READ_BYTES)
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                await self._until_free(direction, data)
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except OSError:
+            # One side was reset, so that the other one has to be.
             writer.transport.abort()
 
-    async def _carry(self, reader, writer, may_hold):
-        while data := await reader.read(READ_BYTES):
-            if may_hold and data.startswith(ORDER_PREFIX):
-                self.held.set()
-                await self.released.wait()
-            if writer.is_closing():
-                break
-            writer.write(data)
-        writer.close()
+    async def _until_free(self, direction, data):
+        """Wait until a piece may pass in a direction."""
+        while getattr(self, direction):
+            await self._changed.wait()
+
+
+class OrderProxy(Proxy):
+    """Holds the bytes of orders to one engine while told to, and nothing else.
+
+    The engine's side of each connection is opened as the daemon's side is, so that
+    the engine sees a held order as one from a steward that was paused after it had
+    connected.
+
+    Attributes
+    ----------
+    holds : bool
+        Whether orders that come now are held.
+    held, released : asyncio.Event
+        Set when an order is held; to be set to let it go on.
+    """
+
+    def __init__(self, target):
+        super().__init__(target)
+        self.holds = False
+        self.held = asyncio.Event()
+        self.released = asyncio.Event()
+
+    async def _until_free(self, direction, data):
+        if self.holds and direction == "holds_there" and data.startswith(ORDER_PREFIX):
+            self.held.set()
+            await self.released.wait()
+
+
+def _reset(writer):
+    """Reset a connection: its peer sees an error, not an end."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
--- a/tools/replies.py
+++ b/tools/replies.py
@@ -1,8 +1,8 @@
-"""An endpoint that answers by script, for tests."""
+"""An endpoint that answers by script, for tests and soak."""
 
 import asyncio
 
-__all__ = ["ScriptedEndpoint", "answer_to", "request_id_of"]
+__all__ = ["ScriptedEndpoint", "answer_to", "chunk", "request_id_of"]
 
 
 def request_id_of(head):
@@ -23,6 +23,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def chunk(data):
+    """Return one piece of a body without a length."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 class ScriptedEndpoint:
     """Hands each request to a function that writes what it likes.
 
@@ -48,8 +53,9 @@
     async def close(self):
         """Stop listening, and end what runs."""
         self._server.close()
-        for task in self.tasks:
+        for task in list(self.tasks):
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer):
         self.connections += 1
@@ -66,5 +72,9 @@
                 await self._script(len(self.requests) - 1, head, body, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             return
+        except asyncio.CancelledError:
+            # The endpoint is closed; the library would report the cancelled task.
+            return
         finally:
             writer.close()
+            self.tasks.discard(asyncio.current_task())
