Keep one process a host in the soak, however many faults start it again

A planned stop and a kill of one host overlap, each starts it again, and the process started first was forgotten with its id.

EntryProcess.start does nothing while the process runs.

--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -72,7 +72,13 @@
         self.lives = 0
 
     async def start(self):
-        """Start it without waiting for anything: the store may be away."""
+        """Start it, unless it runs, without waiting: the store may be away.
+
+        Failure guarded against: a stop and a kill of one host overlap, and both start
+        it again. The first process would be forgotten, and live on after the run.
+        """
+        if self.is_started and self.exit_code() is None:
+            return
         self.lives += 1
         self.spawn()
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 import time
 
 import pytest
+from entry_process import EntryProcess
 from plan import CALM_AFTER_S, KINDS, draw_plan
 from proxies import Proxy
 from run_soak import kept_plans, play
@@ -26,6 +27,27 @@
     assert counts["served"] > 0.5 * counts["requests"] > 100
 
 
+@pytest.mark.processes
+def test_a_host_that_two_faults_start_again_is_one_process(tmp_path):
+    """A run leaves processes behind, which take processor time from all later ones.
+
+    A planned stop of a host and its kill overlap, and each starts it again.
+    """
+
+    async def scenario():
+        host = EntryProcess("h", "127.0.0.9", "a", "127.0.0.1:1", 1, tmp_path)
+        await host.start()
+        first = host.pid
+        await host.start()
+        assert (host.pid, host.lives) == (first, 1)
+        host.destroy()
+        await host.start()
+        assert host.pid != first and host.lives == 2
+        host.destroy()
+
+    asyncio.run(scenario())
+
+
 def test_a_seed_brings_the_same_faults_each_time():
     assert draw_plan(4, 6.0) == draw_plan(4, 6.0)
     assert draw_plan(4, 6.0) != draw_plan(5, 6.0)
--- a/soak/world.py
+++ b/soak/world.py
@@ -188,8 +188,7 @@
         host.resume()
         host.destroy()
         await asyncio.sleep(pause_s)
-        if host.exit_code() is not None:
-            await host.start()
+        await host.start()
 
     async def restart_endpoint(self, backend, pause_s):
         """Crash an endpoint; it comes back under its id."""
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -70,6 +70,11 @@
                 return True
         return False
 
+    @property
+    def is_started(self):
+        """Whether it has been started, whatever has become of it."""
+        return self._child is not None
+
     @property
     def pid(self):
         """The process id."""
@@ -117,7 +122,7 @@
 
     def destroy(self):
         """Make sure that it has ended, paused or not."""
-        if self._child is not None and self.exit_code() is None:
+        if self.is_started and self.exit_code() is None:
             self.kill()
 
     def _signal(self, number):
