--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -16,6 +16,7 @@
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_platform import load_settings
 from gypsumusher_ports import GypsumusherError, StartError
+from gypsumusher_routing import Policy, policy_without
 
 __all__ = ["main"]
 
@@ -42,11 +43,18 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
+    parser.add_argument(
+        "--without",
+        type=policy_without,
+        default=Policy(),
+        metavar="NAME,...",
+        help="mechanisms to leave out, for a measurement of what they are worth",
+    )
     options = parser.parse_args(arguments)
     return run_program(
         "gypsumusher_entry",
         load_settings,
-        functools.partial(_serve, options.metrics_port),
+        functools.partial(_serve, options.metrics_port, options.without),
         _describe if options.check else None,
     )
 
@@ -55,14 +63,21 @@
     return f"settings of host {settings.name}: ok"
 
 
-async def _serve(metrics_port, settings):
+async def _serve(metrics_port, policy, settings):
     """Start the host, wait for a signal, stop as planned."""
     loop = asyncio.get_running_loop()
     bounded_log = create_bounded_log(settings.name, loop)
     log = bounded_log.log
-    host = EntryHost(settings, log, metrics_port)
+    host = EntryHost(settings, log, metrics_port, policy)
     stop = handle_signals(functools.partial(_reload, host))
-    log("info", "starting", zone=settings.zone, callers=settings.callers_address)
+    off = [name for name in policy._fields if not getattr(policy, name)]
+    log(
+        "info",
+        "starting",
+        zone=settings.zone,
+        callers=settings.callers_address,
+        without=",".join(off) or None,
+    )
     try:
         await host.start()
     except OSError as error:
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -13,8 +13,10 @@
     HostNews,
     HostTable,
     Learnt,
+    Policy,
     ReadingDemand,
     RetryShare,
+    Returning,
     RouteTable,
     capacity_of,
     choose_active,
@@ -23,6 +25,8 @@
 
 __all__ = ["Context"]
 
+ALL_ON = Policy()
+
 # For how long callers keep the list of hosts, in seconds. A stop waits for three times
 # as long, and a dead host is tried for that long; each caller asks once in this time.
 DIRECTORY_TTL_S = 1.0
@@ -47,9 +51,12 @@
         ``log(level, event, **fields)``.
     metrics : Metrics
         Counters and histograms.
+    policy : Policy
+        Which mechanisms decide.
     """
 
-    def __init__(self, settings, clock, log, metrics):
+    def __init__(self, settings, clock, log, metrics, policy=ALL_ON):
+        self.policy = policy
         self.settings = settings
         self.clock = clock
         self.log = log
@@ -64,6 +71,7 @@
         self.pool = EndpointPool(clock, log)
         self.overdue = OverdueWatch(clock, log)
         self.demand = ReadingDemand()
+        self.returning = Returning()
         # Engines that this host has ordered to change their stage, for the peers.
         self.ordered_stages = []
         # Set when the host starts: what it knows of the lease for such orders.
@@ -217,7 +225,7 @@
     def learnt(self, service):
         """Return what the engines of a service have taught this host."""
         if service not in self._learnt:
-            self._learnt[service] = Learnt()
+            self._learnt[service] = Learnt(self.policy)
         return self._learnt[service]
 
     def fleet(self, service, limits, states=None):
@@ -234,7 +242,8 @@
         """
         if states is None:
             states = self.endpoints.of_service(service)
-        return Fleet(states, limits, self.learnt(service), self.settings.zone)
+        learnt, zone = self.learnt(service), self.settings.zone
+        return Fleet(states, limits, learnt, zone, self.policy)
 
     def take_retry(self, service):
         """Use one retry of a service; False when this host's share is spent."""
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -32,6 +32,8 @@
 MAX_DATAGRAM_BYTES = 60_000
 # Placements told in one message; more wait for the next.
 MAX_PLACEMENTS = 64
+# Refusals told in one message. Some ten bytes each; more wait for the next.
+MAX_REFUSALS = 64
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -112,10 +114,11 @@
         """Return what this host has to say now, but for the placements."""
         context = self._context
         loads = {}
+        shares_loads = context.policy.shared_loads
         for endpoint_id, state in context.endpoints.states.items():
             penalty = round(state.health.own(now_s), 1)
             if state.own_running or penalty:
-                load = state.own_load()
+                load = state.own_load() if shares_loads else Load(0)
                 lane_ms = [round(work_s * 1000) for work_s in load.lane_s]
                 loads[endpoint_id] = (*load[:2], lane_ms, penalty)
         reading_load = round(context.demand.own(now_s), 1)
@@ -140,21 +143,24 @@
         period_s = REST_S if is_active else FAR_S
         if is_active or is_for_all:
             placements = context.take_placements(MAX_PLACEMENTS)
+            refusals = context.returning.take_news(now_s, MAX_REFUSALS)
             lease = context.stage_lease.told() if is_for_all else None
-            self._send(active, period_s, state, placements, lease)
+            rest = (placements, refusals, lease)
+            self._send(active, period_s, state, rest)
         if is_for_all:
             self._told_all_s = now_s
             # What the engines have under way is of use to the active hosts only.
-            self._send(others if is_active else (), FAR_S, (*state[:-1], (0.0, {})), [])
+            quiet = (*state[:-1], (0.0, {}))
+            self._send(others if is_active else (), FAR_S, quiet, ([], [], None))
 
-    def _send(self, ips, period_s, state, placements, lease=None):
+    def _send(self, ips, period_s, state, rest):
         """Send one message to some hosts."""
         if not ips:
             return
         context = self._context
         news = context.own_news(self._beat, period_s)
         *_, stages, load = state
-        fields = [FORMAT, list(news), stages, load, placements, lease]
+        fields = [FORMAT, list(news), stages, load, *rest]
         data = msgpack.packb(fields)
         if len(data) > MAX_DATAGRAM_BYTES:
             context.log("error", "gossip_too_large", bytes=len(data))
@@ -190,6 +196,8 @@
             load, penalty = message.loads.get(endpoint_id, (Load(0), 0.0))
             state.on_peer_load(now_s, peer, load)
             state.health.on_peer(now_s, peer, penalty)
+        for key, age_s in message.refusals:
+            context.returning.on_peer(key, now_s - age_s)
         for endpoint_id, started_ms, stage, is_switching in message.stages:
             state = context.endpoints.states.get(endpoint_id)
             if state is not None and state.record.started_ms == started_ms:
@@ -221,6 +229,8 @@
         For each endpoint its load, and its penalty.
     placements : list
         Engines with the parts of prompts that they keep, or will in some seconds.
+    refusals : list
+        Requests that it has refused: key, and age of their first attempt in seconds.
     lease : list or None
         What it knows of the lease for orders, from time to time.
     """
@@ -230,6 +240,7 @@
     reading_load: float
     loads: dict
     placements: list
+    refusals: list
     lease: list | None
 
 
@@ -238,7 +249,7 @@
     version, *fields = msgpack.unpackb(data)
     if version != FORMAT:
         raise ValueError(f"format {version}")
-    news, stages, (reading_load, loads), placements, lease = fields
+    news, stages, (reading_load, loads), placements, refusals, lease = fields
     decoded = {}
     for endpoint_id, (running, readings, lane_ms, penalty) in loads.items():
         if len(lane_ms) != len(LANES):
@@ -247,4 +258,4 @@
         load = Load(running, readings, lane_s)
         decoded[endpoint_id] = (load, penalty)
     news = HostNews(*news)
-    return _Message(news, stages, reading_load, decoded, placements, lease)
+    return _Message(news, stages, reading_load, decoded, placements, refusals, lease)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -4,7 +4,7 @@
 import time
 
 from gypsumusher_entry.caller_connections import CallerListener
-from gypsumusher_entry.context import Context
+from gypsumusher_entry.context import ALL_ON, Context
 from gypsumusher_entry.exchange import create_handler
 from gypsumusher_entry.following import StoreFollower
 from gypsumusher_entry.gossip import Gossip
@@ -46,11 +46,13 @@
         Structured log.
     metrics_port : int or None
         Port of the metrics page.
+    policy : Policy
+        Which mechanisms decide.
     """
 
-    def __init__(self, settings, log, metrics_port=None):
+    def __init__(self, settings, log, metrics_port=None, policy=ALL_ON):
         clock = asyncio.get_running_loop().time
-        self.context = Context(settings, clock, log, Metrics())
+        self.context = Context(settings, clock, log, Metrics(), policy)
         self.log = log
         self._metrics_port = metrics_port
         self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -106,7 +106,8 @@
         left, would else ask for one a thousand times a second.
         """
         exchange = self._exchange
-        if exchange.route.kind != ANY_TIMES or self._is_hedged:
+        hedges = exchange.context.policy.hedges
+        if exchange.route.kind != ANY_TIMES or self._is_hedged or not hedges:
             return None
         due_s = exchange.arrived_s + HEDGE_PART * exchange.route.objective_s
         return max(0.001, due_s - exchange.context.clock())
--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -57,6 +57,8 @@
 
     async def start(self):
         """Begin to plan, until the context is closed."""
+        if not self._context.policy.stages:
+            return
         self._context.spawn(self._run())
 
     async def _run(self):
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -16,8 +16,10 @@
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.hosts import HostNews, HostTable, capacity_of
 from gypsumusher_routing.learnt import Learnt, SeenReading
+from gypsumusher_routing.policy import Policy, policy_without
 from gypsumusher_routing.prefixes import PrefixTable
 from gypsumusher_routing.retry_share import RetryShare
+from gypsumusher_routing.returning import Returning, key_of
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.stage_order import (
@@ -63,10 +65,12 @@
     "Learnt",
     "Load",
     "OversizedEvent",
+    "Policy",
     "PrefixTable",
     "Reading",
     "ReadingDemand",
     "RetryShare",
+    "Returning",
     "RouteTable",
     "SOON",
     "SeenReading",
@@ -86,7 +90,9 @@
     "choose_reading",
     "choose_watchers",
     "first_event_limit_s",
+    "key_of",
     "pick_service",
+    "policy_without",
     "transfer_s",
     "urgency_of",
 ]
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -12,6 +12,7 @@
 from gypsumusher_ports import EngineLimits, Generation
 from gypsumusher_routing.endpoint_state import EndpointState
 from gypsumusher_routing.learnt import Learnt
+from gypsumusher_routing.policy import Policy
 from gypsumusher_routing.urgency import (
     HOPELESS,
     LANES,
@@ -75,12 +76,15 @@
         What their answers have taught.
     own_zone : str
         Zone of this host.
+    policy : Policy
+        Which mechanisms decide.
     """
 
     states: list[EndpointState]
     limits: EngineLimits
     learnt: Learnt
     own_zone: str
+    policy: Policy = Policy()
 
 
 class Wish(NamedTuple):
@@ -174,19 +178,27 @@
     holder, held = _holder_of(sound, wish.generation.parts)
     best, best_key = None, None
     for state in sound:
-        kept = _kept_at(now_s, state, home, wish.generation)
+        if state.stage != "prefill" and not fleet.policy.reading_in_place:
+            if len(decodes) < len(states):
+                continue
+        coming_s = now_s if fleet.policy.coming_parts else None
+        kept = _kept_at(coming_s, state, home, wish.generation)
         reading = _reading_at(now_s, state, fleet, wish, kept, holder, held)
         cost_s = _cost_s(now_s, reading, fleet)
-        cost_s += least_stream_s if reading.is_apart else _stream_s(state, wish)
+        if fleet.policy.strain:
+            cost_s += least_stream_s if reading.is_apart else _stream_s(state, wish)
         key = (round(cost_s / EVEN_S), draw())
         if best_key is None or key < best_key:
             best, best_key = reading, key
     return best
 
 
-def _kept_at(now_s, state, home, generation):
-    """Return how many tokens of a prompt an engine is believed to keep."""
-    kept = state.prefixes.kept_tokens(generation.parts, now_s)
+def _kept_at(coming_s, state, home, generation):
+    """Return how many tokens of a prompt an engine is believed to keep.
+
+    Parts that are being read count too when the present time is given.
+    """
+    kept = state.prefixes.kept_tokens(generation.parts, coming_s)
     if not kept and state is home:
         return int(_shared_tokens(generation) * HOME_BELIEF)
     return kept
@@ -195,28 +207,32 @@
 def _reading_at(now_s, state, fleet, wish, kept, holder, held):
     """Return how a prompt would be read at one engine."""
     fetch_from, fetch_s = None, 0.0
-    if held - kept >= LEAST_FETCH_TOKENS:
+    if fleet.policy.fetches and held - kept >= LEAST_FETCH_TOKENS:
         fetch_from = holder
         fetch_s = _fetch_s(state, holder, held - kept, fleet.limits)
         kept = held
     learnt, stage = fleet.learnt, state.stage
     new_tokens = max(1, wish.generation.prompt_tokens - kept)
     cost_s = learnt.cost(stage).expected_s(new_tokens, kept)
-    pace = state.pace.factor(now_s)
+    pace = state.pace.factor(now_s) if fleet.policy.pace else 1.0
     is_apart = stage == "prefill"
     after_s = fetch_s
     if is_apart:
         moved_s = transfer_s(wish.generation.prompt_tokens, fleet.limits)
         after_s += moved_s + learnt.hand_over_s()
     load = state.load(now_s)
-    margin = pace * learnt.margin(stage)
+    lanes_s = []
+    for lane in LANES:
+        margin = learnt.margin(stage, lane) if fleet.policy.margin else 1.0
+        lanes_s.append((cost_s + load.before_s(lane)) * pace * margin + after_s)
     lane = choose_lane(
-        [(cost_s + load.before_s(lane)) * margin + after_s for lane in LANES],
-        cost_s * margin + after_s,
+        lanes_s,
+        cost_s * pace + after_s,
         wish.objective_left_s - WAY_S,
         wish.first_event,
         _chance_of(wish.generation.parts),
         wish.is_returning,
+        fleet.policy,
     )
     if lane == HOPELESS and not load.readings and not learnt.cost(stage).is_known:
         # A guess is no reason to refuse what an idle engine may well read in time.
@@ -240,13 +256,16 @@
     """Return what a reading costs its caller and others, as seconds of waiting."""
     state = reading.state
     cost_s = reading.expected_s + PENALTY_S * state.health.penalty(now_s)
-    if state.record.zone != fleet.own_zone:
+    if fleet.policy.own_zone and state.record.zone != fleet.own_zone:
         cost_s += OTHER_ZONE_S
     if not reading.is_apart:
         # The way there and back holds nobody up.
         held_up_s = reading.cost_s - fleet.learnt.cost(state.stage).expected_s(0, 0)
-        harm = HARM_PER_RUN * max(0.0, held_up_s - HARMLESS_S)
-        harm += HARM_PER_STRAIN * _excess_strain(state) * max(0.0, held_up_s)
+        harm = 0.0
+        if fleet.policy.harm:
+            harm += HARM_PER_RUN * max(0.0, held_up_s - HARMLESS_S)
+        if fleet.policy.strain:
+            harm += HARM_PER_STRAIN * _excess_strain(state) * max(0.0, held_up_s)
         cost_s += harm * state.load(now_s).running
     return cost_s
 
@@ -281,7 +300,8 @@
         expected_s = load.reading_s
         # A batch of all slots makes a token several times as slowly as an empty one.
         expected_s += BATCH_S * load.running / max(1, state.record.slots)
-        expected_s += _stream_s(state, wish)
+        if fleet.policy.strain:
+            expected_s += _stream_s(state, wish)
         if state.record.zone != source_zone:
             expected_s += moved_s * (OTHER_ZONE_FACTOR - 1.0)
         if state.record.zone != fleet.own_zone:
--- a/libs/routing/gypsumusher_routing/learnt.py
+++ b/libs/routing/gypsumusher_routing/learnt.py
@@ -3,10 +3,12 @@
 from typing import NamedTuple
 
 from gypsumusher_routing.estimates import EventTokens, Quantile, ReadingCost
+from gypsumusher_routing.policy import Policy
 from gypsumusher_routing.urgency import TIMELY
 
 __all__ = ["Learnt", "SeenReading"]
 
+ALL_ON = Policy()
 # Only a prompt that met a short queue tells what reading costs: what other hosts sent
 # in between is known too late to be told from slowness. As a part of its own cost.
 LEARNT_QUEUE_PART = 0.25
@@ -59,9 +61,16 @@
 
 
 class Learnt:
-    """Costs of reading, their margins, and what a hand-over takes, for one service."""
+    """Costs of reading, their margins, and what a hand-over takes, for one service.
 
-    def __init__(self):
+    Parameters
+    ----------
+    policy : Policy
+        Which mechanisms decide.
+    """
+
+    def __init__(self, policy: Policy = ALL_ON):
+        self._policy = policy
         self._costs = {}
         self._margins = {}
         self._event_tokens = {}
@@ -76,9 +85,12 @@
             self._costs[stage] = ReadingCost(1.0 if is_apart else 1 / MOST_DECODE_PART)
         return self._costs[stage]
 
-    def margin(self, stage: str) -> float:
-        """Return by what factor an expectation is to be taken longer to be sure."""
-        return self._margin(stage).value
+    def margin(self, stage: str, lane: str) -> float:
+        """Return by what factor an expectation is to be taken longer to be sure.
+
+        What is late waits for timely prompts that come after it, too.
+        """
+        return self._margin(stage, lane == TIMELY).value
 
     def hand_over_s(self) -> float:
         """Return what a hand-over takes beside the transfer, in seconds."""
@@ -97,27 +109,30 @@
     def on_reading(self, now_s: float, pace, seen: SeenReading) -> None:
         """Take in a prompt that was read at an engine, with the engine's pace.
 
-        Only timely prompts tell of the engine's pace and of the error: the others wait
-        for whatever timely ones come after them.
+        Only timely prompts tell of the engine's pace: the others wait for whatever
+        timely ones come after them.
         """
         factor = pace.factor(now_s)
         read_s = max(0.0, seen.took_s - seen.fetch_s)
-        if seen.queue_s <= LEARNT_QUEUE_PART * seen.cost_s:
+        is_alone = seen.queue_s <= LEARNT_QUEUE_PART * seen.cost_s
+        if is_alone and self._policy.learnt_costs:
             usual_s = read_s / factor if factor > SLOW_PACE else read_s
             self.cost(seen.stage).learn(seen.new_tokens, seen.kept_tokens, usual_s)
-        if seen.lane != TIMELY:
-            return
+        is_timely = seen.lane == TIMELY
         expected_s = seen.cost_s + seen.queue_s
-        self._margin(seen.stage).learn(read_s / max(1e-3, expected_s * factor))
-        pace.learn(now_s, read_s, expected_s)
+        margin = self._margin(seen.stage, is_timely)
+        margin.learn(read_s / max(1e-3, expected_s * factor))
+        if is_timely:
+            pace.learn(now_s, read_s, expected_s)
 
     def on_hand_over(self, took_s: float, transfer_s: float) -> None:
         """Take in the time from a send to its first event, and the transfer's part."""
         self._hand_over.learn(max(LEAST_HAND_OVER_S, took_s - transfer_s))
 
-    def _margin(self, stage):
-        if stage not in self._margins:
-            self._margins[stage] = Quantile(
+    def _margin(self, stage, is_timely):
+        key = (stage, is_timely)
+        if key not in self._margins:
+            self._margins[key] = Quantile(
                 SURE_PART, FIRST_MARGIN, LEAST_MARGIN, MOST_MARGIN
             )
-        return self._margins[stage]
+        return self._margins[key]
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from gypsumusher_routing.policy import Policy
+
 __all__ = [
     "HOPELESS",
     "LANES",
@@ -15,6 +17,7 @@
     "urgency_of",
 ]
 
+ALL_ON = Policy()
 # A prompt that can still be on time.
 TIMELY = "timely"
 # One that can't, and that has been refused before: its caller came back as told, and a
@@ -113,7 +116,9 @@
     return min(USED_PART * abandoned_s, left_s - TOKEN_S * output_tokens)
 
 
-def choose_lane(lanes_s, own_s, objective_left_s, limits, chance, is_returning):
+def choose_lane(
+    lanes_s, own_s, objective_left_s, limits, chance, is_returning, policy=ALL_ON
+):
     """Return the lane of a prompt at one engine.
 
     Parameters
@@ -131,6 +136,8 @@
         Drawn once for a request, from 0 up to 1.
     is_returning : bool
         Whether it has been refused before and has come back.
+    policy : Policy
+        Which mechanisms decide.
 
     Notes
     -----
@@ -142,12 +149,14 @@
     What would not be read in those gaps before its caller leaves is hopeless.
     """
     timely_s = lanes_s[0]
-    if timely_s <= objective_left_s:
+    if timely_s <= objective_left_s or not policy.lanes:
         return TIMELY
-    if own_s > objective_left_s and chance < FAIR_PART and timely_s <= limits.wanted_s:
+    is_too_large = own_s > objective_left_s and timely_s <= limits.wanted_s
+    if policy.fair_part and is_too_large and chance < FAIR_PART:
         return TIMELY
     lane = SOON if is_returning else LATE
-    if lanes_s[LANES.index(lane)] > HOPELESS_FACTOR * limits.given_up_s:
+    is_hopeless = lanes_s[LANES.index(lane)] > HOPELESS_FACTOR * limits.given_up_s
+    if policy.early_refusal and is_hopeless:
         return HOPELESS
     return lane
 
