--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -16,7 +16,6 @@
     Policy,
     ReadingDemand,
     RetryShare,
-    Returning,
     RouteTable,
     capacity_of,
     choose_active,
@@ -71,7 +70,6 @@
         self.pool = EndpointPool(clock, log)
         self.overdue = OverdueWatch(clock, log)
         self.demand = ReadingDemand()
-        self.returning = Returning()
         # Engines that this host has ordered to change their stage, for the peers.
         self.ordered_stages = []
         # Set when the host starts: what it knows of the lease for such orders.
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -12,7 +12,6 @@
     Wish,
     abandoned_after_s,
     first_event_limit_s,
-    key_of,
     pick_service,
 )
 
@@ -53,8 +52,6 @@
         self.request = request
         self.reply = reply
         self.arrived_s = context.clock()
-        # When the caller's first attempt came, if this one comes after a refusal.
-        self.first_attempt_s = self._first_attempt_s()
         self.route = None
         self.service = None
         self.ends_s = self.arrived_s
@@ -79,10 +76,7 @@
     @property
     def objective_left_s(self):
         """Time until the answer, or its first event, is late, in seconds."""
-        began_s = self.arrived_s
-        if self.first_attempt_s is not None:
-            began_s = self.first_attempt_s
-        return began_s + self.route.objective_s - self.context.clock()
+        return self.arrived_s + self.route.objective_s - self.context.clock()
 
     @property
     def first_event_limits(self):
@@ -103,7 +97,6 @@
             self.request.generation,
             self.objective_left_s,
             self.first_event_limits,
-            self.first_attempt_s is not None,
             self.expected_events or 1.0,
         )
 
@@ -128,28 +121,6 @@
         """Time for which an endpoint may work, in seconds."""
         return max(LEAST_PATIENCE_S, self.left_s - WAY_BACK_S)
 
-    def note_refusal(self):
-        """Note that this request is told to come back, here and for the peers."""
-        key = self._key()
-        if key is not None and not self.may_have_run:
-            first_s = self.first_attempt_s
-            first_s = self.arrived_s if first_s is None else first_s
-            self.context.returning.on_refused(key, first_s)
-
-    def _first_attempt_s(self):
-        """Return when this request came first, if it was refused then."""
-        key = self._key()
-        if key is None or not self.context.policy.returning:
-            return None
-        return self.context.returning.first_s(self.context.clock(), key)
-
-    def _key(self):
-        """Return what all attempts of this request have in common, or None."""
-        generation = self.request.generation
-        if generation is None or not generation.parts:
-            return None
-        return key_of(self.request.target, generation.parts[-1].part_id)
-
     def log(self, level, event, **fields):
         """Log a decision on this request."""
         self.context.log(level, event, id=self.request.request_id, **fields)
@@ -250,14 +221,7 @@
         status = 504 if exchange.may_have_run else 503
         exchange.refuse(status, "timeout", NO_ENDPOINT_RETRY_S)
     except OverloadedError as error:
-        exchange.log(
-            "info",
-            "request_refused",
-            reason="overloaded",
-            detail=error,
-            is_returning=exchange.first_attempt_s is not None,
-        )
-        exchange.note_refusal()
+        exchange.log("info", "request_refused", reason="overloaded", detail=error)
         # By then the backlog has gone so far that it would begin within its limit.
         wait_s = error.expected_s - OVERLOAD_PART * error.limit_s
         exchange.refuse(503, "overloaded", max(LEAST_RETRY_S, wait_s))
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -32,8 +32,6 @@
 MAX_DATAGRAM_BYTES = 60_000
 # Placements told in one message; more wait for the next.
 MAX_PLACEMENTS = 64
-# Refusals told in one message. Some ten bytes each; more wait for the next.
-MAX_REFUSALS = 64
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -143,15 +141,13 @@
         period_s = REST_S if is_active else FAR_S
         if is_active or is_for_all:
             placements = context.take_placements(MAX_PLACEMENTS)
-            refusals = context.returning.take_news(now_s, MAX_REFUSALS)
             lease = context.stage_lease.told() if is_for_all else None
-            rest = (placements, refusals, lease)
-            self._send(active, period_s, state, rest)
+            self._send(active, period_s, state, (placements, lease))
         if is_for_all:
             self._told_all_s = now_s
             # What the engines have under way is of use to the active hosts only.
             quiet = (*state[:-1], (0.0, {}))
-            self._send(others if is_active else (), FAR_S, quiet, ([], [], None))
+            self._send(others if is_active else (), FAR_S, quiet, ([], None))
 
     def _send(self, ips, period_s, state, rest):
         """Send one message to some hosts."""
@@ -196,8 +192,6 @@
             load, penalty = message.loads.get(endpoint_id, (Load(0), 0.0))
             state.on_peer_load(now_s, peer, load)
             state.health.on_peer(now_s, peer, penalty)
-        for key, age_s in message.refusals:
-            context.returning.on_peer(key, now_s - age_s)
         for endpoint_id, started_ms, stage, is_switching in message.stages:
             state = context.endpoints.states.get(endpoint_id)
             if state is not None and state.record.started_ms == started_ms:
@@ -229,8 +223,6 @@
         For each endpoint its load, and its penalty.
     placements : list
         Engines with the parts of prompts that they keep, or will in some seconds.
-    refusals : list
-        Requests that it has refused: key, and age of their first attempt in seconds.
     lease : list or None
         What it knows of the lease for orders, from time to time.
     """
@@ -240,7 +232,6 @@
     reading_load: float
     loads: dict
     placements: list
-    refusals: list
     lease: list | None
 
 
@@ -249,7 +240,7 @@
     version, *fields = msgpack.unpackb(data)
     if version != FORMAT:
         raise ValueError(f"format {version}")
-    news, stages, (reading_load, loads), placements, refusals, lease = fields
+    news, stages, (reading_load, loads), placements, lease = fields
     decoded = {}
     for endpoint_id, (running, readings, lane_ms, penalty) in loads.items():
         if len(lane_ms) != len(LANES):
@@ -258,4 +249,4 @@
         load = Load(running, readings, lane_s)
         decoded[endpoint_id] = (load, penalty)
     news = HostNews(*news)
-    return _Message(news, stages, reading_load, decoded, placements, refusals, lease)
+    return _Message(news, stages, reading_load, decoded, placements, lease)
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -170,9 +170,7 @@
         took_ms=round(took_s * 1000),
         cost_ms=round(reading.cost_s * 1000),
         pace=round(state.pace.factor(context.clock()), 2),
-        margin=round(
-            context.learnt(exchange.service).margin(state.stage, reading.lane), 2
-        ),
+        margin=round(context.learnt(exchange.service).margin(state.stage), 2),
     )
     return Prompt(state, answer)
 
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -13,7 +13,6 @@
 from gypsumusher_ports import Send
 from gypsumusher_routing import (
     HOPELESS,
-    SOON,
     TIMELY,
     EventSplitter,
     choose_decode,
@@ -122,7 +121,7 @@
                     reading.expected_s, exchange.first_event_limits.given_up_s
                 )
             # It goes on after a broken try: nobody else would take it up.
-            reading = reading._replace(lane=SOON)
+            reading = reading._replace(lane=TIMELY)
         return reading.state, reading
 
     async def _try(self, state, reading):
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -19,7 +19,6 @@
 from gypsumusher_routing.policy import Policy, policy_without
 from gypsumusher_routing.prefixes import PrefixTable
 from gypsumusher_routing.retry_share import RetryShare
-from gypsumusher_routing.returning import Returning, key_of
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.stage_order import (
@@ -35,7 +34,6 @@
     HOPELESS,
     LANES,
     LATE,
-    SOON,
     TIMELY,
     FirstEventLimits,
     abandoned_after_s,
@@ -70,9 +68,7 @@
     "Reading",
     "ReadingDemand",
     "RetryShare",
-    "Returning",
     "RouteTable",
-    "SOON",
     "SeenReading",
     "StageChange",
     "StageNews",
@@ -90,7 +86,6 @@
     "choose_reading",
     "choose_watchers",
     "first_event_limit_s",
-    "key_of",
     "pick_service",
     "policy_without",
     "transfer_s",
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -98,8 +98,6 @@
         Time until its first event is late, in seconds.
     first_event : FirstEventLimits
         Until when the first event is of use.
-    is_returning : bool
-        Whether it has been refused before and has come back.
     events : float
         Events that its answer is expected to have.
     """
@@ -107,7 +105,6 @@
     generation: Generation
     objective_left_s: float
     first_event: FirstEventLimits
-    is_returning: bool
     events: float = 1.0
 
 
@@ -132,7 +129,7 @@
         Engine from which it first fetches parts that it doesn't keep itself.
     fetch_s : float
         What that takes, in seconds.
-    lane : {"timely", "soon", "late", "hopeless"}
+    lane : {"timely", "late", "hopeless"}
         In which order it is read there.
     """
 
@@ -221,17 +218,13 @@
         moved_s = transfer_s(wish.generation.prompt_tokens, fleet.limits)
         after_s += moved_s + learnt.hand_over_s()
     load = state.load(now_s)
-    lanes_s = []
-    for lane in LANES:
-        margin = learnt.margin(stage, lane) if fleet.policy.margin else 1.0
-        lanes_s.append((cost_s + load.before_s(lane)) * pace * margin + after_s)
+    margin = pace * (learnt.margin(stage) if fleet.policy.margin else 1.0)
     lane = choose_lane(
-        lanes_s,
-        cost_s * pace + after_s,
+        [(cost_s + load.before_s(lane)) * margin + after_s for lane in LANES],
+        cost_s * margin + after_s,
         wish.objective_left_s - WAY_S,
         wish.first_event,
         _chance_of(wish.generation.parts),
-        wish.is_returning,
         fleet.policy,
     )
     if lane == HOPELESS and not load.readings and not learnt.cost(stage).is_known:
--- a/libs/routing/gypsumusher_routing/learnt.py
+++ b/libs/routing/gypsumusher_routing/learnt.py
@@ -85,12 +85,9 @@
             self._costs[stage] = ReadingCost(1.0 if is_apart else 1 / MOST_DECODE_PART)
         return self._costs[stage]
 
-    def margin(self, stage: str, lane: str) -> float:
-        """Return by what factor an expectation is to be taken longer to be sure.
-
-        What is late waits for timely prompts that come after it, too.
-        """
-        return self._margin(stage, lane == TIMELY).value
+    def margin(self, stage: str) -> float:
+        """Return by what factor an expectation is to be taken longer to be sure."""
+        return self._margin(stage).value
 
     def hand_over_s(self) -> float:
         """Return what a hand-over takes beside the transfer, in seconds."""
@@ -109,8 +106,8 @@
     def on_reading(self, now_s: float, pace, seen: SeenReading) -> None:
         """Take in a prompt that was read at an engine, with the engine's pace.
 
-        Only timely prompts tell of the engine's pace: the others wait for whatever
-        timely ones come after them.
+        Only timely prompts tell of the engine's pace and of the error: the others wait
+        for whatever timely ones come after them.
         """
         factor = pace.factor(now_s)
         read_s = max(0.0, seen.took_s - seen.fetch_s)
@@ -118,21 +115,19 @@
         if is_alone and self._policy.learnt_costs:
             usual_s = read_s / factor if factor > SLOW_PACE else read_s
             self.cost(seen.stage).learn(seen.new_tokens, seen.kept_tokens, usual_s)
-        is_timely = seen.lane == TIMELY
+        if seen.lane != TIMELY:
+            return
         expected_s = seen.cost_s + seen.queue_s
-        margin = self._margin(seen.stage, is_timely)
-        margin.learn(read_s / max(1e-3, expected_s * factor))
-        if is_timely:
-            pace.learn(now_s, read_s, expected_s)
+        self._margin(seen.stage).learn(read_s / max(1e-3, expected_s * factor))
+        pace.learn(now_s, read_s, expected_s)
 
     def on_hand_over(self, took_s: float, transfer_s: float) -> None:
         """Take in the time from a send to its first event, and the transfer's part."""
         self._hand_over.learn(max(LEAST_HAND_OVER_S, took_s - transfer_s))
 
-    def _margin(self, stage, is_timely):
-        key = (stage, is_timely)
-        if key not in self._margins:
-            self._margins[key] = Quantile(
+    def _margin(self, stage):
+        if stage not in self._margins:
+            self._margins[stage] = Quantile(
                 SURE_PART, FIRST_MARGIN, LEAST_MARGIN, MOST_MARGIN
             )
-        return self._margins[key]
+        return self._margins[stage]
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -40,8 +40,6 @@
         Engines of the own zone go before others as good.
     stages : bool
         Engines are ordered to change their stage.
-    returning : bool
-        Callers that come back as told are known, and go before others that are late.
     shared_loads : bool
         Hosts tell each other what they have under way.
     hedges : bool
@@ -61,7 +59,6 @@
     strain: bool = True
     own_zone: bool = True
     stages: bool = True
-    returning: bool = True
     shared_loads: bool = True
     hedges: bool = True
 
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -8,7 +8,6 @@
     "HOPELESS",
     "LANES",
     "LATE",
-    "SOON",
     "TIMELY",
     "FirstEventLimits",
     "abandoned_after_s",
@@ -20,20 +19,16 @@
 ALL_ON = Policy()
 # A prompt that can still be on time.
 TIMELY = "timely"
-# One that can't, and that has been refused before: its caller came back as told, and a
-# second refusal would end its work for good.
-SOON = "soon"
-# Another one that can't.
+# One that can't.
 LATE = "late"
 # One that its caller would give up before it is read, in whatever order.
 HOPELESS = "hopeless"
 # The lanes of prompts that are read, in the order in which engines read them.
-LANES = (TIMELY, SOON, LATE)
+LANES = (TIMELY, LATE)
 
 # Engines take 0, first, to 9, and serve the more urgent first. The ends stay free for
 # operators' own tools.
 FIRST_URGENCY = 2
-SOON_URGENCY = 6
 LATE_URGENCY = 8
 # Callers give a stream up when nothing came for the longest of these: a time, so many
 # times the objective, or so many times the pause that the route allows.
@@ -116,9 +111,7 @@
     return min(USED_PART * abandoned_s, left_s - TOKEN_S * output_tokens)
 
 
-def choose_lane(
-    lanes_s, own_s, objective_left_s, limits, chance, is_returning, policy=ALL_ON
-):
+def choose_lane(lanes_s, own_s, objective_left_s, limits, chance, policy=ALL_ON):
     """Return the lane of a prompt at one engine.
 
     Parameters
@@ -134,8 +127,6 @@
         By when it should come, and when the caller gives up.
     chance : float
         Drawn once for a request, from 0 up to 1.
-    is_returning : bool
-        Whether it has been refused before and has come back.
     policy : Policy
         Which mechanisms decide.
 
@@ -154,11 +145,10 @@
     is_too_large = own_s > objective_left_s and timely_s <= limits.wanted_s
     if policy.fair_part and is_too_large and chance < FAIR_PART:
         return TIMELY
-    lane = SOON if is_returning else LATE
-    is_hopeless = lanes_s[LANES.index(lane)] > HOPELESS_FACTOR * limits.given_up_s
+    is_hopeless = lanes_s[-1] > HOPELESS_FACTOR * limits.given_up_s
     if policy.early_refusal and is_hopeless:
         return HOPELESS
-    return lane
+    return LATE
 
 
 def urgency_of(rank: int, lane: str) -> int:
@@ -168,9 +158,9 @@
     ----------
     rank : int
         Priority of the request, 0 first.
-    lane : {"timely", "soon", "late"}
+    lane : {"timely", "late"}
         Its lane.
     """
     if lane == TIMELY:
-        return min(SOON_URGENCY - 1, FIRST_URGENCY + rank)
-    return SOON_URGENCY if lane == SOON else LATE_URGENCY
+        return min(LATE_URGENCY - 1, FIRST_URGENCY + rank)
+    return LATE_URGENCY
