Leave places and connections to prompts that can be on time

Late prompts wait for seconds at an engine, and each holds a connection of its host's share (50) and a place: in a burst 3,900 sends ended for want of a connection, most of them timely; that counted against the engines, so a planner saw all makers of tokens failing and took a reader away.

Change: an engine gets a prompt that only waits while less than half of its slots, and of this host's connections to it, are in use; a host's own limit says nothing against an engine; no engine is taken away in a burst before it has lasted for six seconds.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -241,7 +241,8 @@
         if states is None:
             states = self.endpoints.of_service(service)
         learnt, zone = self.learnt(service), self.settings.zone
-        return Fleet(states, limits, learnt, zone, self.policy)
+        connections = self.connections_max(service)
+        return Fleet(states, limits, learnt, zone, connections, self.policy)
 
     def take_retry(self, service):
         """Use one retry of a service; False when this host's share is spent."""
--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -342,7 +342,7 @@
                 continue
             return connection
         if len(self._open.get(key, ())) >= max(MIN_CONNECTIONS, connections_max):
-            raise EndpointError("connect", record.address, "full", False)
+            raise EndpointError("connect", record.address, "no_connection", False)
         return await self._connect(key, record.address)
 
     def keep(self, connection):
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -13,9 +13,9 @@
 # resets a kept connection only when the next request arrives there, which may then have
 # run for all that is known; a new connection is refused before anything is sent.
 FRESH_FROM_PENALTY = 0.2
-# Ends of a send that say nothing against the endpoint: it leaves as planned, or it
-# reads what others sent first.
-BLAMELESS = ("left", "behind")
+# Ends of a send that say nothing against the endpoint: it leaves as planned, it reads
+# what others sent first, or this host has no connection left of its share.
+BLAMELESS = ("left", "behind", "no_connection")
 
 
 class EngineReply(NamedTuple):
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -59,6 +59,9 @@
 # What a full batch counts for against an empty one, in seconds, when the engine that
 # makes tokens is chosen: it spreads them where nothing else decides.
 BATCH_S = 0.05
+# Part of an engine's slots, and of a host's connections to it, beyond which it gets no
+# prompt that only waits: the rest is for those that can be on time.
+LATE_PART = 0.5
 # Expected times closer than this don't differ, in seconds; the choice is drawn.
 EVEN_S = 0.001
 
@@ -76,6 +79,8 @@
         What their answers have taught.
     own_zone : str
         Zone of this host.
+    connections : int
+        Connections that this host may have to one engine.
     policy : Policy
         Which mechanisms decide.
     """
@@ -84,6 +89,7 @@
     limits: EngineLimits
     learnt: Learnt
     own_zone: str
+    connections: int
     policy: Policy = Policy()
 
 
@@ -227,6 +233,8 @@
         _chance_of(wish.generation.parts),
         fleet.policy,
     )
+    if lane == LATE and not _has_room_for_late(state, load, fleet):
+        lane = HOPELESS
     if lane == HOPELESS and not load.readings and not learnt.cost(stage).is_known:
         # A guess is no reason to refuse what an idle engine may well read in time.
         lane = LATE
@@ -245,6 +253,19 @@
     )
 
 
+def _has_room_for_late(state, load, fleet):
+    """Say whether an engine has room for a prompt that only waits there.
+
+    Failure guarded against: late prompts wait for seconds, and each holds a connection
+    and a place at its engine for as long. Once all of them are held, timely prompts are
+    refused for want of one, though they would be read before all that wait: on sixty
+    hosts and engines of 48 slots a burst left a sixth of the prompts in time.
+    """
+    if load.running >= LATE_PART * state.record.slots:
+        return False
+    return state.own_running < LATE_PART * fleet.connections
+
+
 def _cost_s(now_s, reading, fleet):
     """Return what a reading costs its caller and others, as seconds of waiting."""
     state = reading.state
--- a/libs/routing/gypsumusher_routing/stage_plan.py
+++ b/libs/routing/gypsumusher_routing/stage_plan.py
@@ -28,6 +28,9 @@
 # Below this strain no engine more is to make tokens: streams grow by seconds, not at
 # once as readings do, and are none the worse until the slots are full.
 LEAST_STREAMING_STRAIN = 0.9
+# While more is to be read than the engines can read, none of them is taken away, until
+# that has lasted for so long, in seconds: most bursts end before a change is through.
+OVERLOADED_S = 6.0
 # A change must bring the strain down to this part or less. It costs an engine for as
 # long as its streams last and the change itself, and parts that were kept there are
 # read again: with a sixth to gain days lost 0.07 of the worth on large models.
@@ -110,6 +113,8 @@
         self._missing_since_s = {}
         self._reading_peak = 0.0
         self._streams_peak = 0.0
+        self._reading_load = 0.0
+        self._overloaded_since_s = None
         self._known = None
         self._began_s = None
         self._looked_s = None
@@ -147,7 +152,7 @@
         room = max(1, int(len(sound) * AWAY_PART)) - away
         if room <= 0 or (away == 0 and now_s < self._settled_s):
             return []
-        if not self._is_settled(now_s):
+        if not self._is_settled(now_s) or self._is_in_burst(now_s, sound, decode_part):
             return []
         return self._shift(sound, room, decode_part)
 
@@ -162,12 +167,24 @@
         elapsed_s = max(0.0, now_s - self._looked_s)
         self._looked_s = now_s
         kept = 0.5 ** (elapsed_s / PEAK_HALF_LIFE_S)
+        self._reading_load = reading_load
         self._reading_peak *= kept
         if self._is_settled(now_s):
             self._reading_peak = max(reading_load, self._reading_peak)
         streams = sum(engine.streams for engine in engines)
         self._streams_peak = max(streams, self._streams_peak * kept)
 
+    def _is_in_burst(self, now_s, sound, decode_part):
+        """Say whether more is to be read than can be, and only since a moment."""
+        readers = sum(engine.stage == PREFILL for engine in sound)
+        capacity = readers + decode_part * (len(sound) - readers)
+        if self._reading_load <= capacity:
+            self._overloaded_since_s = None
+            return False
+        if self._overloaded_since_s is None:
+            self._overloaded_since_s = now_s
+        return now_s - self._overloaded_since_s < OVERLOADED_S
+
     def _is_settled(self, now_s):
         """Say whether the engines have been the same for a while."""
         return now_s - self._began_s >= SETTLING_S
