--- a/libs/coordination/tests/test_lease.py
+++ b/libs/coordination/tests/test_lease.py
@@ -266,3 +266,35 @@
     third.settle_terms((1,))
     run(third, store, 11.0)
     assert store.stored.value["open_terms"] == []
+
+
+def test_a_host_that_heard_of_the_last_version_takes_over_when_it_has_lapsed():
+    # The platform is down for eight seconds, and the holder is stopped meanwhile. The
+    # next host heard of the lease before; once the platform is back it need not wait
+    # for the whole duration again.
+    store, holder, heir = Store(), make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    heir.observe(0.5, store.stored)
+    assert heir.known() == store.stored
+    (gained,) = run(heir, store, 0.5 + 1.02 * DURATION_S)
+    assert gained.term == 2
+    assert not holder.held(0.5 + 1.02 * DURATION_S)
+
+
+def test_a_version_that_was_renewed_unheard_is_not_taken_over():
+    store, holder, heir = Store(), make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    heir.observe(0.5, store.stored)
+    run(holder, store, 3.0)
+    assert not run(heir, store, 0.5 + 1.02 * DURATION_S)
+    assert holder.held(0.5 + 1.02 * DURATION_S)
+
+
+def test_an_older_version_that_is_heard_late_changes_nothing():
+    store, holder, heir = Store(), make_lease("a"), make_lease("b")
+    gain(holder, store, 0.0)
+    old = store.stored
+    run(holder, store, 3.0)
+    heir.observe(3.1, store.stored)
+    heir.observe(9.0, old)
+    assert heir.known() == store.stored
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -14,7 +14,6 @@
     HostTable,
     Learnt,
     Policy,
-    ReadingDemand,
     RetryShare,
     RouteTable,
     capacity_of,
@@ -69,7 +68,6 @@
         self.hosts = HostTable(settings.name)
         self.pool = EndpointPool(clock, log)
         self.overdue = OverdueWatch(clock, log)
-        self.demand = ReadingDemand()
         # Engines that this host has ordered to change their stage, for the peers.
         self.ordered_stages = []
         # Set when the host starts: what it knows of the lease for such orders.
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -95,6 +95,7 @@
         """What is asked of the engines, and until when."""
         return Wish(
             self.request.generation,
+            self.route.objective_s,
             self.objective_left_s,
             self.first_event_limits,
             self.expected_events or 1.0,
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -119,13 +119,12 @@
                 load = state.own_load() if shares_loads else Load(0)
                 lane_ms = [round(work_s * 1000) for work_s in load.lane_s]
                 loads[endpoint_id] = (*load[:2], lane_ms, penalty)
-        reading_load = round(context.demand.own(now_s), 1)
         return (
             context.is_ready,
             context.configuration_version,
             context.sees_store,
             context.ordered_stages,
-            (reading_load, loads),
+            loads,
         )
 
     def _tell(self, now_s, state, is_for_all):
@@ -146,7 +145,7 @@
         if is_for_all:
             self._told_all_s = now_s
             # What the engines have under way is of use to the active hosts only.
-            quiet = (*state[:-1], (0.0, {}))
+            quiet = (*state[:-1], {})
             self._send(others if is_active else (), FAR_S, quiet, ([], None))
 
     def _send(self, ips, period_s, state, rest):
@@ -155,8 +154,8 @@
             return
         context = self._context
         news = context.own_news(self._beat, period_s)
-        *_, stages, load = state
-        fields = [FORMAT, list(news), stages, load, *rest]
+        *_, stages, loads = state
+        fields = [FORMAT, list(news), stages, loads, *rest]
         data = msgpack.packb(fields)
         if len(data) > MAX_DATAGRAM_BYTES:
             context.log("error", "gossip_too_large", bytes=len(data))
@@ -185,7 +184,6 @@
         peer = message.news.name
         if not context.hosts.on_news(now_s, message.news):
             return
-        context.demand.on_peer(now_s, peer, message.reading_load)
         if message.lease is not None:
             context.stage_lease.on_told(message.lease)
         for endpoint_id, state in context.endpoints.states.items():
@@ -217,8 +215,6 @@
     stages : list
         Engines that it has ordered to change their stage: id, start of their life,
         stage, and whether they are on their way there.
-    reading_load : float
-        Prompts that its callers bring, in seconds of work a second.
     loads : dict
         For each endpoint its load, and its penalty.
     placements : list
@@ -229,7 +225,6 @@
 
     news: HostNews
     stages: list
-    reading_load: float
     loads: dict
     placements: list
     lease: list | None
@@ -240,7 +235,7 @@
     version, *fields = msgpack.unpackb(data)
     if version != FORMAT:
         raise ValueError(f"format {version}")
-    news, stages, (reading_load, loads), placements, lease = fields
+    news, stages, loads, placements, lease = fields
     decoded = {}
     for endpoint_id, (running, readings, lane_ms, penalty) in loads.items():
         if len(lane_ms) != len(LANES):
@@ -249,4 +244,4 @@
         load = Load(running, readings, lane_s)
         decoded[endpoint_id] = (load, penalty)
     news = HostNews(*news)
-    return _Message(news, stages, reading_load, decoded, placements, lease)
+    return _Message(news, stages, decoded, placements, lease)
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -38,7 +38,7 @@
         )
         self._stage_orders = Counter(
             "gypsumusher_stage_orders_total",
-            "Orders that change an engine's stage, by stage, reason and outcome",
+            "Orders that change an engine's stage, by stage and outcome",
             registry=self.registry,
         )
         self._count = 0
@@ -67,19 +67,17 @@
         if first_s is not None:
             self._first.observe({"route": route}, first_s)
 
-    def stage_ordered(self, stage, reason, outcome):
+    def stage_ordered(self, stage, outcome):
         """Count an order to an engine that has ended.
 
         Parameters
         ----------
         stage : str
             The stage that was wanted.
-        reason : str
-            Why.
         outcome : str
             How it ended.
         """
-        labels = {"stage": stage, "reason": reason, "outcome": outcome or "left"}
+        labels = {"stage": stage, "outcome": outcome or "left"}
         self._stage_orders.inc(labels)
 
     def render(self):
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -92,8 +92,6 @@
         reading = choose_reading(context.clock(), fleet, exchange.wish, context.draw)
         if reading is None:
             return None
-        if not tried:
-            _count_demand(context, fleet, reading)
         if reading.lane == HOPELESS:
             raise OverloadedError(
                 reading.expected_s, exchange.first_event_limits.given_up_s
@@ -111,13 +109,6 @@
     return None
 
 
-def _count_demand(context, fleet, reading):
-    """Count a prompt as what reading it takes of an engine that only reads."""
-    cost = fleet.learnt.cost("prefill")
-    work_s = cost.expected_s(reading.new_tokens, reading.kept_tokens)
-    context.demand.on_prompt(context.clock(), work_s)
-
-
 async def _read_at(exchange, reading):
     """Have one engine read the prompt; None when it doesn't."""
     context, state = exchange.context, reading.state
--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -76,40 +76,28 @@
             if service.engine is None:
                 continue
             planner = self._planners.setdefault(service.name, StagePlanner())
-            now_s = context.clock()
-            reading_load = context.demand.total(now_s)
-            views = self._views(service.name)
-            decode_part = self._decode_part(service.name)
-            changes = planner.look(now_s, views, reading_load, decode_part)
-            for change in changes:
-                context.log(
-                    "warning" if change.reason == "missing" else "info",
-                    "stage_planned",
-                    endpoint=change.endpoint_id,
-                    stage=change.stage,
-                    reason=change.reason,
-                    reading_load=round(reading_load, 2),
-                    decode_part=round(decode_part, 2),
-                    strain=round(change.strain, 2),
-                    strain_after=round(change.strain_after, 2),
-                    term=self._lease.term,
-                )
-                state = context.endpoints.states[change.endpoint_id]
-                order = StageOrder(change.stage, now_s)
-                self._orders[change.endpoint_id] = order
-                context.spawn(self._carry_out(state, order, change.reason))
-
-    def _decode_part(self, service):
-        """Return what an engine that makes tokens reads beside, as a part of others."""
-        strains = [
-            min(1.0, state.stream_strain)
-            for state in self._context.endpoints.of_service(service)
-            if state.stage == "decode"
-        ]
-        if not strains:
-            return 0.0
-        spare = 1.0 - sum(strains) / len(strains)
-        return spare * self._context.learnt(service).decode_part()
+            change = planner.look(context.clock(), self._views(service.name))
+            if change is not None:
+                self._begin(service.name, change)
+
+    def _begin(self, service, change):
+        """Begin to carry a change out."""
+        context = self._context
+        # The state before: which stages there are, and what refuses all requests.
+        context.log(
+            "warning",
+            "stage_missing",
+            service=service,
+            stage=change.stage,
+            missing_s=round(change.missing_s, 1),
+            endpoint=change.endpoint_id,
+            engines=len(context.endpoints.of_service(service)),
+            term=self._lease.term,
+        )
+        state = context.endpoints.states[change.endpoint_id]
+        order = StageOrder(change.stage, context.clock())
+        self._orders[change.endpoint_id] = order
+        context.spawn(self._carry_out(state, order))
 
     def _views(self, service):
         """Return what the planner is to know of a service's engines."""
@@ -131,17 +119,15 @@
                 EngineView(
                     endpoint_id,
                     state.stage if order is None else order.stage,
-                    state.record.slots,
                     is_sound,
                     state.record.is_leaving,
                     is_switching,
-                    load.running - load.readings if state.stage == "decode" else 0,
-                    load.readings,
+                    load.running,
                 )
             )
         return views
 
-    async def _carry_out(self, state, order, reason):
+    async def _carry_out(self, state, order):
         """Drive one order to its end."""
         context, record = self._context, state.record
         step = None
@@ -167,13 +153,12 @@
                 self._tell(state, news)
             elif order.sends:
                 state.drop_stage_news(float("inf"))
-        context.metrics.stage_ordered(order.stage, reason, step)
+        context.metrics.stage_ordered(order.stage, step)
         context.log(
             "info",
             "stage_order_ended",
             endpoint=record.endpoint_id,
             stage=order.stage,
-            reason=reason,
             outcome=step,
             sends=order.sends,
             term=self._lease.term,
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -83,7 +83,7 @@
             if error is None:
                 return
             self._tried.add(state.record.endpoint_id)
-        exchange.give_up(self._failed_answer, error, NO_ROOM_RETRY_S)
+        exchange.give_up(self._failed_answer, error, self._retry_after_s())
 
     def free_handle(self):
         """Have the engine that read the prompt free it, if nobody took it."""
@@ -91,6 +91,19 @@
         if prompt is not None:
             self._context.spawn(prompt.free(self._context))
 
+    def _retry_after_s(self):
+        """Return when it is of use to come back, in seconds.
+
+        When no engine makes tokens, one that is ordered to is there after a change of
+        its stage; sooner there is nothing to come back to.
+        """
+        if not self._is_generation():
+            return NO_ROOM_RETRY_S
+        states = self._context.endpoints.of_service(self._exchange.service)
+        if any(state.stage != "prefill" for state in states):
+            return NO_ROOM_RETRY_S
+        return self._limits.role_change_s
+
     def _is_generation(self):
         return self._generation is not None and self._limits is not None
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -1,7 +1,6 @@
 """Decisions on a request's way to an endpoint, without input, output or a clock."""
 
 from gypsumusher_routing.active_hosts import choose_active, choose_watchers
-from gypsumusher_routing.demand import ReadingDemand
 from gypsumusher_routing.endpoint_state import EndpointState, Load, StageNews
 from gypsumusher_routing.endpoint_table import EndpointTable
 from gypsumusher_routing.engine_choice import (
@@ -66,7 +65,6 @@
     "Policy",
     "PrefixTable",
     "Reading",
-    "ReadingDemand",
     "RetryShare",
     "RouteTable",
     "SeenReading",
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -34,9 +34,9 @@
 # Harm that a reading at a decode engine does: its pieces go between the tokens of all
 # that run there, each of which is late by part of the reading's time.
 HARM_PER_RUN = 0.5
-# A reading of this length does none, in seconds: streams end well before their
-# deadlines, and a pause of a few pieces is within what routes allow.
-HARMLESS_S = 0.08
+# A reading of this part of its own objective does none. Where answers are wanted within
+# 0.2 s, readings of 0.08 s beside streams had a third of the long answers end too late.
+HARMLESS_PART = 0.1
 # Streams whose pauses come near to those that still let them end in time bear no more
 # of it, however short the readings are: many short ones slow them as one long does.
 # Pauses up to this part of the allowed ones are harmless; beyond, each second of
@@ -100,6 +100,8 @@
     ----------
     generation : Generation
         The request.
+    objective_s : float
+        Objective of its route, in seconds.
     objective_left_s : float
         Time until its first event is late, in seconds.
     first_event : FirstEventLimits
@@ -109,6 +111,7 @@
     """
 
     generation: Generation
+    objective_s: float
     objective_left_s: float
     first_event: FirstEventLimits
     events: float = 1.0
@@ -187,7 +190,7 @@
         coming_s = now_s if fleet.policy.coming_parts else None
         kept = _kept_at(coming_s, state, home, wish.generation)
         reading = _reading_at(now_s, state, fleet, wish, kept, holder, held)
-        cost_s = _cost_s(now_s, reading, fleet)
+        cost_s = _cost_s(now_s, reading, fleet, wish)
         if fleet.policy.strain:
             cost_s += least_stream_s if reading.is_apart else _stream_s(state, wish)
         key = (round(cost_s / EVEN_S), draw())
@@ -266,7 +269,7 @@
     return state.own_running < LATE_PART * fleet.connections
 
 
-def _cost_s(now_s, reading, fleet):
+def _cost_s(now_s, reading, fleet, wish):
     """Return what a reading costs its caller and others, as seconds of waiting."""
     state = reading.state
     cost_s = reading.expected_s + PENALTY_S * state.health.penalty(now_s)
@@ -277,7 +280,8 @@
         held_up_s = reading.cost_s - fleet.learnt.cost(state.stage).expected_s(0, 0)
         harm = 0.0
         if fleet.policy.harm:
-            harm += HARM_PER_RUN * max(0.0, held_up_s - HARMLESS_S)
+            harmless_s = HARMLESS_PART * wish.objective_s
+            harm += HARM_PER_RUN * max(0.0, held_up_s - harmless_s)
         if fleet.policy.strain:
             harm += HARM_PER_STRAIN * _excess_strain(state) * max(0.0, held_up_s)
         cost_s += harm * state.load(now_s).running
--- a/libs/routing/gypsumusher_routing/learnt.py
+++ b/libs/routing/gypsumusher_routing/learnt.py
@@ -14,11 +14,9 @@
 LEARNT_QUEUE_PART = 0.25
 # An engine that is slower than others by this factor tells of itself, not of its stage.
 SLOW_PACE = 1.5
-# A prompt of which two stages' costs are compared: new tokens, and kept ones.
-USUAL_PROMPT = (3000, 6000)
-# An engine that makes tokens reads at half the speed at most, as its maker says; its
-# quickest answers, which are those of short prompts, can look better.
-MOST_DECODE_PART = 0.5
+# An engine that makes tokens reads at half the speed of one that doesn't: the first
+# guess of its costs.
+DECODE_FACTOR = 2.0
 # Part of the prompts that are to be read within what is expected, times the margin. One
 # that is let in and comes late is worth a third, and has taken the place of another.
 SURE_PART = 0.8
@@ -82,7 +80,7 @@
         """Return the cost of reading at engines of a stage."""
         if stage not in self._costs:
             is_apart = stage == "prefill"
-            self._costs[stage] = ReadingCost(1.0 if is_apart else 1 / MOST_DECODE_PART)
+            self._costs[stage] = ReadingCost(1.0 if is_apart else DECODE_FACTOR)
         return self._costs[stage]
 
     def margin(self, stage: str) -> float:
@@ -93,12 +91,6 @@
         """Return what a hand-over takes beside the transfer, in seconds."""
         return self._hand_over.value
 
-    def decode_part(self) -> float:
-        """Return how fast engines that make tokens read, as a part of the others."""
-        prefill_s = self.cost("prefill").expected_s(*USUAL_PROMPT)
-        seen = prefill_s / self.cost("decode").expected_s(*USUAL_PROMPT)
-        return min(MOST_DECODE_PART, seen)
-
     def event_tokens(self, route: str) -> EventTokens:
         """Return how many tokens of an estimate an event of a route stands for."""
         return self._event_tokens.setdefault(route, EventTokens())
--- a/libs/routing/tests/test_engine_choice.py
+++ b/libs/routing/tests/test_engine_choice.py
@@ -44,7 +44,7 @@
 
 def wish_for(generation, objective_s=0.8, limit_s=ENDLESS_S, events=1.0):
     limits = FirstEventLimits(limit_s, limit_s)
-    return Wish(generation, objective_s, limits, events)
+    return Wish(generation, objective_s, objective_s, limits, events)
 
 
 def choose(states, generation, objective_s=0.8, limit_s=ENDLESS_S, now_s=0.0):
