--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -16,7 +16,7 @@
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_platform import load_settings
 from gypsumusher_ports import GypsumusherError, StartError
-from gypsumusher_routing import Policy, policy_without
+from gypsumusher_routing import ALL_ON, policy_without
 
 __all__ = ["main"]
 
@@ -46,7 +46,7 @@
     parser.add_argument(
         "--without",
         type=policy_without,
-        default=Policy(),
+        default=ALL_ON,
         metavar="NAME,...",
         help="mechanisms to leave out, for a measurement of what they are worth",
     )
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -8,12 +8,12 @@
 from gypsumusher_entry.overdue import OverdueWatch
 from gypsumusher_ports import DecodeError
 from gypsumusher_routing import (
+    ALL_ON,
     EndpointTable,
     Fleet,
     HostNews,
     HostTable,
     Learnt,
-    Policy,
     RetryShare,
     RouteTable,
     capacity_of,
@@ -23,7 +23,6 @@
 
 __all__ = ["Context"]
 
-ALL_ON = Policy()
 
 # For how long callers keep the list of hosts, in seconds. A stop waits for three times
 # as long, and a dead host is tried for that long; each caller asks once in this time.
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -4,7 +4,7 @@
 import time
 
 from gypsumusher_entry.caller_connections import CallerListener
-from gypsumusher_entry.context import ALL_ON, Context
+from gypsumusher_entry.context import Context
 from gypsumusher_entry.exchange import create_handler
 from gypsumusher_entry.following import StoreFollower
 from gypsumusher_entry.gossip import Gossip
@@ -15,6 +15,7 @@
 from gypsumusher_entry.stage_lease import StageLease
 from gypsumusher_entry.stage_orders import StageOrders
 from gypsumusher_platform import StoreClient
+from gypsumusher_routing import ALL_ON
 
 __all__ = ["EntryHost"]
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -15,7 +15,7 @@
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.hosts import HostNews, HostTable, capacity_of
 from gypsumusher_routing.learnt import Learnt, SeenReading
-from gypsumusher_routing.policy import Policy, policy_without
+from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefixes import PrefixTable
 from gypsumusher_routing.retry_share import RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
@@ -42,6 +42,7 @@
 )
 
 __all__ = [
+    "ALL_ON",
     "ASK",
     "DONE",
     "GIVEN_UP",
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -12,7 +12,7 @@
 from gypsumusher_ports import EngineLimits, Generation
 from gypsumusher_routing.endpoint_state import EndpointState
 from gypsumusher_routing.learnt import Learnt
-from gypsumusher_routing.policy import Policy
+from gypsumusher_routing.policy import ALL_ON, Policy
 from gypsumusher_routing.urgency import (
     HOPELESS,
     LANES,
@@ -90,7 +90,7 @@
     learnt: Learnt
     own_zone: str
     connections: int
-    policy: Policy = Policy()
+    policy: Policy = ALL_ON
 
 
 class Wish(NamedTuple):
--- a/libs/routing/gypsumusher_routing/learnt.py
+++ b/libs/routing/gypsumusher_routing/learnt.py
@@ -3,12 +3,11 @@
 from typing import NamedTuple
 
 from gypsumusher_routing.estimates import EventTokens, Quantile, ReadingCost
-from gypsumusher_routing.policy import Policy
+from gypsumusher_routing.policy import ALL_ON, Policy
 from gypsumusher_routing.urgency import TIMELY
 
 __all__ = ["Learnt", "SeenReading"]
 
-ALL_ON = Policy()
 # Only a prompt that met a short queue tells what reading costs: what other hosts sent
 # in between is known too late to be told from slowness. As a part of its own cost.
 LEARNT_QUEUE_PART = 0.25
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["Policy", "policy_without"]
+__all__ = ["ALL_ON", "Policy", "policy_without"]
 
 
 class Policy(NamedTuple):
@@ -63,6 +63,10 @@
     hedges: bool = True
 
 
+# What decides in service.
+ALL_ON = Policy()
+
+
 def policy_without(names: str) -> Policy:
     """Return the policy without some mechanisms.
 
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from gypsumusher_routing.policy import Policy
+from gypsumusher_routing.policy import ALL_ON
 
 __all__ = [
     "HOPELESS",
@@ -16,7 +16,6 @@
     "urgency_of",
 ]
 
-ALL_ON = Policy()
 # A prompt that can still be on time.
 TIMELY = "timely"
 # One that can't.
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from samples import engine, first_of_all, prompt
@@ -14,6 +15,7 @@
     ServiceShare,
 )
 from gypsumusher_routing import (
+    ALL_ON,
     HOPELESS,
     LATE,
     TIMELY,
@@ -31,6 +33,7 @@
     choose_watchers,
     first_event_limit_s,
     pick_service,
+    policy_without,
     urgency_of,
 )
 
@@ -268,3 +271,11 @@
     kept = table.kept_tokens(asked)
     starts = [sum(part.tokens for part in asked[:end]) for end in range(5)]
     assert kept in starts
+
+
+def test_a_mechanism_is_taken_out_by_its_name_and_no_other_name_is_taken():
+    assert policy_without("") == ALL_ON
+    policy = policy_without("lanes, margin")
+    assert (policy.lanes, policy.margin, policy.pace) == (False, False, True)
+    with pytest.raises(ValueError, match="lanes"):
+        policy_without("lane")
