Add an engine's load up once a choice, and say why an order has no answer

`choose_reading` summed the loads of all peers twice for each engine, once for the lane and once for the harm. And an order's lost answer was logged as unknown without the error.

--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -199,9 +199,9 @@
         )
         try:
             reply = await ask_engine(context, record, call, CALL_TIMEOUT_S)
-            outcome = decode_order_status(reply.status)
-        except (EndpointError, TimeoutError):
-            outcome = OrderOutcome.UNKNOWN
+            outcome, detail = decode_order_status(reply.status), None
+        except (EndpointError, TimeoutError) as error:
+            outcome, detail = OrderOutcome.UNKNOWN, str(error) or "timeout"
         order.on_answer(outcome)
         context.log(
             "info",
@@ -212,6 +212,7 @@
             sends=order.sends,
             term=self._lease.term,
             outcome=outcome.value,
+            detail=detail,
         )
 
     def _tell(self, state, news):
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -189,8 +189,9 @@
                 continue
         coming_s = now_s if fleet.policy.coming_parts else None
         kept = _kept_at(coming_s, state, home, wish.generation)
-        reading = _reading_at(now_s, state, fleet, wish, kept, holder, held)
-        cost_s = _cost_s(now_s, reading, fleet, wish)
+        load = state.load(now_s)
+        reading = _reading_at(now_s, state, load, fleet, wish, kept, holder, held)
+        cost_s = _cost_s(now_s, reading, load, fleet, wish)
         if fleet.policy.strain:
             cost_s += least_stream_s if reading.is_apart else _stream_s(state, wish)
         key = (round(cost_s / EVEN_S), draw())
@@ -210,7 +211,7 @@
     return kept
 
 
-def _reading_at(now_s, state, fleet, wish, kept, holder, held):
+def _reading_at(now_s, state, load, fleet, wish, kept, holder, held):
     """Return how a prompt would be read at one engine."""
     fetch_from, fetch_s = None, 0.0
     if fleet.policy.fetches and held - kept >= LEAST_FETCH_TOKENS:
@@ -226,7 +227,6 @@
     if is_apart:
         moved_s = transfer_s(wish.generation.prompt_tokens, fleet.limits)
         after_s += moved_s + learnt.hand_over_s()
-    load = state.load(now_s)
     margin = pace * (learnt.margin(stage) if fleet.policy.margin else 1.0)
     # To be on time it has to be sure; late, it is only refused for what is expected:
     # with the margin the largest prompts would be refused at idle engines.
@@ -273,7 +273,7 @@
     return state.own_running < LATE_PART * fleet.connections
 
 
-def _cost_s(now_s, reading, fleet, wish):
+def _cost_s(now_s, reading, load, fleet, wish):
     """Return what a reading costs its caller and others, as seconds of waiting."""
     state = reading.state
     cost_s = reading.expected_s + PENALTY_S * state.health.penalty(now_s)
@@ -288,7 +288,7 @@
             harm += HARM_PER_RUN * max(0.0, held_up_s - harmless_s)
         if fleet.policy.strain:
             harm += HARM_PER_STRAIN * _excess_strain(state) * max(0.0, held_up_s)
-        cost_s += harm * state.load(now_s).running
+        cost_s += harm * load.running
     return cost_s
 
 
