Test what hosts that hear from a peer do under a large configuration

The incident of old configurations and leaving endpoints, told by callers of a host that doesn't read the store: routes added by the thousand are served, and an endpoint that leaves beside them gets no new work.

Samples now have names like operators' (many_routes), the tests of peers' beliefs use them, and a proxied link can carry packet by packet at a rate.

--- /dev/null
+++ b/libs/entry/tests/test_large_configuration.py
@@ -0,0 +1,66 @@
+"""Callers of a host that hears of a large configuration from a peer."""
+
+import contextlib
+
+from platform_samples import many_routes
+from replies import ScriptedEndpoint, answer_to, request_id_of
+from worlds import ANY, ask, configuration, entry, one_seeing_one_not, run, until
+
+# Routes that an operator adds to a large deployment at once.
+MANY_ROUTES = 1400
+REQUESTS = 10
+# A link of 10 Mbit/s, as small hosts have, in bytes a second.
+LINK_BYTES_PER_S = 1_250_000.0
+
+
+async def well(number, head, body, writer):
+    writer.write(answer_to(request_id_of(head)))
+
+
+@contextlib.asynccontextmanager
+async def two_hosts_and_two_endpoints():
+    """Give both endpoints and two hosts, one of which hears from the other alone."""
+    endpoints = [ScriptedEndpoint(well), ScriptedEndpoint(well)]
+    addresses = [await endpoint.start() for endpoint in endpoints]
+    async with one_seeing_one_not(*addresses) as two:
+        two.link.bytes_per_s = LINK_BYTES_PER_S
+        yield endpoints, addresses, two
+    for endpoint in endpoints:
+        await endpoint.close()
+
+
+def test_routes_that_were_added_by_the_thousand_are_served():
+    # An operator adds a thousand routes, and the store takes them. Hosts that watch the
+    # store serve them at once; at the others a caller of a new route gets 404 until the
+    # day ends. All that a host hears from a peer comes in one answer, of which it took
+    # the first piece for the whole, so that nothing of a longer one could be read.
+    async def scenario():
+        async with two_hosts_and_two_endpoints() as (_, _, two):
+            routes = many_routes(MANY_ROUTES, ANY)
+            two.store.put("config", "main", configuration(2, *routes))
+            await until(lambda: two.context.configuration_version == 2)
+            host, path = routes[-1]["host"], routes[-1]["path_prefix"]
+            status, _, body = await ask(two.session, f"{path}x", Host=host)
+            assert (status, body) == (200, b"whole")
+
+    run(scenario())
+
+
+def test_an_endpoint_that_leaves_beside_a_large_configuration_gets_no_new_work():
+    # Under a configuration of a thousand routes an endpoint says that it leaves. A host
+    # that hears from a peer goes on sending it requests until it is gone. The peer told
+    # the endpoints and the whole configuration in one answer, and what could not be
+    # read for the one's size was lost of the other too, although the list is short.
+    async def scenario():
+        async with two_hosts_and_two_endpoints() as (endpoints, addresses, two):
+            routes = [ANY, *many_routes(MANY_ROUTES, ANY)]
+            two.store.put("config", "main", configuration(2, *routes))
+            two.store.put("servers", "e-0", entry(addresses[0], "draining", beat=2))
+            leaving = two.context.endpoints.states["e-0"]
+            await until(lambda: not leaving.is_usable)
+            for number in range(REQUESTS):
+                status, _, _ = await ask(two.session, request_id=f"r-{number}")
+                assert status == 200
+            assert [len(e.requests) for e in endpoints] == [0, REQUESTS]
+
+    run(scenario())
--- a/libs/entry/tests/test_peer_beliefs.py
+++ b/libs/entry/tests/test_peer_beliefs.py
@@ -4,18 +4,15 @@
 import contextlib
 
 import pytest
-from processes import free_ports
-from proxies import Proxy
-from worlds import ANY, configuration, entry, run, settings, until
+from platform_samples import many_routes
+from worlds import ANY, configuration, one_seeing_one_not, run, until
 
 from gypsumusher_entry.belief_messages import (
     BeliefEncoder,
     Beliefs,
     decode_beliefs,
 )
-from gypsumusher_entry.host import EntryHost
 from gypsumusher_ports import DecodeError, EndpointRecord, StoredObject
-from gypsumusher_standins.object_store import ObjectStore
 
 # Routes of a large deployment's configuration after its growth, and the endpoints of
 # the size that the project is designed for.
@@ -24,48 +21,16 @@
 WEAK_LINK_BYTES = 150_000
 
 
-@contextlib.asynccontextmanager
-async def one_seeing_one_not():
-    """Give a store, a host that reads it, and one that it turns away.
-
-    The second reaches the first through a proxy.
-    """
-    store, blind = ObjectStore(), ObjectStore()
-    blind.fault = "refuse"
-    address, nowhere = await store.start(), await blind.start()
-    store.put("config", "main", configuration(1, ANY))
-    store.put("servers", "e-0", entry("127.0.0.1:9"))
-    port = free_ports("127.0.0.2", 1)[0]
-    lines = []
-    seeing = EntryHost(
-        settings(address, "127.0.0.2", "host-2", (), port), lambda *a, **f: None
-    )
-    listens = await seeing.start()
-    link = Proxy(listens["peers"])
-    seeing.context.settings = seeing.context.settings._replace(
-        peers_address=await link.start()
-    )
-    turned_away = EntryHost(
-        settings(nowhere, "127.0.0.3", "host-3", ("127.0.0.2:0",), port),
-        lambda level, event, **fields: lines.append((event, fields)),
-    )
-    await turned_away.start()
-    seeing.context.hosts.on_record(0.0, "host-3", "127.0.0.3")
-    await until(lambda: turned_away.context.configuration_version == 1)
-    try:
-        yield store, link, turned_away.context, lines
-    finally:
-        for part in (turned_away, seeing, link, store, blind):
-            await part.close()
-
-
 def test_a_configuration_of_many_routes_reaches_hosts_that_others_watch_for():
     # An operator adds a thousand routes. The hosts that watch the store take them; at
     # the others callers of the new routes get 404 until the day ends. The answer of
     # a peer came in several pieces, and the first was taken for all of it.
     async def scenario():
-        async with one_seeing_one_not() as (store, _, context, lines):
-            store.put("config", "main", configuration(2, *[ANY] * MANY_ROUTES))
+        async with one_seeing_one_not() as two:
+            store, context, lines = two.store, two.context, two.lines
+            store.put(
+                "config", "main", configuration(2, *many_routes(MANY_ROUTES, ANY))
+            )
             await until(lambda: context.configuration_version == 2)
             assert len(context.configuration.routes) == MANY_ROUTES
             assert "peer_not_heard" not in [event for event, _ in lines]
@@ -77,9 +42,12 @@
     # The link to the only peer that knows more holds back its answers for a while.
     # The host goes on by what it knows, and hears the news once the link is well.
     async def scenario():
-        async with one_seeing_one_not() as (store, link, context, lines):
+        async with one_seeing_one_not() as two:
+            store, link, context, lines = two.store, two.link, two.context, two.lines
             link.set_holds(False, True)
-            store.put("config", "main", configuration(2, *[ANY] * MANY_ROUTES))
+            store.put(
+                "config", "main", configuration(2, *many_routes(MANY_ROUTES, ANY))
+            )
             await until(lambda: "peer_not_heard" in [event for event, _ in lines])
             assert context.configuration_version == 1
             assert list(context.endpoints.states) == ["e-0"]
@@ -102,7 +70,7 @@
 
 
 def beliefs(routes=1, endpoints=1):
-    content = configuration(7, *[ANY] * routes)
+    content = configuration(7, *many_routes(routes, ANY))
     stored = StoredObject("main", 5, content, None)
     return Beliefs(stored, records(endpoints), 9, True)
 
@@ -156,7 +124,8 @@
     async def scenario():
         server = await asyncio.start_server(endless, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        async with one_seeing_one_not() as (store, link, context, lines):
+        async with one_seeing_one_not() as two:
+            store, link, context, lines = two.store, two.link, two.context, two.lines
             link.target = f"127.0.0.1:{port}"
             link.reset()
             store.put("config", "main", configuration(2, ANY))
--- a/libs/entry/tests/worlds.py
+++ b/libs/entry/tests/worlds.py
@@ -1,9 +1,13 @@
 """Entry hosts before stand-ins of the store and of endpoints, for tests."""
 
 import asyncio
+import contextlib
+from typing import NamedTuple
 
 import aiohttp
 from platform_samples import configuration, entry
+from processes import free_ports
+from proxies import Proxy
 from replies import ScriptedEndpoint
 
 from gypsumusher_entry.host import EntryHost
@@ -16,9 +20,12 @@
     "ONCE",
     "RESUMABLE",
     "STREAM",
+    "TwoHosts",
     "World",
+    "ask",
     "configuration",
     "entry",
+    "one_seeing_one_not",
     "run",
     "settings",
     "until",
@@ -78,19 +85,83 @@
         await self.store.close()
 
     async def ask(self, path="/0/x", method="GET", request_id="r-1", **headers):
-        headers = {
-            "Host": "shop.example",
-            "X-Gypsumusher-Request-Id": request_id,
-            "X-Gypsumusher-Deadline-Ms": "1500",
-            **headers,
-        }
-        async with self.session.request(method, path, headers=headers) as answer:
-            return answer.status, dict(answer.headers), await answer.read()
+        return await ask(self.session, path, method, request_id, **headers)
 
     def arrivals(self):
         return sum(len(endpoint.requests) for endpoint in self.endpoints)
 
 
+async def ask(session, path="/0/x", method="GET", request_id="r-1", **headers):
+    """Send one request as a caller does; return status, headers and body."""
+    headers = {
+        "Host": "shop.example",
+        "X-Gypsumusher-Request-Id": request_id,
+        "X-Gypsumusher-Deadline-Ms": "1500",
+        **headers,
+    }
+    async with session.request(method, path, headers=headers) as answer:
+        return answer.status, dict(answer.headers), await answer.read()
+
+
+class TwoHosts(NamedTuple):
+    """A store, a host that reads it, and one that hears of it from the first.
+
+    Attributes
+    ----------
+    store : ObjectStore
+        What the first host reads. The second one's store turns it away.
+    link : Proxy
+        Between the hosts.
+    context : Context
+        That of the second host.
+    session : aiohttp.ClientSession
+        A caller of the second host.
+    lines : list of (str, dict)
+        What the second host logged.
+    """
+
+    store: ObjectStore
+    link: Proxy
+    context: object
+    session: aiohttp.ClientSession
+    lines: list
+
+
+@contextlib.asynccontextmanager
+async def one_seeing_one_not(*endpoint_addresses):
+    """Give two hosts, of which only one reads the store, before some endpoints."""
+    store, blind = ObjectStore(), ObjectStore()
+    blind.fault = "refuse"
+    address, nowhere = await store.start(), await blind.start()
+    store.put("config", "main", configuration(1, ANY))
+    for number, endpoint_address in enumerate(endpoint_addresses or ["127.0.0.1:9"]):
+        store.put("servers", f"e-{number}", entry(endpoint_address))
+    port = free_ports("127.0.0.2", 1)[0]
+    lines = []
+    seeing = EntryHost(
+        settings(address, "127.0.0.2", "host-2", (), port), lambda *a, **f: None
+    )
+    listens = await seeing.start()
+    link = Proxy(listens["peers"])
+    seeing.context.settings = seeing.context.settings._replace(
+        peers_address=await link.start()
+    )
+    other = EntryHost(
+        settings(nowhere, "127.0.0.3", "host-3", ("127.0.0.2:0",), port),
+        lambda level, event, **fields: lines.append((event, fields)),
+    )
+    listens = await other.start()
+    session = aiohttp.ClientSession(base_url=f"http://{listens['callers']}")
+    seeing.context.hosts.on_record(0.0, "host-3", "127.0.0.3")
+    await until(lambda: other.context.configuration_version == 1)
+    try:
+        yield TwoHosts(store, link, other.context, session, lines)
+    finally:
+        await session.close()
+        for part in (other, seeing, link, store, blind):
+            await part.close()
+
+
 async def until(condition):
     """Wait for a condition; the test's own time limit ends a wait in vain."""
     while not condition():
--- a/tools/platform_samples.py
+++ b/tools/platform_samples.py
@@ -1,6 +1,9 @@
 """What operators and endpoints write into the platform's store, for tests and soak."""
 
-__all__ = ["configuration", "entry"]
+import random
+import string
+
+__all__ = ["configuration", "entry", "many_routes"]
 
 LIMITS = {
     "max_header_bytes": 16384,
@@ -33,6 +36,25 @@
     }
 
 
+def many_routes(count, fields, seed=1):
+    """Return routes with names as operators choose them, which hardly repeat.
+
+    Routes that differ by a number alone pack to a twentieth of their size, and an
+    answer that holds a thousand of them would pass as a small one.
+    """
+    draw = random.Random(seed)
+
+    def word(length):
+        return "".join(draw.choices(string.ascii_lowercase, k=length))
+
+    routes = []
+    for _ in range(count):
+        host, path = f"{word(6)}.example", f"/{word(7)}/{word(3)}/"
+        route = {"name": f"r-{word(7)}", "host": host, "path_prefix": path}
+        routes.append({**route, **fields})
+    return routes
+
+
 def entry(address, state="ready", beat=1, **fields):
     """Return an endpoint's entry as it writes it."""
     return {
--- a/tools/proxies.py
+++ b/tools/proxies.py
@@ -7,6 +7,9 @@
 __all__ = ["OrderProxy", "Proxy"]
 
 READ_BYTES = 65_536
+# What a packet of a network holds, in bytes. A piece on loopback may hold forty times
+# as much, and a reader that takes one piece for a whole message goes unseen there.
+SEGMENT_BYTES = 1448
 ORDER_PREFIX = b"POST /orders"
 # Closing a socket with this option drops what is under way and sends a reset.
 RESET = struct.pack("ii", 1, 0)
@@ -21,6 +24,9 @@
         ``ip:port`` to which connections lead; may change between connections.
     delay_s : float
         How long each piece is held, in seconds.
+    bytes_per_s : float or None
+        What the link carries one way, all connections together; None for no limit.
+        A limited link passes packets instead of whatever has come.
     holds_there, holds_back : bool
         Whether nothing passes to the target, or from it, until it may again. Held
         pieces aren't lost, as packets aren't that TCP sends again.
@@ -30,12 +36,15 @@
         self.target = target
         self.address = ""
         self.delay_s = 0.0
+        self.bytes_per_s = None
         self.holds_there = False
         self.holds_back = False
         self._pairs = set()
         self._tasks = set()
         self._server = None
         self._changed = asyncio.Event()
+        # When the link is through with what it carries, by direction.
+        self._free_s = {}
 
     async def start(self):
         """Listen on a free port; return the address."""
@@ -102,14 +111,31 @@
                 await self._until_free(direction, data)
                 if not data:
                     break
-                writer.write(data)
-                await writer.drain()
+                await self._pass_on(data, writer, direction)
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
             # One side was reset, so that the other one has to be.
             writer.transport.abort()
 
+    async def _pass_on(self, data, writer, direction):
+        """Write what has come: at once, or packet by packet as the link carries it."""
+        size = len(data) if self.bytes_per_s is None else SEGMENT_BYTES
+        for begin in range(0, len(data), size):
+            piece = data[begin : begin + size]
+            if self.bytes_per_s is not None:
+                await self._carry(direction, len(piece))
+            writer.write(piece)
+            await writer.drain()
+
+    async def _carry(self, direction, size):
+        """Wait until the link has carried a packet, behind those before it."""
+        now_s = asyncio.get_running_loop().time()
+        begins_s = max(now_s, self._free_s.get(direction, now_s))
+        ends_s = begins_s + size / self.bytes_per_s
+        self._free_s[direction] = ends_s
+        await asyncio.sleep(ends_s - now_s)
+
     async def _until_free(self, direction, data):
         """Wait until a piece may pass in a direction."""
         while getattr(self, direction):
