List two tests that fail: large configurations over weak links

The same cause elsewhere: what a host reads from a peer, and from the store, may take so long in all, whatever its size.

--- a/libs/entry/tests/test_large_configuration.py
+++ b/libs/entry/tests/test_large_configuration.py
@@ -11,6 +11,8 @@
 REQUESTS = 10
 # A link of 10 Mbit/s, as small hosts have, in bytes a second.
 LINK_BYTES_PER_S = 1_250_000.0
+# What such a link has left beside callers' bodies: a large answer takes over a second.
+CROWDED_BYTES_PER_S = 25_000.0
 
 
 async def well(number, head, body, writer):
@@ -64,3 +66,18 @@
             assert [len(e.requests) for e in endpoints] == [0, REQUESTS]
 
     run(scenario())
+
+
+def test_a_configuration_that_a_weak_link_carries_slowly_is_heard():
+    # All hosts have weak links, and callers fill those of the hosts that others ask. A
+    # host's question for a large configuration took longer than it waits, was given up
+    # and asked again from the first byte, and so without end, while each try took its
+    # part of the link from the others. Its callers were served by the old routes.
+    async def scenario():
+        async with one_seeing_one_not() as two:
+            two.link.bytes_per_s = CROWDED_BYTES_PER_S
+            routes = many_routes(MANY_ROUTES, ANY)
+            two.store.put("config", "main", configuration(2, *routes))
+            await until(lambda: two.context.configuration_version == 2)
+
+    run(scenario())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+from platform_samples import configuration, many_routes
+from proxies import Proxy
+
 from gypsumusher_platform import StoreClient
 from gypsumusher_standins.object_store import ObjectStore
 
@@ -81,3 +84,28 @@
             assert await setting.code(setting.client.get("locks", "one")) == "unknown"
 
     run(scenario())
+
+
+def test_a_large_configuration_is_read_over_a_weak_link():
+    # A host with a weak link starts under a configuration of thousands of routes. Each
+    # read of it took longer than a read may, and was given up and begun again, so that
+    # the host never knew a configuration, and refused all its callers.
+    async def scenario():
+        store = ObjectStore()
+        link = Proxy(await store.start())
+        client = StoreClient(await link.start(), timeout_s=0.3)
+        await client.start()
+        content = configuration(1, *many_routes(1400, {"kind": "idempotent"}))
+        store.put("config", "main", content)
+        link.bytes_per_s = 400_000.0
+        listing = (await client.list("config")).unwrap()
+        assert listing.objects[0].content == content
+        watch = asyncio.ensure_future(client.watch("config", listing.revision, 0.2))
+        await asyncio.sleep(0.02)
+        store.put("config", "main", {**content, "version": 2})
+        (change,) = (await watch).unwrap().changes
+        assert change.object.content["version"] == 2
+        for part in (client, link, store):
+            await part.close()
+
+    run(scenario())
