Say when a host goes by older news than its peers

With the logs so far a host that hears of nothing newer looks like any other: an answer of a peer that came to nothing was one warning among many, and what a peer no longer lists was not logged at all. Three causes could not be told apart: an answer that can't be read, one that takes too long, and a watch that has gone silent.

news_overdue and news_caught_up name the kind of news, what is known here, what the newest peer knows, and whether the store answers; peer_not_heard says how long it waited and for what; endpoint_missing and endpoints_from_peer name what is gone. Two gauges for alerts. The lag is worked out in libs/routing, without input or output.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -5,6 +5,7 @@
 import time
 
 from gypsumusher_entry.endpoint_connections import EndpointPool
+from gypsumusher_entry.lag_watch import LagWatch
 from gypsumusher_entry.overdue import OverdueWatch
 from gypsumusher_ports import DecodeError
 from gypsumusher_routing import (
@@ -65,6 +66,7 @@
         self.routes = None
         self.endpoints = EndpointTable()
         self.hosts = HostTable(settings.name)
+        self.lags = LagWatch(self)
         self.pool = EndpointPool(clock, log)
         self.overdue = OverdueWatch(clock, log)
         # Engines that this host has ordered to change their stage, for the peers.
@@ -182,6 +184,7 @@
         known = self.configuration_version
         self.configuration = configuration
         self.configuration_source = stored
+        self.metrics.configured(configuration.version)
         self.routes = RouteTable(configuration)
         memory = {}
         for service in configuration.services.values():
--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -200,7 +200,10 @@
     changed = context.endpoints.on_listing(context.clock(), records, listing.revision)
     for record in records:
         if record.endpoint_id in changed:
+            changed.remove(record.endpoint_id)
             _log_endpoint(context, record)
+    for endpoint_id in changed:
+        context.log("info", "endpoint_missing", endpoint=endpoint_id, source="store")
 
 
 def _decode_entry(context, stored):
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -82,6 +82,7 @@
             lambda configuration: self._listener.set_limits(configuration.limits)
         )
         await self.context.overdue.start()
+        await self.context.lags.start()
         await self._store.start()
         await self._gossip.start()
         await self._follower.start()
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -41,6 +41,16 @@
             "Orders that change an engine's stage, by stage and outcome",
             registry=self.registry,
         )
+        self._version = Gauge(
+            "gypsumusher_configuration_version",
+            "Version of the configuration in force",
+            registry=self.registry,
+        )
+        self._lag = Gauge(
+            "gypsumusher_news_lag_s",
+            "Time for which peers have known more, by kind of news",
+            registry=self.registry,
+        )
         self._count = 0
 
     def began(self):
@@ -80,6 +90,14 @@
         labels = {"stage": stage, "outcome": outcome or "left"}
         self._stage_orders.inc(labels)
 
+    def configured(self, version):
+        """Note the version of the configuration in force."""
+        self._version.set({}, version)
+
+    def lagged(self, kind, lag_s):
+        """Note for how long peers have known more of a kind of news, in seconds."""
+        self._lag.set({"kind": kind}, lag_s)
+
     def render(self):
         """Return the body and the headers of the metrics page."""
         self._running.set({}, self._count)
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -101,10 +101,19 @@
         list its word would have every other host drop them, and refuse all work.
         """
         context = self._context
+        began_s = context.clock()
         try:
             beliefs = await self._fetch(peer)
         except (aiohttp.ClientError, DecodeError, TimeoutError, OSError) as error:
-            context.log("warning", "peer_not_heard", peer=peer.name, error=repr(error))
+            context.log(
+                "warning",
+                "peer_not_heard",
+                peer=peer.name,
+                error=repr(error),
+                waited_s=round(context.clock() - began_s, 3),
+                version=peer.configuration_version,
+                revision=peer.endpoints_revision,
+            )
             self._failed_s[peer.name] = context.clock()
             # Another peer is asked at once: the bounds count from the change.
             return 0.0
--- a/libs/entry/tests/test_peer_beliefs.py
+++ b/libs/entry/tests/test_peer_beliefs.py
@@ -58,6 +58,38 @@
     run(scenario())
 
 
+def test_a_host_that_hears_nothing_newer_says_so_until_it_does():
+    # Callers of one host are served by old routes while all others go by the new ones.
+    # The host is well by all that its log and metrics tell, so nobody looks there.
+    async def scenario():
+        async with one_seeing_one_not() as two:
+            two.link.set_holds(False, True)
+            two.store.put("config", "main", configuration(2, ANY, ANY))
+            await until(lambda: "news_overdue" in [event for event, _ in two.lines])
+            fields = dict(two.lines)["news_overdue"]
+            assert (fields["kind"], fields["known"]) == ("configuration", 1)
+            assert fields["newest"] == 2
+            page = two.context.metrics.render()[0].decode()
+            assert "gypsumusher_configuration_version 1" in page
+            two.link.set_holds(False, False)
+            two.link.reset()
+            await until(lambda: "news_caught_up" in [event for event, _ in two.lines])
+            assert two.context.configuration_version == 2
+
+    run(scenario())
+
+
+def test_the_log_names_endpoints_of_which_a_peer_says_no_more():
+    async def scenario():
+        async with one_seeing_one_not("127.0.0.1:9", "127.0.0.1:8") as two:
+            two.store.remove("servers", "e-1")
+            await until(lambda: "e-1" not in two.context.endpoints.states)
+            told = [fields for event, fields in two.lines if "from_peer" in event]
+            assert told[-1]["changed"] == "e-1"
+
+    run(scenario())
+
+
 def records(count):
     return tuple(
         EndpointRecord(
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -15,6 +15,7 @@
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.hosts import HostNews, HostTable, capacity_of
 from gypsumusher_routing.learnt import Learnt, SeenReading
+from gypsumusher_routing.news_lag import NewsLag
 from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefixes import PrefixTable
 from gypsumusher_routing.retry_share import RetryShare
@@ -63,6 +64,7 @@
     "Learnt",
     "Load",
     "OversizedEvent",
+    "NewsLag",
     "Policy",
     "PrefixTable",
     "Reading",
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -22,6 +22,8 @@
     def __init__(self):
         self.states = {}
         self.revision = 0
+        # Revision of the last list, whole or in part.
+        self.heard_revision = 0
         self._missing_since_s = {}
         self._grace_until_s = 0.0
         self._kv_tokens = {}
@@ -52,14 +54,14 @@
         ]
 
     def on_listing(self, now_s: float, records, revision: int) -> list[str]:
-        """Take over a whole list; return the ids of endpoints that are new or changed.
+        """Take over a whole list; return the ids that are new, changed or missing.
 
         A list older than what is known changes nothing: a stale one would bring back
         an endpoint that has left.
         """
         if revision < self.revision:
             return []
-        self.revision = revision
+        self.revision = self.heard_revision = revision
         changed = []
         listed = set()
         for record in records:
@@ -67,8 +69,11 @@
             if self._take(record):
                 changed.append(record.endpoint_id)
         for endpoint_id in list(self.states):
-            if endpoint_id not in listed:
-                self._miss(now_s, endpoint_id)
+            if endpoint_id in listed:
+                continue
+            if endpoint_id not in self._missing_since_s:
+                changed.append(endpoint_id)
+            self._miss(now_s, endpoint_id)
         return changed
 
     def on_part(self, records, revision: int) -> list[str]:
@@ -78,6 +83,7 @@
         """
         if revision < self.revision:
             return []
+        self.heard_revision = revision
         return [record.endpoint_id for record in records if self._take(record)]
 
     def on_record(self, record: EndpointRecord, revision: int) -> bool:
--- a/libs/routing/gypsumusher_routing/hosts.py
+++ b/libs/routing/gypsumusher_routing/hosts.py
@@ -141,6 +141,20 @@
                 found.append(news)
         return found
 
+    def newest(self, now_s: float) -> tuple[int, int]:
+        """Return the newest configuration and endpoints that a live host knows.
+
+        Returns
+        -------
+        tuple of int
+            A version of the configuration, and a revision of the endpoints.
+        """
+        versions, revisions = [0], [0]
+        for news in self.live(now_s):
+            versions.append(news.configuration_version)
+            revisions.append(news.endpoints_revision)
+        return max(versions), max(revisions)
+
     def ahead(self, now_s: float, version: int, revision: int) -> list[HostNews]:
         """Return the live hosts that know a newer configuration or newer endpoints."""
         found = []
