Give up an answer of a peer or of the store for silence, not for its length

Callers of hosts with weak links were served by old routes, and sent to endpoints that had left, for as long as configurations were large. Cause: a peer's answer had 0.8 s in all, and the store's a second, whatever their size; what a link carries in that time bounded what a host could ever hear, and each new try began at the first byte and filled the link for the others.

Ruled out: a longer limit on the whole alone, which moves the size and keeps the tries.

--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -11,6 +11,7 @@
 
 from gypsumusher_entry.belief_messages import BELIEFS_MAX_BYTES, decode_beliefs
 from gypsumusher_entry.following import take_configuration
+from gypsumusher_platform import BodyLimits, read_answer
 from gypsumusher_ports import DecodeError
 
 __all__ = ["BELIEFS_PATH", "PeerBeliefs"]
@@ -24,10 +25,15 @@
 # The same while the peer waits for entries that may come back, in seconds: each answer
 # holds all endpoints again, and what it lacks isn't told until the wait is over.
 PARTIAL_PAUSE_S = 0.5
-# Longest wait for one peer's answer, in seconds. A link of 5 Mbit/s carries the packed
-# configuration of 1,400 routes in 0.2 s beside callers' bodies; a peer that takes
-# longer has stalled, and another one is asked within the operator's bound of 2 s.
-ANSWER_TIMEOUT_S = 0.8
+# Longest wait for a peer's answer to begin, and for its next bytes, in seconds: a peer
+# that is silent for longer has stalled, and another one is asked within the operator's
+# bound of 2 s.
+SILENCE_S = 0.8
+# Longest time for the whole of it, in seconds. While an answer keeps coming nothing is
+# won by beginning another one over the same link; see `LagWatch` for what is done
+# besides once it is overdue.
+WHOLE_S = 4.0
+ANSWER_LIMITS = BodyLimits(SILENCE_S, SILENCE_S, WHOLE_S, BELIEFS_MAX_BYTES)
 # A peer that gave no answer isn't asked again for so long, in seconds, while another
 # one knows as much.
 FAILED_PAUSE_S = 2.0
@@ -129,9 +135,9 @@
             "revision": str(context.endpoints.revision),
         }
         url = f"http://{peer.peers_address}{BELIEFS_PATH}"
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            async with self._session.get(url, params=known) as answer:
-                data = await _read_whole(answer.content, BELIEFS_MAX_BYTES)
+        _, data = await read_answer(
+            self._session, "GET", url, ANSWER_LIMITS, params=known
+        )
         return decode_beliefs(peer.name, data)
 
     def _take(self, peer, beliefs):
@@ -155,24 +161,3 @@
                 is_whole=beliefs.is_whole,
                 changed=",".join(changed),
             )
-
-
-async def _read_whole(content, limit_bytes):
-    """Return a body from its first byte to its end.
-
-    Failure guarded against: one read returns what has come so far, which is the whole
-    of a body only while that fits into a segment. A larger configuration could then
-    be read by no host that hears of it from peers.
-
-    Raises
-    ------
-    DecodeError
-        When it is larger than the limit, in bytes; the rest is left unread.
-    """
-    pieces, size = [], 0
-    async for piece in content.iter_any():
-        size += len(piece)
-        if size > limit_bytes:
-            raise DecodeError("beliefs", "peer", f"body over {limit_bytes} bytes")
-        pieces.append(piece)
-    return b"".join(pieces)
--- a/libs/entry/tests/worlds.py
+++ b/libs/entry/tests/worlds.py
@@ -109,7 +109,9 @@
     Attributes
     ----------
     store : ObjectStore
-        What the first host reads. The second one's store turns it away.
+        What the first host reads.
+    other_store : ObjectStore
+        What the second host reads: it refuses all calls until its fault is taken back.
     link : Proxy
         Between the hosts.
     context : Context
@@ -121,6 +123,7 @@
     """
 
     store: ObjectStore
+    other_store: ObjectStore
     link: Proxy
     context: object
     session: aiohttp.ClientSession
@@ -155,7 +158,7 @@
     seeing.context.hosts.on_record(0.0, "host-3", "127.0.0.3")
     await until(lambda: other.context.configuration_version == 1)
     try:
-        yield TwoHosts(store, link, other.context, session, lines)
+        yield TwoHosts(store, blind, link, other.context, session, lines)
     finally:
         await session.close()
         for part in (other, seeing, link, store, blind):
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -22,12 +22,16 @@
     def __init__(self):
         self.states = {}
         self.revision = 0
-        # Revision of the last list, whole or in part.
-        self.heard_revision = 0
+        self._part_revision = 0
         self._missing_since_s = {}
         self._grace_until_s = 0.0
         self._kv_tokens = {}
 
+    @property
+    def heard_revision(self) -> int:
+        """Revision of the newest list or change, of a list in part too."""
+        return max(self.revision, self._part_revision)
+
     def set_memory(self, kv_tokens_by_service) -> None:
         """Take over the memory of each service's engines, in tokens."""
         self._kv_tokens = dict(kv_tokens_by_service)
@@ -61,7 +65,7 @@
         """
         if revision < self.revision:
             return []
-        self.revision = self.heard_revision = revision
+        self.revision = revision
         changed = []
         listed = set()
         for record in records:
@@ -83,7 +87,7 @@
         """
         if revision < self.revision:
             return []
-        self.heard_revision = revision
+        self._part_revision = revision
         return [record.endpoint_id for record in records if self._take(record)]
 
     def on_record(self, record: EndpointRecord, revision: int) -> bool:
