Count a second try that still connects among a request's endpoints

A request that may run on two endpoints ran on three: the first is slow, a second is asked and its connection takes a while, the first fails, and a third is asked, since only sends with a first byte counted.

The test holds the second connection back and failed three times of three; it passes with sends under way and ended runs counted together.

--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -58,6 +58,8 @@
         self._exchange = exchange
         self._tried = set()
         self._tasks = {}
+        # Sends that have ended and may have run.
+        self._runs = 0
         self._is_hedged = False
         self._failed_answer = None
         self._last_error = None
@@ -134,6 +136,7 @@
         now_s = exchange.context.clock()
         if result.error is not None:
             self._last_error = result.error
+            self._runs += result.error.may_have_run
             note_failure(exchange, result.state, result.error)
             self._retry(result.error.reason)
             return False
@@ -144,6 +147,7 @@
             exchange.deliver(result.head, result.body)
             return True
         self._failed_answer = (result.head, result.body)
+        self._runs += 1
         self._retry(f"status_{result.head.status}")
         return False
 
@@ -152,6 +156,10 @@
         exchange = self._exchange
         if len(self._tried) >= MAX_SENDS:
             return
+        # A send whose connection is still being opened will run too. Counted from its
+        # first byte only, a failure meanwhile would bring in one endpoint too many.
+        if self._runs + len(self._tasks) >= exchange.route.max_endpoints:
+            return
         state = self._next()
         if state is None or not may_retry_run(exchange):
             return
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -128,6 +128,48 @@
     run(scenario())
 
 
+def test_a_second_try_that_still_connects_counts_against_the_route_s_endpoints():
+    # A status read reaches three endpoints, though its route allows two. The first one
+    # is slow, so a second is asked, and its connection takes a while to open. The first
+    # one fails meanwhile, and a third is asked: only what had been sent was counted.
+    answered, opened = asyncio.Event(), asyncio.Event()
+
+    async def late_error_once(number, head, body, writer):
+        if answered.is_set():
+            await well(number, head, body, writer)
+            return
+        await asyncio.sleep(0.15)
+        await failing(number, head, body, writer)
+        answered.set()
+
+    async def scenario():
+        script = late_error_once
+        async with World(script, script, script) as world:
+            world.host.context.started_s -= 100.0
+            pool = world.host.context.pool
+            acquire, calls = pool.acquire, []
+
+            async def slow_after_the_first(*args):
+                calls.append(args)
+                if len(calls) > 1:
+                    await opened.wait()
+                return await acquire(*args)
+
+            pool.acquire = slow_after_the_first
+            asked = asyncio.ensure_future(world.ask())
+            await answered.wait()
+            states = world.host.context.endpoints.states.values()
+            await until(lambda: sum(state.own_running for state in states) < 2)
+            # What follows from the failure is decided in the next turns of the loop.
+            await asyncio.sleep(0.05)
+            opened.set()
+            status, _, _ = await asked
+            assert status == 200
+            assert world.arrivals() == 2
+
+    run(scenario())
+
+
 def test_the_log_names_the_engine_for_which_a_caller_waited_in_vain():
     # A caller leaves before its prompt is read. Its line said that one send was made
     # and named no engine, so that nobody could find the slow one.
