--- a/soak/injection.py
+++ b/soak/injection.py
@@ -10,6 +10,8 @@
 # A slow link holds each piece for so long, in seconds: long against the work of 10 ms,
 # short against a caller's patience.
 LINK_DELAY_S = 0.15
+# A weak link carries so many bytes a second, packet by packet: 10 Mbit/s.
+WEAK_BYTES_PER_S = 1_250_000.0
 # The watches have told of a change by then, in seconds; reads still tell of the past.
 STALE_AFTER_S = 0.3
 # The endpoints' next beats come so long after the store is back, in seconds.
@@ -100,6 +102,12 @@
     link.delay_s = 0.0
 
 
+async def _host_store_weak(world, link, for_s):
+    link.bytes_per_s = WEAK_BYTES_PER_S
+    await asyncio.sleep(for_s)
+    link.bytes_per_s = None
+
+
 async def _link_reset(world, link, for_s):
     link.reset()
 
@@ -156,6 +164,10 @@
     world.write_configuration()
 
 
+async def _config_large(world, _, for_s):
+    world.grow_configuration()
+
+
 # Which parts of the world a kind of fault befalls one of, and what brings it about.
 _FAULTS = {
     "host_kill": ("hosts", _host_kill),
@@ -180,4 +192,6 @@
     "store_lapse": (None, _store_lapse),
     "host_store_cut": ("store_links", _host_store_cut),
     "config_change": (None, _config_change),
+    "config_large": (None, _config_large),
+    "host_store_weak": ("store_links", _host_store_weak),
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -31,6 +31,8 @@
     "store_lapse": (0.5, 3.0),
     "host_store_cut": (0.5, 4.0),
     "config_change": (0.0, 0.0),
+    "config_large": (0.0, 0.0),
+    "host_store_weak": (0.5, 4.0),
 }
 # Faults a second, so that two or three overlap at most times.
 RATE_PER_S = 1.2
@@ -70,7 +72,7 @@
     ends_s: float
 
 
-def draw_plan(seed: int, faulty_s: float) -> Plan:
+def draw_plan(seed: int, faulty_s: float, kinds=KINDS) -> Plan:
     """Return the faults of a seed.
 
     Parameters
@@ -79,10 +81,12 @@
         The seed.
     faulty_s : float
         Time in which faults begin, in seconds.
+    kinds : collection of str
+        Kinds to draw from; a seed stands for the same faults as long as they do.
     """
     draw = random.Random(seed)
     # A run tries a part of the kinds, each often, so that they meet each other.
-    kinds = draw.sample(sorted(KINDS), 6)
+    kinds = draw.sample(sorted(kinds), 6)
     faults = []
     at_s = CALM_BEFORE_S
     while at_s < CALM_BEFORE_S + faulty_s:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 from entry_process import EntryProcess
-from plan import CALM_AFTER_S, KINDS, draw_plan
+from plan import CALM_AFTER_S, KINDS, Fault, Plan, draw_plan
 from proxies import Proxy
 from run_soak import kept_plans, play
 
@@ -17,12 +17,35 @@
 # Chosen for what they bring together: planned stops beside an endpoint that leaves,
 # the loss of all hosts beside changes of the configuration, a store that forgets.
 SEEDS = (7, 19, 31)
+# What they were chosen from; a further kind would change what they draw.
+SEEDED_KINDS = set(KINDS) - {"config_large", "host_store_weak"}
+# Large configurations reach hosts over weak links, while the store turns one of them
+# away, an endpoint leaves and a host restarts.
+LARGE = Plan(
+    (
+        Fault(0.7, 4.0, "host_store_weak", 0),
+        Fault(0.7, 4.0, "host_store_weak", 1),
+        Fault(0.8, 4.0, "host_store_cut", 2),
+        Fault(1.0, 0.0, "config_large", 0),
+        Fault(1.5, 2.0, "endpoint_leave", 1),
+        Fault(2.5, 0.5, "host_kill", 1),
+        Fault(3.0, 0.0, "config_large", 0),
+    ),
+    4.8 + CALM_AFTER_S,
+)
 
 
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_promise_is_broken(seed):
-    broken, counts = play(seed, draw_plan(seed, SHORT_S))
+    broken, counts = play(seed, draw_plan(seed, SHORT_S, SEEDED_KINDS))
+    assert not broken, broken
+    assert counts["served"] > 0.5 * counts["requests"] > 100
+
+
+@pytest.mark.processes
+def test_no_promise_is_broken_by_large_configurations_over_weak_links():
+    broken, counts = play(1, LARGE)
     assert not broken, broken
     assert counts["served"] > 0.5 * counts["requests"] > 100
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,7 +9,7 @@
 from backend import Backend
 from callers import Caller
 from entry_process import EntryProcess
-from platform_samples import configuration, entry
+from platform_samples import configuration, entry, many_routes
 from processes import free_ports
 from proxies import Proxy
 from records import ANY_TIMES, ONCE, STREAM, Records
@@ -22,6 +22,8 @@
 __all__ = ["World"]
 
 HOSTS, ENDPOINTS, CALLERS = 3, 4, 8
+# Routes that an operator adds at once.
+MANY_ROUTES = 1400
 # How often an endpoint renews its entry, and hosts are asked for their versions, in
 # seconds.
 BEAT_S = 0.5
@@ -52,6 +54,7 @@
         self.store_links = []
         self._began_s = 0.0
         self._version = 0
+        self._further_routes = []
         self._beats = {}
         self._crashed_s = {}
         self._lapsed = False
@@ -130,6 +133,12 @@
         done = [task for task in self._tasks if task.done() and not task.cancelled()]
         return [task.exception() for task in done if task.exception() is not None]
 
+    def grow_configuration(self):
+        """Add routes by the thousand, as an operator does when a customer joins."""
+        seed = self._version
+        self._further_routes += many_routes(MANY_ROUTES, {"kind": "idempotent"}, seed)
+        self.write_configuration()
+
     def write_configuration(self):
         """Write the next version of the configuration, as an operator does."""
         self._version += 1
@@ -149,7 +158,7 @@
                     "goal_ms": 200 + self._version,
                 }
             )
-        content = configuration(self._version, *routes)
+        content = configuration(self._version, *routes, *self._further_routes)
         self.store.put("config", "main", content)
         if self._version > 1:
             self.records.written.append((self.clock(), self._version))
