Know hosts by their records, and let only those forget that are spoken to

Hosts that aren't active are spoken to by the active ones alone, so they forgot all others each minute, and knew them again only with the next reading of the records, up to 22 s later. If the active hosts are lost in between, the rest don't hear of each other. And a host that becomes active would have deleted the records of all that had not spoken to it, which is everybody.

A host without a record that has fallen silent is forgotten; for silence alone only by a host that watches the store, counted from when it began to. Both tests fail before. drop_forgotten is told since when the host listens; its test asks the same as before.

--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -28,6 +28,8 @@
     def __init__(self, context, store):
         self._context = context
         self._store = store
+        # Since when this host watches the store, and so is spoken to by all hosts.
+        self._watching_since_s = None
 
     async def start(self):
         """Begin; it goes on in the background until the context is closed."""
@@ -72,7 +74,10 @@
             ip = item.content.get("ip") if isinstance(item.content, dict) else None
             if isinstance(ip, str):
                 context.hosts.on_record(context.clock(), item.name, ip)
-        if context.settings.name not in [item.name for item in stored]:
+        names = [item.name for item in stored]
+        for name in context.hosts.drop_unrecorded(context.clock(), names):
+            context.log("info", "host_forgotten", peer=name)
+        if context.settings.name not in names:
             # The others took this host for gone while it was cut off.
             context.log("warning", "record_missing", read=len(stored))
             return await self._write()
@@ -81,13 +86,18 @@
     async def _drop_forgotten(self):
         """Delete the records of hosts that have been silent for long.
 
-        Only the hosts that watch the store do, which are few and see it.
+        Only the hosts that watch the store do: they are few, and the others speak to
+        them alone. A host that they don't speak to would take all of them for gone.
         """
         context = self._context
-        for name in context.hosts.drop_forgotten(context.clock()):
+        now_s = context.clock()
+        if not context.watches_store():
+            self._watching_since_s = None
+            return
+        if self._watching_since_s is None:
+            self._watching_since_s = now_s
+        for name in context.hosts.drop_forgotten(now_s, self._watching_since_s):
             context.log("info", "host_forgotten", peer=name)
-            if not context.watches_store():
-                continue
             result = await self._store.delete(HOSTS_KIND, name)
             if isinstance(result, Failure) and result.failure().code == "absent":
                 continue
--- a/libs/entry/tests/test_registration.py
+++ b/libs/entry/tests/test_registration.py
@@ -82,6 +82,42 @@
     assert "host-2" in store.records
 
 
+def test_hosts_that_never_speak_to_each_other_stay_known_by_their_records():
+    """Callers find too few hosts after the loss of those that they were sent to.
+
+    The other hosts speak to the active ones only. Each minute they forgot each other,
+    until the records were read again; if the active ones were lost meanwhile, they did
+    not hear of each other.
+    """
+    store = RecordStore("host-1", "host-2", "host-3")
+    clock, context = create_context(is_watcher=False)
+    registration = Registration(context, store)
+    reread_at(clock, registration, 0.0)
+    reread_at(clock, registration, 61.0)
+    assert list(context.hosts.addresses()) == ["host-2", "host-3"]
+    del store.records["host-3"]
+    reread_at(clock, registration, 76.0)
+    assert list(context.hosts.addresses()) == ["host-2"]
+
+
+def test_a_host_that_begins_to_watch_listens_before_it_deletes_records():
+    """The active hosts are lost, and the next one deletes the records of all others.
+
+    They have not spoken to it for hours, since it was not active.
+    """
+    store = RecordStore("host-1", "host-2")
+    clock, context = create_context(is_watcher=False)
+    registration = Registration(context, store)
+    reread_at(clock, registration, 0.0)
+    reread_at(clock, registration, 3600.0)
+    context.watches_store = lambda: True
+    reread_at(clock, registration, 3615.0)
+    reread_at(clock, registration, 3670.0)
+    assert "host-2" in store.records
+    reread_at(clock, registration, 3676.0)
+    assert list(store.records) == ["host-1"]
+
+
 def test_a_host_that_was_taken_for_gone_writes_its_record_again():
     """A host is cut off for a minute, and nobody ever speaks to it again.
 
--- a/libs/routing/gypsumusher_routing/hosts.py
+++ b/libs/routing/gypsumusher_routing/hosts.py
@@ -112,22 +112,51 @@
         self._known[news.name] = news.ip
         return True
 
-    def drop_forgotten(self, now_s: float) -> list[str]:
+    def drop_forgotten(self, now_s: float, listening_since_s: float) -> list[str]:
         """Forget hosts that have been silent for long; return their names.
 
         Failure guarded against: hosts that were replaced stay known for ever; each of
         them costs a message a second from every host, and the callers' list grows
         with records that lead nowhere.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time, in seconds.
+        listening_since_s : float
+            Since when the others speak to this host, in seconds; silence before it
+            says nothing.
         """
         dropped = []
         for name, heard_s in list(self._heard_s.items()):
-            if now_s - heard_s > FORGOTTEN_AFTER_S:
-                del self._heard_s[name]
-                self._news.pop(name, None)
-                self._known.pop(name, None)
+            if now_s - max(heard_s, listening_since_s) > FORGOTTEN_AFTER_S:
+                self._drop(name)
                 dropped.append(name)
         return dropped
 
+    def drop_unrecorded(self, now_s: float, recorded) -> list[str]:
+        """Forget hosts without a record that have fallen silent; return their names.
+
+        One that speaks has only just written its record, or is about to again.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time, in seconds.
+        recorded : collection of str
+            Names of the hosts that have a record.
+        """
+        live = {news.name for news in self.live(now_s)}
+        dropped = [name for name in self._known if name not in live | set(recorded)]
+        for name in dropped:
+            self._drop(name)
+        return dropped
+
+    def _drop(self, name):
+        """Forget a host."""
+        for table in (self._heard_s, self._news, self._known):
+            table.pop(name, None)
+
     def addresses(self) -> dict[str, str]:
         """Return the IP of each host that may exist, by name."""
         return dict(self._known)
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -184,10 +184,10 @@
     table.on_record(0.0, "host-2", "10.0.0.2")
     table.on_record(0.0, "host-3", "10.0.0.3")
     table.on_news(50.0, news("host-3"))
-    assert table.drop_forgotten(59.0) == []
-    assert table.drop_forgotten(61.0) == ["host-2"]
+    assert table.drop_forgotten(59.0, 0.0) == []
+    assert table.drop_forgotten(61.0, 0.0) == ["host-2"]
     assert list(table.addresses()) == ["host-3"]
-    assert table.drop_forgotten(111.0) == ["host-3"]
+    assert table.drop_forgotten(111.0, 0.0) == ["host-3"]
     assert not table.addresses()
 
 
