Read the store itself when news is overdue at the peers

Hosts that others watch for went by old routes and old endpoints while the links of the few that watch were full, though the store would have answered each of them at once: they left reading to the others, whatever came of it. A host now lists the kind of object whose news is a quarter of the operator's bound late, and goes back to its peers when it has caught up. A host that watches and is itself told late asks a peer.

A host that had lost the store and left it to others keeps that in mind for three seconds: in the first two after its return entries may be missing that are to come back.

The test fails before: peers stall, the store answers, and the host waits.

--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from gypsumusher_entry.lag_watch import CONFIGURATION, ENDPOINTS
 from gypsumusher_platform import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -17,6 +18,7 @@
 
 # Kinds of objects that a host has to know of; it sees the store when it hears of all.
 FOLLOWED = frozenset((CONFIGURATION_KIND, ENDPOINTS_KIND))
+NEWS_OF_KIND = {CONFIGURATION_KIND: CONFIGURATION, ENDPOINTS_KIND: ENDPOINTS}
 # A watch is renewed this long before a silent connection could break a bound, in
 # seconds: the next call needs to be answered within it.
 WATCH_RESERVE_S = 1.0
@@ -24,6 +26,10 @@
 # Pauses between calls to a store that doesn't answer, in seconds: it is asked again
 # soon, since bounds count from its return, and by all hosts, which its rates must bear.
 FIRST_PAUSE_S, LAST_PAUSE_S = 0.1, 0.5
+# A store that failed a call this long ago may have come back without the entries that
+# lapsed meanwhile, in seconds: it is asked again within two of them while it is away. A
+# host that left it to others since then finds all entries back.
+JUST_BACK_S = 3.0
 # How often a host that others watch for looks whether they still do, in seconds.
 IDLE_POLL_S = 0.2
 # Endpoints that are missing are dropped this often, in seconds.
@@ -46,6 +52,7 @@
         self._store = store
         self._lost = set()
         self._answered = set()
+        self._failed_s = context.clock()
         bounds = context.settings.bounds
         least_s = min(bounds.drain_s, bounds.configuration_s)
         # A connection may go silent without a reset. After the stable window the
@@ -69,7 +76,12 @@
             if self._has_peers_that_watch():
                 revision = None
                 await asyncio.sleep(IDLE_POLL_S)
-                continue
+                # Peers whose links are full, or that can't be reached, leave this host
+                # with old routes and with endpoints that have left, while the store
+                # would answer it at once.
+                if not self._context.lags.is_overdue(NEWS_OF_KIND[kind]):
+                    self._answered.discard(kind)
+                    continue
             if revision is None:
                 result = await self._store.list(kind)
             else:
@@ -98,8 +110,6 @@
             return False
         if context.watches_store():
             return False
-        self._lost.clear()
-        self._answered.clear()
         context.sees_store = False
         return True
 
@@ -132,6 +142,7 @@
         context.endpoints.revision = max(context.endpoints.revision, found.revision)
 
     def _on_lost(self, kind, error):
+        self._failed_s = self._context.clock()
         self._answered.discard(kind)
         self._context.sees_store = False
         if kind in self._lost:
@@ -151,7 +162,8 @@
         context = self._context
         if kind in self._lost:
             self._lost.discard(kind)
-            if kind == ENDPOINTS_KIND:
+            is_just_back = context.clock() - self._failed_s <= JUST_BACK_S
+            if kind == ENDPOINTS_KIND and is_just_back:
                 context.endpoints.on_store_returned(context.clock())
             context.log("info", "dependency_regained", dependency="store", kind=kind)
         self._answered.add(kind)
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -11,6 +11,7 @@
 
 from gypsumusher_entry.belief_messages import BELIEFS_MAX_BYTES, decode_beliefs
 from gypsumusher_entry.following import take_configuration
+from gypsumusher_entry.lag_watch import CONFIGURATION
 from gypsumusher_platform import BodyLimits, read_answer
 from gypsumusher_ports import DecodeError
 
@@ -70,7 +71,9 @@
         context = self._context
         while True:
             await asyncio.sleep(ASK_S)
-            if context.sees_store:
+            # A host that watches the store may be told late: its link is full, or the
+            # watch has gone silent. Then what peers know counts for it too.
+            if context.sees_store and not context.lags.is_overdue(CONFIGURATION):
                 continue
             ahead = context.hosts.ahead(
                 context.clock(),
--- a/libs/entry/tests/test_large_configuration.py
+++ b/libs/entry/tests/test_large_configuration.py
@@ -68,6 +68,27 @@
     run(scenario())
 
 
+def test_a_host_that_peers_leave_waiting_reads_the_store_itself():
+    # The links of the few hosts that watch the store for all are full of callers'
+    # bodies, and what they tell takes seconds. A host beside them with an idle link
+    # served old routes and sent work to endpoints that had left, though the store
+    # would have answered it at once: it left that to the hosts that watch.
+    async def scenario():
+        async with one_seeing_one_not() as two:
+            two.context.watches_store = lambda: False
+            two.link.set_holds(False, True)
+            for store in (two.store, two.other_store):
+                store.put("config", "main", configuration(2, ANY, ANY))
+                store.put("servers", "e-0", entry("127.0.0.1:9", "draining", beat=2))
+            two.other_store.fault = ""
+            leaving = two.context.endpoints.states["e-0"]
+            await until(lambda: two.context.configuration_version == 2)
+            await until(lambda: not leaving.is_usable)
+            assert not two.context.watches_store()
+
+    run(scenario())
+
+
 def test_a_configuration_that_a_weak_link_carries_slowly_is_heard():
     # All hosts have weak links, and callers fill those of the hosts that others ask. A
     # host's question for a large configuration took longer than it waits, was given up
