Read an engine's answer to an order to its end

One reader for bounded answers now serves the store's client and the orders; the reader of the entry hosts (platform/bodies.py) stays apart until they share a core, since it also limits silence.

Looked through besides: every other read of a body in libs, platform, tools and soak reads to the end, or reads a file. Of limits on whole transfers the engine's list of kept parts (1 s) stays as it is: without it a host takes the engine for one that keeps nothing, and asks nobody again.

Test fails before (three cuts), passes now; a bound that stood before has one too.

--- a/libs/daemon/gypsumusher_daemon/order_sender.py
+++ b/libs/daemon/gypsumusher_daemon/order_sender.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from gypsumusher_coordination import OrderAnswer, OrderFailed
-from gypsumusher_objects import forbid_repeats
+from gypsumusher_objects import forbid_repeats, read_limited
 
 __all__ = ["OrderSender"]
 
@@ -126,7 +126,7 @@
 
 async def _read_json(response):
     """Return the JSON of a small answer."""
-    raw = await response.content.read(ANSWER_BYTES_MAX)
+    raw = await read_limited(response, ANSWER_BYTES_MAX)
     answer = json.loads(raw)
     if not isinstance(answer, dict):
         raise ValueError("answer is not a JSON object")
--- /dev/null
+++ b/libs/daemon/tests/test_order_sender.py
@@ -0,0 +1,50 @@
+"""Orders to engines and what becomes of their answers."""
+
+import asyncio
+import json
+
+import pytest
+
+from gypsumusher_coordination import OrderAnswer, OrderFailed, SendOrder
+from gypsumusher_daemon.order_sender import ANSWER_BYTES_MAX, OrderSender
+
+HEAD = b"HTTP/1.1 %b\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+ORDER = SendOrder("e-1", "o-1", 3, {"role": "decode"}, float("inf"), "t")
+
+
+async def answer_of(status, body, cut_at, pause):
+    """Send an order to an engine that answers in two pieces; return the event."""
+
+    async def engine(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % (status, len(body)) + body[:cut_at])
+        await writer.drain()
+        await asyncio.sleep(pause)
+        writer.write(body[cut_at:])
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(engine, "127.0.0.1", 0)
+    ip, port = server.sockets[0].getsockname()
+    sender = OrderSender(lambda: 0.0, timeout_s=5.0)
+    await sender.start()
+    event = await sender.send(f"{ip}:{port}", ORDER)
+    await sender.close()
+    server.close()
+    return event
+
+
+@pytest.mark.parametrize("cut_at", [1, 12, 30])
+def test_an_answer_in_several_packets_is_read_to_its_end(cut_at):
+    # A change of an engine's role is held up. The engine takes the order and says so in
+    # two packets, of which the first was taken for all, so that the steward took the
+    # order for one of unknown outcome and had to ask.
+    body = json.dumps({"order_id": "o-1", "state": "accepted"}).encode()
+    event = asyncio.run(answer_of(b"202 Accepted", body, cut_at, 0.05))
+    assert event == OrderAnswer("e-1", "o-1", "accepted", "t", "")
+
+
+def test_an_answer_without_bounds_is_not_kept():
+    body = b'{"state": "' + b"x" * ANSWER_BYTES_MAX + b'"}'
+    event = asyncio.run(answer_of(b"202 Accepted", body, 100, 0.0))
+    assert event == OrderFailed("e-1", "o-1", True, "t")
--- a/libs/objects/gypsumusher_objects/__init__.py
+++ b/libs/objects/gypsumusher_objects/__init__.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API."""
 
+from gypsumusher_objects.bodies import BodyTooLarge, read_limited
 from gypsumusher_objects.budget import READ, WRITE, BudgetLimits, CallBudget
 from gypsumusher_objects.client import PlatformClient, boottime_s
 from gypsumusher_objects.errors import PlatformError
@@ -9,6 +10,7 @@
 __all__ = [
     "READ",
     "WRITE",
+    "BodyTooLarge",
     "BudgetLimits",
     "CallBudget",
     "Change",
@@ -20,4 +22,5 @@
     "Stored",
     "boottime_s",
     "forbid_repeats",
+    "read_limited",
 ]
--- a/libs/objects/gypsumusher_objects/client.py
+++ b/libs/objects/gypsumusher_objects/client.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from gypsumusher_objects.bodies import PIECE_BYTES, BodyTooLarge, read_limited
 from gypsumusher_objects.budget import READ, WRITE, CallBudget
 from gypsumusher_objects.errors import (
     BUDGET,
@@ -32,7 +33,6 @@
 # Values end at a megabyte, and the largest listing is one kind of a fleet; a body
 # beyond this is refused before it can fill the memory of a small host.
 ANSWER_LIMIT_BYTES = 32 * 1024 * 1024
-READ_BUFFER_BYTES = 64 * 1024
 # Answers by which the platform says that the call will never be taken as it stands.
 INVALID_STATUSES = frozenset({400, 401, 403, 405, 413, 415, 422})
 
@@ -113,7 +113,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             trust_env=False,
             auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
+            read_bufsize=PIECE_BYTES,
         )
         forbid_repeats(self._session)
 
@@ -217,7 +217,13 @@
             # Only these two are raised before a connection exists, so that no byte
             # of the request can have left; every other failure is an unknown.
             result = Failure(error._replace(sent=False, detail=repr(exc)))
-        except (aiohttp.ClientError, TimeoutError, OSError, BadAnswer) as exc:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            BadAnswer,
+            BodyTooLarge,
+        ) as exc:
             result = Failure(error._replace(detail=repr(exc)))
         self._note(result, started_s)
         return result
@@ -245,7 +251,7 @@
             timeout=timeout,
             allow_redirects=False,
         ) as response:
-            payload = await _read_limited(response)
+            payload = await read_limited(response, ANSWER_LIMIT_BYTES)
             return _decode(response, payload)
 
     def _note(self, result: Result[Any, PlatformError], started_s: float) -> None:
@@ -272,17 +278,6 @@
     wait_s: float = 0.0
 
 
-async def _read_limited(response: aiohttp.ClientResponse) -> bytes:
-    chunks = []
-    size_bytes = 0
-    async for chunk in response.content.iter_chunked(READ_BUFFER_BYTES):
-        size_bytes += len(chunk)
-        if size_bytes > ANSWER_LIMIT_BYTES:
-            raise BadAnswer(f"the answer is over {ANSWER_LIMIT_BYTES} bytes")
-        chunks.append(chunk)
-    return b"".join(chunks)
-
-
 def _decode(response: aiohttp.ClientResponse, payload: bytes) -> Answer:
     if response.status == 429:
         return Answer(429, _retry_after_s(response.headers.get("Retry-After")))
