Read what can't be read less and less often

A host that goes by an older configuration because it can't read the newer one, as in the middle of a release, would list a megabyte from the store each 0.2 s now that it reads for itself what its peers leave it waiting for, and asked a peer for it as often before. Its own readings now follow each other after up to 5 s, and a peer is asked after 1 s, since word of endpoints comes with the same answer.

The test fails before: four readings within 0.6 s; now they take over 2 s.

--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -32,6 +32,8 @@
 JUST_BACK_S = 3.0
 # How often a host that others watch for looks whether they still do, in seconds.
 IDLE_POLL_S = 0.2
+# Longest pause between two readings of its own while it is behind, in seconds.
+LAST_OWN_PAUSE_S = 5.0
 # Endpoints that are missing are dropped this often, in seconds.
 DROP_S = 0.2
 
@@ -71,15 +73,18 @@
     async def _follow(self, kind, take):
         """List a kind, then watch it; list again after each gap."""
         revision = None
-        pause_s = FIRST_PAUSE_S
+        pause_s, own_pause_s = FIRST_PAUSE_S, IDLE_POLL_S
         while True:
+            reads_for_itself = False
             if self._has_peers_that_watch():
                 revision = None
-                await asyncio.sleep(IDLE_POLL_S)
                 # Peers whose links are full, or that can't be reached, leave this host
                 # with old routes and with endpoints that have left, while the store
                 # would answer it at once.
-                if not self._context.lags.is_overdue(NEWS_OF_KIND[kind]):
+                reads_for_itself = self._context.lags.is_overdue(NEWS_OF_KIND[kind])
+                await asyncio.sleep(own_pause_s if reads_for_itself else IDLE_POLL_S)
+                if not reads_for_itself:
+                    own_pause_s = IDLE_POLL_S
                     self._answered.discard(kind)
                     continue
             if revision is None:
@@ -102,6 +107,9 @@
             found = result.unwrap()
             take(found, revision is None)
             revision = found.revision
+            if reads_for_itself:
+                # What it can't read doesn't become readable by reading it again.
+                own_pause_s = min(LAST_OWN_PAUSE_S, 2.0 * own_pause_s)
 
     def _has_peers_that_watch(self):
         """Say whether others watch for this host, which knows all that it needs."""
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -26,6 +26,9 @@
 # The same while the peer waits for entries that may come back, in seconds: each answer
 # holds all endpoints again, and what it lacks isn't told until the wait is over.
 PARTIAL_PAUSE_S = 0.5
+# The same after a configuration that this host can't read, in seconds: each answer
+# holds it again, and the endpoints beside it still have to come within the bounds.
+UNREADABLE_PAUSE_S = 1.0
 # Longest wait for a peer's answer to begin, and for its next bytes, in seconds: a peer
 # that is silent for longer has stalled, and another one is asked within the operator's
 # bound of 2 s.
@@ -128,6 +131,9 @@
             return 0.0
         self._failed_s.pop(peer.name, None)
         self._take(peer, beliefs)
+        if beliefs.configuration is not None:
+            if context.configuration_version < peer.configuration_version:
+                return UNREADABLE_PAUSE_S
         return PAUSE_S if beliefs.is_whole else PARTIAL_PAUSE_S
 
     async def _fetch(self, peer):
--- a/libs/entry/tests/test_large_configuration.py
+++ b/libs/entry/tests/test_large_configuration.py
@@ -89,6 +89,28 @@
     run(scenario())
 
 
+def test_a_configuration_that_a_host_cannot_read_is_not_read_over_and_over():
+    # Hosts are replaced by a newer release one by one, and an operator writes what only
+    # the newer one understands. Each older host would read a megabyte from the store
+    # several times a second, and the store turn others away, until it is replaced.
+    async def scenario():
+        async with one_seeing_one_not() as two:
+            two.context.watches_store = lambda: False
+            two.link.set_holds(False, True)
+            two.other_store.put("config", "main", {"version": 2, "routes": "new"})
+            two.other_store.fault = ""
+            two.store.put("config", "main", configuration(2, ANY, ANY))
+            calls, reading = two.other_store.calls, ("GET", "/v1/objects/config")
+            read_s = []
+            while len(read_s) < 4:
+                calls.clear()
+                await until(lambda: reading in calls)
+                read_s.append(two.context.clock())
+            assert read_s[-1] - read_s[0] > 2.0
+
+    run(scenario())
+
+
 def test_a_configuration_that_a_weak_link_carries_slowly_is_heard():
     # All hosts have weak links, and callers fill those of the hosts that others ask. A
     # host's question for a large configuration took longer than it waits, was given up
