Leave an endpoint at once that a host's own reading lacks

After a failed call entries are waited for that lapsed while the store was away; but a host that reads for itself does so because its peers know more, so the store was not away.

Ruled out: that the request waited in the host's link, as the postmortem said first; the log shows that it was placed after the entry was found missing. Test fails before.

--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -103,7 +103,7 @@
                 pause_s = min(LAST_PAUSE_S, 2.0 * pause_s)
                 continue
             pause_s = FIRST_PAUSE_S
-            self._on_answered(kind)
+            self._on_answered(kind, reads_for_itself)
             found = result.unwrap()
             take(found, revision is None)
             revision = found.revision
@@ -166,12 +166,15 @@
             detail=error.detail,
         )
 
-    def _on_answered(self, kind):
+    def _on_answered(self, kind, reads_for_itself):
         context = self._context
         if kind in self._lost:
             self._lost.discard(kind)
             is_just_back = context.clock() - self._failed_s <= JUST_BACK_S
-            if kind == ENDPOINTS_KIND and is_just_back:
+            # A host that reads for itself has peers that saw the store all the while:
+            # what its list lacks has left, and must get no work for the grace besides.
+            waits = is_just_back and not reads_for_itself
+            if kind == ENDPOINTS_KIND and waits:
                 context.endpoints.on_store_returned(context.clock())
             context.log("info", "dependency_regained", dependency="store", kind=kind)
         self._answered.add(kind)
--- a/libs/entry/tests/test_large_configuration.py
+++ b/libs/entry/tests/test_large_configuration.py
@@ -89,6 +89,28 @@
     run(scenario())
 
 
+def test_an_endpoint_that_a_host_reads_is_gone_is_left_at_once():
+    # A host with a full link is told late of an endpoint that has left. It reads the
+    # store itself, which fails once and then shows that the entry is gone, and sends
+    # the endpoint new work for two seconds more: after a failed call it waits for
+    # entries that lapsed while the store was away. But its peers saw the store.
+    async def scenario():
+        async with one_seeing_one_not("127.0.0.1:9", "127.0.0.1:8") as two:
+            two.context.watches_store = lambda: False
+            await until(lambda: len(two.context.endpoints.states) == 2)
+            two.link.set_holds(False, True)
+            two.store.remove("servers", "e-1")
+            other = two.other_store
+            while other.revision <= two.store.revision:
+                other.put("servers", "e-0", entry("127.0.0.1:9", beat=other.revision))
+            await until(lambda: "news_overdue" in [event for event, _ in two.lines])
+            other.fault = ""
+            await until(lambda: two.context.endpoints.revision == other.revision)
+            assert list(two.context.endpoints.states) == ["e-0"]
+
+    run(scenario())
+
+
 def test_a_configuration_that_a_host_cannot_read_is_not_read_over_and_over():
     # Hosts are replaced by a newer release one by one, and an operator writes what only
     # the newer one understands. Each older host would read a megabyte from the store
