List an endpoint that a watching host keeps after a failed call of its own

The watching host's half of the fault before: it can't tell its own failed call from a store that was away for all.

--- a/libs/entry/tests/test_large_configuration.py
+++ b/libs/entry/tests/test_large_configuration.py
@@ -111,6 +111,25 @@
     run(scenario())
 
 
+def test_an_endpoint_is_left_at_once_by_a_watching_host_that_alone_lost_the_store():
+    # The same at a host that watches the store for others: a call of its own fails,
+    # for its full link, while its peers see the store. It waits for entries that never
+    # lapsed, and sends work to an endpoint that has left for two seconds more.
+    async def scenario():
+        async with one_seeing_one_not("127.0.0.1:9", "127.0.0.1:8") as two:
+            await until(lambda: len(two.context.endpoints.states) == 2)
+            two.link.set_holds(False, True)
+            two.store.remove("servers", "e-1")
+            other = two.other_store
+            while other.revision <= two.store.revision:
+                other.put("servers", "e-0", entry("127.0.0.1:9", beat=other.revision))
+            other.fault = ""
+            await until(lambda: two.context.endpoints.revision == other.revision)
+            assert list(two.context.endpoints.states) == ["e-0"]
+
+    run(scenario())
+
+
 def test_a_configuration_that_a_host_cannot_read_is_not_read_over_and_over():
     # Hosts are replaced by a newer release one by one, and an operator writes what only
     # the newer one understands. Each older host would read a megabyte from the store
