--- a/libs/entry/tests/test_large_configuration.py
+++ b/libs/entry/tests/test_large_configuration.py
@@ -89,6 +89,20 @@
     run(scenario())
 
 
+async def let_one_leave_unheard(two):
+    """Have one of two endpoints leave, and the second host hear nothing of it.
+
+    Return the store that shows it to that host, newer than all that it knows.
+    """
+    await until(lambda: len(two.context.endpoints.states) == 2)
+    two.link.set_holds(False, True)
+    two.store.remove("servers", "e-1")
+    other = two.other_store
+    while other.revision <= two.store.revision:
+        other.put("servers", "e-0", entry("127.0.0.1:9", beat=other.revision))
+    return other
+
+
 def test_an_endpoint_that_a_host_reads_is_gone_is_left_at_once():
     # A host with a full link is told late of an endpoint that has left. It reads the
     # store itself, which fails once and then shows that the entry is gone, and sends
@@ -97,12 +111,7 @@
     async def scenario():
         async with one_seeing_one_not("127.0.0.1:9", "127.0.0.1:8") as two:
             two.context.watches_store = lambda: False
-            await until(lambda: len(two.context.endpoints.states) == 2)
-            two.link.set_holds(False, True)
-            two.store.remove("servers", "e-1")
-            other = two.other_store
-            while other.revision <= two.store.revision:
-                other.put("servers", "e-0", entry("127.0.0.1:9", beat=other.revision))
+            other = await let_one_leave_unheard(two)
             await until(lambda: "news_overdue" in [event for event, _ in two.lines])
             other.fault = ""
             await until(lambda: two.context.endpoints.revision == other.revision)
@@ -117,12 +126,7 @@
     # lapsed, and sends work to an endpoint that has left for two seconds more.
     async def scenario():
         async with one_seeing_one_not("127.0.0.1:9", "127.0.0.1:8") as two:
-            await until(lambda: len(two.context.endpoints.states) == 2)
-            two.link.set_holds(False, True)
-            two.store.remove("servers", "e-1")
-            other = two.other_store
-            while other.revision <= two.store.revision:
-                other.put("servers", "e-0", entry("127.0.0.1:9", beat=other.revision))
+            other = await let_one_leave_unheard(two)
             other.fault = ""
             await until(lambda: two.context.endpoints.revision == other.revision)
             assert list(two.context.endpoints.states) == ["e-0"]
