Serve and call without aiohttp and sanic in the entry host

Ruled out: importing sanic after the callers' listener (as before) only moves the cost; httpx2 and its core take 0.08 to 0.10 s where aiohttp takes 0.16 to 0.21 s and httptools, which is loaded anyway, 0.01 to 0.02 s (whole interpreters, user time).

The connections to endpoints and the callers' listener, on httptools, already did all that is needed; they move to libs/http and serve the store, the peers, readiness, the directory and the metrics too.

Tests: libs/http/tests (moved), test_layout for the imports.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := ports process routing policy coordination objects peers daemon entry cli standins
+LIBS := ports http process routing policy coordination objects peers daemon entry cli standins
 PARTS := platform $(addprefix libs/,$(LIBS))
 STAMP := $(VENV)/.installed
 
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,7 +2,7 @@
 # Puts the entry host and the libraries that it runs on below target/deps.
 set -eu
 cd "$(dirname "$0")/.."
-parts="platform libs/ports libs/process libs/coordination libs/routing libs/entry"
+parts="platform libs/ports libs/http libs/process libs/coordination libs/routing libs/entry"
 installed=target/deps/.installed
 built=target/deps/.built
 if [ ! -e "$installed" ] || [ deploy/requirements.txt -nt "$installed" ]; then
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -4,9 +4,10 @@
 import random
 import time
 
-from gypsumusher_entry.endpoint_connections import EndpointPool
 from gypsumusher_entry.lag_watch import LagWatch
 from gypsumusher_entry.overdue import OverdueWatch
+from gypsumusher_http import ConnectionPool
+from gypsumusher_platform import decode_head
 from gypsumusher_ports import DecodeError
 from gypsumusher_routing import (
     ALL_ON,
@@ -28,6 +29,9 @@
 # For how long callers keep the list of hosts, in seconds. A stop waits for three times
 # as long, and a dead host is tried for that long; each caller asks once in this time.
 DIRECTORY_TTL_S = 1.0
+# A connection within a region opens in a few milliseconds; an opening packet that is
+# lost is sent again after a second, and another endpoint answers sooner than that.
+CONNECT_TIMEOUT_S = 0.35
 # Part of an endpoint's connections that all hosts together use: they don't agree on
 # their number at each moment, and a connection too many is reset.
 USED_CONNECTIONS_PART = 0.9
@@ -67,7 +71,7 @@
         self.endpoints = EndpointTable()
         self.hosts = HostTable(settings.name)
         self.lags = LagWatch(self)
-        self.pool = EndpointPool(clock, log)
+        self.pool = ConnectionPool(clock, decode_head, CONNECT_TIMEOUT_S)
         self.overdue = OverdueWatch(clock, log)
         # Engines that this host has ordered to change their stage, for the peers.
         self.ordered_stages = []
@@ -257,6 +261,26 @@
             return 0
         return int(USED_CONNECTIONS_PART * known.max_connections / self.hosts_count())
 
+    async def acquire(self, record, connections_max, is_fresh=False):
+        """Return a connection to one incarnation of an endpoint.
+
+        Parameters
+        ----------
+        record : EndpointRecord
+            The endpoint.
+        connections_max : int
+            Connections that this host may have there.
+        is_fresh : bool
+            Whether a kept connection won't do.
+
+        Raises
+        ------
+        CallError
+            When none can be had; nothing was sent then.
+        """
+        key = (*record.incarnation, record.address)
+        return await self.pool.acquire(key, record.address, connections_max, is_fresh)
+
     def note_placement(self, state, parts, wait_s=0.0):
         """Note that an engine keeps parts of a prompt, here and for the peers.
 
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError, OverloadedError
+from gypsumusher_entry.errors import OverloadedError
 from gypsumusher_entry.service_exchange import serve_from_service
 from gypsumusher_entry.stream_exchange import serve_stream
+from gypsumusher_http import CallError
 from gypsumusher_platform import encode_refusal
 from gypsumusher_ports import STREAM, Refusal
 from gypsumusher_routing import (
@@ -156,7 +157,7 @@
         ----------
         failed_answer : (AnswerHead, bytes) or None
             An endpoint's own failure; it is passed on where nothing has been yet.
-        error : EndpointError or None
+        error : CallError or None
             How the last send failed; None when there was nowhere to send.
         retry_after_s : float
             When to come back, in seconds.
@@ -226,7 +227,7 @@
         # By then the backlog has gone so far that it would begin within its limit.
         wait_s = error.expected_s - OVERLOAD_PART * error.limit_s
         exchange.refuse(503, "overloaded", max(LEAST_RETRY_S, wait_s))
-    except EndpointError as error:
+    except CallError as error:
         exchange.refuse(503, error.reason, NO_ENDPOINT_RETRY_S)
 
 
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 
-from gypsumusher_entry.caller_connections import CallerListener
 from gypsumusher_entry.context import Context
 from gypsumusher_entry.exchange import create_handler
 from gypsumusher_entry.following import StoreFollower
@@ -14,7 +13,9 @@
 from gypsumusher_entry.registration import Registration
 from gypsumusher_entry.stage_lease import StageLease
 from gypsumusher_entry.stage_orders import StageOrders
-from gypsumusher_platform import StoreClient
+from gypsumusher_entry.web import create_web_handler
+from gypsumusher_http import Listener
+from gypsumusher_platform import StoreClient, decode_request, encode_refusal
 from gypsumusher_routing import ALL_ON
 
 __all__ = ["EntryHost"]
@@ -31,8 +32,6 @@
 # seconds: a refused connection sends a caller on at once, while a refusal costs it one
 # of its few tries; but with the store away everywhere, somebody has to answer.
 START_PATIENCE_S = 3.0
-# The store answers in milliseconds when it answers.
-FIRST_WAIT_S = 0.3
 POLL_S = 0.02
 
 
@@ -56,7 +55,7 @@
         self.context = Context(settings, clock, log, Metrics(), policy)
         self.log = log
         self._metrics_port = metrics_port
-        self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S)
+        self._store = StoreClient(settings.store_address, STORE_TIMEOUT_S, clock)
         self._follower = StoreFollower(self.context, self._store)
         self._registration = Registration(self.context, self._store)
         self._peer_beliefs = PeerBeliefs(self.context)
@@ -65,8 +64,10 @@
         lease = StageLease(self.context, self._store, _clock_with_sleep)
         self.context.stage_lease = lease
         self._stage_orders = StageOrders(self.context, lease)
-        self._web = None
-        self._listener = CallerListener(create_handler(self.context), clock, log)
+        codecs = decode_request, encode_refusal
+        web_handler = create_web_handler(self.context)
+        self._web = Listener(web_handler, *codecs, clock, log)
+        self._listener = Listener(create_handler(self.context), *codecs, clock, log)
 
     async def start(self):
         """Start all parts; callers are taken once there is a configuration.
@@ -83,42 +84,38 @@
         )
         await self.context.overdue.start()
         await self.context.lags.start()
-        await self._store.start()
         await self._gossip.start()
         await self._follower.start()
         await self._registration.start()
         await self._peer_beliefs.start()
-        # After the loss of all hosts each tenth of a second here costs callers their
-        # requests, and loading the web library takes about that long: where the
-        # configuration comes at once, callers are taken first.
-        bound = None
-        if not await self._wait_for_configuration(FIRST_WAIT_S):
-            bound = await self._start_web()
-            await self._wait_for_configuration(START_PATIENCE_S)
+        # Peers and callers that ask for hosts are answered meanwhile; the callers'
+        # listener opens once there is a configuration.
+        bound = await self._start_web()
+        await self._wait_for_configuration(START_PATIENCE_S)
         ip, _, port = settings.callers_address.rpartition(":")
         real_port = await self._listener.start(ip, int(port))
         self._gossip.tell_now()
         await self._kept_parts.start()
         await self.context.stage_lease.start()
         await self._stage_orders.start()
-        bound = bound or await self._start_web()
         return {"callers": f"{ip}:{real_port}", **bound}
 
     async def _start_web(self):
         """Start the other listeners; return their addresses by name."""
-        from gypsumusher_entry.web import WebListeners
-
         settings = self.context.settings
-        addresses = [
-            settings.ready_address,
-            settings.directory_address,
-            settings.peers_address,
-        ]
+        addresses = {
+            "ready": settings.ready_address,
+            "directory": settings.directory_address,
+            "peers": settings.peers_address,
+        }
         if self._metrics_port is not None:
-            addresses.append(f"{settings.ip}:{self._metrics_port}")
-        self._web = WebListeners(self.context)
-        bound = await self._web.start(addresses)
-        return dict(zip(("ready", "directory", "peers"), bound[:3], strict=True))
+            addresses["metrics"] = f"{settings.ip}:{self._metrics_port}"
+        bound = {}
+        for name, address in addresses.items():
+            ip, _, port = address.rpartition(":")
+            real_port = await self._web.start(ip, int(port))
+            bound[name] = f"{ip}:{real_port}"
+        return bound
 
     def reload(self, settings):
         """Take over bounds and seeds; addresses stay until the next start.
@@ -175,8 +172,7 @@
         await self._listener.close()
         await self._peer_beliefs.close()
         await self._gossip.close()
-        if self._web is not None:
-            await self._web.close()
+        await self._web.close()
         await self.context.close()
         await self._store.close()
 
--- a/libs/entry/gypsumusher_entry/kept_parts.py
+++ b/libs/entry/gypsumusher_entry/kept_parts.py
@@ -7,8 +7,8 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError
 from gypsumusher_entry.sending import ask_engine
+from gypsumusher_http import CallError
 from gypsumusher_platform import decode_kept_parts, encode_kept_parts_call
 from gypsumusher_ports import DecodeError
 
@@ -61,7 +61,7 @@
         try:
             reply = await ask_engine(context, record, call, ANSWER_TIMEOUT_S)
             parts = decode_kept_parts(record.endpoint_id, reply.body)
-        except (EndpointError, DecodeError, TimeoutError) as error:
+        except (CallError, DecodeError, TimeoutError) as error:
             # Without its list the engine is used as if it kept nothing.
             context.log(
                 "info",
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -7,12 +7,10 @@
 
 import asyncio
 
-import aiohttp
-
 from gypsumusher_entry.belief_messages import BELIEFS_MAX_BYTES, decode_beliefs
 from gypsumusher_entry.following import take_configuration
 from gypsumusher_entry.lag_watch import CONFIGURATION
-from gypsumusher_platform import BodyLimits, read_answer
+from gypsumusher_http import Caller, CallError, CallLimits
 from gypsumusher_ports import DecodeError
 
 __all__ = ["BELIEFS_PATH", "PeerBeliefs"]
@@ -37,7 +35,7 @@
 # won by beginning another one over the same link; see `LagWatch` for what is done
 # besides once it is overdue.
 WHOLE_S = 4.0
-ANSWER_LIMITS = BodyLimits(SILENCE_S, SILENCE_S, WHOLE_S, BELIEFS_MAX_BYTES)
+ANSWER_LIMITS = CallLimits(SILENCE_S, SILENCE_S, WHOLE_S, BELIEFS_MAX_BYTES)
 # A peer that gave no answer isn't asked again for so long, in seconds, while another
 # one knows as much.
 FAILED_PAUSE_S = 2.0
@@ -54,21 +52,19 @@
 
     def __init__(self, context):
         self._context = context
-        self._session = None
+        self._caller = Caller(context.clock)
         self._task = None
         self._failed_s = {}
 
     async def start(self):
         """Begin to look after the store's silence."""
-        self._session = aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar())
         self._task = self._context.spawn(self._run())
 
     async def close(self):
         """Stop, and close the connections."""
         if self._task is not None:
             self._task.cancel()
-        if self._session is not None:
-            await self._session.close()
+        self._caller.close()
 
     async def _run(self):
         context = self._context
@@ -116,7 +112,7 @@
         began_s = context.clock()
         try:
             beliefs = await self._fetch(peer)
-        except (aiohttp.ClientError, DecodeError, TimeoutError, OSError) as error:
+        except (CallError, DecodeError, TimeoutError) as error:
             context.log(
                 "warning",
                 "peer_not_heard",
@@ -143,9 +139,8 @@
             "version": str(context.configuration_version),
             "revision": str(context.endpoints.revision),
         }
-        url = f"http://{peer.peers_address}{BELIEFS_PATH}"
-        _, data = await read_answer(
-            self._session, "GET", url, ANSWER_LIMITS, params=known
+        _, data = await self._caller.call(
+            "GET", peer.peers_address, BELIEFS_PATH, ANSWER_LIMITS, known
         )
         return decode_beliefs(peer.name, data)
 
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError, OverloadedError
+from gypsumusher_entry.errors import OverloadedError
 from gypsumusher_entry.sending import ask_engine, note_failure, open_send
+from gypsumusher_http import CallError
 from gypsumusher_platform import decode_prefill, encode_free_handle
 from gypsumusher_ports import DecodeError, Send
 from gypsumusher_routing import (
@@ -53,7 +54,7 @@
         call = encode_free_handle(record.address, self.handle)
         try:
             await ask_engine(context, record, call, FREE_TIMEOUT_S)
-        except (EndpointError, TimeoutError) as error:
+        except (CallError, TimeoutError) as error:
             # It lapses by itself; until then it takes memory from others.
             context.log(
                 "info",
@@ -134,10 +135,10 @@
             answer = await _ask(exchange, state, send)
     except TimeoutError:
         reason = "behind" if state.has_answered_since(began_s) else "silent"
-        error = EndpointError("prefill", state.record.address, reason, False)
+        error = CallError("prefill", state.record.address, reason, False)
         note_failure(exchange, state, error, waited_s=limit_s)
         return None
-    except EndpointError as error:
+    except CallError as error:
         note_failure(exchange, state, error)
         return None
     finally:
@@ -195,8 +196,8 @@
         exchange.context.endpoints.on_wrong_endpoint(state.record.endpoint_id)
     if head.status != 200:
         reason = "full" if head.is_not_run else f"status_{head.status}"
-        raise EndpointError("prefill", peer, reason, False)
+        raise CallError("prefill", peer, reason, False)
     try:
         return decode_prefill(peer, body)
     except DecodeError as error:
-        raise EndpointError("prefill", peer, "garbled", False) from error
+        raise CallError("prefill", peer, "garbled", False) from error
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
-from gypsumusher_entry.errors import EndpointError
+from gypsumusher_http import CallError
 from gypsumusher_platform import encode_send
 from gypsumusher_ports import ANY_TIMES
 
@@ -52,16 +52,16 @@
 
     Raises
     ------
-    EndpointError
+    CallError
         When nothing was sent.
     """
     context, record = exchange.context, state.record
     limit = context.connections_max(record.service)
     is_fresh = state.health.penalty(context.clock()) >= FRESH_FROM_PENALTY
-    connection = await context.pool.acquire(record, limit, is_fresh)
+    connection = await context.acquire(record, limit, is_fresh)
     if not context.endpoints.is_current(state):
         context.pool.keep(connection)
-        raise EndpointError("connect", record.address, "left", False)
+        raise CallError("connect", record.address, "left", False)
     exchange.sends += 1
     if not send.is_prefill:
         # Counted before the first byte: from here on only the endpoint's own word
@@ -86,7 +86,7 @@
 
     Raises
     ------
-    EndpointError
+    CallError
         When nothing ran, or when it looks like a success that the endpoint didn't make.
     """
     record = state.record
@@ -94,10 +94,10 @@
         exchange.context.endpoints.on_wrong_endpoint(record.endpoint_id)
     if head.is_not_run:
         exchange.possible_runs -= 1
-        raise EndpointError("run", record.address, "full", False)
+        raise CallError("run", record.address, "full", False)
     is_success = 200 <= head.status < 300
     if is_success and (not head.is_sealed or head.is_encoded):
-        raise EndpointError("run", record.address, "garbled", True)
+        raise CallError("run", record.address, "garbled", True)
 
 
 async def ask_engine(context, record, call, timeout_s):
@@ -120,14 +120,14 @@
 
     Raises
     ------
-    EndpointError, TimeoutError
+    CallError, TimeoutError
         When no whole answer came.
     """
     answer = None
     try:
         async with asyncio.timeout(timeout_s):
             limit = context.connections_max(record.service)
-            connection = await context.pool.acquire(record, limit)
+            connection = await context.acquire(record, limit)
             answer = connection.send(call, None)
             head = await answer.head()
             return EngineReply(head.status, await answer.body())
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -3,13 +3,13 @@
 import asyncio
 from typing import NamedTuple
 
-from gypsumusher_entry.errors import EndpointError
 from gypsumusher_entry.sending import (
     check_head,
     may_retry_run,
     note_failure,
     open_send,
 )
+from gypsumusher_http import CallError
 from gypsumusher_ports import ANY_TIMES, AnswerHead, Send
 from gypsumusher_routing import EndpointState, choose_endpoint
 
@@ -33,7 +33,7 @@
     state: EndpointState
     head: AnswerHead | None
     body: bytes
-    error: EndpointError | None
+    error: CallError | None
 
 
 async def serve_from_service(exchange):
@@ -180,7 +180,7 @@
         body = await answer.body()
         check_head(exchange, state, head)
         return _Result(state, head, body, None)
-    except EndpointError as error:
+    except CallError as error:
         return _Result(state, None, b"", error)
     finally:
         state.own_running -= 1
--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError
 from gypsumusher_entry.sending import ask_engine
+from gypsumusher_http import CallError
 from gypsumusher_platform import (
     decode_order_status,
     decode_report,
@@ -173,7 +173,7 @@
         try:
             reply = await ask_engine(self._context, record, call, CALL_TIMEOUT_S)
             return decode_report(record.endpoint_id, reply.body)
-        except (EndpointError, DecodeError, TimeoutError) as error:
+        except (CallError, DecodeError, TimeoutError) as error:
             self._context.log(
                 "info",
                 "engine_report_missing",
@@ -200,7 +200,7 @@
         try:
             reply = await ask_engine(context, record, call, CALL_TIMEOUT_S)
             outcome, detail = decode_order_status(reply.status), None
-        except (EndpointError, TimeoutError) as error:
+        except (CallError, TimeoutError) as error:
             outcome, detail = OrderOutcome.UNKNOWN, str(error) or "timeout"
         order.on_answer(outcome)
         context.log(
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import EndpointError, OverloadedError
+from gypsumusher_entry.errors import OverloadedError
 from gypsumusher_entry.reading import learn_reading, read_prompt
 from gypsumusher_entry.sending import (
     check_head,
@@ -10,6 +10,7 @@
     note_failure,
     open_send,
 )
+from gypsumusher_http import CallError
 from gypsumusher_ports import Send
 from gypsumusher_routing import (
     HOPELESS,
@@ -163,7 +164,7 @@
         try:
             answer = await open_send(exchange, state, send)
             await self._pass_on(answer, run, wait)
-        except EndpointError as error:
+        except CallError as error:
             note_failure(exchange, state, error, kv_source=send.kv_source)
             if prompt is not None and not error.may_have_run:
                 # Not taken: another engine may still have it, or it is to be freed.
@@ -184,7 +185,7 @@
 
         Raises
         ------
-        EndpointError
+        CallError
             When it isn't a whole stream.
         """
         exchange = self._exchange
@@ -223,7 +224,7 @@
                 return await answer.head()
         except TimeoutError as error:
             peer = run.state.record.address
-            raise EndpointError("run", peer, "silent", True) from error
+            raise CallError("run", peer, "silent", True) from error
 
     async def _pass_failure_on(self, answer, head, peer):
         """Pass an endpoint's own failure on, unless another one may do better."""
@@ -231,7 +232,7 @@
         body = await answer.body()
         if exchange.reply.is_started or head.status >= 500:
             self._failed_answer = (head, body)
-            raise EndpointError("run", peer, f"status_{head.status}", True)
+            raise CallError("run", peer, f"status_{head.status}", True)
         exchange.deliver(head, body)
 
     def _pass_event_on(self, head, event, run):
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -1,107 +1,83 @@
-"""The listeners that answer in one piece: readiness, directory, peers, metrics."""
+"""What is answered in one piece: readiness, hosts to use, beliefs, metrics."""
 
-import itertools
-import socket
-
-from sanic import Sanic
-from sanic.response import json, raw
+import json
+from urllib.parse import parse_qs
 
 from gypsumusher_entry.belief_messages import BeliefEncoder, Beliefs
 from gypsumusher_entry.peer_beliefs import BELIEFS_PATH
 from gypsumusher_platform import READY_PATH, RESOLVE_PATH, encode_hosts
 
-__all__ = ["WebListeners"]
+__all__ = ["create_web_handler"]
 
-BACKLOG = 256
-_numbers = itertools.count()
+_JSON = ("Content-Type", "application/json")
+_MSGPACK = ("Content-Type", "application/msgpack")
 
 
-class WebListeners:
-    """One sanic application on several addresses.
+def create_web_handler(context):
+    """Return the coroutine that answers one request.
 
     Parameters
     ----------
     context : Context
         What is answered from.
+
+    Returns
+    -------
+    callable
+        ``handle(request, reply)``.
     """
+    encoder = BeliefEncoder()
 
-    def __init__(self, context):
-        self._context = context
-        self._servers = []
-        self._app = _create_app(context)
-
-    async def start(self, addresses):
-        """Listen on each of the addresses ``ip:port``; return them with real ports."""
-        bound = []
-        for address in addresses:
-            ip, _, port = address.rpartition(":")
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind((ip, int(port)))
-            server = await self._app.create_server(
-                sock=sock,
-                backlog=BACKLOG,
-                return_asyncio_server=True,
-                access_log=False,
-            )
-            if not self._servers:
-                await server.startup()
-            self._servers.append(server)
-            bound.append(f"{ip}:{sock.getsockname()[1]}")
-        return bound
-
-    async def close(self):
-        """Stop listening."""
-        for server in self._servers:
-            await server.close()
-
-
-def _create_app(context):
-    """Return the application."""
-    # The library keeps all applications of a process by name.
-    name = f"gypsumusher-{next(_numbers)}"
-    # Its usual configuration reads the environment and prints a banner.
-    app = Sanic(name, configure_logging=False, env_prefix="GYPSUMUSHER_WEB_")
-    app.config.MOTD = False
-    app.config.ACCESS_LOG = False
-    app.config.KEEP_ALIVE_TIMEOUT = 30
-    # Its rewriting of its own methods fails at a second listener.
-    app.config.TOUCHUP = False
-
-    @app.get(READY_PATH)
-    async def ready(request):
+    def answer_ready(_):
         status = 200 if context.is_ready else 503
-        return json({"ready": context.is_ready}, status=status)
+        return status, [_JSON], _encode_json({"ready": context.is_ready})
 
-    @app.get(RESOLVE_PATH)
-    async def resolve(request):
+    def answer_hosts(_):
         addresses = [news.callers_address for news in context.active_hosts()]
         if not addresses:
             addresses = [context.settings.callers_address]
         addresses.sort(key=lambda _: context.draw())
-        ttl_s = context.directory_ttl_s()
-        return json(encode_hosts(addresses, ttl_s))
-
-    encoder = BeliefEncoder()
+        hosts = encode_hosts(addresses, context.directory_ttl_s())
+        return 200, [_JSON], _encode_json(hosts)
 
-    @app.get(BELIEFS_PATH)
-    async def beliefs(request):
-        version = _known_number(request, "version")
-        revision = _known_number(request, "revision")
+    def answer_beliefs(query):
+        version = _known_number(query, "version")
+        revision = _known_number(query, "revision")
         body = encoder.encode(_beliefs_beyond(context, version, revision))
-        return raw(body, content_type="application/msgpack")
+        return 200, [_MSGPACK], body
 
-    @app.get("/metrics")
-    async def metrics(request):
+    def answer_metrics(_):
         body, headers = context.metrics.render()
-        return raw(body, headers=headers)
+        return 200, headers.items(), body
+
+    answers = {
+        READY_PATH: answer_ready,
+        RESOLVE_PATH: answer_hosts,
+        BELIEFS_PATH: answer_beliefs,
+        "/metrics": answer_metrics,
+    }
+
+    async def handle(request, reply):
+        path, _, query = request.target.partition("?")
+        answer = answers.get(path)
+        if answer is None:
+            reply.send_whole(404, [_JSON], _encode_json({"error": "no such path"}))
+            return
+        if request.method not in ("GET", "HEAD"):
+            reply.send_whole(405, [("Allow", "GET, HEAD")], b"")
+            return
+        reply.send_whole(*answer(query))
+
+    return handle
+
 
-    return app
+def _encode_json(value):
+    return json.dumps(value).encode()
 
 
-def _known_number(request, name):
+def _known_number(query, name):
     """Return a number that the asking host gives, -1 when it gives none."""
-    text = request.args.get(name, "")
+    text = parse_qs(query).get(name, [""])[0]
     return int(text) if text.isascii() and text.isdigit() else -1
 
 
--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -1,8 +1,8 @@
-"""Connections to endpoints: kept, checked by each answer's id, and bounded in number.
+"""Connections to other processes: kept, bounded in number, one request at a time.
 
-aiohttp calls the platform's store. It can't keep the promises of this side: an endpoint
-may send an old answer where the next one is due, and only reading past it, to the
-answer that bears the request's id, serves a request that must not be sent again.
+An endpoint may send an old answer where the next one is due, and only reading past it,
+to the answer that bears the request's id, serves a request that must not be sent again.
+No client library that we know of does so.
 """
 
 import asyncio
@@ -11,17 +11,13 @@
 
 import httptools
 
-from gypsumusher_entry.errors import EndpointError
-from gypsumusher_platform import decode_head
+from gypsumusher_http.errors import CallError
 
-__all__ = ["Answer", "EndpointPool"]
+__all__ = ["Answer", "ConnectionPool"]
 
-# A connection within a region opens in a few milliseconds; an opening packet that is
-# lost is sent again after a second, and another endpoint answers sooner than that.
-CONNECT_TIMEOUT_S = 0.35
 # Without an announced limit an idle connection is used for this long, in seconds.
 IDLE_LIMIT_S = 4.0
-# An announced limit is in whole seconds and counts from the endpoint's last byte; the
+# An announced limit is in whole seconds and counts from the other side's last byte; the
 # request has to arrive before it.
 IDLE_MARGIN_S = 0.6
 # Answers of other requests that are read past on one connection. One is the usual
@@ -30,7 +26,7 @@
 # TCP probes on idle connections, in seconds: a connection that has gone silent without
 # a reset is closed before a request is lost on it.
 PROBE_IDLE_S, PROBE_INTERVAL_S, PROBE_COUNT = 1, 1, 2
-# Connections to one endpoint that a host may have in any case.
+# Connections to one process that a host may have in any case.
 MIN_CONNECTIONS = 4
 _NO_BODY_STATUS = (204, 304)
 
@@ -40,7 +36,7 @@
 
     Parameters
     ----------
-    connection : _EndpointConnection
+    connection : _Connection
         Where it comes from.
     request_id : str or None
         Id that it must bear; None takes any.
@@ -62,7 +58,7 @@
 
         Raises
         ------
-        EndpointError
+        CallError
             When the connection breaks before it.
         """
         return await asyncio.shield(self._head)
@@ -72,7 +68,7 @@
 
         Raises
         ------
-        EndpointError
+        CallError
             When the answer ends before its end.
         """
         while not self._chunks:
@@ -129,8 +125,8 @@
             self._waiter.set_result(None)
 
 
-class _EndpointConnection(asyncio.Protocol):
-    """One connection to an endpoint; one request at a time."""
+class _Connection(asyncio.Protocol):
+    """One connection; one request at a time."""
 
     def __init__(self, pool, key, address):
         self.key = key
@@ -243,7 +239,7 @@
         if status < 200:
             self._is_skipping = True
             return
-        head = decode_head(status, self._headers)
+        head = self._pool.decode_head(status, self._headers)
         self._is_skipping = self._is_strange(head)
         if self._is_skipping:
             self._strange_answers += 1
@@ -291,35 +287,41 @@
             self._is_spoilt = False
 
     def _fail(self, reason):
-        error = EndpointError("run", self.address, reason, True)
+        error = CallError("run", self.address, reason, True)
         self._answer.on_failed(error)
 
 
-class EndpointPool:
-    """The connections of this host to all endpoints.
+class ConnectionPool:
+    """The connections of this host to other processes.
 
     Parameters
     ----------
     clock : callable
         Steady clock in seconds.
-    log : callable
-        Structured log.
+    decode_head : callable
+        ``decode_head(status, headers)`` returns the typed head of an answer; it has a
+        ``request_id``, None where answers bear none.
+    connect_timeout_s : float
+        Longest time to open a connection, in seconds.
     """
 
-    def __init__(self, clock, log):
+    def __init__(self, clock, decode_head, connect_timeout_s):
         self._clock = clock
-        self._log = log
+        self.decode_head = decode_head
+        self._connect_timeout_s = connect_timeout_s
         self._idle = {}
         self._open = {}
         self.opened = 0
 
-    async def acquire(self, record, connections_max, is_fresh=False):
-        """Return a connection to one incarnation of an endpoint.
+    async def acquire(self, key, address, connections_max, is_fresh=False):
+        """Return a connection to one process.
 
         Parameters
         ----------
-        record : EndpointRecord
-            The endpoint.
+        key : hashable
+            The process; one that comes later at the same address has another key.
+        address : str
+            Its ``ip:port``.
         connections_max : int
             Connections that this host may have there.
         is_fresh : bool
@@ -327,10 +329,9 @@
 
         Raises
         ------
-        EndpointError
+        CallError
             When none can be had; nothing was sent then.
         """
-        key = (*record.incarnation, record.address)
         idle = self._idle.get(key, [])
         now_s = self._clock()
         while idle and not is_fresh:
@@ -342,8 +343,8 @@
                 continue
             return connection
         if len(self._open.get(key, ())) >= max(MIN_CONNECTIONS, connections_max):
-            raise EndpointError("connect", record.address, "no_connection", False)
-        return await self._connect(key, record.address)
+            raise CallError("connect", address, "no_connection", False)
+        return await self._connect(key, address)
 
     def keep(self, connection):
         """Take back a connection whose answer was whole."""
@@ -379,15 +380,15 @@
     async def _connect(self, key, address):
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        connection = _EndpointConnection(self, key, address)
+        connection = _Connection(self, key, address)
         self._open.setdefault(key, []).append(connection)
         self.opened += 1
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with asyncio.timeout(self._connect_timeout_s):
                 await loop.create_connection(lambda: connection, ip, int(port))
         except (OSError, TimeoutError) as error:
             self.forget(connection)
-            raise EndpointError("connect", address, "connect", False) from error
+            raise CallError("connect", address, "connect", False) from error
         except asyncio.CancelledError:
             self.forget(connection)
             connection.abort()
--- a/libs/entry/gypsumusher_entry/caller_connections.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -1,8 +1,7 @@
-"""The callers' listener: HTTP/1.1 connections, one request after the other.
+"""Listeners: HTTP/1.1 connections, one request after the other.
 
-sanic serves the other listeners. It can't keep this one's promises: it takes
-``Content-Length : 5`` for no length and the body behind it for another request, which
-would run a request that no caller sent (`test_caller_connections.py` shows both).
+sanic takes ``Content-Length : 5`` for no length and the body behind it for another
+request, which would run a request that no caller sent (`test_listener.py` shows both).
 llhttp, by way of httptools, refuses such a header.
 """
 
@@ -11,10 +10,9 @@
 
 import httptools
 
-from gypsumusher_platform import decode_request, encode_refusal
 from gypsumusher_ports import Refusal
 
-__all__ = ["CallerListener", "Reply"]
+__all__ = ["Listener", "Reply"]
 
 # Requests that a caller may send ahead on one connection. Reading stops behind them,
 # and with it the notice of the caller's leaving, so it is more than clients use.
@@ -34,6 +32,7 @@
     204: b"No Content",
     400: b"Bad Request",
     404: b"Not Found",
+    405: b"Method Not Allowed",
     408: b"Request Timeout",
     413: b"Content Too Large",
     429: b"Too Many Requests",
@@ -50,7 +49,7 @@
 
     Parameters
     ----------
-    connection : _CallerConnection
+    connection : _Connection
         Where it goes.
     keeps_alive : bool
         Whether the caller wants to use the connection again.
@@ -124,7 +123,7 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
-class _CallerConnection(asyncio.Protocol):
+class _Connection(asyncio.Protocol):
     """One connection of a caller."""
 
     def __init__(self, listener):
@@ -223,7 +222,8 @@
             return
         method = self._parser.get_method().decode("latin-1")
         target = self._target.decode("latin-1")
-        request = decode_request(method, target, self._headers, bytes(self._body))
+        decode = self._listener.decode_request
+        request = decode(method, target, self._headers, bytes(self._body))
         reply = Reply(self, self._parser.should_keep_alive(), method == "HEAD")
         self._body = bytearray()
         self._ahead.append((request, reply))
@@ -294,24 +294,30 @@
         if self._task is not None:
             # An answer is under way; it is finished, then the connection closes.
             return
-        headers, body = encode_refusal(refusal, "")
+        headers, body = self._listener.encode_refusal(refusal, "")
         Reply(self, False, False).send_whole(refusal.status, headers, body)
         self.close()
 
 
-class CallerListener:
-    """Listens for callers.
+class Listener:
+    """Listens for callers, on one or more addresses.
 
     Parameters
     ----------
     handle : callable
         Coroutine ``handle(request, reply)``; cancelled when the caller leaves.
+    decode_request : callable
+        ``decode_request(method, target, headers, body)`` returns the typed request.
+    encode_refusal : callable
+        ``encode_refusal(refusal, request_id)`` returns headers and body of a refusal.
     clock, log : callable
         Steady clock in seconds, and structured log.
     """
 
-    def __init__(self, handle, clock, log):
+    def __init__(self, handle, decode_request, encode_refusal, clock, log):
         self.handle = handle
+        self.decode_request = decode_request
+        self.encode_refusal = encode_refusal
         self.clock = clock
         self.log = log
         self.connections = set()
@@ -320,7 +326,7 @@
         self.body_bytes_max = FIRST_BODY_BYTES
         self._idle_s = FIRST_IDLE_S
         self._header_s = FIRST_HEADER_S
-        self._server = None
+        self._servers = []
         self._sweeper = None
 
     async def start(self, ip, port):
@@ -332,11 +338,13 @@
             The port.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _CallerConnection(self), ip, port, backlog=BACKLOG
+        server = await loop.create_server(
+            lambda: _Connection(self), ip, port, backlog=BACKLOG
         )
-        self._sweeper = asyncio.ensure_future(self._sweep())
-        return self._server.sockets[0].getsockname()[1]
+        self._servers.append(server)
+        if self._sweeper is None:
+            self._sweeper = asyncio.ensure_future(self._sweep())
+        return server.sockets[0].getsockname()[1]
 
     def set_limits(self, limits):
         """Take over the operator's limits."""
@@ -347,8 +355,8 @@
 
     def stop_accepting(self):
         """Take no new connection, and close those that are idle."""
-        if self._server is not None:
-            self._server.close()
+        for server in self._servers:
+            server.close()
         for connection in list(self.connections):
             if connection.is_idle:
                 connection.close()
--- a/libs/entry/tests/test_endpoint_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -1,23 +1,32 @@
 """Answers of endpoints that fail, cross or end in odd ways."""
 
 import asyncio
+from typing import NamedTuple
 
 import pytest
 from replies import ScriptedEndpoint, answer_to, request_id_of
 
-from gypsumusher_entry.endpoint_connections import EndpointPool
-from gypsumusher_entry.errors import EndpointError
-from gypsumusher_ports import EndpointRecord
+from gypsumusher_http import CallError, ConnectionPool
+from gypsumusher_platform import decode_head
 
 
 def run(coroutine):
     return asyncio.run(asyncio.wait_for(coroutine, 20))
 
 
-def record_of(address, started_ms=1):
-    return EndpointRecord(
-        "e-1", started_ms, "svc", address, "zone-a", 6, False, 0.0, None, 1
-    )
+CONNECT_TIMEOUT_S = 0.35
+
+
+class Process(NamedTuple):
+    """One life of a process that is called."""
+
+    key: str
+    address: str
+
+
+def create_pool():
+    clock = asyncio.get_running_loop().time
+    return ConnectionPool(clock, decode_head, CONNECT_TIMEOUT_S)
 
 
 def request_bytes(request_id):
@@ -26,8 +35,8 @@
     ).encode()
 
 
-async def ask(pool, record, request_id):
-    connection = await pool.acquire(record, 10)
+async def ask(pool, process, request_id):
+    connection = await pool.acquire(*process, 10)
     answer = connection.send(request_bytes(request_id), request_id)
     try:
         head = await answer.head()
@@ -41,11 +50,10 @@
 
     def __init__(self, script):
         self.endpoint = ScriptedEndpoint(script)
-        loop = asyncio.get_running_loop()
-        self.pool = EndpointPool(loop.time, lambda *args, **fields: None)
+        self.pool = create_pool()
 
     async def __aenter__(self):
-        self.record = record_of(await self.endpoint.start())
+        self.process = Process("e-1", await self.endpoint.start())
         return self
 
     async def __aexit__(self, *_):
@@ -65,8 +73,8 @@
 
     async def scenario():
         async with Setting(script) as setting:
-            assert (await ask(setting.pool, setting.record, "first"))[1] == b"first"
-            assert (await ask(setting.pool, setting.record, "second"))[1] == b"second"
+            assert (await ask(setting.pool, setting.process, "first"))[1] == b"first"
+            assert (await ask(setting.pool, setting.process, "second"))[1] == b"second"
             assert setting.endpoint.connections == 1
 
     run(scenario())
@@ -82,7 +90,7 @@
     async def scenario():
         async with Setting(script) as setting:
             for name in ("first", "second"):
-                head, body = await ask(setting.pool, setting.record, name)
+                head, body = await ask(setting.pool, setting.process, name)
                 assert (head.request_id, body) == (name, b"whole")
             assert setting.endpoint.connections == 2
 
@@ -100,8 +108,8 @@
 
     async def scenario():
         async with Setting(script) as setting:
-            with pytest.raises(EndpointError) as caught:
-                await ask(setting.pool, setting.record, "r")
+            with pytest.raises(CallError) as caught:
+                await ask(setting.pool, setting.process, "r")
             assert (caught.value.reason, caught.value.may_have_run) == ("broken", True)
 
     run(scenario())
@@ -114,7 +122,7 @@
 
     async def scenario():
         async with Setting(script) as setting:
-            assert (await ask(setting.pool, setting.record, "r"))[1] == b"whole"
+            assert (await ask(setting.pool, setting.process, "r"))[1] == b"whole"
 
     run(scenario())
 
@@ -154,7 +162,7 @@
     # half an answer as a whole one. The socket's pending error tells the two apart.
     async def scenario():
         loop = asyncio.get_running_loop()
-        pool = EndpointPool(loop.time, lambda *args, **fields: None)
+        pool = create_pool()
 
         async def no_connection(factory, ip, port):
             connection = factory()
@@ -162,12 +170,12 @@
             return None, connection
 
         loop.create_connection = no_connection
-        connection = await pool.acquire(record_of("127.0.0.1:1"), 10)
+        connection = await pool.acquire("e-1", "127.0.0.1:1", 10)
         answer = connection.send(b"", "r")
         connection.data_received(answer_to("r", b"ha", framing="Connection: close"))
         connection.eof_received()
         connection.connection_lost(None)
-        with pytest.raises(EndpointError):
+        with pytest.raises(CallError):
             await answer.body()
 
     run(scenario())
@@ -182,9 +190,9 @@
 
     async def scenario():
         async with Setting(script) as setting:
-            await ask(setting.pool, setting.record, "first")
+            await ask(setting.pool, setting.process, "first")
             await asyncio.sleep(0.6)
-            await ask(setting.pool, setting.record, "second")
+            await ask(setting.pool, setting.process, "second")
             assert setting.endpoint.connections == 2
 
     run(scenario())
@@ -198,8 +206,8 @@
 
     async def scenario():
         async with Setting(script) as setting:
-            await ask(setting.pool, setting.record, "first")
-            again = setting.record._replace(started_ms=2)
+            await ask(setting.pool, setting.process, "first")
+            again = setting.process._replace(key="e-1 again")
             await ask(setting.pool, again, "second")
             assert setting.endpoint.connections == 2
 
@@ -208,10 +216,9 @@
 
 def test_a_refused_connection_is_told_as_not_sent():
     async def scenario():
-        loop = asyncio.get_running_loop()
-        pool = EndpointPool(loop.time, lambda *args, **fields: None)
-        with pytest.raises(EndpointError) as caught:
-            await pool.acquire(record_of("127.0.0.1:1"), 10)
+        pool = create_pool()
+        with pytest.raises(CallError) as caught:
+            await pool.acquire("e-1", "127.0.0.1:1", 10)
         assert (caught.value.reason, caught.value.may_have_run) == ("connect", False)
 
     run(scenario())
@@ -224,10 +231,10 @@
     async def scenario():
         async with Setting(script) as setting:
             for number in range(5):
-                connection = await setting.pool.acquire(setting.record, 5)
+                connection = await setting.pool.acquire(*setting.process, 5)
                 connection.send(request_bytes(str(number)), str(number))
-            with pytest.raises(EndpointError) as caught:
-                await setting.pool.acquire(setting.record, 5)
+            with pytest.raises(CallError) as caught:
+                await setting.pool.acquire(*setting.process, 5)
             assert caught.value.reason == "no_connection"
 
     run(scenario())
--- a/libs/entry/tests/test_caller_connections.py
+++ b/libs/http/tests/test_listener.py
@@ -7,7 +7,8 @@
 from sanic import Sanic
 from sanic.response import text
 
-from gypsumusher_entry.caller_connections import CallerListener
+from gypsumusher_http import Listener
+from gypsumusher_platform import decode_request, encode_refusal
 
 HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
 POST = b"POST /a HTTP/1.1\r\nHost: x\r\n"
@@ -36,7 +37,9 @@
         self.events = []
         self.cancelled = asyncio.Event()
         loop = asyncio.get_running_loop()
-        self.listener = CallerListener(handle or self.answer, loop.time, self.log)
+        self.listener = Listener(
+            handle or self.answer, decode_request, encode_refusal, loop.time, self.log
+        )
         self.reader = self.writer = None
 
     def log(self, level, event, **fields):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -3,6 +3,8 @@
 import ast
 import gc
 import pathlib
+import subprocess
+import sys
 import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -60,7 +62,7 @@
 def test_only_the_adapter_knows_the_platform_s_names():
     # A name of the wire that spreads has to be changed everywhere when the wire does,
     # and is decoded twice, in two ways, long before.
-    for library in ("ports", "routing", "entry", "process"):
+    for library in ("ports", "routing", "entry", "process", "http"):
         for path in (ROOT / "libs" / library).glob("gypsumusher_*/*.py"):
             text = path.read_text()
             for name in OWN_NAMES:
@@ -69,13 +71,17 @@
             assert not found, (path, found)
 
 
+# What the adapter may use of the product: types, and the means of making a call.
+ADAPTER_USES = ("gypsumusher_platform", "gypsumusher_ports", "gypsumusher_http")
+
+
 def test_the_adapter_is_small_and_decides_nothing():
     lines = 0
     for path in (ROOT / "platform" / "gypsumusher_platform").glob("*.py"):
         lines += len(path.read_text().splitlines())
         for name in imported_modules(path):
             is_own = not name.startswith("gypsumusher_")
-            assert is_own or name in ("gypsumusher_platform", "gypsumusher_ports"), path
+            assert is_own or name in ADAPTER_USES, path
     assert lines < 2000
 
 
@@ -92,3 +98,14 @@
             assert path.name not in found, (folder, found[path.name], path.name)
             found[path.name] = folder
     assert len(found) > 20
+
+
+def test_an_entry_host_starts_without_libraries_that_are_slow_to_import():
+    """After the loss of all hosts each waits for its imports before it serves."""
+    script = (
+        "import sys, gypsumusher_entry.cmdline\n"
+        "print(*{'aiohttp', 'sanic', 'numpy', 'cleo'} & set(sys.modules))"
+    )
+    command = [sys.executable, "-c", script]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert done.stdout.split() == []
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """The store's client against a stand-in that refuses, falls silent and forgets."""
 
 import asyncio
+import time
 
 from platform_samples import configuration, many_routes
 from proxies import Proxy
@@ -18,8 +19,7 @@
 
     async def __aenter__(self):
         self.store = ObjectStore()
-        self.client = StoreClient(await self.store.start(), timeout_s=0.3)
-        await self.client.start()
+        self.client = StoreClient(await self.store.start(), 0.3, time.monotonic)
         return self
 
     async def __aexit__(self, *_):
@@ -93,8 +93,7 @@
     async def scenario():
         store = ObjectStore()
         link = Proxy(await store.start())
-        client = StoreClient(await link.start(), timeout_s=0.3)
-        await client.start()
+        client = StoreClient(await link.start(), 0.3, time.monotonic)
         content = configuration(1, *many_routes(1400, {"kind": "idempotent"}))
         store.put("config", "main", content)
         link.bytes_per_s = 400_000.0
