Share the wake-ups of periodic work, and take in only what a peer names

Cause: an idle host woke some eighty times a second for ten loops with timers of their own, and each message of a peer went through all endpoints twice, also those that say that the peer has nothing under way. With 195 hosts an active one gets hundreds of messages a second.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -72,7 +72,7 @@
         self.hosts = HostTable(settings.name)
         self.lags = LagWatch(self)
         self.pool = ConnectionPool(clock, decode_head, CONNECT_TIMEOUT_S)
-        self.overdue = OverdueWatch(clock, log)
+        self.overdue = OverdueWatch(clock, log, self.next_tick)
         # Engines that this host has ordered to change their stage, for the peers.
         self.ordered_stages = []
         # Set when the host starts: what it knows of the lease for such orders.
@@ -83,6 +83,8 @@
         self._active = []
         self._active_at_s = float("-inf")
         self.configuration_listeners = []
+        # So that hosts that start together don't all wake at the same moments.
+        self._tick_offset_s = self.draw()
         self._retry_shares = {}
         self._learnt = {}
         self._placements = []
@@ -310,6 +312,15 @@
         del self._placements[:count]
         return placements
 
+    async def next_tick(self, period_s):
+        """Wait until the next multiple of a period, in seconds.
+
+        Made for hundreds of hosts that mostly wait. Each wake-up of a process costs as
+        much as the work that is done in it; periodic work on common ticks shares them.
+        """
+        passed_s = (self.clock() + self._tick_offset_s) % period_s
+        await asyncio.sleep(period_s - passed_s)
+
     def spawn(self, coroutine):
         """Run something that no caller waits for; its failure is logged."""
         task = asyncio.ensure_future(coroutine)
--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -82,8 +82,10 @@
                 # with old routes and with endpoints that have left, while the store
                 # would answer it at once.
                 reads_for_itself = self._context.lags.is_overdue(NEWS_OF_KIND[kind])
-                await asyncio.sleep(own_pause_s if reads_for_itself else IDLE_POLL_S)
-                if not reads_for_itself:
+                if reads_for_itself:
+                    await asyncio.sleep(own_pause_s)
+                else:
+                    await self._context.next_tick(IDLE_POLL_S)
                     own_pause_s = IDLE_POLL_S
                     self._answered.discard(kind)
                     continue
@@ -184,7 +186,7 @@
         """Drop endpoints whose entries have not come back."""
         context = self._context
         while True:
-            await asyncio.sleep(DROP_S)
+            await context.next_tick(DROP_S)
             for endpoint_id in context.endpoints.drop_missing(context.clock()):
                 context.log("info", "endpoint_dropped", endpoint=endpoint_id)
             context.pool.drop_idle()
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -21,6 +21,8 @@
 # in a tenth of a second or more, so older counts still tell. Four hosts served 0.02 to
 # 0.04 less of the worth at 0.2 s, 0.01 to 0.02 less at 0.1 s, and no more at 0.02 s.
 CHANGED_S = 0.05
+# The same for hosts that callers aren't sent to, which have little to tell, in seconds.
+QUIET_S = 0.2
 # Time between two messages at rest among the active hosts, and from and to the others,
 # in seconds. Sixty hosts that told each other all of it twice a second would spend a
 # hundredth of a core and ten times the bytes that control may take.
@@ -97,7 +99,7 @@
 
     async def _run(self):
         while True:
-            await asyncio.sleep(CHANGED_S)
+            await self._context.next_tick(CHANGED_S if self._is_active() else QUIET_S)
             now_s = self._context.clock()
             state = self._state(now_s)
             if now_s - self._told_all_s >= FAR_S or self._is_news(state):
@@ -107,6 +109,11 @@
             elif state != self._told and self._link_share.is_free(now_s):
                 self._tell(now_s, state, is_for_all=False)
 
+    def _is_active(self):
+        """Say whether callers are sent to this host."""
+        name = self._context.settings.name
+        return any(news.name == name for news in self._context.active_hosts())
+
     def _is_news(self, state):
         """Say whether more has changed than the load."""
         return self._told is None or state[:-1] != self._told[:-1]
@@ -137,9 +144,7 @@
         self._told = state
         self._told_active_s = now_s
         self._beat += 1
-        is_active = any(
-            news.name == context.settings.name for news in context.active_hosts()
-        )
+        is_active = self._is_active()
         period_s = REST_S if is_active else FAR_S
         if is_active or is_for_all:
             placements = context.take_placements(MAX_PLACEMENTS)
@@ -190,10 +195,7 @@
             return
         if message.lease is not None:
             context.stage_lease.on_told(message.lease)
-        for endpoint_id, state in context.endpoints.states.items():
-            load, penalty = message.loads.get(endpoint_id, (Load(0), 0.0))
-            state.on_peer_load(now_s, peer, load)
-            state.health.on_peer(now_s, peer, penalty)
+        context.endpoints.on_peer_loads(now_s, peer, message.loads)
         for endpoint_id, started_ms, stage, is_switching in message.stages:
             state = context.endpoints.states.get(endpoint_id)
             if state is not None and state.record.started_ms == started_ms:
--- a/libs/entry/gypsumusher_entry/lag_watch.py
+++ b/libs/entry/gypsumusher_entry/lag_watch.py
@@ -1,7 +1,5 @@
 """Watches whether this host goes by older news than its peers, and says so."""
 
-import asyncio
-
 from gypsumusher_routing import NewsLag
 
 __all__ = ["CONFIGURATION", "ENDPOINTS", "LagWatch"]
@@ -39,7 +37,7 @@
 
     async def _run(self):
         while True:
-            await asyncio.sleep(POLL_S)
+            await self._context.next_tick(POLL_S)
             self._compare()
 
     def _compare(self):
--- a/libs/entry/gypsumusher_entry/overdue.py
+++ b/libs/entry/gypsumusher_entry/overdue.py
@@ -44,11 +44,14 @@
     ----------
     clock, log : callable
         Steady clock in seconds, and structured log.
+    next_tick : callable
+        Coroutine ``next_tick(period_s)`` that waits for the next look.
     """
 
-    def __init__(self, clock, log):
+    def __init__(self, clock, log, next_tick):
         self._clock = clock
         self._log = log
+        self._next_tick = next_tick
         self._waits = set()
         self._task = None
 
@@ -110,5 +113,5 @@
 
     async def _run(self):
         while True:
-            await asyncio.sleep(SWEEP_S)
+            await self._next_tick(SWEEP_S)
             self.look(self._clock())
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -69,7 +69,7 @@
     async def _run(self):
         context = self._context
         while True:
-            await asyncio.sleep(ASK_S)
+            await context.next_tick(ASK_S)
             # A host that watches the store may be told late: its link is full, or the
             # watch has gone silent. Then what peers know counts for it too.
             if context.sees_store and not context.lags.is_overdue(CONFIGURATION):
--- a/libs/entry/gypsumusher_entry/stage_lease.py
+++ b/libs/entry/gypsumusher_entry/stage_lease.py
@@ -1,6 +1,5 @@
 """The lease by which one host at a time orders the engines' stages."""
 
-import asyncio
 import secrets
 
 from returns.result import Failure, Success
@@ -81,7 +80,7 @@
 
     async def _run(self):
         while True:
-            await asyncio.sleep(TICK_S)
+            await self._context.next_tick(TICK_S)
             is_held = self._lease.held(self._clock())
             if not (is_held or self._context.gives_orders()):
                 continue
--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -63,7 +63,7 @@
 
     async def _run(self):
         while True:
-            await asyncio.sleep(LOOK_S)
+            await self._context.next_tick(LOOK_S)
             if self._lease.is_held_for(AUTHORITY_S):
                 self._look()
 
--- a/libs/entry/tests/test_overdue.py
+++ b/libs/entry/tests/test_overdue.py
@@ -1,5 +1,7 @@
 """Which endpoints count as silent."""
 
+import asyncio
+
 from gypsumusher_entry.overdue import OverdueWatch
 from gypsumusher_ports import EndpointRecord
 from gypsumusher_routing import EndpointState
@@ -13,7 +15,9 @@
             "e-0", 1, "llm", "10.0.0.1:80", "a", 64, False, 0.0, "prefill", 1
         )
         self.state = EndpointState(record)
-        self.watch = OverdueWatch(lambda: 0.0, lambda *args, **fields: None)
+        self.watch = OverdueWatch(
+            lambda: 0.0, lambda *args, **fields: None, asyncio.sleep
+        )
         self.watch.begin("r-1", self.state, 1.0)
 
     def is_avoided(self, now_s):
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -186,6 +186,11 @@
         """Take in what a peer has under way here."""
         self._peers[peer] = (load, now_s)
 
+    def drop_peer(self, peer: str) -> None:
+        """Note that a peer has nothing under way here, and nothing against it."""
+        self._peers.pop(peer, None)
+        self.health.drop_peer(peer)
+
     def own_load(self) -> Load:
         """Return what this host has under way here."""
         return Load(self.own_running, self._own_readings, tuple(self._own_lane_s))
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -26,6 +26,7 @@
         self._missing_since_s = {}
         self._grace_until_s = 0.0
         self._kv_tokens = {}
+        self._named_by = {}
 
     @property
     def heard_revision(self) -> int:
@@ -101,6 +102,32 @@
         if endpoint_id in self.states:
             self._miss(now_s, endpoint_id)
 
+    def on_peer_loads(self, now_s: float, peer: str, loads) -> None:
+        """Take in all that a peer has under way, and what it holds against endpoints.
+
+        Made for hundreds of hosts that tell each other many times a second: the work
+        grows with what a peer names, not with all endpoints.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time, in seconds.
+        peer : str
+            The host.
+        loads : dict of str to (Load, float)
+            Load and penalty by endpoint; nothing holds for those that aren't named.
+        """
+        for endpoint_id in self._named_by.get(peer, ()):
+            state = self.states.get(endpoint_id)
+            if state is not None and endpoint_id not in loads:
+                state.drop_peer(peer)
+        for endpoint_id, (load, penalty) in loads.items():
+            state = self.states.get(endpoint_id)
+            if state is not None:
+                state.on_peer_load(now_s, peer, load)
+                state.health.on_peer(now_s, peer, penalty)
+        self._named_by[peer] = tuple(loads)
+
     def on_wrong_endpoint(self, endpoint_id: str) -> None:
         """Note that another endpoint answers at the address of this one."""
         state = self.states.get(endpoint_id)
--- a/libs/routing/gypsumusher_routing/health.py
+++ b/libs/routing/gypsumusher_routing/health.py
@@ -57,12 +57,18 @@
     def on_peer(self, now_s: float, peer: str, penalty: float) -> None:
         """Take in a peer's own penalty."""
         if penalty <= 0.0:
-            self._peers.pop(peer, None)
+            self.drop_peer(peer)
             return
         self._peers[peer] = (penalty, now_s)
 
+    def drop_peer(self, peer: str) -> None:
+        """Note that a peer has nothing against it."""
+        self._peers.pop(peer, None)
+
     def own(self, now_s: float) -> float:
         """Return what this host itself has seen, for its peers."""
+        if not self._penalty:
+            return 0.0
         return _decayed(self._penalty, now_s - self._at_s)
 
     def penalty(self, now_s: float) -> float:
