Leave an endpoint at once that left while only this host's calls failed

Cause: a watching host took a failed call of its own for a store that was away for all, after which entries may come back, and kept an endpoint whose entry was gone for 2.2 s.

Hosts now say for how long the store has answered them, and active hosts hear of a grown revision within a tick. A peer that has seen the store since before the first failure, and whose revision has grown since then, shows that it was not away. Its word that it sees the store isn't enough: a call that hangs at a store that is away has not failed yet.

Ruled out: asking a peer for its list, since the link to it may be full, which is how the call failed; the peers' word alone, see above.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -78,7 +78,7 @@
         # Set when the host starts: what it knows of the lease for such orders.
         self.stage_lease = None
         self.is_leaving = False
-        self.sees_store = False
+        self._store_seen_since_s = None
         self.started_ms = int(time.time() * 1000)
         self._active = []
         self._active_at_s = float("-inf")
@@ -95,6 +95,24 @@
         """Whether this host takes callers."""
         return not self.is_leaving and self.configuration is not None
 
+    @property
+    def sees_store(self):
+        """Whether the store answers this host."""
+        return self._store_seen_since_s is not None
+
+    @sees_store.setter
+    def sees_store(self, sees):
+        if not sees:
+            self._store_seen_since_s = None
+        elif self._store_seen_since_s is None:
+            self._store_seen_since_s = self.clock()
+
+    @property
+    def store_seen_s(self):
+        """For how long the store has answered this host, in seconds."""
+        since_s = self._store_seen_since_s
+        return 0.0 if since_s is None else self.clock() - since_s
+
     @property
     def configuration_version(self):
         """Version in force, 0 without one."""
@@ -124,6 +142,7 @@
             endpoints_revision=self.endpoints.revision,
             capacity=capacity_of(settings.cores, settings.link_mbps),
             sees_store=self.sees_store,
+            store_seen_s=self.store_seen_s,
             period_s=period_s,
         )
 
--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -30,6 +30,8 @@
 # lapsed meanwhile, in seconds: it is asked again within two of them while it is away. A
 # host that left it to others since then finds all entries back.
 JUST_BACK_S = 3.0
+# Word of what the store has told the peers comes within this time, in seconds.
+PEERS_WORD_S = 0.15
 # How often a host that others watch for looks whether they still do, in seconds.
 IDLE_POLL_S = 0.2
 # Longest pause between two readings of its own while it is behind, in seconds.
@@ -54,7 +56,7 @@
         self._store = store
         self._lost = set()
         self._answered = set()
-        self._failed_s = context.clock()
+        self._failed_s = self._failing_since_s = context.clock()
         bounds = context.settings.bounds
         least_s = min(bounds.drain_s, bounds.configuration_s)
         # A connection may go silent without a reset. After the stable window the
@@ -105,6 +107,8 @@
                 pause_s = min(LAST_PAUSE_S, 2.0 * pause_s)
                 continue
             pause_s = FIRST_PAUSE_S
+            if kind in self._lost and self._context.endpoints.states:
+                await asyncio.sleep(PEERS_WORD_S)
             self._on_answered(kind, reads_for_itself)
             found = result.unwrap()
             take(found, revision is None)
@@ -152,7 +156,10 @@
         context.endpoints.revision = max(context.endpoints.revision, found.revision)
 
     def _on_lost(self, kind, error):
-        self._failed_s = self._context.clock()
+        now_s = self._context.clock()
+        if now_s - self._failed_s > JUST_BACK_S:
+            self._failing_since_s = now_s
+        self._failed_s = now_s
         self._answered.discard(kind)
         self._context.sees_store = False
         if kind in self._lost:
@@ -175,18 +182,30 @@
             is_just_back = context.clock() - self._failed_s <= JUST_BACK_S
             # A host that reads for itself has peers that saw the store all the while:
             # what its list lacks has left, and must get no work for the grace besides.
-            waits = is_just_back and not reads_for_itself
+            waits = is_just_back and not reads_for_itself and not self._failed_alone()
             if kind == ENDPOINTS_KIND and waits:
                 context.endpoints.on_store_returned(context.clock())
             context.log("info", "dependency_regained", dependency="store", kind=kind)
         self._answered.add(kind)
         context.sees_store = self._answered == FOLLOWED
 
+    def _failed_alone(self):
+        """Say whether the store has answered peers while calls from here failed.
+
+        Failure guarded against: a full link fails a call of a host, and the host keeps
+        endpoints that have left meanwhile, as if the store had been away for all and
+        their entries could come back.
+        """
+        context = self._context
+        return context.hosts.saw_store_since(context.clock(), self._failing_since_s)
+
     async def _drop_missing(self):
         """Drop endpoints whose entries have not come back."""
         context = self._context
         while True:
             await context.next_tick(DROP_S)
+            if context.endpoints.is_in_grace(context.clock()) and self._failed_alone():
+                context.endpoints.end_grace()
             for endpoint_id in context.endpoints.drop_missing(context.clock()):
                 context.log("info", "endpoint_dropped", endpoint=endpoint_id)
             context.pool.drop_idle()
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -16,7 +16,7 @@
 
 # Version of the message; others are passed over, so that hosts of two releases can
 # serve side by side.
-FORMAT = 2
+FORMAT = 3
 # Least time between two messages while the load changes, in seconds. A prompt is read
 # in a tenth of a second or more, so older counts still tell. Four hosts served 0.02 to
 # 0.04 less of the worth at 0.2 s, 0.01 to 0.02 less at 0.1 s, and no more at 0.02 s.
@@ -115,8 +115,8 @@
         return any(news.name == name for news in self._context.active_hosts())
 
     def _is_news(self, state):
-        """Say whether more has changed than the load."""
-        return self._told is None or state[:-1] != self._told[:-1]
+        """Say whether there is what all hosts have to hear at once."""
+        return self._told is None or state[:-2] != self._told[:-2]
 
     def _state(self, now_s):
         """Return what this host has to say now, but for the placements."""
@@ -134,6 +134,7 @@
             context.configuration_version,
             context.sees_store,
             context.ordered_stages,
+            context.endpoints.revision,
             loads,
         )
 
@@ -162,7 +163,7 @@
             return
         context = self._context
         news = context.own_news(self._beat, period_s)
-        *_, stages, loads = state
+        *_, stages, _, loads = state
         fields = [FORMAT, list(news), stages, loads, *rest]
         data = msgpack.packb(fields)
         if len(data) > MAX_DATAGRAM_BYTES:
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -41,6 +41,10 @@
         """Note that the store answers again after it was away."""
         self._grace_until_s = now_s + RETURN_GRACE_S
 
+    def end_grace(self) -> None:
+        """Note that the store was not away: what is missing has left."""
+        self._grace_until_s = 0.0
+
     def is_in_grace(self, now_s: float) -> bool:
         """Say whether entries that are missing may still come back."""
         return now_s < self._grace_until_s
--- a/libs/routing/gypsumusher_routing/hosts.py
+++ b/libs/routing/gypsumusher_routing/hosts.py
@@ -40,6 +40,8 @@
         Work that it can do, in whole classes of hosts; see `capacity_of`.
     sees_store : bool
         Whether the store answers it.
+    store_seen_s : float
+        For how long no call of its to the store has failed, in seconds.
     period_s : float
         After how long its next message comes at the latest, in seconds.
     """
@@ -56,6 +58,7 @@
     endpoints_revision: int
     capacity: float
     sees_store: bool
+    store_seen_s: float
     period_s: float
 
 
@@ -87,6 +90,8 @@
         self._news = {}
         self._heard_s = {}
         self._known = {}
+        # When the revision of the endpoints that a host knows last grew.
+        self._grown_s = {}
 
     def on_record(self, now_s: float, name: str, ip: str) -> None:
         """Note that a host exists, from its record in the store."""
@@ -107,6 +112,8 @@
             # past; once that past has been silent for long it is taken at its word.
             if is_older and now_s - self._heard_s[news.name] < SILENT_AFTER_S:
                 return False
+        if known is not None and news.endpoints_revision > known.endpoints_revision:
+            self._grown_s[news.name] = now_s
         self._news[news.name] = news
         self._heard_s[news.name] = now_s
         self._known[news.name] = news.ip
@@ -154,7 +161,7 @@
 
     def _drop(self, name):
         """Forget a host."""
-        for table in (self._heard_s, self._news, self._known):
+        for table in (self._heard_s, self._news, self._known, self._grown_s):
             table.pop(name, None)
 
     def addresses(self) -> dict[str, str]:
@@ -170,6 +177,21 @@
                 found.append(news)
         return found
 
+    def saw_store_since(self, now_s: float, since_s: float) -> bool:
+        """Say whether the store has answered another host all the while since a time.
+
+        A host whose call hangs takes the store for well until the call fails, so its
+        word alone is no sign; a revision that has grown meanwhile is.
+        """
+        for news in self.live(now_s):
+            if not news.sees_store:
+                continue
+            if self._heard_s[news.name] - news.store_seen_s > since_s:
+                continue
+            if self._grown_s.get(news.name, float("-inf")) > since_s:
+                return True
+        return False
+
     def newest(self, now_s: float) -> tuple[int, int]:
         """Return the newest configuration and endpoints that a live host knows.
 
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -49,10 +49,20 @@
     )
 
 
-def news(name, beat=1, started_ms=1, ready=True, version=1, zone="a", capacity=1.0):
+def news(
+    name,
+    beat=1,
+    started_ms=1,
+    ready=True,
+    version=1,
+    zone="a",
+    capacity=1.0,
+    revision=1,
+    store_seen_s=0.0,
+):
     return HostNews(
         name, started_ms, beat, "10.0.0.1", zone, f"{name}:1", f"{name}:2", ready,
-        version, 1, capacity, True, 0.4,
+        version, revision, capacity, True, store_seen_s, 0.4,
     )  # fmt: skip
 
 
@@ -177,6 +187,24 @@
     assert names(table, 2.1) == ["host-2"]
 
 
+def test_a_store_that_answers_a_peer_all_the_while_was_not_away():
+    """A host whose own call failed kept endpoints that had left meanwhile."""
+    table = HostTable("me")
+    table.on_news(9.0, news("h1", store_seen_s=5.0))
+    table.on_news(11.0, news("h1", beat=2, store_seen_s=7.0, revision=2))
+    assert table.saw_store_since(11.1, since_s=10.0)
+    # It has heard nothing since: its own call may hang at a store that is away.
+    assert not table.saw_store_since(11.1, since_s=11.05)
+
+
+def test_a_store_that_came_back_for_a_peer_too_was_away():
+    """Endpoints whose entries had lapsed were dropped at the store's return."""
+    table = HostTable("me")
+    table.on_news(9.0, news("h1", store_seen_s=5.0))
+    table.on_news(11.0, news("h1", beat=2, store_seen_s=0.3, revision=2))
+    assert not table.saw_store_since(11.1, since_s=10.0)
+
+
 def test_a_host_that_is_gone_for_good_is_forgotten():
     # Hosts are replaced again and again. Each that has gone would cost a message a
     # second from every other one for as long as the fleet lives.
