Have three hosts watch the store for all instead of five

Three are of three zones; one that falls silent is replaced by the next active host, and a host that hears of none that sees the store looks for itself, as before. That all three are among a third of the hosts that the store turns away has a chance of 1 in 27 and costs a list and a watch of each host.

--- a/libs/routing/gypsumusher_routing/active_hosts.py
+++ b/libs/routing/gypsumusher_routing/active_hosts.py
@@ -23,8 +23,8 @@
 # A host of at least this part of the strongest one's capacity is strong.
 STRONG_PART = 0.5
 # Hosts that watch the store for all. Each watch is a call that is paid for and counts
-# against the store's rate; five bear the loss of some, and of the store for some.
-WATCHERS = 5
+# against the store's rate; three are of three zones, and the next hosts replace them.
+WATCHERS = 3
 
 
 def choose_active(hosts: list[HostNews]) -> list[HostNews]:
