Ask engines for what they keep once the hosts have heard of each other

Cause: a host that has just started knows of no other, takes itself for one to which callers are sent, and asked every engine for its list: after the loss of all hosts 195 hosts made 11,300 such calls at once, each on a connection of its own, and each delays its engine's work just when callers come back.

--- a/libs/entry/gypsumusher_entry/kept_parts.py
+++ b/libs/entry/gypsumusher_entry/kept_parts.py
@@ -17,6 +17,9 @@
 # Engines that are on record this long after the start are asked, in seconds; one that
 # comes later is new itself and keeps nothing.
 ASKED_FOR_S = 3.0
+# Hosts that start together have heard of each other by then, in seconds, and know to
+# which few of them callers are sent.
+HEARD_AFTER_S = 0.7
 POLL_S = 0.1
 ANSWER_TIMEOUT_S = 1.0
 
@@ -41,6 +44,9 @@
 
     async def _run(self):
         context = self._context
+        # Each call delays an engine's work. Hosts that don't know of each other yet all
+        # take callers, and hundreds of them would ask every engine at once.
+        await asyncio.sleep(HEARD_AFTER_S)
         until_s = context.clock() + ASKED_FOR_S
         while context.clock() < until_s:
             # The call delays an engine's work, so only hosts that use it ask.
