--- a/libs/cli/gypsumusher_cli/cmdline.py
+++ b/libs/cli/gypsumusher_cli/cmdline.py
@@ -15,6 +15,7 @@
 from gypsumusher_cli.drain_commands import DrainEndpoint, DrainHost
 from gypsumusher_cli.errors import EXIT_FAILED, EXIT_USAGE
 from gypsumusher_cli.load_commands import LoadCompare, LoadRunCommand
+from gypsumusher_cli.losses_commands import LossesCommand
 from gypsumusher_cli.status_commands import Explain, Key, Status
 from gypsumusher_cli.trace_commands import TraceCommand
 
@@ -31,6 +32,7 @@
     Explain,
     Key,
     TraceCommand,
+    LossesCommand,
     LoadRunCommand,
     LoadCompare,
 )
--- a/libs/cli/gypsumusher_cli/commands.py
+++ b/libs/cli/gypsumusher_cli/commands.py
@@ -155,3 +155,21 @@
 def quoted(name):
     """Return a name as one part of a URL's path."""
     return urllib.parse.quote(name, safe="")
+
+
+def read_lines(paths):
+    """Return the lines of several files.
+
+    Raises
+    ------
+    InputError
+        If a file can't be read.
+    """
+    lines = []
+    for path in paths:
+        try:
+            with open(path, errors="replace") as file:
+                lines += file.read().splitlines()
+        except OSError as error:
+            raise InputError(f"{path}: {error.strerror}", "name a log") from error
+    return lines
--- a/libs/cli/gypsumusher_cli/trace_commands.py
+++ b/libs/cli/gypsumusher_cli/trace_commands.py
@@ -4,8 +4,8 @@
 
 from cleo.helpers import argument
 
-from gypsumusher_cli.commands import JSON_OPTION, ToolCommand
-from gypsumusher_cli.errors import CommandError, InputError
+from gypsumusher_cli.commands import JSON_OPTION, ToolCommand, read_lines
+from gypsumusher_cli.errors import CommandError
 from gypsumusher_cli.trace import format_trace, join_trace
 
 __all__ = ["TraceCommand"]
@@ -24,13 +24,7 @@
 
     async def operate(self):
         """Read the files and print the story."""
-        lines = []
-        for path in self.argument("files"):
-            try:
-                with open(path, errors="replace") as file:
-                    lines += file.read().splitlines()
-            except OSError as error:
-                raise InputError(f"{path}: {error.strerror}", "name a log") from error
+        lines = read_lines(self.argument("files"))
         trace = join_trace(self.argument("request-id"), lines)
         if not trace.lines:
             raise CommandError(
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -60,6 +60,7 @@
         self.possible_runs = 0
         self.sends = 0
         self.events = 0
+        self.longest_pause_s = 0.0
         self.ran_at = None
         self.waits_at = None
         self.outcome = None
@@ -258,7 +259,17 @@
         # Set only when the request ended while its prompt was still to be read.
         waited_at=exchange.waits_at,
         events=exchange.events or None,
+        objective_ms=None if route is None else round(route.objective_s * 1000),
+        pause_ms=round(exchange.longest_pause_s * 1000) or None,
+        pause_limit_ms=_pause_limit_ms(exchange),
         first_ms=None if first_s is None else round(first_s * 1000),
         took_ms=round((now_s - exchange.arrived_s) * 1000),
         left_ms=round((exchange.ends_s - now_s) * 1000),
     )
+
+
+def _pause_limit_ms(exchange):
+    """Return the pause that a stream with events may have; None for all others."""
+    if not exchange.events or exchange.route.pause_limit_s is None:
+        return None
+    return round(exchange.route.pause_limit_s * 1000)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -242,8 +242,11 @@
         if not run.is_begun:
             run.on_first_event(self._context, self._generation)
             self._learn_first_event(run, now_s)
-        elif self._generation is not None:
-            run.state.on_event_gap(now_s - run.event_s, self._allowed_gap_s())
+        else:
+            pause_s = now_s - run.event_s
+            exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
+            if self._generation is not None:
+                run.state.on_event_gap(pause_s, self._allowed_gap_s())
         run.event_s = now_s
         if not exchange.reply.is_started:
             exchange.first_s = now_s
