Leave the store to the hosts that watch it before there are endpoints

A host that has listed a kind now leaves it to those that watch, and waits for half a second after its first list to hear who does.

Ruled out: leaving the first list to peers too, since nobody has heard of anybody then.

--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -36,6 +36,9 @@
 IDLE_POLL_S = 0.2
 # Longest pause between two readings of its own while it is behind, in seconds.
 LAST_OWN_PAUSE_S = 5.0
+# Hosts that start together have heard of each other by then, in seconds, and know which
+# of them watch the store.
+HEARD_AFTER_S = 0.5
 # Endpoints that are missing are dropped this often, in seconds.
 DROP_S = 0.2
 
@@ -56,6 +59,7 @@
         self._store = store
         self._lost = set()
         self._answered = set()
+        self._listed = set()
         self._failed_s = self._failing_since_s = context.clock()
         bounds = context.settings.bounds
         least_s = min(bounds.drain_s, bounds.configuration_s)
@@ -78,7 +82,7 @@
         pause_s, own_pause_s = FIRST_PAUSE_S, IDLE_POLL_S
         while True:
             reads_for_itself = False
-            if self._has_peers_that_watch():
+            if self._has_peers_that_watch(kind):
                 revision = None
                 # Peers whose links are full, or that can't be reached, leave this host
                 # with old routes and with endpoints that have left, while the store
@@ -113,14 +117,22 @@
             found = result.unwrap()
             take(found, revision is None)
             revision = found.revision
+            if kind not in self._listed:
+                self._listed.add(kind)
+                await asyncio.sleep(HEARD_AFTER_S)
             if reads_for_itself:
                 # What it can't read doesn't become readable by reading it again.
                 own_pause_s = min(LAST_OWN_PAUSE_S, 2.0 * own_pause_s)
 
-    def _has_peers_that_watch(self):
-        """Say whether others watch for this host, which knows all that it needs."""
+    def _has_peers_that_watch(self, kind):
+        """Say whether others watch a kind for this host, which has learnt of it.
+
+        At the first start of all hosts the list of endpoints is empty for seconds;
+        that others watch it holds then too.
+        """
         context = self._context
-        if context.configuration is None or not context.endpoints.states:
+        knows_all = context.configuration is not None and context.endpoints.states
+        if kind not in self._listed and not knows_all:
             return False
         if context.watches_store():
             return False
--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -84,9 +84,10 @@
             context.log("info", "host_forgotten", peer=name)
         if self._is_recorded(stored):
             return True
-        # It is new, or the others took it for gone while it was cut off.
+        # It is new, or the others took it for gone while it was cut off. Those that
+        # wrote their records at the same time are found by reading again.
         context.log("info", "record_missing", read=len(stored))
-        return await self._write()
+        return await self._write() and await self._read()
 
     def _is_recorded(self, stored):
         """Say whether this host's record stands as it would write it."""
--- a/libs/entry/tests/test_store_calls.py
+++ b/libs/entry/tests/test_store_calls.py
@@ -25,9 +25,15 @@
         self.changes = 0
 
     async def __aenter__(self):
+        self.store.put("servers", "e-0", entry("127.0.0.1:9"))
+        await self.start()
+        await self.until_few_watch()
+        return self
+
+    async def start(self):
+        """Start all hosts at once."""
         address = await self.store.start()
         self.store.put("config", "main", configuration(1, ANY))
-        self.store.put("servers", "e-0", entry("127.0.0.1:9"))
         port = free_ports("127.0.0.2", 1)[0]
         for number in range(HOSTS):
             ip = f"127.0.0.{2 + number}"
@@ -36,8 +42,6 @@
             )
             self.hosts.append(host)
         await asyncio.gather(*(host.start() for host in self.hosts))
-        await self.until_few_watch()
-        return self
 
     async def __aexit__(self, *_):
         await asyncio.gather(*(host.close() for host in self.hosts))
@@ -89,6 +93,25 @@
     run(scenario())
 
 
+def test_few_hosts_watch_the_store_before_there_are_endpoints():
+    """At the first start each of hundreds of hosts watched an empty list."""
+
+    async def scenario():
+        fleet = Fleet()
+        try:
+            await fleet.start()
+            calls = [path for _, path in fleet.store.calls if path.endswith("/servers")]
+            # Each lists them once. A host that has heard of no other yet may watch.
+            assert len(calls) <= HOSTS + WATCHERS
+            fleet.store.put("servers", "e-0", entry("127.0.0.1:9"))
+            fleet.store.put("servers", "e-1", entry("127.0.0.1:8"))
+            await fleet.until_heard()
+        finally:
+            await fleet.__aexit__()
+
+    run(scenario())
+
+
 def test_a_store_that_returns_is_watched_by_few_hosts_at_once():
     """After an outage all hosts read each entry that comes back.
 
