Tell peers of a reading as it begins

Cause: hosts told each other of changed loads on ticks of 50 ms. At full size 63 in 100 prompts that were read apart met another one at their engine, of which hardly any was known when the engine was chosen (queue 0 for 1,686 of 1,888 timely ones), while a prompt that is alone is read as expected (31 ms over the sheet's time at the median).

Now a host tells the active ones when it sends a prompt, at most once in 10 ms and within the part of its link that such messages may take.

Ruled out: parts that engines had given up (prompts without kept parts stray alike); slow engines (the strays spread over all prefill engines).

Tests: libs/entry/tests/test_simultaneous_choices.py.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -83,6 +83,8 @@
         self._active = []
         self._active_at_s = float("-inf")
         self.configuration_listeners = []
+        # Called when a prompt is about to be sent to an engine.
+        self.reading_listeners = []
         # So that hosts that start together don't all wake at the same moments.
         self._tick_offset_s = self.draw()
         self._retry_shares = {}
@@ -302,6 +304,11 @@
         key = (*record.incarnation, record.address)
         return await self.pool.acquire(key, record.address, connections_max, is_fresh)
 
+    def note_reading_begun(self):
+        """Note that an engine is about to be sent a prompt to read."""
+        for listener in self.reading_listeners:
+            listener()
+
     def note_placement(self, state, parts, wait_s=0.0):
         """Note that an engine keeps parts of a prompt, here and for the peers.
 
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -21,6 +21,10 @@
 # in a tenth of a second or more, so older counts still tell. Four hosts served 0.02 to
 # 0.04 less of the worth at 0.2 s, 0.01 to 0.02 less at 0.1 s, and no more at 0.02 s.
 CHANGED_S = 0.05
+# Least time between two messages when a prompt is sent to be read, in seconds. What a
+# host hears of it later than this it learns too late: several hosts send a prompt to
+# the engine that was idle, and all but one of them wait.
+URGENT_S = 0.01
 # The same for hosts that callers aren't sent to, which have little to tell, in seconds.
 QUIET_S = 0.2
 # Time between two messages at rest among the active hosts, and from and to the others,
@@ -63,6 +67,7 @@
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=address, family=socket.AF_INET
         )
+        self._context.reading_listeners.append(self.on_reading_begun)
         self._task = self._context.spawn(self._run())
 
     async def close(self):
@@ -114,6 +119,14 @@
         lease = self._context.stage_lease
         return None if lease is None else lease.told()
 
+    def on_reading_begun(self):
+        """Tell the other active hosts at once what an engine has to read."""
+        now_s = self._context.clock()
+        if now_s - self._told_active_s < URGENT_S or not self._is_active():
+            return
+        if self._link_share.is_free(now_s):
+            self._tell(now_s, self._state(now_s), is_for_all=False)
+
     def _is_active(self):
         """Say whether callers are sent to this host."""
         name = self._context.settings.name
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -125,6 +125,7 @@
     state.begin_reading(reading.cost_s, reading.lane)
     parts = exchange.request.generation.parts
     context.note_placement(state, parts, wait_s=reading.expected_s)
+    context.note_reading_begun()
     limit_s = max(LEAST_SILENCE_S, SILENCE_FACTOR * reading.expected_s)
     if reading.lane != TIMELY:
         # It waits for as long as its caller does: asked for elsewhere it would stand
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -161,6 +161,8 @@
         )
         answer = None
         run.begin()
+        if reading is not None:
+            context.note_reading_begun()
         try:
             answer = await open_send(exchange, state, send)
             await self._pass_on(answer, run, wait)
--- /dev/null
+++ b/libs/entry/tests/test_simultaneous_choices.py
@@ -0,0 +1,104 @@
+"""Many hosts that look for an idle engine at the same moment."""
+
+import asyncio
+
+import msgpack
+from worlds import run, settings
+
+from gypsumusher_entry.context import Context
+from gypsumusher_entry.gossip import URGENT_S, Gossip
+from gypsumusher_entry.metrics import Metrics
+from gypsumusher_ports import EndpointRecord
+from gypsumusher_routing import TIMELY, HostNews
+
+PEERS = 3
+READING_S = 0.2
+
+
+class Transport:
+    """Takes down what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def sendto(self, data, address):
+        self.sent.append((address[0], msgpack.unpackb(data)))
+
+    def close(self):
+        return
+
+
+class Host:
+    """One of four active hosts before one engine; its own timers stand still."""
+
+    def __init__(self):
+        clock = asyncio.get_running_loop().time
+        self.context = Context(
+            settings("127.0.0.1:1", "127.0.0.1", "host-0", (), 1),
+            clock,
+            lambda *args, **fields: None,
+            Metrics(),
+        )
+        self.context.adopt(_Configuration, None, "test")
+        record = EndpointRecord(
+            "e-1", 1, "llm", "10.0.0.1:80", "a", 64, False, 0.0, "prefill", 1
+        )
+        self.context.endpoints.on_record(record, 1)
+        for number in range(1, PEERS + 1):
+            self.context.hosts.on_news(clock(), _news(number))
+        self.gossip = Gossip(self.context)
+        self.gossip.connection_made(Transport())
+        self.context.reading_listeners.append(self.gossip.on_reading_begun)
+
+    def begin_reading(self):
+        self.context.endpoints.states["e-1"].own_running += 1
+        self.context.endpoints.states["e-1"].begin_reading(READING_S, TIMELY)
+        self.context.note_reading_begun()
+
+    def sent(self):
+        sent, self.gossip._transport.sent = self.gossip._transport.sent, []
+        return sent
+
+
+class _Configuration:
+    version = 1
+    routes = ()
+    services = {}
+
+
+def _news(number):
+    return HostNews(
+        f"host-{number}", 1, 1, f"127.0.0.{number + 1}", "a", "", "", True, 1, 1, 1.0,
+        True, 1.0, 0.45,
+    )  # fmt: skip
+
+
+def test_peers_hear_of_a_reading_before_the_engine_does():
+    """Several hosts sent a prompt to the one idle engine, and all but one waited."""
+
+    async def scenario():
+        host = Host()
+        host.begin_reading()
+        sent = host.sent()
+        assert {ip for ip, _ in sent} == {"127.0.0.2", "127.0.0.3", "127.0.0.4"}
+        loads = sent[0][1][3]
+        assert loads["e-1"][2][0] == READING_S * 1000
+        await host.context.close()
+
+    run(scenario())
+
+
+def test_a_burst_of_readings_is_not_a_burst_of_messages():
+    """Each prompt of a burst would cost a message to every active host."""
+
+    async def scenario():
+        host = Host()
+        for _ in range(20):
+            host.begin_reading()
+        assert len(host.sent()) == PEERS
+        await asyncio.sleep(1.5 * URGENT_S)
+        host.begin_reading()
+        assert len(host.sent()) == PEERS
+        await host.context.close()
+
+    run(scenario())
