Take the active hosts as a part of all hosts, and the strong ones alone

Cause: most hosts hear of the active ones only, and took a part of these for the active ones; asked by callers, they named five of 195 hosts, and of sixty four. At the size to design for each of five would take 1,480 requests a second, which no process can. They now count all hosts that have a record.

With 33 active hosts 28 would have a tenth of the others' link, and tell of their readings late. So the strong ones are active alone where they are at least a third of those.

Tests: libs/routing/tests/test_many_hosts.py; those of a part of a part and of five strong hosts failed before.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -155,7 +155,8 @@
             hosts = [news for news in self.hosts.live(now_s) if news.is_ready]
             if self.is_ready:
                 hosts.append(self.own_news())
-            self._active = choose_active(hosts)
+            # One more than those that it knows: itself.
+            self._active = choose_active(hosts, len(self.hosts.addresses()) + 1)
             self._active_at_s = now_s
         return self._active
 
--- a/libs/routing/gypsumusher_routing/active_hosts.py
+++ b/libs/routing/gypsumusher_routing/active_hosts.py
@@ -22,20 +22,29 @@
 ACTIVE_PART = 1 / 6
 # A host of at least this part of the strongest one's capacity is strong.
 STRONG_PART = 0.5
+# The strong ones take the callers alone when they are at least this part of those that
+# would be active: each then carries the requests of three.
+STRONG_ENOUGH_PART = 1 / 3
 # Hosts that watch the store for all. Each watch is a call that is paid for and counts
 # against the store's rate; three are of three zones, and the next hosts replace them.
 WATCHERS = 3
 
 
-def choose_active(hosts: list[HostNews]) -> list[HostNews]:
+def choose_active(hosts: list[HostNews], hosts_count: int = 0) -> list[HostNews]:
     """Return the hosts that callers are sent to, in an order that all hosts agree on.
 
+    Failure guarded against: most hosts hear of the active ones alone. A part of those
+    is a part of a part: of two hundred hosts callers were sent to five.
+
     Parameters
     ----------
     hosts : list of HostNews
-        The live hosts that take callers.
+        The live hosts that take callers, as far as this host hears of them.
+    hosts_count : int
+        Number of all hosts that there are, as far as it is known to be larger.
     """
-    count = max(ACTIVE_MIN, round(len(hosts) * ACTIVE_PART))
+    hosts_count = max(hosts_count, len(hosts))
+    count = max(ACTIVE_MIN, round(hosts_count * ACTIVE_PART))
     by_zone = {}
     for host in hosts:
         by_zone.setdefault(host.zone, []).append(host)
@@ -48,19 +57,19 @@
                 chosen.append(by_zone[zone][place])
         if len(chosen) >= count:
             break
-    return _without_weak(chosen, sum(host.capacity for host in hosts))
+    return _without_weak(chosen)
 
 
-def _without_weak(chosen, capacity):
-    """Leave the weak hosts out where the strong ones carry the load.
+def _without_weak(chosen):
+    """Leave the weak hosts out where there are strong ones in some number.
 
     Each host more tells all others what it sends, knows less of the load itself, and
     opens its own connections; one with a quarter of the strength doesn't pay for that.
     """
     strongest = max((host.capacity for host in chosen), default=0.0)
     strong = [host for host in chosen if host.capacity >= STRONG_PART * strongest]
-    is_enough = sum(host.capacity for host in strong) >= ACTIVE_PART * capacity
-    return strong if is_enough and len(strong) >= ACTIVE_MIN else chosen
+    is_enough = len(strong) >= max(ACTIVE_MIN, STRONG_ENOUGH_PART * len(chosen))
+    return strong if is_enough else chosen
 
 
 def choose_watchers(active: list[HostNews]) -> list[HostNews]:
--- a/libs/routing/tests/test_many_hosts.py
+++ b/libs/routing/tests/test_many_hosts.py
@@ -1,13 +1,26 @@
 """Hundreds of hosts that tell each other of their loads many times a second."""
 
+import pytest
 from samples import engine
 
-from gypsumusher_routing import EndpointTable, Load
+from gypsumusher_routing import EndpointTable, HostNews, Load, choose_active
 
 HOSTS, ENGINES = 195, 59
 NOW_S = 10.0
 
 
+def host(number, capacity):
+    return HostNews(
+        f"host-{number}", 1, 1, "10.0.0.1", "abcde"[number % 5], "", "", True, 1, 1,
+        capacity, True, 1.0, 0.45,
+    )  # fmt: skip
+
+
+def fleet(strong, weak):
+    hosts = [host(number, 2.0) for number in range(strong)]
+    return hosts + [host(strong + number, 0.0) for number in range(weak)]
+
+
 class CountedStates(dict):
     """The states of a table, counting how often one is looked up."""
 
@@ -64,3 +77,25 @@
     endpoints.on_peer_loads(NOW_S, "host-1", {"new": (Load(2), 1.0)})
     endpoints.on_peer_loads(NOW_S, "host-1", {})
     assert "new" not in endpoints.states
+
+
+@pytest.mark.parametrize("strong, weak", [(0, 195), (15, 180), (5, 190), (195, 0)])
+def test_a_host_that_hears_of_the_active_ones_alone_names_all_of_them(strong, weak):
+    """Callers of two hundred hosts were sent to five: a part of a part."""
+    hosts = fleet(strong, weak)
+    active = choose_active(hosts)
+    assert len(active) >= 15
+    quiet = next(news for news in hosts if news not in active)
+    assert choose_active([*active, quiet], len(hosts)) == active
+
+
+def test_strong_hosts_take_the_callers_alone_where_they_are_some():
+    """Weak hosts tell of their readings late, and send to engines that are busy."""
+    active = choose_active(fleet(15, 180))
+    assert len(active) == 15
+    assert all(news.capacity for news in active)
+
+
+def test_a_few_strong_hosts_do_not_carry_the_load_of_all():
+    """Five strong hosts of hundreds would each take seven times its share."""
+    assert len(choose_active(fleet(5, 325))) >= 55
--- a/tests/test_docs_commands.py
+++ b/tests/test_docs_commands.py
@@ -23,6 +23,7 @@
     "explain",
     "key",
     "trace",
+    "losses",
     "load-run",
     "load-compare",
     "drain-endpoint",
