Give a reading up by the time that it is sure to take

Cause: a prompt that was read apart was given up after three times the expected time. The limit now follows the learnt margin.

Tests: libs/routing/tests/test_many_hosts.py; the first of the two fails without it.

--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -20,10 +20,6 @@
 # Engines that are asked to read one prompt; after that the engine that makes the tokens
 # reads it itself, which counts as no further send.
 MAX_READERS = 2
-# A reading without an answer is given up after this many times the expected time, and
-# not before the least one, in seconds. It runs nothing, so it may be asked again.
-SILENCE_FACTOR = 3.0
-LEAST_SILENCE_S = 0.6
 # Time for a call that frees a handle, in seconds; it lapses by itself soon after.
 FREE_TIMEOUT_S = 1.0
 
@@ -126,7 +122,8 @@
     parts = exchange.request.generation.parts
     context.note_placement(state, parts, wait_s=reading.expected_s)
     context.note_reading_begun()
-    limit_s = max(LEAST_SILENCE_S, SILENCE_FACTOR * reading.expected_s)
+    learnt = context.learnt(exchange.service)
+    limit_s = learnt.silent_after_s(state.stage, reading.expected_s)
     if reading.lane != TIMELY:
         # It waits for as long as its caller does: asked for elsewhere it would stand
         # last again.
@@ -163,7 +160,7 @@
         took_ms=round(took_s * 1000),
         cost_ms=round(reading.cost_s * 1000),
         pace=round(state.pace.factor(context.clock()), 2),
-        margin=round(context.learnt(exchange.service).margin(state.stage), 2),
+        margin=round(learnt.margin(state.stage), 2),
     )
     return Prompt(state, answer)
 
--- a/libs/routing/gypsumusher_routing/learnt.py
+++ b/libs/routing/gypsumusher_routing/learnt.py
@@ -21,6 +21,11 @@
 SURE_PART = 0.8
 # First guess of that margin, and its bounds.
 FIRST_MARGIN, LEAST_MARGIN, MOST_MARGIN = 1.3, 1.0, 4.0
+# A reading without an answer is given up after this many times the time that it is sure
+# to take, and not before the least one, in seconds. It runs nothing, so it may be asked
+# again.
+SILENCE_FACTOR = 3.0
+LEAST_SILENCE_S = 0.6
 # First guess of what a hand-over costs beside the transfer itself, in seconds, and
 # bounds of it: one more call, and the set-up of the transfer.
 FIRST_HAND_OVER_S, LEAST_HAND_OVER_S, MOST_HAND_OVER_S = 0.03, 0.001, 0.5
@@ -86,6 +91,15 @@
         """Return by what factor an expectation is to be taken longer to be sure."""
         return self._margin(stage).value
 
+    def silent_after_s(self, stage: str, expected_s: float) -> float:
+        """Return after what time a reading's engine counts as silent, in seconds.
+
+        Failure guarded against: an engine that reads what other hosts have sent is
+        taken for silent, its work on the prompt is thrown away, and a second engine
+        begins it anew. How late readings come without silence shows in the margin.
+        """
+        return max(LEAST_SILENCE_S, SILENCE_FACTOR * self.margin(stage) * expected_s)
+
     def hand_over_s(self) -> float:
         """Return what a hand-over takes beside the transfer, in seconds."""
         return self._hand_over.value
--- a/libs/routing/tests/test_many_hosts.py
+++ b/libs/routing/tests/test_many_hosts.py
@@ -3,7 +3,16 @@
 import pytest
 from samples import engine
 
-from gypsumusher_routing import EndpointTable, HostNews, Load, choose_active
+from gypsumusher_routing import (
+    TIMELY,
+    EndpointTable,
+    HostNews,
+    Learnt,
+    Load,
+    SeenReading,
+    choose_active,
+)
+from gypsumusher_routing.estimates import Pace
 
 HOSTS, ENGINES = 195, 59
 NOW_S = 10.0
@@ -99,3 +108,23 @@
 def test_a_few_strong_hosts_do_not_carry_the_load_of_all():
     """Five strong hosts of hundreds would each take seven times its share."""
     assert len(choose_active(fleet(5, 325))) >= 55
+
+
+def test_an_engine_that_reads_for_other_hosts_too_is_not_silent():
+    """Readings that had begun were given up, and read a second time elsewhere."""
+    learnt, expected_s = Learnt(), 0.3
+    # Of ten prompts three meet one that another host has sent at the same time.
+    for number in range(400):
+        took_s = expected_s * (2.8 if number % 10 < 3 else 0.9)
+        seen = SeenReading("prefill", TIMELY, 4000, 0, 0.0, expected_s, 0.0, took_s)
+        learnt.on_reading(0.05 * number, Pace(), seen)
+    assert learnt.silent_after_s("prefill", expected_s) > 1.5 * 2.8 * expected_s
+
+
+def test_an_engine_that_answers_as_expected_is_soon_known_as_silent():
+    """Prompts waited for seconds at an engine that was down."""
+    learnt, expected_s = Learnt(), 0.3
+    for number in range(400):
+        seen = SeenReading("prefill", TIMELY, 4000, 0, 0.0, expected_s, 0.0, expected_s)
+        learnt.on_reading(0.05 * number, Pace(), seen)
+    assert learnt.silent_after_s("prefill", expected_s) < 4.0 * expected_s
