--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -10,7 +10,7 @@
 from gypsumusher_entry.belief_messages import BELIEFS_MAX_BYTES, decode_beliefs
 from gypsumusher_entry.following import take_configuration
 from gypsumusher_entry.lag_watch import CONFIGURATION
-from gypsumusher_http import Caller, CallError, CallLimits
+from gypsumusher_http import CallError, CallLimits, HttpClient
 from gypsumusher_ports import DecodeError
 
 __all__ = ["BELIEFS_PATH", "PeerBeliefs"]
@@ -52,7 +52,7 @@
 
     def __init__(self, context):
         self._context = context
-        self._caller = Caller(context.clock)
+        self._client = HttpClient(context.clock)
         self._task = None
         self._failed_s = {}
 
@@ -64,7 +64,7 @@
         """Stop, and close the connections."""
         if self._task is not None:
             self._task.cancel()
-        self._caller.close()
+        self._client.close()
 
     async def _run(self):
         context = self._context
@@ -139,7 +139,7 @@
             "version": str(context.configuration_version),
             "revision": str(context.endpoints.revision),
         }
-        _, data = await self._caller.call(
+        _, data = await self._client.call(
             "GET", peer.peers_address, BELIEFS_PATH, ANSWER_LIMITS, known
         )
         return decode_beliefs(peer.name, data)
--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -1,10 +1,10 @@
 """HTTP/1.1 over httptools: kept connections, whole calls, and listeners.
 
-aiohttp and sanic take 0.3 s of processor time to import, which every start of a host
-would pay, and each hides what a promise rests on: see `connections` and `listener`.
+aiohttp and sanic are slow to import, which each start of a host would pay for, and hide
+what some promises rest on: see `connections` and `listener`.
 """
 
-from gypsumusher_http.calls import Caller, CallLimits
+from gypsumusher_http.calls import CallLimits, HttpClient
 from gypsumusher_http.connections import Answer, ConnectionPool
 from gypsumusher_http.errors import CallError
 from gypsumusher_http.listener import Listener, Reply
@@ -13,7 +13,7 @@
     "Answer",
     "CallError",
     "CallLimits",
-    "Caller",
+    "HttpClient",
     "ConnectionPool",
     "Listener",
     "Reply",
--- a/libs/http/gypsumusher_http/calls.py
+++ b/libs/http/gypsumusher_http/calls.py
@@ -6,7 +6,7 @@
 from gypsumusher_http.connections import ConnectionPool
 from gypsumusher_ports import DecodeError
 
-__all__ = ["CallLimits", "Caller"]
+__all__ = ["CallLimits", "HttpClient"]
 
 # Connections to one address at once. A host has a few calls under way to one process.
 MAX_CONNECTIONS = 8
@@ -43,7 +43,7 @@
     request_id: None = None
 
 
-class Caller:
+class HttpClient:
     """Makes calls on kept connections. No call is ever repeated.
 
     Parameters
