--- a/libs/entry/gypsumusher_entry/following.py
+++ b/libs/entry/gypsumusher_entry/following.py
@@ -112,6 +112,7 @@
                 continue
             pause_s = FIRST_PAUSE_S
             if kind in self._lost and self._context.endpoints.states:
+                # What they have heard meanwhile tells whether it was away for all.
                 await asyncio.sleep(PEERS_WORD_S)
             self._on_answered(kind, reads_for_itself)
             found = result.unwrap()
