--- a/libs/cli/gypsumusher_cli/losses.py
+++ b/libs/cli/gypsumusher_cli/losses.py
@@ -154,7 +154,7 @@
         return CAUSES_BY_OUTCOME[outcome]
     if reason == "answered":
         return OWN_FAILURE
-    if reason in ("timeout", "caller_left", "silent") or outcome == "caller_left":
+    if reason in ("timeout", "silent") or outcome == "caller_left":
         return _cause_of_wait(story, end)
     if reason == "broken" and end.get("endpoint") in gone:
         return ENDPOINT_LOST
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -160,6 +160,11 @@
             self._active_at_s = now_s
         return self._active
 
+    def is_active(self):
+        """Say whether callers are sent to this host."""
+        name = self.settings.name
+        return any(news.name == name for news in self.active_hosts())
+
     def watches_store(self):
         """Say whether this host is one that watches the store for all.
 
@@ -288,19 +293,7 @@
     async def acquire(self, record, connections_max, is_fresh=False):
         """Return a connection to one incarnation of an endpoint.
 
-        Parameters
-        ----------
-        record : EndpointRecord
-            The endpoint.
-        connections_max : int
-            Connections that this host may have there.
-        is_fresh : bool
-            Whether a kept connection won't do.
-
-        Raises
-        ------
-        CallError
-            When none can be had; nothing was sent then.
+        The rest is as of `ConnectionPool.acquire`.
         """
         key = (*record.incarnation, record.address)
         return await self.pool.acquire(key, record.address, connections_max, is_fresh)
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -104,8 +104,9 @@
 
     async def _run(self):
         while True:
-            await self._context.next_tick(CHANGED_S if self._is_active() else QUIET_S)
-            now_s = self._context.clock()
+            context = self._context
+            await context.next_tick(CHANGED_S if context.is_active() else QUIET_S)
+            now_s = context.clock()
             state = self._state(now_s)
             if now_s - self._told_all_s >= FAR_S or self._is_news(state):
                 self._tell(now_s, state, is_for_all=True)
@@ -122,16 +123,11 @@
     def on_reading_begun(self):
         """Tell the other active hosts at once what an engine has to read."""
         now_s = self._context.clock()
-        if now_s - self._told_active_s < URGENT_S or not self._is_active():
+        if now_s - self._told_active_s < URGENT_S or not self._context.is_active():
             return
         if self._link_share.is_free(now_s):
             self._tell(now_s, self._state(now_s), is_for_all=False)
 
-    def _is_active(self):
-        """Say whether callers are sent to this host."""
-        name = self._context.settings.name
-        return any(news.name == name for news in self._context.active_hosts())
-
     def _is_news(self, state):
         """Say whether there is what all hosts have to hear at once."""
         return self._told is None or state[:-2] != self._told[:-2]
@@ -163,7 +159,7 @@
         self._told = state
         self._told_active_s = now_s
         self._beat += 1
-        is_active = self._is_active()
+        is_active = context.is_active()
         period_s = REST_S if is_active else FAR_S
         if is_active or is_for_all:
             placements = context.take_placements(MAX_PLACEMENTS)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -87,12 +87,11 @@
         # listener opens once there is a configuration.
         bound = await self._start_web()
         await self._wait_for_configuration(START_PATIENCE_S)
-        ip, _, port = settings.callers_address.rpartition(":")
-        real_port = await self._listener.start(ip, int(port))
+        callers = await _listen(self._listener, settings.callers_address)
         self._gossip.tell_now()
         await self._kept_parts.start()
         await self._start_stage_orders()
-        return {"callers": f"{ip}:{real_port}", **bound}
+        return {"callers": callers, **bound}
 
     async def _start_stage_orders(self):
         """Seek the lease for orders to engines, and give them while it is held."""
@@ -118,9 +117,7 @@
             addresses["metrics"] = f"{settings.ip}:{self._metrics_port}"
         bound = {}
         for name, address in addresses.items():
-            ip, _, port = address.rpartition(":")
-            real_port = await self._web.start(ip, int(port))
-            bound[name] = f"{ip}:{real_port}"
+            bound[name] = await _listen(self._web, address)
         return bound
 
     def reload(self, settings):
@@ -200,6 +197,12 @@
         return False
 
 
+async def _listen(listener, address):
+    """Listen on an address ``ip:port``; return it with the real port."""
+    ip, _, port = address.rpartition(":")
+    return f"{ip}:{await listener.start(ip, int(port))}"
+
+
 def _clock_with_sleep():
     """Return a time that also counts while the host is suspended, in seconds."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/entry/gypsumusher_entry/kept_parts.py
+++ b/libs/entry/gypsumusher_entry/kept_parts.py
@@ -50,8 +50,7 @@
         until_s = context.clock() + ASKED_FOR_S
         while context.clock() < until_s:
             # The call delays an engine's work, so only hosts that use it ask.
-            names = [news.name for news in context.active_hosts()]
-            if context.settings.name in names:
+            if context.is_active():
                 for state in list(context.endpoints.states.values()):
                     if state.record.stage is None:
                         continue
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -53,10 +53,11 @@
             From arrival to the first of the answer, in seconds.
         """
         self._count -= 1
-        self._load().ended.inc({"route": route, "outcome": outcome or "none"})
-        self._load().whole.observe({"route": route}, took_s)
+        collectors = self._load()
+        collectors.ended.inc({"route": route, "outcome": outcome or "none"})
+        collectors.whole.observe({"route": route}, took_s)
         if first_s is not None:
-            self._load().first.observe({"route": route}, first_s)
+            collectors.first.observe({"route": route}, first_s)
 
     def stage_ordered(self, stage, outcome):
         """Count an order to an engine that has ended.
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -40,8 +40,11 @@
         return 200, [_JSON], _encode_json(hosts)
 
     def answer_beliefs(query):
-        version = _known_number(query, "version")
-        revision = _known_number(query, "revision")
+        from urllib.parse import parse_qs
+
+        known = parse_qs(query)
+        version = _known_number(known, "version")
+        revision = _known_number(known, "revision")
         body = encoder.encode(_beliefs_beyond(context, version, revision))
         return 200, [_MSGPACK], body
 
@@ -74,11 +77,9 @@
     return json.dumps(value).encode()
 
 
-def _known_number(query, name):
+def _known_number(known, name):
     """Return a number that the asking host gives, -1 when it gives none."""
-    from urllib.parse import parse_qs
-
-    text = parse_qs(query).get(name, [""])[0]
+    text = known.get(name, [""])[0]
     return int(text) if text.isascii() and text.isdigit() else -1
 
 
--- a/libs/entry/tests/test_kept_parts.py
+++ b/libs/entry/tests/test_kept_parts.py
@@ -18,7 +18,7 @@
     def __init__(self, is_active):
         self.clock = asyncio.get_running_loop().time
         self.began_s = self.clock()
-        self.is_active = is_active
+        self._stays_active = is_active
         self.asked = 0
         self.settings = SimpleNamespace(name="host-1", is_first_start=False)
         states = {}
@@ -30,11 +30,10 @@
         self.endpoints = SimpleNamespace(states=states)
         self.tasks = []
 
-    def active_hosts(self):
-        """Return itself alone until it has heard of the others."""
+    def is_active(self):
+        """Take itself for active until it has heard of the others."""
         has_heard = self.clock() - self.began_s > HEARD_S
-        names = ["host-1"] if self.is_active or not has_heard else ["host-2"]
-        return [SimpleNamespace(name=name) for name in names]
+        return self._stays_active or not has_heard
 
     def spawn(self, coroutine):
         if coroutine.__name__ == "_run":
--- a/libs/http/gypsumusher_http/calls.py
+++ b/libs/http/gypsumusher_http/calls.py
@@ -12,7 +12,6 @@
 MAX_CONNECTIONS = 8
 # Longest time to open a connection, in seconds; the limit on the head holds besides.
 CONNECT_TIMEOUT_S = 1.0
-_NO_QUERY = {}
 
 
 class CallLimits(NamedTuple):
@@ -60,7 +59,7 @@
         """Close all connections at once."""
         self._pool.close()
 
-    async def call(self, method, address, path, limits, query=_NO_QUERY, body=None):
+    async def call(self, method, address, path, limits, query=None, body=None):
         """Make a call; return the status and the whole body of its answer.
 
         Failures guarded against: one read returns what has come so far, and a reader
@@ -76,7 +75,7 @@
             The call; the address is ``ip:port``.
         limits : CallLimits
             Bounds of the answer.
-        query : dict of str to str
+        query : dict of str to str, or None
             The query.
         body : bytes or None
             A JSON body.
--- a/libs/process/gypsumusher_process/bounded.py
+++ b/libs/process/gypsumusher_process/bounded.py
@@ -3,7 +3,7 @@
 import os
 from datetime import UTC, datetime
 
-from gypsumusher_process.lines import format_fields
+from gypsumusher_process.lines import LINE_FORMAT, format_fields
 
 __all__ = ["BoundedLog", "create_bounded_log"]
 
@@ -19,8 +19,6 @@
 # The first ones are written after this time, in seconds: the log library is imported
 # for them, and a process that starts has more urgent work.
 FIRST_FLUSH_S = 1.0
-_TIME_FORMAT = "%Y-%m-%dT%H:%M:%S.%fZ"
-_LINE_FORMAT = "time={record.extra[at]} level={record.level_name} {record.message}\n"
 
 
 class BoundedLog:
@@ -121,8 +119,7 @@
         """Have the log library make a line of an event."""
         if self._logger is None:
             self._logger = _create_logger(self._take_line, self._level)
-        extra = {"at": at.strftime(_TIME_FORMAT)}
-        getattr(self._logger, level)("{}", line, extra=extra)
+        getattr(self._logger, level)("{}", line, extra={"at": at})
 
     def _take_line(self, line):
         """Keep a line until the reader takes it."""
@@ -151,7 +148,9 @@
 
     class BufferHandler(logbook.Handler):
         def emit(self, record):
-            take_line(_LINE_FORMAT.format(record=record))
+            # The library's own time is that of the flush.
+            record.time = record.extra["at"]
+            take_line(LINE_FORMAT.format(record=record) + "\n")
 
     logger = logbook.Logger("gypsumusher")
     logger.handlers.append(BufferHandler(level=level))
--- a/libs/process/gypsumusher_process/lines.py
+++ b/libs/process/gypsumusher_process/lines.py
@@ -6,7 +6,7 @@
 __all__ = ["create_log", "format_fields", "parse_fields"]
 
 # How a record of the log library becomes a line.
-_LINE_FORMAT = (
+LINE_FORMAT = (
     "time={record.time:%Y-%m-%dT%H:%M:%S.%f}Z "
     "level={record.level_name} {record.message}"
 )
@@ -85,7 +85,7 @@
     handler = logbook.StreamHandler(
         stream or sys.stderr,
         level=level.upper(),
-        format_string=_LINE_FORMAT,
+        format_string=LINE_FORMAT,
     )
     logger = logbook.Logger("gypsumusherd")
 
