Log each decision on a retry, and hold retries against the bound

The log could not tell which sends took a retry, nor the share that allowed it: streams logged none. retry_taken and retry_withheld now give the host's requests, retries, limit and divisor; request_ended gives the sends beyond the first as the bound counts them (repeats) and the retries taken. gypsumusher retries finds the worst window of each service over the logs of all hosts. No decision changes.

--- /dev/null
+++ b/libs/cli/gypsumusher_cli/retries_commands.py
@@ -0,0 +1,51 @@
+"""The command that holds the retries of all hosts against the operator's bound."""
+
+import json
+
+from cleo.helpers import argument, option
+
+from gypsumusher_cli.commands import JSON_OPTION, ToolCommand, read_lines
+from gypsumusher_cli.errors import InputError
+from gypsumusher_cli.retries import find_retries, format_retries
+
+__all__ = ["RetriesCommand"]
+
+
+class RetriesCommand(ToolCommand):
+    """Finds the window in which a service got most repeats beyond its bound."""
+
+    name = "retries"
+    description = "Hold the hosts' retries against the operator's bound, from logs."
+    arguments = [argument("files", "Logs of the hosts, in any order.", multiple=True)]
+    options = [
+        option(
+            "ratio", None, "Repeats allowed for each request.", flag=False, default=0.2
+        ),
+        option("slack", None, "Repeats allowed on top.", flag=False, default=50),
+        option(
+            "window", None, "Length of the window in seconds.", flag=False, default=10
+        ),
+        JSON_OPTION,
+    ]
+
+    async def operate(self):
+        """Read the files and print the worst window of each service."""
+        bounds = [self._number(name) for name in ("ratio", "slack", "window")]
+        found = find_retries(read_lines(self.argument("files")), *bounds)
+        if not self.option("json"):
+            self.say(format_retries(found) if found else "no request was served")
+            return
+        for item in found:
+            hosts = [host._asdict() for host in item.hosts]
+            self.say(json.dumps({**item._asdict(), "hosts": hosts}))
+
+    def _number(self, name):
+        """Return an option as a number of at least 0."""
+        value = self.option(name)
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if not 0.0 <= number < float("inf"):
+            raise InputError(f"--{name} is {value!r}", "give a number of at least 0")
+        return number
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -277,10 +277,6 @@
         connections = self.connections_max(service)
         return Fleet(states, limits, learnt, zone, connections, self.policy)
 
-    def take_retry(self, service):
-        """Use one retry of a service; False when this host's share is spent."""
-        return self.retry_share(service).take(self.clock(), self.hosts_count())
-
     def connections_max(self, service):
         """Return how many connections this host may have to one endpoint."""
         known = self.configuration.services.get(service)
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -59,6 +59,8 @@
         self.first_s = None
         self.possible_runs = 0
         self.sends = 0
+        self.retries = 0
+        self.is_prompt_accepted = False
         self.events = 0
         self.longest_pause_s = 0.0
         self.ran_at = None
@@ -124,6 +126,32 @@
         """Time for which an endpoint may work, in seconds."""
         return max(LEAST_PATIENCE_S, self.left_s - WAY_BACK_S)
 
+    @property
+    def repeats(self):
+        """Sends beyond the first that the operator's bound on retries counts.
+
+        The first call that only has the prompt read doesn't count once an engine has
+        accepted it.
+        """
+        return max(0, self.sends - self.is_prompt_accepted - 1)
+
+    def take_retry(self):
+        """Use one retry of the service; False when this host's share is spent."""
+        context = self.context
+        share = context.retry_share(self.service)
+        decision = share.take(context.clock(), context.hosts_count())
+        self.retries += decision.is_allowed
+        self.log(
+            "info",
+            "retry_taken" if decision.is_allowed else "retry_withheld",
+            service=self.service,
+            requests=decision.requests,
+            retries=decision.retries,
+            limit=round(decision.limit, 2),
+            hosts=decision.hosts,
+        )
+        return decision.is_allowed
+
     def log(self, level, event, **fields):
         """Log a decision on this request."""
         self.context.log(level, event, id=self.request.request_id, **fields)
@@ -255,6 +283,8 @@
         service=exchange.service,
         version=context.configuration_version,
         sends=exchange.sends,
+        repeats=exchange.repeats or None,
+        retries=exchange.retries or None,
         endpoint=exchange.ran_at,
         # Set only when the request ended while its prompt was still to be read.
         waited_at=exchange.waits_at,
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -95,7 +95,7 @@
             )
         if not reading.is_apart:
             return None
-        if tried and not context.take_retry(exchange.service):
+        if tried and not exchange.take_retry():
             return None
         tried.add(reading.state.record.endpoint_id)
         exchange.waits_at = reading.state.record.endpoint_id
@@ -142,6 +142,7 @@
     finally:
         state.own_running -= 1
         state.end_reading(reading.cost_s, reading.lane)
+    exchange.is_prompt_accepted = True
     took_s = context.clock() - began_s
     state.on_answer(context.clock())
     learn_reading(exchange, reading, took_s)
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -170,4 +170,4 @@
         is_idempotent = route.kind == ANY_TIMES or route.is_resumable
         if not is_idempotent or exchange.possible_runs >= route.max_endpoints:
             return False
-    return exchange.context.take_retry(exchange.service)
+    return exchange.take_retry()
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -19,7 +19,7 @@
 from gypsumusher_routing.news_lag import NewsLag
 from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefixes import PrefixTable
-from gypsumusher_routing.retry_share import RetryShare
+from gypsumusher_routing.retry_share import RetryDecision, RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.stage_order import (
@@ -70,6 +70,7 @@
     "Policy",
     "PrefixTable",
     "Reading",
+    "RetryDecision",
     "RetryShare",
     "RouteTable",
     "SeenReading",
--- a/libs/routing/gypsumusher_routing/retry_share.py
+++ b/libs/routing/gypsumusher_routing/retry_share.py
@@ -5,14 +5,39 @@
 """
 
 from collections import deque
+from typing import NamedTuple
 
-__all__ = ["RetryShare"]
+__all__ = ["RetryDecision", "RetryShare"]
 
 # Part of the operator's bound that is used. Windows slide and hosts don't hear of each
 # other at once, so the sum of all shares must stay clear of it.
 USED_PART = 0.7
 
 
+class RetryDecision(NamedTuple):
+    """Whether a retry may be made, and what decided.
+
+    Attributes
+    ----------
+    is_allowed : bool
+        Whether it is.
+    requests : int
+        First sends of this host in the window.
+    retries : int
+        Retries that this host has used in the window, this one among them.
+    limit : float
+        Retries that it may use in the window.
+    hosts : int
+        Hosts that the slack was divided by.
+    """
+
+    is_allowed: bool
+    requests: int
+    retries: int
+    limit: float
+    hosts: int
+
+
 class RetryShare:
     """Counts the sends of one service in a sliding window.
 
@@ -43,8 +68,8 @@
         self._firsts_s.append(now_s)
         self._trim(now_s)
 
-    def take(self, now_s: float, hosts: int) -> bool:
-        """Use one retry; False when this host's share is spent.
+    def take(self, now_s: float, hosts: int) -> RetryDecision:
+        """Use one retry, unless this host's share is spent.
 
         Parameters
         ----------
@@ -56,10 +81,12 @@
         self._trim(now_s)
         age = min(1.0, (now_s - self._started_s) / self._window_s)
         limit = self._ratio * len(self._firsts_s) + self._slack * age / max(1, hosts)
-        if len(self._retries_s) + 1 > limit * USED_PART:
-            return False
-        self._retries_s.append(now_s)
-        return True
+        limit *= USED_PART
+        is_allowed = len(self._retries_s) + 1 <= limit
+        if is_allowed:
+            self._retries_s.append(now_s)
+        requests, retries = len(self._firsts_s), len(self._retries_s)
+        return RetryDecision(is_allowed, requests, retries, limit, hosts)
 
     def _trim(self, now_s):
         oldest_s = now_s - self._window_s
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -130,7 +130,7 @@
         for share in shares:
             share.on_first(now_s)
             requests += 1
-            retries += share.take(now_s, hosts)
+            retries += share.take(now_s, hosts).is_allowed
     assert 0 < retries <= 0.2 * requests + 54
 
 
@@ -138,8 +138,8 @@
     # Hosts are killed again and again. Each start would bring its part of the slack
     # anew, and the sum over a window would pass the bound.
     share = RetryShare(0.2, 54, 10.0, started_s=100.0)
-    assert not share.take(100.0, 1)
-    assert share.take(105.0, 1)
+    assert not share.take(100.0, 1).is_allowed
+    assert share.take(105.0, 1).is_allowed
 
 
 def test_a_penalty_fades_and_answers_shorten_it():
--- a/tests/test_docs_commands.py
+++ b/tests/test_docs_commands.py
@@ -24,6 +24,7 @@
     "key",
     "trace",
     "losses",
+    "retries",
     "load-run",
     "load-compare",
     "drain-endpoint",
