--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -277,6 +277,15 @@
         connections = self.connections_max(service)
         return Fleet(states, limits, learnt, zone, connections, self.policy)
 
+    def take_retry(self, service):
+        """Use one retry of a service, unless this host's share is spent.
+
+        Returns
+        -------
+        RetryDecision
+        """
+        return self.retry_share(service).take(self.clock(), self.hosts_count())
+
     def connections_max(self, service):
         """Return how many connections this host may have to one endpoint."""
         known = self.configuration.services.get(service)
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -137,9 +137,7 @@
 
     def take_retry(self):
         """Use one retry of the service; False when this host's share is spent."""
-        context = self.context
-        share = context.retry_share(self.service)
-        decision = share.take(context.clock(), context.hosts_count())
+        decision = self.context.take_retry(self.service)
         self.retries += decision.is_allowed
         self.log(
             "info",
--- /dev/null
+++ b/libs/entry/tests/test_retry_budget.py
@@ -0,0 +1,93 @@
+"""Sends beyond the first of each request, against the operator's bound."""
+
+from collections import Counter
+
+from replies import answer_to, request_id_of
+from worlds import BOUNDS, STREAM, World, configuration, entry, run, settings, until
+
+from gypsumusher_entry.context import Context
+from gypsumusher_entry.metrics import Metrics
+from gypsumusher_routing import HostNews
+
+REQUESTS = 200
+HOSTS = 7
+
+
+async def rejecting(number, head, body, writer):
+    status, extra = "503 Service Unavailable", ("X-Gypsumusher-Not-Run: 1",)
+    writer.write(answer_to(request_id_of(head), b"", status, extra))
+
+
+async def make_engines(world, *stages):
+    """Have the endpoints be engines with these stages."""
+    content = configuration(2, STREAM)
+    content["services"][0]["engine"] = {"slots": 8}
+    world.store.put("config", "main", content)
+    states = world.host.context.endpoints.states
+    for number, stage in enumerate(stages):
+        address = states[f"e-{number}"].record.address
+        fields = entry(address, stage=stage, beat=9)
+        world.store.put("servers", f"e-{number}", fields)
+    await until(lambda: world.host.context.configuration_version == 2)
+    wanted = list(stages)
+    await until(lambda: [s.record.stage for s in states.values()] == wanted)
+
+
+def test_runs_after_rejected_prefills_count_as_retries():
+    """Engines rejected prefills, and each run after one came on top of the budget."""
+
+    async def scenario():
+        async with World(*[rejecting] * 4, routes=(STREAM,)) as world:
+            await make_engines(world, "prefill", "prefill", "decode", "decode")
+            world.host.context.started_s -= 100.0
+            for number in range(REQUESTS):
+                await world.ask(
+                    method="POST",
+                    request_id=f"r-{number}",
+                    **{"X-Gypsumusher-Token-Count": "30000,4"},
+                )
+            arrivals = Counter()
+            for endpoint in world.endpoints:
+                arrivals.update(request_id_of(head) for head, _ in endpoint.requests)
+            repeats = sum(count - 1 for count in arrivals.values())
+            allowed = BOUNDS.retry_ratio * REQUESTS + BOUNDS.retry_slack
+            assert 0 < repeats <= allowed
+
+    run(scenario())
+
+
+class Host:
+    """The state of one of seven hosts, on a clock that the test sets."""
+
+    def __init__(self, number, clock):
+        self.context = Context(
+            settings("127.0.0.1:1", f"127.0.0.{number + 1}", f"host-{number}"),
+            clock,
+            lambda *args, **fields: None,
+            Metrics(),
+        )
+
+    def hear(self, now_s, number):
+        self.context.hosts.on_record(now_s, f"host-{number}", f"127.0.0.{number + 1}")
+        self.context.hosts.on_news(
+            now_s,
+            HostNews(
+                f"host-{number}", 1, 1, f"127.0.0.{number + 1}", "zone-a", "", "",
+                True, 1, 1, 1.0, True, 1.0, 0.45,
+            ),
+        )  # fmt: skip
+
+
+def test_hosts_that_hear_nobody_keep_to_the_budget_together():
+    """Hosts that were cut off from each other each took the retries of all."""
+    now_s = [0.0]
+    hosts = [Host(number, lambda: now_s[0]) for number in range(HOSTS)]
+    for host in hosts:
+        for number in range(HOSTS):
+            host.hear(0.0, number)
+    now_s[0] = 30.0
+    retries = 0
+    for host in hosts:
+        while host.context.take_retry("svc").is_allowed:
+            retries += 1
+    assert 0 < retries <= BOUNDS.retry_slack
