Count as retries what arrives, not what is asked for

What callers saw: with engines that reject, more arrivals beyond the first of each request than the operator's bound allows, up to 775 in 10 s for 543.

Cause: a retry was taken for the second prefill and for the second run of a request. The run after a rejected prefill took none, though both arrive; prefills that were given up took none either. The class: an account that counts by intent where the rule counts by effect.

Now each request has a SendAccount that counts what reaches endpoints, and open_send, the only way to an endpoint, reserves a retry for whatever would repeat an arrival. Where none is left the request ends at once with 503 (no_retry) and Retry-After. A connection that doesn't open takes no retry any more.

Ruled out: retries of services (all logged, 100 of 2,118 failed sends); connections that don't open (168 failed sends, none of which arrive).

--- a/libs/entry/gypsumusher_entry/errors.py
+++ b/libs/entry/gypsumusher_entry/errors.py
@@ -2,7 +2,19 @@
 
 from gypsumusher_ports import GypsumusherError
 
-__all__ = ["OverloadedError"]
+__all__ = ["NoRetryError", "OverloadedError"]
+
+
+class NoRetryError(GypsumusherError):
+    """One more send would be a retry, and this host's share of them is spent.
+
+    Attributes
+    ----------
+    reason : str
+        As that of an error of a call.
+    """
+
+    reason = "no_retry"
 
 
 class OverloadedError(GypsumusherError):
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import OverloadedError
+from gypsumusher_entry.errors import NoRetryError, OverloadedError
 from gypsumusher_entry.service_exchange import serve_from_service
 from gypsumusher_entry.stream_exchange import serve_stream
 from gypsumusher_http import CallError
@@ -10,6 +10,7 @@
 from gypsumusher_ports import STREAM, Refusal
 from gypsumusher_routing import (
     FirstEventLimits,
+    SendAccount,
     Wish,
     abandoned_after_s,
     first_event_limit_s,
@@ -58,9 +59,7 @@
         self.ends_s = self.arrived_s
         self.first_s = None
         self.possible_runs = 0
-        self.sends = 0
-        self.retries = 0
-        self.is_prompt_accepted = False
+        self.account = SendAccount()
         self.events = 0
         self.longest_pause_s = 0.0
         self.ran_at = None
@@ -126,19 +125,17 @@
         """Time for which an endpoint may work, in seconds."""
         return max(LEAST_PATIENCE_S, self.left_s - WAY_BACK_S)
 
-    @property
-    def repeats(self):
-        """Sends beyond the first that the operator's bound on retries counts.
+    def reserve_send(self):
+        """Take a retry for the next send, where it needs one that isn't held yet.
 
-        The first call that only has the prompt read doesn't count once an engine has
-        accepted it.
+        Raises
+        ------
+        NoRetryError
+            When this host's share is spent.
         """
-        return max(0, self.sends - self.is_prompt_accepted - 1)
-
-    def take_retry(self):
-        """Use one retry of the service; False when this host's share is spent."""
+        if not self.account.needs_retry():
+            return
         decision = self.context.take_retry(self.service)
-        self.retries += decision.is_allowed
         self.log(
             "info",
             "retry_taken" if decision.is_allowed else "retry_withheld",
@@ -148,7 +145,9 @@
             limit=round(decision.limit, 2),
             hosts=decision.hosts,
         )
-        return decision.is_allowed
+        if not decision.is_allowed:
+            raise NoRetryError(f"limit={decision.limit:.2f}")
+        self.account.retries += 1
 
     def log(self, level, event, **fields):
         """Log a decision on this request."""
@@ -184,7 +183,7 @@
         ----------
         failed_answer : (AnswerHead, bytes) or None
             An endpoint's own failure; it is passed on where nothing has been yet.
-        error : CallError or None
+        error : CallError, NoRetryError or None
             How the last send failed; None when there was nowhere to send.
         retry_after_s : float
             When to come back, in seconds.
@@ -280,9 +279,9 @@
         rank=route.rank if route is not None else None,
         service=exchange.service,
         version=context.configuration_version,
-        sends=exchange.sends,
-        repeats=exchange.repeats or None,
-        retries=exchange.retries or None,
+        sends=exchange.account.arrivals,
+        repeats=exchange.account.repeats or None,
+        retries=exchange.account.retries or None,
         endpoint=exchange.ran_at,
         # Set only when the request ended while its prompt was still to be read.
         waited_at=exchange.waits_at,
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -18,7 +18,7 @@
 __all__ = ["Prompt", "learn_reading", "read_prompt"]
 
 # Engines that are asked to read one prompt; after that the engine that makes the tokens
-# reads it itself, which counts as no further send.
+# reads it itself.
 MAX_READERS = 2
 # Time for a call that frees a handle, in seconds; it lapses by itself soon after.
 FREE_TIMEOUT_S = 1.0
@@ -77,6 +77,8 @@
 
     Raises
     ------
+    NoRetryError
+        When an engine hasn't read it, and it may not be sent again.
     OverloadedError
         When no engine would begin before the caller gives up.
     """
@@ -95,8 +97,7 @@
             )
         if not reading.is_apart:
             return None
-        if tried and not exchange.take_retry():
-            return None
+        exchange.reserve_send()
         tried.add(reading.state.record.endpoint_id)
         exchange.waits_at = reading.state.record.endpoint_id
         prompt = await _read_at(exchange, reading)
@@ -142,7 +143,7 @@
     finally:
         state.own_running -= 1
         state.end_reading(reading.cost_s, reading.lane)
-    exchange.is_prompt_accepted = True
+    exchange.account.on_prompt_accepted()
     took_s = context.clock() - began_s
     state.on_answer(context.clock())
     learn_reading(exchange, reading, took_s)
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -7,7 +7,7 @@
 from gypsumusher_platform import encode_send
 from gypsumusher_ports import ANY_TIMES
 
-__all__ = ["ask_engine", "check_head", "may_retry_run", "note_failure", "open_send"]
+__all__ = ["ask_engine", "check_head", "may_run_again", "note_failure", "open_send"]
 
 # From this penalty on an endpoint is sent to on a new connection. One that has crashed
 # resets a kept connection only when the next request arrives there, which may then have
@@ -54,15 +54,18 @@
     ------
     CallError
         When nothing was sent.
+    NoRetryError
+        When it would be a retry, and none may be made.
     """
     context, record = exchange.context, state.record
-    limit = context.connections_max(record.service)
-    is_fresh = state.health.penalty(context.clock()) >= FRESH_FROM_PENALTY
-    connection = await context.acquire(record, limit, is_fresh)
-    if not context.endpoints.is_current(state):
-        context.pool.keep(connection)
-        raise CallError("connect", record.address, "left", False)
-    exchange.sends += 1
+    exchange.reserve_send()
+    exchange.account.begin()
+    try:
+        connection = await _connect(context, state)
+    except CallError:
+        exchange.account.cancel()
+        raise
+    exchange.account.on_sent()
     if not send.is_prefill:
         # Counted before the first byte: from here on only the endpoint's own word
         # makes it sure that nothing ran.
@@ -72,6 +75,18 @@
     return connection.send(data, exchange.request.request_id or None)
 
 
+async def _connect(context, state):
+    """Return a connection to an endpoint that takes new work."""
+    record = state.record
+    limit = context.connections_max(record.service)
+    is_fresh = state.health.penalty(context.clock()) >= FRESH_FROM_PENALTY
+    connection = await context.acquire(record, limit, is_fresh)
+    if not context.endpoints.is_current(state):
+        context.pool.keep(connection)
+        raise CallError("connect", record.address, "left", False)
+    return connection
+
+
 def check_head(exchange, state, head):
     """Take in what the head of a run's answer says of the endpoint and of the run.
 
@@ -154,8 +169,8 @@
     )
 
 
-def may_retry_run(exchange):
-    """Say whether a request may be sent to another endpoint, and count the retry.
+def may_run_again(exchange):
+    """Say whether a request may be sent to another endpoint.
 
     Guards against a booking that reaches two crews: once bytes of a request that runs
     at most once may have arrived, only the endpoint's own "not run" lets it go on.
@@ -166,8 +181,7 @@
         The request.
     """
     route = exchange.route
-    if exchange.may_have_run:
-        is_idempotent = route.kind == ANY_TIMES or route.is_resumable
-        if not is_idempotent or exchange.possible_runs >= route.max_endpoints:
-            return False
-    return exchange.take_retry()
+    if not exchange.may_have_run:
+        return True
+    is_idempotent = route.kind == ANY_TIMES or route.is_resumable
+    return is_idempotent and exchange.possible_runs < route.max_endpoints
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -3,9 +3,10 @@
 import asyncio
 from typing import NamedTuple
 
+from gypsumusher_entry.errors import NoRetryError
 from gypsumusher_entry.sending import (
     check_head,
-    may_retry_run,
+    may_run_again,
     note_failure,
     open_send,
 )
@@ -33,7 +34,7 @@
     state: EndpointState
     head: AnswerHead | None
     body: bytes
-    error: CallError | None
+    error: CallError | NoRetryError | None
 
 
 async def serve_from_service(exchange):
@@ -136,6 +137,8 @@
         now_s = exchange.context.clock()
         if result.error is not None:
             self._last_error = result.error
+            if isinstance(result.error, NoRetryError):
+                return False
             self._runs += result.error.may_have_run
             note_failure(exchange, result.state, result.error)
             self._retry(result.error.reason)
@@ -161,7 +164,7 @@
         if self._runs + len(self._tasks) >= exchange.route.max_endpoints:
             return
         state = self._next()
-        if state is None or not may_retry_run(exchange):
+        if state is None or not may_run_again(exchange):
             return
         exchange.log("info", "request_retried", reason=reason)
         self._begin(state)
@@ -180,7 +183,7 @@
         body = await answer.body()
         check_head(exchange, state, head)
         return _Result(state, head, body, None)
-    except CallError as error:
+    except (CallError, NoRetryError) as error:
         return _Result(state, None, b"", error)
     finally:
         state.own_running -= 1
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-from gypsumusher_entry.errors import OverloadedError
+from gypsumusher_entry.errors import NoRetryError, OverloadedError
 from gypsumusher_entry.reading import learn_reading, read_prompt
 from gypsumusher_entry.sending import (
     check_head,
-    may_retry_run,
+    may_run_again,
     note_failure,
     open_send,
 )
@@ -73,18 +73,31 @@
         """Read the prompt, and send until a stream is whole or none can come."""
         exchange, context = self._exchange, self._context
         context.retry_share(exchange.service).on_first(context.clock())
-        if self._is_generation():
-            self._prompt = await read_prompt(exchange, self._limits)
+        try:
+            if self._is_generation():
+                self._prompt = await read_prompt(exchange, self._limits)
+            is_whole, error = await self._try_in_turn()
+        except NoRetryError as withheld:
+            is_whole, error = False, withheld
+        if not is_whole:
+            exchange.give_up(self._failed_answer, error, self._retry_after_s())
+
+    async def _try_in_turn(self):
+        """Send until a stream is whole; return whether one is, and the last error."""
+        exchange = self._exchange
         error = None
-        while exchange.sends < MAX_SENDS:
+        for _ in range(MAX_SENDS):
+            if exchange.account.arrivals >= MAX_SENDS or not may_run_again(exchange):
+                break
             state, reading = self._choose()
-            if state is None or (error is not None and not may_retry_run(exchange)):
+            if state is None:
                 break
+            exchange.reserve_send()
             error = await self._try(state, reading)
             if error is None:
-                return
+                return True, None
             self._tried.add(state.record.endpoint_id)
-        exchange.give_up(self._failed_answer, error, self._retry_after_s())
+        return False, error
 
     def free_handle(self):
         """Have the engine that read the prompt free it, if nobody took it."""
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -3,7 +3,17 @@
 from collections import Counter
 
 from replies import answer_to, request_id_of
-from worlds import BOUNDS, STREAM, World, configuration, entry, run, settings, until
+from worlds import (
+    BOUNDS,
+    ONCE,
+    STREAM,
+    World,
+    configuration,
+    entry,
+    run,
+    settings,
+    until,
+)
 
 from gypsumusher_entry.context import Context
 from gypsumusher_entry.metrics import Metrics
@@ -56,6 +66,23 @@
     run(scenario())
 
 
+def test_a_connection_that_is_refused_takes_no_retry():
+    """An endpoint was down, and its refused connections used up the retries."""
+
+    async def scenario():
+        async with World(rejecting, rejecting, routes=(ONCE,)) as world:
+            for endpoint in world.endpoints:
+                await endpoint.close()
+            status, headers, _ = await world.ask(method="POST")
+            assert status == 503
+            assert float(headers["Retry-After"]) > 0
+            events = [event for event, _ in world.log_lines]
+            assert events.count("send_failed") == 2
+            assert "retry_taken" not in events and "retry_withheld" not in events
+
+    run(scenario())
+
+
 class Host:
     """The state of one of seven hosts, on a clock that the test sets."""
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -21,6 +21,7 @@
 from gypsumusher_routing.prefixes import PrefixTable
 from gypsumusher_routing.retry_share import RetryDecision, RetryShare
 from gypsumusher_routing.routes import RouteTable, pick_service
+from gypsumusher_routing.send_account import SendAccount
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.stage_order import (
     ASK,
@@ -72,6 +73,7 @@
     "Reading",
     "RetryDecision",
     "RetryShare",
+    "SendAccount",
     "RouteTable",
     "SeenReading",
     "StageChange",
