Show the window that came nearest to the bound on retries

Windows were compared by repeats beyond the requests' part alone, so that where there were few the smallest window came first: one request, no repeats.

--- a/libs/cli/gypsumusher_cli/retries.py
+++ b/libs/cli/gypsumusher_cli/retries.py
@@ -36,7 +36,7 @@
 
 
 class ServiceRetries(NamedTuple):
-    """The window in which a service got most repeats beyond its bound.
+    """The window in which a service got the largest part of its bound.
 
     Attributes
     ----------
@@ -141,19 +141,20 @@
 
 
 def _worst_window(service, lines, ratio, slack, window_s):
-    """Return the window with most repeats beyond the bound."""
-    worst, worst_excess = (0, len(lines)), None
+    """Return the window with the largest part of the allowed repeats."""
+    worst, worst_used = (0, len(lines)), -1.0
     requests = repeats = end = 0
     for begin, first in enumerate(lines):
         while end < len(lines) and lines[end].at_s < first.at_s + window_s:
             requests += lines[end].requests
             repeats += lines[end].repeats
             end += 1
-        excess = repeats - ratio * requests
+        # A bound of none is used up by any repeat.
+        used = repeats / max(1e-9, ratio * requests + slack)
         # A window holds all lines of its first moment.
         is_begin = begin == 0 or lines[begin - 1].at_s < first.at_s
-        if is_begin and (worst_excess is None or excess > worst_excess):
-            worst, worst_excess = (begin, end), excess
+        if is_begin and used > worst_used:
+            worst, worst_used = (begin, end), used
         requests -= first.requests
         repeats -= first.repeats
     chosen = lines[slice(*worst)]
--- a/libs/cli/gypsumusher_cli/retries_commands.py
+++ b/libs/cli/gypsumusher_cli/retries_commands.py
@@ -12,7 +12,7 @@
 
 
 class RetriesCommand(ToolCommand):
-    """Finds the window in which a service got most repeats beyond its bound."""
+    """Finds the window in which a service came nearest to its bound."""
 
     name = "retries"
     description = "Hold the hosts' retries against the operator's bound, from logs."
--- a/libs/cli/tests/test_retries.py
+++ b/libs/cli/tests/test_retries.py
@@ -9,7 +9,7 @@
     return " ".join([*words, *(f"{key}={value}" for key, value in pairs.items())])
 
 
-def test_the_window_with_most_repeats_is_found_over_all_hosts():
+def test_the_window_nearest_to_the_bound_is_found_over_all_hosts():
     lines = [
         *(line(second, "h-1", "request_ended") for second in range(20)),
         line(13, "h-1", "request_ended", repeats=2, retries=1),
