Bound each host's retries by a bucket over all hosts that exist

Cause: each host divided the slack by the number of active hosts that it heard of. Of seven hosts four are active, and all seven took a fourth (63 of 54). Hosts that are cut off, or have just started, divided by less: seven that hear nobody took 259 of 54. A host that was killed took a part again from its start while its retries before still counted, and a sliding count let the requests of a window allow retries in the next. The class: a bound over the whole system that each host keeps by a belief about the others, and that loosens when sight is lost.

Now a share is a token bucket. Requests bring their ratio of a retry, the slack comes in evenly, and what the bucket holds plus what comes in over a window is the host's part, so any window of any set of hosts is within the bound, kills and shifted load included (test_all_hosts_together_keep_to_the_bound_in_every_window). The slack is divided by the hosts that exist, from the records, heard of or not; hosts tell each other how many records they have read, and one that knows no number has no slack. The used part is 0.9 of the bound where it was 0.7: what it had to cover, hosts that don't agree, is gone.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -146,6 +146,7 @@
             sees_store=self.sees_store,
             store_seen_s=self.store_seen_s,
             period_s=period_s,
+            hosts_recorded=self.hosts.recorded(),
         )
 
     def active_hosts(self):
@@ -284,7 +285,11 @@
         -------
         RetryDecision
         """
-        return self.retry_share(service).take(self.clock(), self.hosts_count())
+        return self.retry_share(service).take(self.clock(), self.hosts.existing())
+
+    def note_request(self, service):
+        """Count a request of a service, for the retries that it allows."""
+        self.retry_share(service).on_first(self.clock(), self.hosts.existing())
 
     def connections_max(self, service):
         """Return how many connections this host may have to one endpoint."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -140,13 +140,12 @@
             "info",
             "retry_taken" if decision.is_allowed else "retry_withheld",
             service=self.service,
-            requests=decision.requests,
-            retries=decision.retries,
-            limit=round(decision.limit, 2),
+            left=round(decision.left, 2),
+            most=round(decision.most, 2),
             hosts=decision.hosts,
         )
         if not decision.is_allowed:
-            raise NoRetryError(f"limit={decision.limit:.2f}")
+            raise NoRetryError(f"left={decision.left:.2f} most={decision.most:.2f}")
         self.account.retries += 1
 
     def log(self, level, event, **fields):
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -16,7 +16,7 @@
 
 # Version of the message; others are passed over, so that hosts of two releases can
 # serve side by side.
-FORMAT = 3
+FORMAT = 4
 # Least time between two messages while the load changes, in seconds. A prompt is read
 # in a tenth of a second or more, so older counts still tell. Four hosts served 0.02 to
 # 0.04 less of the worth at 0.2 s, 0.01 to 0.02 less at 0.1 s, and no more at 0.02 s.
--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -79,6 +79,7 @@
             ip = item.content.get("ip") if isinstance(item.content, dict) else None
             if isinstance(ip, str):
                 context.hosts.on_record(context.clock(), item.name, ip)
+        context.hosts.on_records_read()
         names = [item.name for item in stored]
         for name in context.hosts.drop_unrecorded(context.clock(), names):
             context.log("info", "host_forgotten", peer=name)
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -80,7 +80,7 @@
         """Send until there is an answer, or none can come any more."""
         exchange = self._exchange
         context = exchange.context
-        context.retry_share(exchange.service).on_first(context.clock())
+        context.note_request(exchange.service)
         state = self._next()
         if state is None:
             exchange.refuse(503, "no_endpoint", NO_ROOM_RETRY_S)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -72,7 +72,7 @@
     async def run(self):
         """Read the prompt, and send until a stream is whole or none can come."""
         exchange, context = self._exchange, self._context
-        context.retry_share(exchange.service).on_first(context.clock())
+        context.note_request(exchange.service)
         try:
             if self._is_generation():
                 self._prompt = await read_prompt(exchange, self._limits)
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -204,8 +204,8 @@
         async with World(silent) as world:
             world.host.context.started_s -= 100.0
             assert (await world.ask())[0] == 504
-            share = world.host.context.retry_share("svc")
-            assert len(share._retries_s) == 0
+            events = [event for event, _ in world.log_lines]
+            assert "retry_taken" not in events and "retry_withheld" not in events
 
     run(scenario())
 
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -100,7 +100,7 @@
             now_s,
             HostNews(
                 f"host-{number}", 1, 1, f"127.0.0.{number + 1}", "zone-a", "", "",
-                True, 1, 1, 1.0, True, 1.0, 0.45,
+                True, 1, 1, 1.0, True, 1.0, 0.45, HOSTS,
             ),
         )  # fmt: skip
 
@@ -118,3 +118,19 @@
         while host.context.take_retry("svc").is_allowed:
             retries += 1
     assert 0 < retries <= BOUNDS.retry_slack
+
+
+def test_hosts_of_which_a_part_takes_callers_keep_to_the_budget_together():
+    """Four of seven hosts were active, and each of the seven took a fourth."""
+    now_s = [0.0]
+    hosts = [Host(number, lambda: now_s[0]) for number in range(HOSTS)]
+    now_s[0] = 30.0
+    for host in hosts:
+        for number in range(HOSTS):
+            host.hear(30.0, number)
+    retries = 0
+    for host in hosts:
+        assert len(host.context.active_hosts()) == 4
+        while host.context.take_retry("svc").is_allowed:
+            retries += 1
+    assert 0 < retries <= BOUNDS.retry_slack
--- a/libs/entry/tests/test_simultaneous_choices.py
+++ b/libs/entry/tests/test_simultaneous_choices.py
@@ -69,7 +69,7 @@
 def _news(number):
     return HostNews(
         f"host-{number}", 1, 1, f"127.0.0.{number + 1}", "a", "", "", True, 1, 1, 1.0,
-        True, 1.0, 0.45,
+        True, 1.0, 0.45, 0,
     )  # fmt: skip
 
 
--- a/libs/routing/gypsumusher_routing/hosts.py
+++ b/libs/routing/gypsumusher_routing/hosts.py
@@ -44,6 +44,8 @@
         For how long no call of its to the store has failed, in seconds.
     period_s : float
         After how long its next message comes at the latest, in seconds.
+    hosts_recorded : int
+        Hosts that have a record, itself among them; 0 when it hasn't read the records.
     """
 
     name: str
@@ -60,6 +62,7 @@
     sees_store: bool
     store_seen_s: float
     period_s: float
+    hosts_recorded: int
 
 
 def capacity_of(cores: float, link_mbps: float) -> float:
@@ -92,6 +95,36 @@
         self._known = {}
         # When the revision of the endpoints that a host knows last grew.
         self._grown_s = {}
+        self._has_read_records = False
+
+    def on_records_read(self) -> None:
+        """Note that all records have been read."""
+        self._has_read_records = True
+
+    def recorded(self) -> int:
+        """Return how many hosts have a record, itself among them.
+
+        Returns
+        -------
+        int
+            0 when the records haven't been read.
+        """
+        return len(self._known) + 1 if self._has_read_records else 0
+
+    def existing(self) -> int:
+        """Return how many hosts may exist, itself among them, alive or not.
+
+        For what all hosts share without asking each other: the number doesn't shrink
+        when this host hears of fewer.
+
+        Returns
+        -------
+        int
+            0 when neither this host nor one that it heard of has read the records.
+        """
+        told = max((news.hosts_recorded for news in self._news.values()), default=0)
+        known = max(told, self.recorded())
+        return max(known, len(self._known) + 1) if known else 0
 
     def on_record(self, now_s: float, name: str, ip: str) -> None:
         """Note that a host exists, from its record in the store."""
--- a/libs/routing/gypsumusher_routing/retry_share.py
+++ b/libs/routing/gypsumusher_routing/retry_share.py
@@ -2,16 +2,26 @@
 
 Made for endpoints that fail under full load: there each retry takes the place of a
 first attempt, so unbounded retries turn a partial failure into a whole one.
+
+The share is a token bucket: requests bring their part of a retry, and the slack comes
+in evenly over the window. What a bucket holds and what comes in over a window stays
+within the host's part of the bound for every window, so the sum over all hosts stays
+within the bound without any message between them, whatever happens to them: a host
+that starts anew has an empty bucket.
 """
 
-from collections import deque
 from typing import NamedTuple
 
 __all__ = ["RetryDecision", "RetryShare"]
 
-# Part of the operator's bound that is used. Windows slide and hosts don't hear of each
-# other at once, so the sum of all shares must stay clear of it.
-USED_PART = 0.7
+# Part of the operator's bound that is used: a send may arrive some time after its retry
+# was taken, and falls into a later window then.
+USED_PART = 0.9
+# Part of a host's slack that its bucket holds; the rest comes in over the window.
+HELD_PART = 0.5
+# Retries that the bucket holds at least, where the slack allows: an endpoint that
+# crashes fails several requests of a host at once.
+HELD_MIN = 2.0
 
 
 class RetryDecision(NamedTuple):
@@ -21,25 +31,22 @@
     ----------
     is_allowed : bool
         Whether it is.
-    requests : int
-        First sends of this host in the window.
-    retries : int
-        Retries that this host has used in the window, this one among them.
-    limit : float
-        Retries that it may use in the window.
+    left : float
+        Retries that are left in the bucket.
+    most : float
+        Retries that the bucket holds at most.
     hosts : int
-        Hosts that the slack was divided by.
+        Hosts that the slack was divided by; 0 when their number wasn't known.
     """
 
     is_allowed: bool
-    requests: int
-    retries: int
-    limit: float
+    left: float
+    most: float
     hosts: int
 
 
 class RetryShare:
-    """Counts the sends of one service in a sliding window.
+    """This host's retries of one service.
 
     Parameters
     ----------
@@ -50,23 +57,20 @@
     window_s : float
         The window, in seconds.
     started_s : float
-        Start of this process. Its part of the slack grows over one window from there:
-        hosts that are killed and start anew again and again would otherwise bring a
-        fresh part of it each time.
+        Start of this process.
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float, started_s: float):
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._started_s = started_s
-        self._firsts_s = deque()
-        self._retries_s = deque()
+        self._tokens = 0.0
+        self._at_s = started_s
 
-    def on_first(self, now_s: float) -> None:
-        """Count the first send of a request."""
-        self._firsts_s.append(now_s)
-        self._trim(now_s)
+    def on_first(self, now_s: float, hosts: int) -> None:
+        """Count the first send of a request; parameters as of `take`."""
+        most = self._refill(now_s, hosts)
+        self._tokens = min(most, self._tokens + USED_PART * self._ratio)
 
     def take(self, now_s: float, hosts: int) -> RetryDecision:
         """Use one retry, unless this host's share is spent.
@@ -76,20 +80,20 @@
         now_s : float
             The present time, in seconds.
         hosts : int
-            Hosts that share the slack, this one among them.
+            Hosts that share the slack, this one among them; 0 when that isn't known,
+            and the host has no share of it.
         """
-        self._trim(now_s)
-        age = min(1.0, (now_s - self._started_s) / self._window_s)
-        limit = self._ratio * len(self._firsts_s) + self._slack * age / max(1, hosts)
-        limit *= USED_PART
-        is_allowed = len(self._retries_s) + 1 <= limit
+        most = self._refill(now_s, hosts)
+        is_allowed = self._tokens >= 1.0
         if is_allowed:
-            self._retries_s.append(now_s)
-        requests, retries = len(self._firsts_s), len(self._retries_s)
-        return RetryDecision(is_allowed, requests, retries, limit, hosts)
-
-    def _trim(self, now_s):
-        oldest_s = now_s - self._window_s
-        for times_s in (self._firsts_s, self._retries_s):
-            while times_s and times_s[0] < oldest_s:
-                times_s.popleft()
+            self._tokens -= 1.0
+        return RetryDecision(is_allowed, self._tokens, most, hosts)
+
+    def _refill(self, now_s, hosts):
+        """Add what has come in of the slack; return what the bucket holds at most."""
+        share = USED_PART * self._slack / hosts if hosts else 0.0
+        most = min(share, max(HELD_MIN, HELD_PART * share))
+        came_in = (share - most) / self._window_s * (now_s - self._at_s)
+        self._tokens = min(most, self._tokens + came_in)
+        self._at_s = now_s
+        return most
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -3,7 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsumusher_routing import SendAccount
+from gypsumusher_routing import HostNews, HostTable, RetryShare, SendAccount
+
+HOSTS, RATIO, SLACK, WINDOW_S = 5, 0.2, 30.0, 10.0
 
 # What becomes of a send: it doesn't leave, an endpoint rejects it, or it reads the
 # prompt that it was only to read.
@@ -48,3 +50,70 @@
     assert account.needs_retry()
     account.cancel()
     assert not account.needs_retry()
+
+
+# What happens next: after how long, at which host, and what. A host that is killed
+# starts again at once.
+STEPS = st.lists(
+    st.tuples(
+        st.floats(0.0, 3.0),
+        st.integers(0, HOSTS - 1),
+        st.sampled_from(["requests", "retries", "retries", "kill"]),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_all_hosts_together_keep_to_the_bound_in_every_window(steps):
+    """A window held the retries before and after a kill, or those of two loads."""
+    shares = [RetryShare(RATIO, SLACK, WINDOW_S, -100.0) for _ in range(HOSTS)]
+    now_s, requests_s, retries_s = 0.0, [], []
+    for pause_s, number, what in steps:
+        now_s += pause_s
+        if what == "kill":
+            shares[number] = RetryShare(RATIO, SLACK, WINDOW_S, now_s)
+        for _ in range(40):
+            if what == "requests":
+                shares[number].on_first(now_s, HOSTS)
+                requests_s.append(now_s)
+            if what == "retries" and shares[number].take(now_s, HOSTS).is_allowed:
+                retries_s.append(now_s)
+    for begin_s in retries_s:
+        ends_s = begin_s + WINDOW_S
+        retries = sum(begin_s <= at_s < ends_s for at_s in retries_s)
+        requests = sum(begin_s <= at_s < ends_s for at_s in requests_s)
+        assert retries <= RATIO * requests + SLACK
+
+
+def test_a_host_that_knows_no_number_of_hosts_has_no_slack():
+    """A host that started while the store was away took the retries of all."""
+    share = RetryShare(RATIO, SLACK, WINDOW_S, 0.0)
+    assert not share.take(50.0, 0).is_allowed
+    assert share.take(60.0, HOSTS).is_allowed
+
+
+def told(name, hosts_recorded):
+    return HostNews(
+        name, 1, 1, "10.0.0.1", "a", "", "", True, 1, 1, 1.0, True, 1.0, 0.4,
+        hosts_recorded,
+    )  # fmt: skip
+
+
+def test_the_number_of_hosts_does_not_shrink_with_sight():
+    """A host that heard of few divided what all share by few."""
+    table = HostTable("own")
+    assert table.existing() == 0
+    table.on_news(0.0, told("other", 0))
+    assert table.existing() == 0
+    table.on_news(0.1, told("other", 0)._replace(beat=2, hosts_recorded=7))
+    assert table.existing() == 7
+    # Silence alone changes nothing.
+    assert table.live(50.0) == [] and table.existing() == 7
+    for number in range(9):
+        table.on_record(60.0, f"h-{number}", "10.0.0.2")
+    assert table.existing() == 11
+    table.on_records_read()
+    assert table.recorded() == table.existing() == 11
+    assert "other" in table.drop_unrecorded(70.0, [f"h-{n}" for n in range(9)])
+    assert table.existing() == 10
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -62,7 +62,7 @@
 ):
     return HostNews(
         name, started_ms, beat, "10.0.0.1", zone, f"{name}:1", f"{name}:2", ready,
-        version, revision, capacity, True, store_seen_s, 0.4,
+        version, revision, capacity, True, store_seen_s, 0.4, 0,
     )  # fmt: skip
 
 
@@ -128,7 +128,7 @@
     for step in range(1000):
         now_s = step * 0.01
         for share in shares:
-            share.on_first(now_s)
+            share.on_first(now_s, hosts)
             requests += 1
             retries += share.take(now_s, hosts).is_allowed
     assert 0 < retries <= 0.2 * requests + 54
