--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -66,7 +66,6 @@
 
 @given(STEPS)
 def test_all_hosts_together_keep_to_the_bound_in_every_window(steps):
-    """A window held the retries before and after a kill, or those of two loads."""
     shares = [RetryShare(RATIO, SLACK, WINDOW_S, -100.0) for _ in range(HOSTS)]
     now_s, requests_s, retries_s = 0.0, [], []
     for pause_s, number, what in steps:
@@ -86,6 +85,17 @@
         assert retries <= RATIO * requests + SLACK
 
 
+def test_hosts_that_were_killed_take_their_shares_once_in_a_window():
+    """Hosts that were killed took their shares again, beside the retries before."""
+    retries = 0
+    for started_s, now_s in ((-100.0, 0.0), (0.1, 9.9)):
+        for _ in range(HOSTS):
+            share = RetryShare(RATIO, SLACK, WINDOW_S, started_s)
+            while share.take(now_s, HOSTS).is_allowed:
+                retries += 1
+    assert 0 < retries <= SLACK
+
+
 def test_a_host_that_knows_no_number_of_hosts_has_no_slack():
     """A host that started while the store was away took the retries of all."""
     share = RetryShare(RATIO, SLACK, WINDOW_S, 0.0)
