Leave connections to hosts that this one doesn't hear

What callers would see: requests reset by an endpoint that has more connections than it takes.

Cause: a host's part of an endpoint's connections was divided by the active hosts that it hears of. Four hosts that hear nobody each took 90 of 100. Now it is divided by the number of hosts that are to be active of those that exist, where fewer are heard.

test_hosts_that_hear_nobody_leave_connections_to_the_others failed before: 360 for 100.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -18,6 +18,7 @@
     Learnt,
     RetryShare,
     RouteTable,
+    active_count,
     capacity_of,
     choose_active,
     choose_watchers,
@@ -189,8 +190,12 @@
         return False
 
     def hosts_count(self):
-        """Return the number of hosts that share the work, this one among them."""
-        return max(1, len(self.active_hosts()))
+        """Return the number of hosts that share the work, this one among them.
+
+        Those that this host doesn't hear may be at work all the same.
+        """
+        expected = active_count(self.hosts.existing())
+        return max(1, len(self.active_hosts()), expected)
 
     def adopt(self, configuration, stored, source):
         """Put a configuration in force, unless it is older than the one that is.
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -17,6 +17,7 @@
 
 from gypsumusher_entry.context import Context
 from gypsumusher_entry.metrics import Metrics
+from gypsumusher_platform import decode_configuration
 from gypsumusher_routing import HostNews
 
 REQUESTS = 200
@@ -134,3 +135,19 @@
         while host.context.take_retry("svc").is_allowed:
             retries += 1
     assert 0 < retries <= BOUNDS.retry_slack
+
+
+def test_hosts_that_hear_nobody_leave_connections_to_the_others():
+    """Each of four hosts that were cut off opened nearly all that an endpoint takes."""
+    now_s = [0.0]
+    hosts = [Host(number, lambda: now_s[0]) for number in range(HOSTS)]
+    content = decode_configuration(configuration(1, ONCE))
+    for host in hosts:
+        host.context.adopt(content, None, "test")
+        for number in range(HOSTS):
+            host.hear(0.0, number)
+    together = [host.context.connections_max("svc") for host in hosts[:4]]
+    now_s[0] = 30.0
+    cut_off = [host.context.connections_max("svc") for host in hosts[:4]]
+    assert sum(cut_off) <= content.services["svc"].max_connections
+    assert cut_off == together
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -1,6 +1,10 @@
 """Decisions on a request's way to an endpoint, without input, output or a clock."""
 
-from gypsumusher_routing.active_hosts import choose_active, choose_watchers
+from gypsumusher_routing.active_hosts import (
+    active_count,
+    choose_active,
+    choose_watchers,
+)
 from gypsumusher_routing.endpoint_state import EndpointState, Load, StageNews
 from gypsumusher_routing.endpoint_table import EndpointTable
 from gypsumusher_routing.engine_choice import (
@@ -84,6 +88,7 @@
     "WAIT",
     "Wish",
     "abandoned_after_s",
+    "active_count",
     "capacity_of",
     "choose_active",
     "choose_decode",
--- a/libs/routing/gypsumusher_routing/active_hosts.py
+++ b/libs/routing/gypsumusher_routing/active_hosts.py
@@ -12,7 +12,7 @@
 
 from gypsumusher_routing.hosts import HostNews
 
-__all__ = ["WATCHERS", "choose_active", "choose_watchers"]
+__all__ = ["WATCHERS", "active_count", "choose_active", "choose_watchers"]
 
 # At least so many are active, where there are so many: on seven and eight hosts four of
 # them served 0.013 more of the worth than all, which is within what two runs differ by.
@@ -30,6 +30,11 @@
 WATCHERS = 3
 
 
+def active_count(hosts_count: int) -> int:
+    """Return how many of so many hosts callers are sent to, where all are alike."""
+    return min(hosts_count, max(ACTIVE_MIN, round(hosts_count * ACTIVE_PART)))
+
+
 def choose_active(hosts: list[HostNews], hosts_count: int = 0) -> list[HostNews]:
     """Return the hosts that callers are sent to, in an order that all hosts agree on.
 
@@ -43,8 +48,7 @@
     hosts_count : int
         Number of all hosts that there are, as far as it is known to be larger.
     """
-    hosts_count = max(hosts_count, len(hosts))
-    count = max(ACTIVE_MIN, round(hosts_count * ACTIVE_PART))
+    count = active_count(max(hosts_count, len(hosts)))
     by_zone = {}
     for host in hosts:
         by_zone.setdefault(host.zone, []).append(host)
