Have the soak's endpoints reject, and check the bound on retries

The soak had no endpoint that rejects, a slack of 1,000 that nothing could use up, and no check of the bound. Endpoints now reject by one or all at once, the slack is 30, and what arrives beyond the first send of each request is held against the bound over all hosts, in every window.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -21,21 +21,21 @@
         Its id.
     clock : callable
         Seconds of the run.
-    arrivals : list of Arrival
-        Takes what it runs.
+    records : Records
+        Takes what it runs and what it rejects.
 
     Attributes
     ----------
     mode : str
-        ``well``, ``errors`` (status 500 after the work), ``hang`` (no answer) or
-        ``break`` (half an answer).
+        ``well``, ``errors`` (status 500 after the work), ``hang`` (no answer),
+        ``break`` (half an answer) or ``full`` (rejects all).
     """
 
-    def __init__(self, name, clock, arrivals):
+    def __init__(self, name, clock, records):
         self.name = name
         self.mode = "well"
         self._clock = clock
-        self._arrivals = arrivals
+        self._records = records
         self._endpoint = None
 
     async def start(self):
@@ -59,7 +59,13 @@
             writer.write(answer_to("health", b""))
             return
         mode = self.mode
-        self._arrivals.append(Arrival(request_id, self.name, self._clock()))
+        arrival = Arrival(request_id, self.name, self._clock())
+        if mode == "full":
+            self._records.rejections.append(arrival)
+            status, not_run = "503 Service Unavailable", ("X-Gypsumusher-Not-Run: 1",)
+            writer.write(answer_to(request_id, b"", status, not_run))
+            return
+        self._records.arrivals.append(arrival)
         await asyncio.sleep(WORK_S)
         if mode == "hang":
             await asyncio.Event().wait()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,7 @@
 from plan import SERVED_S
 from records import ANY_TIMES, ONCE, STREAM
 
-__all__ = ["find_broken_promises"]
+__all__ = ["RETRY_RATIO", "RETRY_SLACK", "RETRY_WINDOW_S", "find_broken_promises"]
 
 # Runs that each kind of request may have: its route's attempts.
 RUNS_MAX = {ANY_TIMES: 2, ONCE: 1, STREAM: 2}
@@ -20,6 +20,9 @@
 CONFIGURATION_S = 4.0
 # A request that crosses the close of a kept connection, in seconds after its send.
 CROSSING_S = 0.3
+# The operator's bound on what endpoints get beyond the first send of each request: a
+# part of the requests of a window and a number on top, summed over all hosts.
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 30, 10.0
 # Faults of one host that excuse what its callers see.
 _HOST_FAULTS = ("host_kill", "host_pause", "all_hosts_kill")
 # Faults by which an answer that has begun may break off.
@@ -43,6 +46,7 @@
     for outcome in records.outcomes:
         for problem in _judge(records, outcome, runs.get(outcome.request_id, 0)):
             found.append(f"{problem}: {outcome}")
+    found += _judge_retries(records)
     found += _judge_leaving(records)
     found += _judge_versions(records)
     found += _judge_end(records, ends_s)
@@ -94,6 +98,33 @@
     return False
 
 
+def _judge_retries(records):
+    """Return the windows with more repeats than the operator's bound."""
+    arrived = sorted(records.arrivals + records.rejections, key=lambda a: a.at_s)
+    sent_s = {outcome.request_id: outcome.sent_s for outcome in records.outcomes}
+    seen, repeats_s = set(), []
+    for arrival in arrived:
+        if arrival.request_id in seen:
+            repeats_s.append(arrival.at_s)
+        seen.add(arrival.request_id)
+        # Callers that left early have no outcome.
+        sent_s.setdefault(arrival.request_id, arrival.at_s)
+    for begin_s in repeats_s:
+        repeats = _count(repeats_s, begin_s)
+        # The bound goes by the window, the one before or the one half a window before.
+        begins_s = [begin_s - part * RETRY_WINDOW_S for part in (0.0, 0.5, 1.0)]
+        requests = max(_count(sent_s.values(), earlier_s) for earlier_s in begins_s)
+        allowed = RETRY_RATIO * requests + RETRY_SLACK
+        if repeats > allowed:
+            return [f"{repeats} repeats from {begin_s:.2f} s, {allowed:.0f} allowed"]
+    return []
+
+
+def _count(moments_s, begin_s):
+    """Return how many moments lie in the window that begins at one."""
+    return sum(begin_s <= at_s < begin_s + RETRY_WINDOW_S for at_s in moments_s)
+
+
 def _judge_leaving(records):
     """Return the work that leaving endpoints got too late."""
     found = []
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 
+from checks import RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S
 from processes import Process, free_ports
 
 __all__ = ["EntryProcess"]
@@ -29,7 +30,9 @@
 grace_s = 6
 stable_window_ms = 3000
 ttl_max_s = 2
-retry_slack = 1000
+retry_ratio = {retry_ratio}
+retry_slack = {retry_slack}
+budget_window_s = {retry_window_s}
 """
 
 
@@ -61,6 +64,8 @@
         text = SETTINGS.format(
             name=name, ip=ip, zone=zone, store=store, callers_port=callers_port,
             ready_port=ready_port, directory_port=directory_port, peer_port=peer_port,
+            retry_ratio=RETRY_RATIO, retry_slack=RETRY_SLACK,
+            retry_window_s=RETRY_WINDOW_S,
         )  # fmt: skip
         path.write_text(text)
         variable = f"GYPSUMUSHER_SETTINGS={path}"
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -96,6 +96,11 @@
     return bring_about
 
 
+async def _all_endpoints_full(world, _, for_s):
+    bring_about = _endpoint_mode("full")
+    await asyncio.gather(*(bring_about(world, part, for_s) for part in world.backends))
+
+
 async def _link_delay(world, link, for_s):
     link.delay_s = LINK_DELAY_S
     await asyncio.sleep(for_s)
@@ -180,6 +185,8 @@
     "endpoint_errors": ("backends", _endpoint_mode("errors")),
     "endpoint_hang": ("backends", _endpoint_mode("hang")),
     "endpoint_break": ("backends", _endpoint_mode("break")),
+    "endpoint_full": ("backends", _endpoint_mode("full")),
+    "all_endpoints_full": (None, _all_endpoints_full),
     "link_delay": ("links", _link_delay),
     "link_reset": ("links", _link_reset),
     "link_silent": ("links", _link_hold(True, True)),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,6 +19,8 @@
     "endpoint_errors": (0.5, 3.0),
     "endpoint_hang": (0.5, 3.0),
     "endpoint_break": (0.5, 3.0),
+    "endpoint_full": (0.5, 3.0),
+    "all_endpoints_full": (0.5, 3.0),
     "link_delay": (0.5, 3.0),
     "link_reset": (0.0, 0.0),
     "link_silent": (0.3, 3.0),
--- a/soak/records.py
+++ b/soak/records.py
@@ -54,7 +54,7 @@
 
 
 class Arrival(NamedTuple):
-    """A request that an endpoint began to work on."""
+    """A request that has reached an endpoint."""
 
     request_id: str
     endpoint: str
@@ -70,6 +70,8 @@
         How requests ended.
     arrivals : list of Arrival
         What endpoints ran.
+    rejections : list of Arrival
+        What endpoints rejected without running it.
     spans : list of (str, str, float, float)
         Kind of fault, its target, its begin and its end in seconds of the run.
     leaves : list of (str, float, float)
@@ -83,6 +85,7 @@
     def __init__(self):
         self.outcomes = []
         self.arrivals = []
+        self.rejections = []
         self.spans = []
         self.leaves = []
         self.versions = []
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -45,6 +45,21 @@
     assert broken(records) == ["said not to have run, and has run"]
 
 
+def test_more_repeats_than_the_operator_allows_are_found():
+    """Endpoints rejected what they were sent, and hosts sent it on and on."""
+    served = [outcome(f"r-{number}") for number in range(10)]
+    records = records_of(*served)
+    for number in range(10):
+        for _ in range(4):
+            records.rejections.append(Arrival(f"r-{number}", "e-0", 1.0))
+    # 11 requests allow 2.2 and 30 on top, of which 2 in another window.
+    assert broken(records) == []
+    records.rejections += [Arrival(f"r-{number}", "e-1", 1.5) for number in range(2)]
+    assert broken(records) == []
+    records.rejections.append(Arrival("r-0", "e-1", 1.5))
+    assert broken(records) == ["33 repeats from 1.00 s, 32 allowed"]
+
+
 def test_a_refusal_without_a_time_to_come_back_is_found():
     refused = outcome(status=503, is_sealed=False)
     assert broken(records_of(refused)) == ["given up without a time to come back"]
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -18,7 +18,12 @@
 # the loss of all hosts beside changes of the configuration, a store that forgets.
 SEEDS = (7, 19, 31)
 # What they were chosen from; a further kind would change what they draw.
-SEEDED_KINDS = set(KINDS) - {"config_large", "host_store_weak"}
+SEEDED_KINDS = set(KINDS) - {
+    "all_endpoints_full",
+    "config_large",
+    "endpoint_full",
+    "host_store_weak",
+}
 # Large configurations reach hosts over weak links, while the store turns one of them
 # away, an endpoint leaves and a host restarts.
 LARGE = Plan(
--- a/soak/world.py
+++ b/soak/world.py
@@ -70,7 +70,7 @@
         address = await self.store.start()
         self.write_configuration()
         for number in range(ENDPOINTS):
-            backend = Backend(f"e-{number}", self.clock, self.records.arrivals)
+            backend = Backend(f"e-{number}", self.clock, self.records)
             self.backends.append(backend)
             self.links.append(Proxy(await backend.start()))
             await self.links[-1].start()
