Tell peers what differs in the endpoints' list, and not all of it

Cause: each change of one endpoint had every host that doesn't read the store ask for the list of all of them.

A host's table keeps what has changed since its last whole list, with revisions. A peer that knows that list is told the entries that are new or changed and the ids that are gone; any other is told the whole list, as an endpoint that came and went between two lists shows in none. Hosts of an earlier release don't ask for changes and get what they got.

--- a/libs/entry/gypsumusher_entry/belief_messages.py
+++ b/libs/entry/gypsumusher_entry/belief_messages.py
@@ -38,12 +38,16 @@
         Revision of the endpoints.
     is_whole : bool
         Whether no endpoint's entry is waited for.
+    removed : tuple of str or None
+        Ids of endpoints that are gone; the endpoints are then only those that are new
+        or changed. None when they are all.
     """
 
     configuration: StoredObject | None
     endpoints: tuple[EndpointRecord, ...] | None
     revision: int
     is_whole: bool
+    removed: tuple[str, ...] | None = None
 
 
 class BeliefEncoder:
@@ -69,6 +73,9 @@
             records = [list(record) for record in beliefs.endpoints]
             endpoints = self._pack(None, records)
         fields = [configuration, endpoints, beliefs.revision, beliefs.is_whole]
+        if beliefs.removed is not None:
+            # Hosts of an earlier release don't ask for changes, and read four fields.
+            fields.append(list(beliefs.removed))
         return msgpack.packb(fields)
 
     def _pack(self, key, value):
@@ -98,7 +105,10 @@
         drop the endpoints of its other half.
     """
     try:
-        configuration, endpoints, revision, is_whole = msgpack.unpackb(data)
+        configuration, endpoints, revision, is_whole, *rest = msgpack.unpackb(data)
+        removed = None
+        if rest:
+            removed = tuple(rest[0])
         stored = None
         if configuration is not None:
             stored = StoredObject(*_unpack(configuration))
@@ -109,7 +119,9 @@
         raise DecodeError("beliefs", peer, repr(error)) from error
     if type(revision) is not int or type(is_whole) is not bool:
         raise DecodeError("beliefs", peer, "revision or is_whole has another type")
-    return Beliefs(stored, records, revision, is_whole)
+    if removed is not None and not all(type(item) is str for item in removed):
+        raise DecodeError("beliefs", peer, "removed holds no ids")
+    return Beliefs(stored, records, revision, is_whole, removed)
 
 
 def _unpack(packed):
--- a/libs/entry/gypsumusher_entry/peer_beliefs.py
+++ b/libs/entry/gypsumusher_entry/peer_beliefs.py
@@ -138,6 +138,8 @@
         known = {
             "version": str(context.configuration_version),
             "revision": str(context.endpoints.revision),
+            # It takes what differs in place of all endpoints.
+            "changes": "1",
         }
         _, data = await self._client.call(
             "GET", peer.peers_address, BELIEFS_PATH, ANSWER_LIMITS, known
@@ -152,7 +154,11 @@
         if beliefs.endpoints is None:
             return
         endpoints, revision = context.endpoints, beliefs.revision
-        if beliefs.is_whole:
+        if beliefs.removed is not None:
+            changed = endpoints.on_changes(
+                context.clock(), beliefs.endpoints, beliefs.removed, revision
+            )
+        elif beliefs.is_whole:
             changed = endpoints.on_listing(context.clock(), beliefs.endpoints, revision)
         else:
             changed = endpoints.on_part(beliefs.endpoints, revision)
@@ -163,5 +169,6 @@
                 peer=peer.name,
                 revision=revision,
                 is_whole=beliefs.is_whole,
+                told=len(beliefs.endpoints) + len(beliefs.removed or ()),
                 changed=",".join(changed),
             )
--- a/libs/entry/gypsumusher_entry/web.py
+++ b/libs/entry/gypsumusher_entry/web.py
@@ -45,7 +45,9 @@
         known = parse_qs(query)
         version = _known_number(known, "version")
         revision = _known_number(known, "revision")
-        body = encoder.encode(_beliefs_beyond(context, version, revision))
+        takes_changes = "changes" in known
+        beliefs = _beliefs_beyond(context, version, revision, takes_changes)
+        body = encoder.encode(beliefs)
         return 200, [_MSGPACK], body
 
     def answer_metrics(_):
@@ -83,7 +85,7 @@
     return int(text) if text.isascii() and text.isdigit() else -1
 
 
-def _beliefs_beyond(context, version, revision):
+def _beliefs_beyond(context, version, revision, takes_changes):
     """Return what a host lacks that knows a version and a revision.
 
     A list that is not whole is told again whatever the revision: what it lacks comes
@@ -94,7 +96,11 @@
     stored = context.configuration_source
     if context.configuration_version <= version:
         stored = None
-    records = None
+    records = removed = None
     if endpoints.revision > revision or not is_whole:
-        records = tuple(endpoints.listed())
-    return Beliefs(stored, records, endpoints.revision, is_whole)
+        changes = endpoints.changes_beyond(revision) if is_whole else None
+        if changes is not None and takes_changes:
+            records, removed = map(tuple, changes)
+        else:
+            records = tuple(endpoints.listed())
+    return Beliefs(stored, records, endpoints.revision, is_whole, removed)
--- a/libs/entry/tests/test_peer_beliefs.py
+++ b/libs/entry/tests/test_peer_beliefs.py
@@ -5,7 +5,7 @@
 
 import pytest
 from platform_samples import many_routes
-from worlds import ANY, configuration, one_seeing_one_not, run, until
+from worlds import ANY, configuration, entry, one_seeing_one_not, run, until
 
 from gypsumusher_entry.belief_messages import (
     BeliefEncoder,
@@ -90,6 +90,42 @@
     run(scenario())
 
 
+def test_one_change_of_very_many_endpoints_is_told_alone():
+    """Each change of an endpoint was told to all hosts as the list of all of them."""
+
+    async def scenario():
+        addresses = [f"127.0.0.1:{port}" for port in range(9, 9 + MANY_ENDPOINTS // 10)]
+        async with one_seeing_one_not(*addresses) as two:
+            context = two.context
+            # Until then the peer waits for entries that may come back.
+            await until(lambda: context.endpoints.revision > 0)
+            heard = len(two.lines)
+            changed = entry(addresses[0], "draining", beat=2)
+            two.store.put("servers", "e-0", changed)
+            states = context.endpoints.states
+            await until(lambda: states["e-0"].record.is_leaving)
+            two.store.remove("servers", "e-1")
+            await until(lambda: "e-1" not in context.endpoints.states)
+            told = [fields for event, fields in two.lines[heard:] if "peer" in event]
+            assert {fields["told"] for fields in told} == {1}
+            assert len(context.endpoints.states) == len(addresses) - 1
+
+    run(scenario())
+
+
+def test_a_change_is_encoded_with_what_is_gone():
+    changed = beliefs()._replace(configuration=None, removed=("e-7", "e-8"))
+    data = BeliefEncoder().encode(changed)
+    assert len(data) < 300
+    assert decode_beliefs("host-2", data) == changed
+
+
+def test_ids_of_another_type_are_refused():
+    changed = beliefs()._replace(removed=(7,))
+    with pytest.raises(DecodeError):
+        decode_beliefs("host-2", BeliefEncoder().encode(changed))
+
+
 def records(count):
     return tuple(
         EndpointRecord(
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -27,6 +27,10 @@
         self._grace_until_s = 0.0
         self._kv_tokens = {}
         self._named_by = {}
+        # What has changed since the last whole list, with its revision, for the peers.
+        self._listed_revision = None
+        self._changed_at = {}
+        self._removed_at = {}
 
     @property
     def heard_revision(self) -> int:
@@ -62,6 +66,33 @@
             if endpoint_id not in self._missing_since_s
         ]
 
+    def changes_beyond(self, revision: int):
+        """Return what has changed beyond a revision, for a peer that knows it.
+
+        Failure guarded against: an endpoint that came and went between two whole lists
+        shows in none of them, and a peer that had heard of it would keep it for ever.
+        So changes are told only to who knows the last whole list.
+
+        Returns
+        -------
+        (list of EndpointRecord, list of str) or None
+            Entries that are new or changed, and the ids of those that are gone; None
+            when only the whole list tells.
+        """
+        if self._listed_revision is None or revision < self._listed_revision:
+            return None
+        changed = [
+            self.states[endpoint_id].record
+            for endpoint_id, changed_at in self._changed_at.items()
+            if changed_at > revision
+        ]
+        removed = [
+            endpoint_id
+            for endpoint_id, removed_at in self._removed_at.items()
+            if removed_at > revision
+        ]
+        return changed, removed
+
     def on_listing(self, now_s: float, records, revision: int) -> list[str]:
         """Take over a whole list; return the ids that are new, changed or missing.
 
@@ -70,7 +101,9 @@
         """
         if revision < self.revision:
             return []
-        self.revision = revision
+        self.revision = self._listed_revision = revision
+        self._changed_at.clear()
+        self._removed_at.clear()
         changed = []
         listed = set()
         for record in records:
@@ -95,14 +128,44 @@
         self._part_revision = revision
         return [record.endpoint_id for record in records if self._take(record)]
 
+    def on_changes(self, now_s: float, records, removed, revision: int) -> list[str]:
+        """Take over what a peer knows beyond this table's revision; return the ids.
+
+        Parameters
+        ----------
+        now_s : float
+            The present time, in seconds.
+        records : iterable of EndpointRecord
+            Entries that are new or changed.
+        removed : iterable of str
+            Ids of entries that are gone.
+        revision : int
+            Revision of the newest change.
+        """
+        if revision < self.revision:
+            return []
+        changed = [
+            record.endpoint_id for record in records if self.on_record(record, revision)
+        ]
+        for endpoint_id in removed:
+            self.on_deleted(now_s, endpoint_id, revision)
+        self.revision = revision
+        return changed + list(removed)
+
     def on_record(self, record: EndpointRecord, revision: int) -> bool:
         """Take over one entry; say whether that changed anything."""
         self.revision = max(self.revision, revision)
-        return self._take(record)
+        is_changed = self._take(record)
+        if is_changed or record.endpoint_id in self._removed_at:
+            self._removed_at.pop(record.endpoint_id, None)
+            self._changed_at[record.endpoint_id] = revision
+        return is_changed
 
     def on_deleted(self, now_s: float, endpoint_id: str, revision: int) -> None:
         """Note that an entry is gone."""
         self.revision = max(self.revision, revision)
+        self._changed_at.pop(endpoint_id, None)
+        self._removed_at[endpoint_id] = revision
         if endpoint_id in self.states:
             self._miss(now_s, endpoint_id)
 
