Leave a late engine only with a retry to go on with

Cause: the wait for an engine ended after its silence whether or not the request could be sent again. Now it ends then only when a retry has been taken for the next send, and else lasts as long as the caller does. The same holds for the first event of a stream that may be resumed.

test_a_late_engine_is_not_left_without_a_retry_to_go_on_with failed before with 503.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -133,9 +133,15 @@
         NoRetryError
             When this host's share is spent.
         """
+        if not self.try_reserve_send():
+            raise NoRetryError(f"service={self.service}")
+
+    def try_reserve_send(self):
+        """As `reserve_send`; return whether the request may be sent."""
         if not self.account.needs_retry():
-            return
+            return True
         decision = self.context.take_retry(self.service)
+        self.account.retries += decision.is_allowed
         self.log(
             "info",
             "retry_taken" if decision.is_allowed else "retry_withheld",
@@ -144,9 +150,7 @@
             most=round(decision.most, 2),
             hosts=decision.hosts,
         )
-        if not decision.is_allowed:
-            raise NoRetryError(f"left={decision.left:.2f} most={decision.most:.2f}")
-        self.account.retries += 1
+        return decision.is_allowed
 
     def log(self, level, event, **fields):
         """Log a decision on this request."""
--- a/libs/entry/gypsumusher_entry/reading.py
+++ b/libs/entry/gypsumusher_entry/reading.py
@@ -1,9 +1,12 @@
 """Prompts that are read apart, by an engine that hands its KV cache on."""
 
-import asyncio
-
 from gypsumusher_entry.errors import OverloadedError
-from gypsumusher_entry.sending import ask_engine, note_failure, open_send
+from gypsumusher_entry.sending import (
+    ask_engine,
+    note_failure,
+    open_send,
+    silence_limit,
+)
 from gypsumusher_http import CallError
 from gypsumusher_platform import decode_prefill, encode_free_handle
 from gypsumusher_ports import DecodeError, Send
@@ -125,17 +128,17 @@
     context.note_reading_begun()
     learnt = context.learnt(exchange.service)
     limit_s = learnt.silent_after_s(state.stage, reading.expected_s)
+    longest_s = exchange.first_event_limits.given_up_s
     if reading.lane != TIMELY:
-        # It waits for as long as its caller does: asked for elsewhere it would stand
-        # last again.
-        limit_s = exchange.first_event_limits.given_up_s
+        # Asked for elsewhere it would stand last again.
+        limit_s = longest_s
     try:
-        async with asyncio.timeout(limit_s):
+        async with silence_limit(exchange, limit_s, longest_s):
             answer = await _ask(exchange, state, send)
     except TimeoutError:
         reason = "behind" if state.has_answered_since(began_s) else "silent"
         error = CallError("prefill", state.record.address, reason, False)
-        note_failure(exchange, state, error, waited_s=limit_s)
+        note_failure(exchange, state, error, waited_s=context.clock() - began_s)
         return None
     except CallError as error:
         note_failure(exchange, state, error)
--- a/libs/entry/gypsumusher_entry/sending.py
+++ b/libs/entry/gypsumusher_entry/sending.py
@@ -1,13 +1,21 @@
 """One send of a request to one endpoint, with the counts that go with it."""
 
 import asyncio
+import contextlib
 from typing import NamedTuple
 
 from gypsumusher_http import CallError
 from gypsumusher_platform import encode_send
 from gypsumusher_ports import ANY_TIMES
 
-__all__ = ["ask_engine", "check_head", "may_run_again", "note_failure", "open_send"]
+__all__ = [
+    "ask_engine",
+    "check_head",
+    "may_run_again",
+    "note_failure",
+    "open_send",
+    "silence_limit",
+]
 
 # From this penalty on an endpoint is sent to on a new connection. One that has crashed
 # resets a kept connection only when the next request arrives there, which may then have
@@ -185,3 +193,42 @@
         return True
     is_idempotent = route.kind == ANY_TIMES or route.is_resumable
     return is_idempotent and exchange.possible_runs < route.max_endpoints
+
+
+@contextlib.asynccontextmanager
+async def silence_limit(exchange, silent_s, longest_s):
+    """Limit a wait for an engine, which is left only for another one.
+
+    Failure guarded against: a request left an engine that was late, had no retry to go
+    on with, and was refused though its answer was on the way.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        The request.
+    silent_s : float
+        After how long it is left if the request may be sent again, in seconds; it is
+        asked again after as long.
+    longest_s : float
+        Longest wait, in seconds.
+
+    Raises
+    ------
+    TimeoutError
+        When the wait is over.
+    """
+    loop = asyncio.get_running_loop()
+
+    def leave():
+        nonlocal timer
+        if may_run_again(exchange) and exchange.try_reserve_send():
+            limit.reschedule(loop.time())
+        else:
+            timer = loop.call_later(silent_s, leave)
+
+    async with asyncio.timeout(longest_s) as limit:
+        timer = loop.call_later(silent_s, leave)
+        try:
+            yield
+        finally:
+            timer.cancel()
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -1,7 +1,5 @@
 """Requests to engines: the prompt is read, tokens are made, events are passed on."""
 
-import asyncio
-
 from gypsumusher_entry.errors import NoRetryError, OverloadedError
 from gypsumusher_entry.reading import learn_reading, read_prompt
 from gypsumusher_entry.sending import (
@@ -9,6 +7,7 @@
     may_run_again,
     note_failure,
     open_send,
+    silence_limit,
 )
 from gypsumusher_http import CallError
 from gypsumusher_ports import Send
@@ -235,7 +234,7 @@
         expected_s = 0.0 if run.reading is None else run.reading.expected_s
         limit_s = max(LEAST_SILENCE_S, SILENCE_FACTOR * expected_s)
         try:
-            async with asyncio.timeout(limit_s):
+            async with silence_limit(self._exchange, limit_s, self._exchange.left_s):
                 return await answer.head()
         except TimeoutError as error:
             peer = run.state.record.address
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -1,8 +1,9 @@
 """Sends beyond the first of each request, against the operator's bound."""
 
+import asyncio
 from collections import Counter
 
-from replies import request_id_of
+from replies import answer_to, request_id_of
 from worlds import (
     BOUNDS,
     ONCE,
@@ -25,9 +26,9 @@
 HOSTS = 7
 
 
-async def make_engines(world, *stages):
+async def make_engines(world, *stages, route=STREAM):
     """Have the endpoints be engines with these stages."""
-    content = configuration(2, STREAM)
+    content = configuration(2, route)
     content["services"][0]["engine"] = {"slots": 8}
     world.store.put("config", "main", content)
     states = world.host.context.endpoints.states
@@ -63,6 +64,40 @@
     run(scenario())
 
 
+def test_a_late_engine_is_not_left_without_a_retry_to_go_on_with():
+    """A prompt was given up while it was read, and its request refused."""
+
+    async def reads_late(number, head, body, writer):
+        await asyncio.sleep(0.3)
+        prefilled = b'{"handle": "h", "tokens": 30000, "version": 1}'
+        writer.write(answer_to(request_id_of(head), prefilled))
+
+    async def streams(number, head, body, writer):
+        writer.write(answer_to(request_id_of(head), b"id: 0\ndata: x\n\n"))
+
+    async def scenario():
+        route = {**STREAM, "timeout_ms": 7000, "goal_ms": 1500}
+        async with World(reads_late, streams, routes=(route,)) as world:
+            await make_engines(world, "prefill", "decode", route=route)
+            context = world.host.context
+            # Its share of the retries is empty as after a start.
+            context.started_s = context.clock()
+            learnt = context.learnt("svc")
+            learnt.silent_after_s = lambda stage, expected_s: 0.2
+            status, _, _ = await world.ask(
+                method="POST",
+                **{
+                    "X-Gypsumusher-Token-Count": "30000,4",
+                    "X-Gypsumusher-Deadline-Ms": "7000",
+                },
+            )
+            assert status == 200
+            events = [event for event, _ in world.log_lines]
+            assert "retry_withheld" in events and "send_failed" not in events
+
+    run(scenario())
+
+
 def test_a_connection_that_is_refused_takes_no_retry():
     """An endpoint was down, and its refused connections used up the retries."""
 
