--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -1,71 +1,76 @@
-"""Measure every slope behind docs/CAPACITY.md; `make capacity` runs it."""
+"""Write the tables of docs/CAPACITY.md from the report of a sweep over sizes.
+
+``capacity.py REPORT [--hosts N]`` prints a table of the measured points with their
+slopes, and what they lead to at a size, against the limits of control.
+"""
 
 import argparse
-import json
 import pathlib
 import sys
 
-from capacity_config import measure_config, section_bytes
-from capacity_fit import Line, format_line
-from capacity_home import measure_home
-from capacity_links import measure_links
-from capacity_metrics import measure_metrics
-from capacity_objects import measure_policy
-from capacity_processes import measure_control, measure_serving
-from capacity_size import format_size
-
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-OUTPUT_PATH = ROOT / "build" / "capacity.jsonl"
-PARTS = {
-    "policy": measure_policy,
-    "links": measure_links,
-    "config": measure_config,
-    "home": measure_home,
-    "metrics": measure_metrics,
-    "serving": measure_serving,
-    "control": measure_control,
-}
-
-
-def read_lines(path):
-    """Return the lines of an earlier run by name."""
-    lines = {}
-    for text in path.read_text().splitlines():
-        fields = json.loads(text)
-        fields.pop("part")
-        lines[fields["name"]] = Line(**fields)
-    return lines
+from capacity_fit import fit_points, predict
+
+from gypsumusher_platform.sweep_report import decode_sweep
+from gypsumusher_ports import DecodeError
+
+# The size to design for, and what control may take of a host there.
+HOSTS = 330
+LIMITS = {"processor %": 4.7, "memory MB": 128.0, "kB a second": 2.0}
+
+
+def format_slopes(rows, hosts):
+    """Return the measured points, slopes and worked values as a Markdown table."""
+    sizes = [size for size, _ in rows[0].middle]
+    header = " | ".join(str(size) for size in sizes)
+    lines = [
+        f"| quantity | host | {header} | grows | error | at {hosts} | limit |",
+        "|---" * (len(sizes) + 6) + "|",
+    ]
+    for row in rows:
+        for host, points in (("middle", row.middle), ("busiest", row.busiest)):
+            lines.append(_format_row(row.name, host, points, hosts))
+    return "\n".join(lines)
+
+
+def _format_row(name, host, points, hosts):
+    fit = fit_points(points)
+    value = predict(fit, hosts)
+    cells = [name, host, *(f"{value:g}" for _, value in points)]
+    growth = f"{fit.slope:.3g} a host" if fit.form == "linear" else f"^{fit.slope:.2f}"
+    cells += [growth, f"{100 * fit.error:.0f}%", f"{value:.3g}", _verdict(name, value)]
+    return "| " + " | ".join(cells) + " |"
+
+
+def _verdict(name, value):
+    """Return the limit of a quantity, and by how much a value is over it."""
+    for ending, limit in LIMITS.items():
+        if not name.endswith(ending):
+            continue
+        if value <= limit:
+            return f"{limit:g}"
+        return f"{limit:g}, over {value / limit:.1f} times"
+    return ""
 
 
 def main(arguments=None):
-    """Measure the chosen parts, print each line, and write them as JSON lines.
+    """Read a report and print its table; return the exit code.
 
     Parameters
     ----------
     arguments : list of str, optional
         The command line; the process's own by default.
     """
-    parser = argparse.ArgumentParser(description=main.__doc__.splitlines()[0])
-    parser.add_argument("parts", nargs="*", choices=[[], *PARTS], default=[])
-    parser.add_argument("--output", type=pathlib.Path, default=OUTPUT_PATH)
-    parser.add_argument("--tables", type=pathlib.Path, metavar="EARLIER_OUTPUT")
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("report", type=pathlib.Path, help="what the sweep printed")
+    parser.add_argument("--hosts", type=int, default=HOSTS, help="size to work out")
     options = parser.parse_args(arguments)
-    if options.tables is not None:
-        print(format_size(read_lines(options.tables)))
-        return
-    options.output.parent.mkdir(parents=True, exist_ok=True)
-    lines = {}
-    with open(options.output, "w") as output:
-        for name in options.parts or PARTS:
-            print(f"{name}:", flush=True)
-            for line in PARTS[name]():
-                print(f"  {format_line(line)}", flush=True)
-                lines[line.name] = line
-                output.write(json.dumps({"part": name, **line._asdict()}) + "\n")
-    print(f"one deployment's section: {section_bytes()} bytes of JSON")
-    print(f"written to {options.output}")
-    if not options.parts:
-        print(format_size(lines))
+    try:
+        rows = decode_sweep(str(options.report), options.report.read_text())
+        print(format_slopes(rows, options.hosts))
+    except (OSError, DecodeError, ValueError) as error:
+        print(f"capacity: {error}; give the whole output of a sweep", file=sys.stderr)
+        return 2
+    return 0
 
 
 if __name__ == "__main__":
--- a/tools/capacity_fit.py
+++ b/tools/capacity_fit.py
@@ -4,44 +4,41 @@
 
 import numpy
 
-LEAST_POINTS = 4
+__all__ = ["LEAST_POINTS", "Fit", "fit_points", "predict"]
 
+LEAST_POINTS = 3
 
-class Line(NamedTuple):
-    """One measured line of the capacity page.
 
-    ``slope`` is the cost of one more unit of ``x``; ``error`` is the root mean square
-    of the residuals as a share of the mean measured value.
+class Fit(NamedTuple):
+    """How a quantity grows with the number of hosts.
+
+    Attributes
+    ----------
+    form : {"power", "linear"}
+        ``factor * hosts ** slope``, or ``factor + slope * hosts`` where a point is 0.
+    factor, slope : float
+        As above.
+    error : float
+        Root mean square of the residuals as a share of the mean value.
     """
 
-    name: str
-    x_unit: str
-    y_unit: str
     form: str
-    points: list[tuple[float, float]]
-    intercept: float
+    factor: float
     slope: float
     error: float
 
 
-def fit_line(name, x_unit, y_unit, points, form="linear"):
-    """Fit ``y = intercept + slope * x`` by least squares.
+def fit_points(points):
+    """Fit a slope by least squares.
 
     Parameters
     ----------
-    name : str
-        The line's name on the page.
-    x_unit, y_unit : str
-        What is counted along both axes.
-    points : list of (float, float)
-        At least four measured points.
-    form : {"linear", "log2"}
-        Whether x itself or its binary logarithm is fitted.
+    points : list of (int, float)
+        Number of hosts and value; at least three.
 
     Returns
     -------
-    Line
-        The fit.
+    Fit
 
     Raises
     ------
@@ -49,29 +46,23 @@
         If there are too few points to tell a slope from noise.
     """
     if len(points) < LEAST_POINTS:
-        raise ValueError(f"{name} has {len(points)} points; {LEAST_POINTS} are needed")
-    x = numpy.array([point[0] for point in points], dtype=float)
-    y = numpy.array([point[1] for point in points], dtype=float)
-    scaled = numpy.log2(x) if form == "log2" else x
-    slope, intercept = numpy.polyfit(scaled, y, 1)
-    residuals = y - (intercept + slope * scaled)
-    error = float(numpy.sqrt(numpy.mean(residuals**2)) / abs(numpy.mean(y)))
-    return Line(
-        name, x_unit, y_unit, form, points, float(intercept), float(slope), error
-    )
-
-
-def predict(line, x):
-    """Return the fitted value at another size."""
-    scaled = numpy.log2(x) if line.form == "log2" else x
-    return float(line.intercept + line.slope * scaled)
-
-
-def format_line(line):
-    """Return a line as text: its points, slope and error."""
-    points = " ".join(f"{x:g}:{y:.4g}" for x, y in line.points)
-    x_unit = f"log2({line.x_unit})" if line.form == "log2" else line.x_unit
-    return (
-        f"{line.name}: {line.slope:.4g} {line.y_unit} per {x_unit}, "
-        f"intercept {line.intercept:.4g}, error {100 * line.error:.1f}% [{points}]"
-    )
+        raise ValueError(f"{len(points)} points; {LEAST_POINTS} are needed")
+    hosts = numpy.array([point[0] for point in points], dtype=float)
+    values = numpy.array([point[1] for point in points], dtype=float)
+    if (values > 0.0).all():
+        slope, intercept = numpy.polyfit(numpy.log(hosts), numpy.log(values), 1)
+        fit = Fit("power", float(numpy.exp(intercept)), float(slope), 0.0)
+    else:
+        slope, intercept = numpy.polyfit(hosts, values, 1)
+        fit = Fit("linear", float(intercept), float(slope), 0.0)
+    residuals = values - numpy.array([predict(fit, size) for size in hosts])
+    mean = abs(numpy.mean(values))
+    error = float(numpy.sqrt(numpy.mean(residuals**2)) / mean) if mean else 0.0
+    return fit._replace(error=error)
+
+
+def predict(fit, hosts):
+    """Return the fitted value at another number of hosts, at least 0."""
+    if fit.form == "power":
+        return fit.factor * hosts**fit.slope
+    return max(0.0, fit.factor + fit.slope * hosts)
--- a/tools/relay_bench.py
+++ b/tools/relay_bench.py
@@ -2,16 +2,33 @@
 
 import asyncio
 import json
+import os
+import pathlib
 import statistics
 import time
 
-from capacity_processes import FAST_ENGINE, cpu_s
 from testkit import DEPLOYMENT, Fleet
 
 ONE_BY_ONE = 200
 STREAMS = 32
 STREAM_TOKENS = 1500
 
+# An engine whose own time doesn't show beside the daemon's.
+FAST_ENGINE = {
+    "slots": 256,
+    "speed": 1,
+    "prefill_tokens_per_s": 1e9,
+    "decode_tokens_per_s": 1e9,
+    "kv_limit_tokens": 10**9,
+}
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+def cpu_s(pid):
+    """Return the processor time that a process has used, in seconds."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
 
 async def first_token_s(session, address, number):
     """Return the time from sending a request to the first event of its answer."""
