Log what the hypotheses on the retry budget need to be told apart

The logs had the number of hosts that the slack is divided by, not where it comes from, and neither when a repeated send left nor how long a failed one was without an answer. New: recorded, reported and heard in retry_taken and retry_withheld, host_count_changed, repeat_sent, since_send_ms in send_failed. No decision changes.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -93,6 +93,7 @@
         # Random offset: hosts that start together must not wake at the same moments.
         self._tick_offset_s = self.draw_uniform()
         self._retry_budgets = {}
+        self._host_count = 0
         self._cost_models = {}
         self._unsent_placements = []
         self._background_tasks = set()
@@ -300,15 +301,27 @@
         RetryDecision
             Whether the retry is allowed.
         """
-        return self.retry_budget(service).take(
-            self.clock(), self.hosts.existing_count()
-        )
+        return self.retry_budget(service).take(self.clock(), self.count_hosts())
 
     def record_request(self, service):
         """Count a request of a service; the retry budget grows with it."""
-        self.retry_budget(service).on_first_send(
-            self.clock(), self.hosts.existing_count()
-        )
+        self.retry_budget(service).on_first_send(self.clock(), self.count_hosts())
+
+    def count_hosts(self):
+        """Return the number of hosts that share the slack; log it when it changes."""
+        count = self.hosts.existing_count()
+        if count != self._host_count:
+            counts = self.hosts.counts(self.clock())
+            self.log(
+                "info",
+                "host_count_changed",
+                hosts=count,
+                before=self._host_count,
+                sees_store=self.sees_store,
+                **counts._asdict(),
+            )
+            self._host_count = count
+        return count
 
     def connection_limit(self, service):
         """Return how many connections this host may open to one endpoint."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -60,6 +60,7 @@
         self.first_output_at_s = None
         self.possible_runs = 0
         self.send_counter = SendCounter()
+        self.last_sent_s = None
         self.event_count = 0
         self.longest_pause_s = 0.0
         self.run_endpoint_id = None
@@ -140,8 +141,10 @@
         """Like `reserve_send`, but return whether the request may be sent."""
         if not self.send_counter.needs_retry():
             return True
-        decision = self.context.take_retry(self.service)
+        context = self.context
+        decision = context.take_retry(self.service)
         self.send_counter.retries += decision.is_allowed
+        counts = context.hosts.counts(context.clock())
         self.log(
             "info",
             "retry_taken" if decision.is_allowed else "retry_withheld",
@@ -149,6 +152,9 @@
             left=round(decision.retries_left, 2),
             most=round(decision.max_retries, 2),
             hosts=decision.hosts,
+            recorded=counts.recorded,
+            reported=counts.reported,
+            heard=counts.heard,
         )
         return decision.is_allowed
 
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -74,6 +74,17 @@
         exchange.send_counter.cancel()
         raise
     exchange.send_counter.on_sent()
+    exchange.last_sent_s = context.clock()
+    if exchange.send_counter.repeats:
+        exchange.log(
+            "info",
+            "repeat_sent",
+            service=exchange.service,
+            step="prefill" if send.is_prefill else "run",
+            endpoint=record.endpoint_id,
+            sends=exchange.send_counter.arrivals,
+            retries=exchange.send_counter.retries,
+        )
     if not send.is_prefill:
         # Counted before the first byte: after it, only a response of the endpoint can
         # rule out that the request ran.
@@ -174,10 +185,18 @@
         reason=error.reason,
         may_have_run=error.may_have_run,
         penalty=round(state.health.penalty(now_s), 2),
+        since_send_ms=_since_send_ms(exchange, error, now_s),
         **fields,
     )
 
 
+def _since_send_ms(exchange, error, now_s):
+    """Return the time since the last send in ms; None if this one sent nothing."""
+    if error.step == "connect" or exchange.last_sent_s is None:
+        return None
+    return round((now_s - exchange.last_sent_s) * 1000)
+
+
 def may_send_again(exchange):
     """Return whether a request may be sent to another endpoint.
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -19,7 +19,12 @@
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
 from gypsumusher_routing.gossip_rate import GossipRateLimiter
 from gypsumusher_routing.health import Health
-from gypsumusher_routing.host_table import HostStatus, HostTable, host_capacity
+from gypsumusher_routing.host_table import (
+    HostCounts,
+    HostStatus,
+    HostTable,
+    host_capacity,
+)
 from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
 from gypsumusher_routing.retry_budget import RetryBudget, RetryDecision
@@ -69,6 +74,7 @@
     "FirstEventLimits",
     "GossipRateLimiter",
     "Health",
+    "HostCounts",
     "HostStatus",
     "HostTable",
     "Load",
--- a/libs/routing/gypsumusher_routing/host_table.py
+++ b/libs/routing/gypsumusher_routing/host_table.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["HostStatus", "HostTable", "host_capacity"]
+__all__ = ["HostCounts", "HostStatus", "HostTable", "host_capacity"]
 
 # A host is not listed for callers after this many of its message periods without a
 # message, and not before the minimum time, so that lost datagrams don't exclude a live
@@ -67,6 +67,24 @@
     hosts_recorded: int
 
 
+class HostCounts(NamedTuple):
+    """What a host knows of the number of hosts, by source; each includes this host.
+
+    Attributes
+    ----------
+    recorded : int
+        Hosts known by their records or messages; 0 if the records were not read.
+    reported : int
+        Largest number that another host has reported; 0 if none has.
+    heard : int
+        Hosts that have sent a message recently.
+    """
+
+    recorded: int
+    reported: int
+    heard: int
+
+
 def host_capacity(cores: float, link_mbps: float) -> float:
     """Return a host's capacity in discrete steps, so that similar hosts rank equally.
 
@@ -124,11 +142,19 @@
         int
             0 if neither this host nor any that it has heard from has read the records.
         """
-        reported = max(
+        known = max(self._reported_count(), self.recorded_count())
+        return max(known, len(self._ips) + 1) if known else 0
+
+    def counts(self, now_s: float) -> HostCounts:
+        """Return the numbers of hosts from which `existing_count` follows."""
+        heard = len(self.live(now_s)) + 1
+        return HostCounts(self.recorded_count(), self._reported_count(), heard)
+
+    def _reported_count(self):
+        """Return the largest number of hosts that another host has reported."""
+        return max(
             (status.hosts_recorded for status in self._statuses.values()), default=0
         )
-        known = max(reported, self.recorded_count())
-        return max(known, len(self._ips) + 1) if known else 0
 
     def on_record(self, now_s: float, name: str, ip: str) -> None:
         """Record that a host exists, from its record in the store."""
