Make the part of the retry slack a lease, so that lost sight never enlarges it

Callers saw nothing of it; endpoints did: more repeats than the operator's bound while they rejected most of what they got, just when hosts had lost sight of each other.

Cause: a host divides the slack by the hosts that it knows of, and the right to a part followed from nothing but that belief. A host that starts finds the records that are there (1, 2, ... 8 of 8 in the order of their starts), and one that hears nobody for a minute took the others for gone, deleted their records and divided by the rest.

Change (libs/routing/membership.py): - a host that has not seen its own record for 300 s uses no part; - a host that is new, or whose record was lost, uses none until all others that it knows divide by as many hosts (told by gossip, message version 5), and one of them has joined before, or until any host that doesn't count it has lost its part (360 s); - a silent host's record is marked, and deleted only after 360 s; a host whose record is missing counts for as long, and so does the largest number that a peer has told. So at any time each host with a part divides by at least the number of hosts with a part, whoever hears whom.

Tests changed: test_number_of_hosts_does_not_shrink... asserted that a host without a record is forgotten at once, and two tests of the registration that its record is deleted after 61 s; both encode the cause. They now hold the mark at 61 s and the deletion at 360 s more.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -16,6 +16,7 @@
     EnginePool,
     HostStatus,
     HostTable,
+    Membership,
     RetryBudget,
     RouteTable,
     active_host_count,
@@ -94,6 +95,8 @@
         self._tick_offset_s = self.draw_uniform()
         self._retry_budgets = {}
         self._host_count = 0
+        # Whether this host may use its part of what all hosts share.
+        self.membership = Membership(settings.is_first_start)
         self._cost_models = {}
         self._unsent_placements = []
         self._background_tasks = set()
@@ -153,6 +156,8 @@
             store_reachable_s=self.store_reachable_s,
             period_s=period_s,
             hosts_recorded=self.hosts.recorded_count(),
+            hosts_counted=self.hosts.existing_count(),
+            is_member=self.membership.is_member(self.clock()),
         )
 
     def active_hosts(self):
@@ -308,8 +313,15 @@
         self.retry_budget(service).on_first_send(self.clock(), self.count_hosts())
 
     def count_hosts(self):
-        """Return the number of hosts that share the slack; log it when it changes."""
-        count = self.hosts.existing_count()
+        """Return the number of hosts that share the slack; log it when it changes.
+
+        Returns
+        -------
+        int
+            0 if it is unknown, or if this host may not use its part.
+        """
+        is_member = self.membership.is_member(self.clock())
+        count = self.hosts.existing_count() if is_member else 0
         if count != self._host_count:
             counts = self.hosts.counts(self.clock())
             self.log(
@@ -317,6 +329,7 @@
                 "host_count_changed",
                 hosts=count,
                 before=self._host_count,
+                is_member=is_member,
                 sees_store=self.sees_store,
                 **counts._asdict(),
             )
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -16,7 +16,7 @@
 
 # Version of the message format. Messages of other versions are ignored, so that hosts
 # of two releases can serve side by side.
-MESSAGE_VERSION = 4
+MESSAGE_VERSION = 5
 # Least time between two messages while the load changes. A prefill takes 0.1 s or more,
 # so counts of this age are still useful. Four hosts lost 0.02 to 0.04 of their score at
 # 0.2 s, 0.01 to 0.02 at 0.1 s, and gained nothing at 0.02 s.
--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -11,6 +11,7 @@
 from scripted_endpoint import ScriptedEndpoint, encode_response, request_id_of
 
 from gypsumusher_entry.host import EntryHost
+from gypsumusher_entry.registration import HOSTS_KIND
 from gypsumusher_ports import Bounds, HostSettings
 from gypsumusher_standins.object_store_server import ObjectStoreServer
 
@@ -67,6 +68,9 @@
     async def __aenter__(self):
         store_address = await self.store.start()
         self.store.put("config", "main", sample_configuration(1, *self.routes))
+        # Without a record the host would have to join first, and made no retries.
+        record = {"ip": "127.0.0.1", "zone": "zone-a"}
+        self.store.put(HOSTS_KIND, "host-1", record)
         for number, endpoint in enumerate(self.endpoints):
             address = await endpoint.start()
             self.store.put("servers", f"e-{number}", sample_endpoint_entry(address))
--- a/libs/entry/tests/test_concurrent_choices.py
+++ b/libs/entry/tests/test_concurrent_choices.py
@@ -71,7 +71,7 @@
 def _status(number):
     return HostStatus(
         f"host-{number}", 1, 1, f"127.0.0.{number + 1}", "a", "", "", True, 1, 1, 1.0,
-        True, 1.0, 0.45, 0,
+        True, 1.0, 0.45, 0, 0, True,
     )  # fmt: skip
 
 
--- a/libs/entry/tests/test_registration.py
+++ b/libs/entry/tests/test_registration.py
@@ -1,13 +1,16 @@
 """The records by which the hosts find each other, when hosts come and go."""
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
 
 from returns.result import Failure, Success
 
 from gypsumusher_entry.registration import Registration
 from gypsumusher_ports import Listing, PlatformError, StoredObject
-from gypsumusher_routing import HostTable
+from gypsumusher_routing import ABSENT_FOR_S, HostTable, Membership, RecordState
+
+MEMBER_RECORD = {"ip": "10.0.0.1", "zone": "a"}
 
 
 class RecordStore:
@@ -15,10 +18,12 @@
 
     def __init__(self, *names):
         self.records = {name: {"ip": "10.0.0.9", "zone": "a"} for name in names}
+        # How often a record was replaced, by name.
+        self.replaced = Counter()
 
     async def list(self, kind, allow_stale=False):
         objects = [
-            StoredObject(name, 1, content, None)
+            StoredObject(name, self.replaced[name], content, None)
             for name, content in self.records.items()
         ]
         return Success(Listing(tuple(objects), 1))
@@ -29,12 +34,18 @@
         return await self.replace(kind, name, content)
 
     async def replace(self, kind, name, content, revision=None):
+        if revision not in (None, self.replaced[name]):
+            return Failure(PlatformError("replace", "store", "conflict", ""))
         self.records[name] = content
-        return Success(StoredObject(name, 1, content, None))
+        self.replaced[name] += 1
+        return Success(StoredObject(name, self.replaced[name], content, None))
 
     async def delete(self, kind, name, revision=None):
-        if self.records.pop(name, None) is None:
+        if name not in self.records:
             return Failure(PlatformError("delete", "store", "absent", ""))
+        if revision not in (None, self.replaced[name]):
+            return Failure(PlatformError("delete", "store", "conflict", ""))
+        del self.records[name]
         return Success(None)
 
 
@@ -48,13 +59,14 @@
         hosts=HostTable("host-1"),
         clock=lambda: clock.now_s,
         log=lambda *_, **__: None,
+        membership=Membership(),
         watches_store=lambda: is_watcher,
+        draw_uniform=lambda: 0.5,
     )
 
 
 async def start_until_idle(store, context):
     """Start a registration and run it until it waits."""
-    context.draw_uniform = lambda: 0.5
     context.spawn = asyncio.ensure_future
     task = asyncio.ensure_future(Registration(context, store)._run())
     for _ in range(20):
@@ -65,7 +77,7 @@
 def test_restarting_hosts_do_not_rewrite_existing_records():
     """After a loss of all hosts each called the store three times for its record."""
     store = RecordStore("host-2")
-    store.records["host-1"] = {"ip": "10.0.0.1", "zone": "a"}
+    store.records["host-1"] = MEMBER_RECORD
     store.create = store.replace = None
     _, context = create_context()
     asyncio.run(start_until_idle(store, context))
@@ -85,7 +97,7 @@
 
     async def run():
         clock.now_s = now_s
-        assert await registration._reread()
+        await registration._until_done(registration._reread)
         await registration._drop_forgotten()
 
     asyncio.run(run())
@@ -94,6 +106,7 @@
 def test_record_of_lost_host_is_deleted_by_watching_host():
     """Records of replaced hosts stayed for ever, and all hosts kept calling them."""
     store = RecordStore("host-1", "host-2")
+    store.records["host-1"] = MEMBER_RECORD
     clock, context = create_context()
     registration = Registration(context, store)
     reread_at(clock, registration, 0.0)
@@ -101,6 +114,13 @@
     reread_at(clock, registration, 59.0)
     assert "host-2" in store.records
     reread_at(clock, registration, 61.0)
+    assert store.records["host-2"]["state"] == RecordState.SILENT.value
+    assert not context.hosts.addresses()
+    # The host may use its share of the retry budget until its lease has ended.
+    reread_at(clock, registration, 62.0)
+    reread_at(clock, registration, 62.0 + ABSENT_FOR_S)
+    assert "host-2" in store.records and context.hosts.existing_count() == 2
+    reread_at(clock, registration, 63.0 + ABSENT_FOR_S)
     assert list(store.records) == ["host-1"]
     assert not context.hosts.addresses()
 
@@ -111,8 +131,9 @@
     clock, context = create_context(is_watcher=False)
     registration = Registration(context, store)
     reread_at(clock, registration, 0.0)
-    reread_at(clock, registration, 61.0)
-    assert "host-2" in store.records
+    for now_s in (61.0, 62.0, 63.0 + ABSENT_FOR_S):
+        reread_at(clock, registration, now_s)
+        assert store.records["host-2"] == {"ip": "10.0.0.9", "zone": "a"}
 
 
 def test_hosts_without_direct_updates_stay_known_by_records():
@@ -146,8 +167,11 @@
     context.watches_store = lambda: True
     reread_at(clock, registration, 3615.0)
     reread_at(clock, registration, 3670.0)
-    assert "host-2" in store.records
+    assert "state" not in store.records["host-2"]
     reread_at(clock, registration, 3676.0)
+    assert store.records["host-2"]["state"] == RecordState.SILENT.value
+    reread_at(clock, registration, 3677.0)
+    reread_at(clock, registration, 3678.0 + ABSENT_FOR_S)
     assert list(store.records) == ["host-1"]
 
 
@@ -156,10 +180,14 @@
 
     The others had deleted its record meanwhile, and it wrote that at its start only.
     """
-    store = RecordStore("host-1")
+    store = RecordStore()
+    store.records["host-1"] = MEMBER_RECORD
     clock, context = create_context()
     registration = Registration(context, store)
     reread_at(clock, registration, 0.0)
+    assert context.membership.is_member(15.0)
     del store.records["host-1"]
     reread_at(clock, registration, 15.0)
-    assert store.records["host-1"] == {"ip": "10.0.0.1", "zone": "a"}
+    # The others may not count it any more.
+    assert store.records["host-1"] == {**MEMBER_RECORD, "state": "joining"}
+    assert not context.membership.is_member(15.0)
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -23,7 +23,7 @@
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.sending_to_endpoints import silence_timeout
 from gypsumusher_platform import decode_configuration
-from gypsumusher_routing import HostStatus
+from gypsumusher_routing import HostStatus, RecordState
 
 REQUESTS = 200
 HOSTS = 7
@@ -156,7 +156,8 @@
             now_s,
             HostStatus(
                 f"host-{number}", 1, 1, f"127.0.0.{number + 1}", "zone-a", "", "",
-                True, 1, 1, 1.0, True, 1.0, 0.45, HOSTS,
+                True, 1, 1, 1.0, True, 1.0, 0.45, HOSTS, HOSTS,
+                True,
             ),
         )  # fmt: skip
 
@@ -169,6 +170,7 @@
     for host in hosts:
         for number in range(HOSTS):
             host.receive_update(received_s, number)
+        host.context.membership.on_own_record(received_s, RecordState.MEMBER)
     return hosts
 
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -25,6 +25,12 @@
     HostTable,
     host_capacity,
 )
+from gypsumusher_routing.membership import (
+    ABSENT_FOR_S,
+    Acknowledgement,
+    Membership,
+    RecordState,
+)
 from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
 from gypsumusher_routing.retry_budget import RetryBudget, RetryDecision
@@ -54,6 +60,7 @@
 from gypsumusher_routing.version_lag import VersionLag
 
 __all__ = [
+    "ABSENT_FOR_S",
     "ALL_ON",
     "ASK",
     "DONE",
@@ -64,6 +71,7 @@
     "SEND",
     "TIMELY",
     "WAIT",
+    "Acknowledgement",
     "CostModel",
     "EndpointState",
     "EndpointTable",
@@ -78,12 +86,14 @@
     "HostStatus",
     "HostTable",
     "Load",
+    "Membership",
     "OrderedStage",
     "OversizedEvent",
     "Policy",
     "PrefillChoice",
     "PrefillObservation",
     "PrefixCacheEstimate",
+    "RecordState",
     "RetryBudget",
     "RetryDecision",
     "RouteTable",
--- a/libs/routing/gypsumusher_routing/host_table.py
+++ b/libs/routing/gypsumusher_routing/host_table.py
@@ -6,6 +6,12 @@
 
 from typing import NamedTuple
 
+from gypsumusher_routing.membership import (
+    ABSENT_FOR_S,
+    Acknowledgement,
+    RecordState,
+)
+
 __all__ = ["HostCounts", "HostStatus", "HostTable", "host_capacity"]
 
 # A host is not listed for callers after this many of its message periods without a
@@ -13,8 +19,8 @@
 # host.
 SILENT_PERIODS = 2.6
 SILENT_AFTER_S = 1.5
-# Silence after which a host is forgotten. A host that hung or was cut off is back by
-# then; one that returns later writes its record again.
+# Silence after which a host gets no more messages. A host that hung or was cut off is
+# back by then; one that returns later writes its record again. It counts for longer.
 FORGET_AFTER_S = 60.0
 
 
@@ -48,6 +54,11 @@
     hosts_recorded : int
         Number of hosts that it knows from their records, including itself; 0 if it
         has not read the records.
+    hosts_counted : int
+        Number of hosts by which it divides what all hosts share, or will once it has
+        joined; 0 if unknown.
+    is_member : bool
+        Whether it has joined.
     """
 
     name: str
@@ -65,6 +76,8 @@
     store_reachable_s: float
     period_s: float
     hosts_recorded: int
+    hosts_counted: int
+    is_member: bool
 
 
 class HostCounts(NamedTuple):
@@ -113,9 +126,14 @@
         self._statuses = {}
         self._last_seen_s = {}
         self._ips = {}
+        # Since when a host that counts has had no record while it was silent; None if
+        # it had one, or was heard, the last time.
+        self._absent_since_s = {}
         # When the revision of endpoints that a host reports last increased.
         self._revision_increased_s = {}
         self._has_read_records = False
+        # Largest number of hosts that another host has reported, and when it last did.
+        self._reported, self._reported_s = 0, 0.0
 
     def on_records_read(self) -> None:
         """Record that all host records have been read."""
@@ -129,37 +147,58 @@
         int
             0 if the records have not been read.
         """
-        return len(self._ips) + 1 if self._has_read_records else 0
+        return len(self._absent_since_s) + 1 if self._has_read_records else 0
 
     def existing_count(self) -> int:
         """Return how many hosts may exist, alive or not, including this one.
 
         Used to divide what all hosts share without asking each other. The number does
-        not shrink when this host hears from fewer others.
+        not shrink when this host hears from fewer others, and follows lost records only
+        after `ABSENT_FOR_S`.
 
         Returns
         -------
         int
             0 if neither this host nor any that it has heard from has read the records.
         """
-        known = max(self._reported_count(), self.recorded_count())
-        return max(known, len(self._ips) + 1) if known else 0
+        known = max(self._reported, self.recorded_count())
+        return max(known, len(self._absent_since_s) + 1) if known else 0
+
+    def acknowledgement(self, now_s: float, is_alone: bool) -> Acknowledgement:
+        """Return which live hosts divide by at least as many hosts as this one.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        is_alone : bool
+            Whether this host's record is the only one.
+        """
+        count = self.existing_count()
+        found = [s for s in self.live(now_s) if s.hosts_counted >= count]
+        has_member = any(status.is_member for status in found)
+        return Acknowledgement(count, len(found), has_member, is_alone)
 
     def counts(self, now_s: float) -> HostCounts:
         """Return the numbers of hosts from which `existing_count` follows."""
         heard = len(self.live(now_s)) + 1
-        return HostCounts(self.recorded_count(), self._reported_count(), heard)
-
-    def _reported_count(self):
-        """Return the largest number of hosts that another host has reported."""
-        return max(
-            (status.hosts_recorded for status in self._statuses.values()), default=0
-        )
-
-    def on_record(self, now_s: float, name: str, ip: str) -> None:
+        return HostCounts(self.recorded_count(), self._reported, heard)
+
+    def on_record(
+        self,
+        now_s: float,
+        name: str,
+        ip: str,
+        state: RecordState = RecordState.MEMBER,
+    ) -> None:
         """Record that a host exists, from its record in the store."""
         if name == self._own_name:
             return
+        self._absent_since_s[name] = None
+        if state is RecordState.SILENT:
+            if name not in {status.name for status in self.live(now_s)}:
+                self._drop(name)
+            return
         self._ips[name] = ip
         # The silence of a host that never sends a message counts from its record.
         self._last_seen_s.setdefault(name, now_s)
@@ -184,14 +223,27 @@
         self._statuses[status.name] = status
         self._last_seen_s[status.name] = now_s
         self._ips[status.name] = status.ip
+        self._absent_since_s[status.name] = None
+        self._update_reported(now_s, status.hosts_recorded)
         return True
 
+    def _update_reported(self, now_s, count):
+        """Update the largest reported number; a smaller one replaces it only later.
+
+        The host that reported it may have restarted and know less now.
+        """
+        if count < self._reported and now_s - self._reported_s <= ABSENT_FOR_S:
+            return
+        if count < self._reported:
+            count = max(status.hosts_recorded for status in self._statuses.values())
+        self._reported, self._reported_s = count, now_s
+
     def drop_silent(self, now_s: float, listening_since_s: float) -> list[str]:
-        """Remove hosts that have been silent for long; return their names.
+        """Send no more to hosts that have been silent for long; return their names.
 
-        Otherwise hosts that were replaced stay known for ever. Each costs a message a
-        second from every other host, and the list of hosts for callers grows with
-        unreachable addresses.
+        They still count. Otherwise hosts that were replaced stay known for ever. Each
+        costs a message a second from every other host, and the list of hosts for
+        callers grows with unreachable addresses.
 
         Parameters
         ----------
@@ -209,10 +261,11 @@
         return dropped
 
     def drop_unrecorded(self, now_s: float, recorded) -> list[str]:
-        """Remove silent hosts without a record; return their names.
+        """Send no more to silent hosts without a record; return their names.
 
         A live host without one has just written its record, or is about to write it
-        again.
+        again. A silent one counts until `ABSENT_FOR_S` has passed: its record may have
+        been lost, and it may still use its part of what all hosts share.
 
         Parameters
         ----------
@@ -222,13 +275,21 @@
             Names of the hosts that have a record.
         """
         live = {status.name for status in self.live(now_s)}
-        dropped = [name for name in self._ips if name not in live | set(recorded)]
+        known = live | set(recorded)
+        dropped = [name for name in self._ips if name not in known]
         for name in dropped:
             self._drop(name)
+        for name, since_s in list(self._absent_since_s.items()):
+            if name in known:
+                self._absent_since_s[name] = None
+            elif since_s is None:
+                self._absent_since_s[name] = now_s
+            elif now_s - since_s > ABSENT_FOR_S:
+                del self._absent_since_s[name]
         return dropped
 
     def _drop(self, name):
-        """Remove a host from all tables."""
+        """Remove a host from the tables of those that get messages."""
         for table in (
             self._last_seen_s,
             self._statuses,
@@ -238,7 +299,7 @@
             table.pop(name, None)
 
     def addresses(self) -> dict[str, str]:
-        """Return the IP of each host that may exist, by name."""
+        """Return the IP of each host that gets messages, by name."""
         return dict(self._ips)
 
     def live(self, now_s: float) -> list[HostStatus]:
--- a/libs/routing/tests/test_many_hosts.py
+++ b/libs/routing/tests/test_many_hosts.py
@@ -21,7 +21,7 @@
 def host(number, capacity):
     return HostStatus(
         f"host-{number}", 1, 1, "10.0.0.1", "abcde"[number % 5], "", "", True, 1, 1,
-        capacity, True, 1.0, 0.45, 0,
+        capacity, True, 1.0, 0.45, 0, 0, True,
     )  # fmt: skip
 
 
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -3,7 +3,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gypsumusher_routing import HostStatus, HostTable, RetryBudget, SendCounter
+from gypsumusher_routing import (
+    ABSENT_FOR_S,
+    HostStatus,
+    HostTable,
+    RetryBudget,
+    SendCounter,
+)
 
 HOSTS, RATIO, SLACK, WINDOW_S = 5, 0.2, 30.0, 10.0
 
@@ -107,7 +113,7 @@
 def status(name, hosts_recorded):
     return HostStatus(
         name, 1, 1, "10.0.0.1", "a", "", "", True, 1, 1, 1.0, True, 1.0, 0.4,
-        hosts_recorded,
+        hosts_recorded, hosts_recorded, True,
     )  # fmt: skip
 
 
@@ -126,5 +132,10 @@
     assert table.existing_count() == 11
     table.on_records_read()
     assert table.recorded_count() == table.existing_count() == 11
-    assert "other" in table.drop_unrecorded(70.0, [f"h-{n}" for n in range(9)])
+    recorded = [f"h-{n}" for n in range(9)]
+    assert "other" in table.drop_unrecorded(70.0, recorded)
+    # A host without a record may still use its share until its lease has ended.
+    table.drop_unrecorded(70.0 + ABSENT_FOR_S, recorded)
+    assert table.existing_count() == 11
+    table.drop_unrecorded(71.0 + ABSENT_FOR_S, recorded)
     assert table.existing_count() == 10
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -61,7 +61,7 @@
 ):
     return HostStatus(
         name, started_ms, sequence, "10.0.0.1", zone, f"{name}:1", f"{name}:2", ready,
-        version, revision, capacity, True, store_reachable_s, 0.4, 0,
+        version, revision, capacity, True, store_reachable_s, 0.4, 0, 0, True,
     )  # fmt: skip
 
 
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -15,7 +15,7 @@
 zone = "{zone}"
 region = "region"
 port_range = [{peer_port}, {peer_port}]
-bootstrap = false
+bootstrap = {is_first_start}
 
 [listen]
 front = "{ip}:{callers_port}"
@@ -71,16 +71,19 @@
         self, name, ip, zone, store, peer_port, folder, retry_limit, source=None
     ):
         callers_port, ready_port, directory_port = free_ports(ip, 3)
-        path = folder / f"{name}.toml"
-        text = SETTINGS.format(
-            name=name, ip=ip, zone=zone, store=store, callers_port=callers_port,
+        self._settings_path = folder / f"{name}.toml"
+        self._settings = SETTINGS.format(
+            is_first_start="{is_first_start}", name=name, ip=ip, zone=zone,
+            store=store, callers_port=callers_port,
             ready_port=ready_port, directory_port=directory_port, peer_port=peer_port,
             retry_ratio=retry_limit.ratio, retry_slack=retry_limit.slack,
             retry_window_s=retry_limit.window_s,
         )  # fmt: skip
-        path.write_text(text)
         self._cut_path = folder / f"{name}.cut"
-        variables = [f"GYPSUMUSHER_SETTINGS={path}", f"{CUT_VARIABLE}={self._cut_path}"]
+        variables = [
+            f"GYPSUMUSHER_SETTINGS={self._settings_path}",
+            f"{CUT_VARIABLE}={self._cut_path}",
+        ]
         if source is not None:
             libraries = [str(source / "platform"), *map(str, source.glob("libs/*"))]
             variables.append(f"PYTHONPATH={':'.join(libraries)}")
@@ -103,6 +106,9 @@
         if self.is_started and self.exit_code() is None:
             return
         self.start_count += 1
+        is_first_start = "true" if self.start_count == 1 else "false"
+        text = self._settings.format(is_first_start=is_first_start)
+        self._settings_path.write_text(text)
         self.spawn()
 
     def cut_off(self, ips):
