Allow a response that is cut off at its deadline in the soak

The callers' and the route's limit is over then, and a response that has begun can only be cut off. The check still reports any cut before the deadline that no fault explains.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -98,7 +98,13 @@
 
 
 def _may_be_cut_off(records, outcome):
-    """Return whether a fault explains a response that was cut off in its body."""
+    """Return whether a response may be cut off in its body.
+
+    A fault may explain it, or the end of the deadline: a host has no other way to end a
+    response that it has begun.
+    """
+    if outcome.ended_s - outcome.sent_s >= deadline_s(outcome.kind):
+        return True
     for kind, _, from_s, to_s in records.spans:
         if not kind.startswith(_CUTTING):
             continue
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -136,6 +136,13 @@
     assert violations(records) == []
 
 
+def test_response_cut_off_at_its_deadline_is_no_violation():
+    records = records_of(outcome(problem="broken", took_s=1.49))
+    assert violations(records) == ["response cut off without a fault that explains it"]
+    records.outcomes[0] = outcome(problem="broken", took_s=1.51)
+    assert violations(records) == []
+
+
 def test_request_to_draining_endpoint_is_reported_after_its_bound():
     records = records_of(outcome())
     records.leaves = [("e-0", 5.0, 12.0)]
