--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -153,3 +153,26 @@
     violations, counts = run_seed(1, ISOLATED_STARTS_PLAN, DEPLOYMENTS[name])
     assert not violations, violations
     assert counts["served"] > 0.3 * counts["requests"] > 100
+
+
+# Hosts that are cut off from each other all take callers; links hold all sends back for
+# more than three retry windows, and deliver them while endpoints reject.
+HELD_SENDS_PLAN = Plan(
+    (
+        Fault(3.0, 18.0, "hosts_apart", 0),
+        Fault(5.0, 10.0, "all_links_silent", 0),
+        Fault(14.5, 5.0, "all_endpoints_busy", 0),
+    ),
+    21.0 + CALM_AFTER_S,
+)
+
+
+@pytest.mark.processes
+def test_sends_held_back_by_links_stay_within_retry_budget():
+    """Repeats that were sent into silent links for long all arrived in one window."""
+    deployment = DEPLOYMENTS["eight-hosts"]
+    limit = deployment.retry_limit._replace(window_s=3.0)
+    deployment = deployment._replace(retry_limit=limit)
+    violations, counts = run_seed(2, HELD_SENDS_PLAN, deployment)
+    assert not violations, violations
+    assert counts["served"] > 0.3 * counts["requests"] > 100
