Keep a retry's place in the budget until its sends have arrived

Endpoints got more repeats in one window than the operator allows when links had held sends back for longer than a window: what was sent into the silent link arrived together with the retries of the window after it.

Cause: a retry was charged when it was sent and given back by time alone, while the rule counts when it arrives; a tenth of the bound was kept for the difference. Class: an event that is counted where it is decided, and judged where it takes effect. The first send of a request counts as the repeat when its retry has overtaken it.

Change: a send is under way until its response has begun, its connection was lost to the endpoint, the endpoint has answered a later send or is gone, or three windows have passed. Retries of requests with sends under way, plus what the bucket holds, are never more than its capacity. The bucket has 0.7 of the part (0.5 before) and refills the rest over the window.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -143,6 +143,8 @@
             return True
         context = self.context
         decision = context.take_retry(self.service)
+        if decision.is_allowed and not self.send_counter.retries:
+            context.retry_budget(self.service).track(self.send_counter)
         self.send_counter.retries += decision.is_allowed
         counts = context.hosts.counts(context.clock())
         self.log(
@@ -151,6 +153,7 @@
             service=self.service,
             left=round(decision.retries_left, 2),
             most=round(decision.max_retries, 2),
+            under_way=decision.under_way,
             hosts=decision.hosts,
             recorded=counts.recorded,
             reported=counts.reported,
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -7,6 +7,7 @@
 from gypsumusher_http import CallError
 from gypsumusher_platform import encode_endpoint_request
 from gypsumusher_ports import ANY_TIMES
+from gypsumusher_routing import SentRequest
 
 __all__ = [
     "call_engine",
@@ -73,8 +74,9 @@
     except CallError:
         exchange.send_counter.cancel()
         raise
-    exchange.send_counter.on_sent()
     exchange.last_sent_s = context.clock()
+    sent = SentRequest(state, exchange.last_sent_s)
+    exchange.send_counter.on_sent(sent)
     if exchange.send_counter.repeats:
         exchange.log(
             "info",
@@ -91,7 +93,9 @@
         exchange.possible_runs += 1
         exchange.run_endpoint_id = record.endpoint_id
     data = encode_endpoint_request(exchange.request, send)
-    return connection.send(data, exchange.request.request_id or None)
+    response = connection.send(data, exchange.request.request_id or None)
+    response.add_head_callback(sent.on_head_or_lost)
+    return response
 
 
 async def _connect(context, state):
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -66,6 +66,16 @@
         """
         return await asyncio.shield(self._head)
 
+    def add_head_callback(self, callback):
+        """Call back once the head has arrived, or the connection was lost before.
+
+        Parameters
+        ----------
+        callback : callable
+            ``callback(has_head)``. It isn't called after `close`.
+        """
+        self._head.add_done_callback(lambda head: callback(head.exception() is None))
+
     async def read(self):
         """Return the next bytes of the body; empty bytes at the end of the body.
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -35,7 +35,7 @@
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
 from gypsumusher_routing.retry_budget import RetryBudget, RetryDecision
 from gypsumusher_routing.routes import RouteTable, pick_service
-from gypsumusher_routing.send_counter import SendCounter
+from gypsumusher_routing.send_counter import SendCounter, SentRequest
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.stage_order import (
     ASK,
@@ -99,6 +99,7 @@
     "RouteTable",
     "RoutingRequest",
     "SendCounter",
+    "SentRequest",
     "StageChange",
     "StageOrder",
     "StagePlanner",
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -93,6 +93,10 @@
         self._peers = {}
         self.slowdown = Slowdown()
         self._answered_s = float("-inf")
+        # When the newest send that has been answered was sent.
+        self.answered_send_s = float("-inf")
+        # Set once the entry is gone, or is that of another incarnation.
+        self.is_gone = False
         self._event_gap_ratio = RunningQuantile(
             GAP_RATIO_QUANTILE, INITIAL_GAP_RATIO, MIN_GAP_RATIO, MAX_GAP_RATIO
         )
@@ -151,6 +155,10 @@
             self.is_address_taken = False
         self.record = record
 
+    def on_send_answered(self, sent_s: float) -> None:
+        """Record that the endpoint has answered what was sent at a time."""
+        self.answered_send_s = max(self.answered_send_s, sent_s)
+
     def on_answer_bytes(self, now_s: float) -> None:
         """Record that the endpoint sent bytes of an answer to any request."""
         self._answered_s = now_s
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -219,7 +219,9 @@
             if now_s < max(self._grace_until_s, since_s):
                 continue
             del self._missing_since_s[endpoint_id]
-            self.states.pop(endpoint_id, None)
+            state = self.states.pop(endpoint_id, None)
+            if state is not None:
+                state.is_gone = True
             dropped.append(endpoint_id)
         return dropped
 
@@ -244,6 +246,8 @@
         self._missing_since_s.pop(record.endpoint_id, None)
         state = self.states.get(record.endpoint_id)
         if state is None or not _is_same_incarnation(state.record, record):
+            if state is not None:
+                state.is_gone = True
             kv_tokens = self._kv_tokens.get(record.service, DEFAULT_KV_TOKENS)
             self.states[record.endpoint_id] = EndpointState(record, kv_tokens)
             return True
--- a/libs/routing/gypsumusher_routing/retry_budget.py
+++ b/libs/routing/gypsumusher_routing/retry_budget.py
@@ -7,17 +7,25 @@
 added evenly over the window. What the bucket holds plus what is added during a window
 never exceeds the host's part of the bound, so the hosts together stay within the bound
 without any messages, whatever happens to them: a restarted host has an empty bucket.
+
+A retry counts when it arrives, which may be long after it was taken, together with
+others. Until then it keeps its place in the bucket, so that what may arrive late and
+what the bucket holds are never more than its capacity.
 """
 
 from typing import NamedTuple
 
+from gypsumusher_routing.send_counter import SendCounter
+
 __all__ = ["RetryBudget", "RetryDecision"]
 
-# Share of the operator's bound that is used. A send may arrive some time after its
-# retry was taken and then falls into a later window.
+# Share of the operator's bound that is used. A send arrives some milliseconds after its
+# retry was taken and may fall into a later window than the request that allowed it.
 USED_SHARE = 0.9
 # Share of a host's slack that its bucket holds; the rest is added over the window.
-BUCKET_SHARE = 0.5
+BUCKET_SHARE = 0.7
+# Number of windows after which a retry without an answer gives its place back.
+UNDER_WAY_WINDOWS = 3.0
 # Minimum bucket size in retries, where the slack allows it: an endpoint that crashes
 # fails several requests of a host at once.
 BUCKET_MIN = 2.0
@@ -36,12 +44,15 @@
         Capacity of the bucket, in retries.
     hosts : int
         Number of hosts that the slack was divided by; 0 if unknown.
+    under_way : int
+        Retries taken earlier whose sends may be yet to arrive.
     """
 
     is_allowed: bool
     retries_left: float
     max_retries: float
     hosts: int
+    under_way: int
 
 
 class RetryBudget:
@@ -65,6 +76,12 @@
         self._window_s = window_s
         self._retries = 0.0
         self._updated_s = started_s
+        # Requests that have taken a retry, while any of these may be under way.
+        self._counters = []
+
+    def track(self, counter: SendCounter) -> None:
+        """Follow the sends of a request that has taken its first retry."""
+        self._counters.append(counter)
 
     def on_first_send(self, now_s: float, hosts: int) -> None:
         """Add to the budget for the first send of a request.
@@ -74,8 +91,11 @@
         now_s, hosts
             See `take`.
         """
-        max_retries = self._refill(now_s, hosts)
-        self._retries = min(max_retries, self._retries + USED_SHARE * self._ratio)
+        max_retries, under_way = self._refill(now_s, hosts)
+        self._retries = min(
+            max(0.0, max_retries - under_way),
+            self._retries + USED_SHARE * self._ratio,
+        )
 
     def take(self, now_s: float, hosts: int) -> RetryDecision:
         """Take one retry from the budget, unless it is exhausted.
@@ -88,17 +108,35 @@
             Number of hosts that share the slack, including this one; 0 if unknown, in
             which case this host gets none of it.
         """
-        max_retries = self._refill(now_s, hosts)
+        max_retries, under_way = self._refill(now_s, hosts)
         is_allowed = self._retries >= 1.0
         if is_allowed:
             self._retries -= 1.0
-        return RetryDecision(is_allowed, self._retries, max_retries, hosts)
+        return RetryDecision(is_allowed, self._retries, max_retries, hosts, under_way)
 
     def _refill(self, now_s, hosts):
-        """Add the slack accrued since the last update; return the bucket's capacity."""
+        """Add the slack accrued since the last update.
+
+        Returns
+        -------
+        (float, int)
+            The bucket's capacity, and the retries that are under way.
+        """
         share = USED_SHARE * self._slack / hosts if hosts else 0.0
         max_retries = min(share, max(BUCKET_MIN, BUCKET_SHARE * share))
         accrued = (share - max_retries) / self._window_s * (now_s - self._updated_s)
-        self._retries = min(max_retries, self._retries + accrued)
+        under_way = self._count_under_way(now_s)
+        self._retries = min(max(0.0, max_retries - under_way), self._retries + accrued)
         self._updated_s = now_s
-        return max_retries
+        return max_retries, under_way
+
+    def _count_under_way(self, now_s):
+        """Return how many retries may be yet to arrive; forget all others."""
+        longest_s = UNDER_WAY_WINDOWS * self._window_s
+        counts = [c.retries_under_way(now_s, longest_s) for c in self._counters]
+        self._counters = [
+            counter
+            for counter, count in zip(self._counters, counts, strict=True)
+            if count
+        ]
+        return sum(counts)
--- a/libs/routing/gypsumusher_routing/send_counter.py
+++ b/libs/routing/gypsumusher_routing/send_counter.py
@@ -1,6 +1,55 @@
-"""Counts the sends of one request for the operator's bound on retries."""
+"""Counts the sends of one request for the operator's bound on retries.
 
-__all__ = ["SendCounter"]
+A send may arrive long after it has left: a link holds its bytes back, or the endpoint's
+process is suspended. Until it has certainly arrived, or can't arrive any more, it is
+under way.
+"""
+
+from gypsumusher_routing.endpoint_state import EndpointState
+
+__all__ = ["SendCounter", "SentRequest"]
+
+
+class SentRequest:
+    """One send of a request, which may still be on its way to its endpoint.
+
+    Parameters
+    ----------
+    state : EndpointState
+        The endpoint.
+    sent_s : float
+        When the first byte was sent, in seconds.
+    """
+
+    def __init__(self, state: EndpointState, sent_s: float):
+        self._state = state
+        self._sent_s = sent_s
+        self._has_ended = False
+
+    def on_head_or_lost(self, has_head: bool) -> None:
+        """Record that the response has begun, or that the connection was lost."""
+        self._has_ended = True
+        if has_head:
+            self._state.on_send_answered(self._sent_s)
+
+    def is_under_way(self, now_s: float, longest_s: float) -> bool:
+        """Return whether the endpoint may still receive this send.
+
+        It can't if its connection was lost to the endpoint, or if the endpoint is gone.
+        It has if the endpoint has answered a later send over the same link.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        longest_s : float
+            Time after which no send is taken to be under way, in seconds.
+        """
+        if self._has_ended or self._state.is_gone:
+            return False
+        if self._state.answered_send_s > self._sent_s:
+            return False
+        return now_s - self._sent_s <= longest_s
 
 
 class SendCounter:
@@ -23,6 +72,7 @@
         self.retries = 0
         self._connecting = 0
         self._is_prefill_accepted = False
+        self._sent = []
 
     @property
     def repeats(self):
@@ -42,10 +92,19 @@
         """Record that nothing was sent; a retry taken for it serves the next send."""
         self._connecting -= 1
 
-    def on_sent(self):
-        """Record that the request is about to reach the endpoint."""
+    def on_sent(self, sent: SentRequest):
+        """Record that the request is about to leave for an endpoint."""
         self._connecting -= 1
         self.arrivals += 1
+        self._sent.append(sent)
+
+    def retries_under_way(self, now_s, longest_s):
+        """Return how many retries are for arrivals that may be yet to come.
+
+        The arrival that comes first is no repeat, whichever send it is.
+        """
+        under_way = sum(sent.is_under_way(now_s, longest_s) for sent in self._sent)
+        return min(self.retries, under_way + self._connecting)
 
     def on_prompt_accepted(self):
         """Record that an engine has completed a prefill call of this request."""
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -1,18 +1,27 @@
 """Tests of the operator's bound on retries, per request and per host."""
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from gypsumusher_routing import (
     ABSENT_FOR_S,
+    EndpointState,
     HostStatus,
     HostTable,
     RetryBudget,
     SendCounter,
+    SentRequest,
 )
+from gypsumusher_routing.retry_budget import UNDER_WAY_WINDOWS
 
 HOSTS, RATIO, SLACK, WINDOW_S = 5, 0.2, 30.0, 10.0
 
+
+def sent(at_s=0.0):
+    """Return a send to an endpoint of its own."""
+    return SentRequest(EndpointState(None), at_s)
+
+
 # Outcomes of sends: not sent, rejected by an endpoint, or accepted as a prefill call.
 OUTCOMES = st.lists(st.sampled_from(["unsent", "rejected", "prefilled"]), max_size=8)
 
@@ -30,7 +39,7 @@
         if outcome == "unsent":
             counter.cancel()
             continue
-        counter.on_sent()
+        counter.on_sent(sent())
         if outcome == "prefilled" and not is_prefilled:
             is_prefilled = True
             counter.on_prompt_accepted()
@@ -43,7 +52,7 @@
     for _ in range(2):
         assert not counter.needs_retry()
         counter.begin()
-        counter.on_sent()
+        counter.on_sent(sent())
         counter.on_prompt_accepted()
     assert (counter.arrivals, counter.repeats) == (2, 0)
     assert counter.needs_retry()
@@ -139,3 +148,97 @@
     assert table.existing_count() == 11
     table.drop_unrecorded(71.0 + ABSENT_FOR_S, recorded)
     assert table.existing_count() == 10
+
+
+def counter_with_retry(*sends):
+    """Return the counter of a request with one retry and these sends."""
+    counter = SendCounter()
+    counter.retries = 1
+    for send in sends:
+        counter.begin()
+        counter.on_sent(send)
+    return counter
+
+
+def budget_with(*counters):
+    """Return the full budget of one host that follows some requests."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW_S, -100.0)
+    for counter in counters:
+        budget.track(counter)
+    return budget
+
+
+def take_all(budget, now_s, hosts=1):
+    """Take retries until none is left; return how many were taken."""
+    retries = 0
+    while budget.take(now_s, hosts).is_allowed:
+        retries += 1
+    return retries
+
+
+def test_retries_that_links_hold_back_keep_their_places():
+    """Retries sent into silent links arrived with those of the next window."""
+    held = [counter_with_retry(sent(), sent()) for _ in range(10)]
+    assert take_all(budget_with(), 1.0) == 18
+    assert take_all(budget_with(*held), 1.0) == 8
+    # The requests are over, but their sends may still arrive.
+    assert take_all(budget_with(*held), 20.0) == 8
+
+
+def test_first_send_that_is_held_back_keeps_the_place_of_its_retry():
+    """A held first send arrives after its retry, and is the repeat then."""
+    first, second = sent(), sent()
+    second.on_head_or_lost(True)
+    assert counter_with_retry(first, second).retries_under_way(1.0, 30.0) == 1
+    first.on_head_or_lost(False)
+    assert counter_with_retry(first, second).retries_under_way(1.0, 30.0) == 0
+
+
+def test_send_is_no_longer_under_way_when_it_has_arrived_or_cannot():
+    """Requests to an endpoint that had answered since kept back all retries."""
+    slow, gone, held = (EndpointState(None) for _ in range(3))
+    sends = [SentRequest(state, 5.0) for state in (slow, gone, held)]
+    SentRequest(slow, 5.1).on_head_or_lost(True)
+    gone.is_gone = True
+    # An answer to an earlier send tells nothing of a later one.
+    SentRequest(held, 4.9).on_head_or_lost(True)
+    assert [s.is_under_way(6.0, 30.0) for s in sends] == [False, False, True]
+    assert [s.is_under_way(35.1, 30.0) for s in sends] == [False, False, False]
+
+
+HELD_STEPS = st.lists(
+    st.tuples(st.floats(0.0, 2.0), st.sampled_from(["requests", "retries", "deliver"])),
+    max_size=60,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(HELD_STEPS)
+@example([(2.0, "retries")] * 12 + [(0.0, "deliver")])
+def test_arrivals_stay_within_the_bound_when_links_hold_sends_back(steps):
+    """A window got its own retries and those that a link had held back before."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW_S, -100.0)
+    now_s, requests_s, held, arrivals_s = 0.0, [], [], []
+    for pause_s, action in steps:
+        now_s += pause_s
+        for _ in range(20):
+            if action == "requests":
+                budget.on_first_send(now_s, 1)
+                requests_s.append(now_s)
+            if action == "retries" and budget.take(now_s, 1).is_allowed:
+                send = sent(now_s)
+                answered = sent(now_s)
+                answered.on_head_or_lost(True)
+                counter = counter_with_retry(answered, send)
+                budget.track(counter)
+                held.append((now_s, send))
+        while action == "deliver" and held:
+            sent_s, send = held.pop()
+            send.on_head_or_lost(True)
+            if now_s - sent_s <= UNDER_WAY_WINDOWS * WINDOW_S:
+                arrivals_s.append(now_s)
+    for begin_s in arrivals_s:
+        end_s = begin_s + WINDOW_S
+        arrivals = sum(begin_s <= at_s < end_s for at_s in arrivals_s)
+        requests = sum(begin_s - WINDOW_S <= at_s < end_s for at_s in requests_s)
+        assert arrivals <= RATIO * requests + SLACK
