Check for a join on the second, and test when a send counts as answered

The new test holds that a request that was given up without an answer is not taken for one that has arrived.

--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -15,7 +15,7 @@
 # brings changes sooner, so the reads may be rare and stale.
 REREAD_INTERVAL_S = 15.0
 # How often a host that hasn't joined checks whether the others count it.
-JOIN_POLL_S = 0.5
+JOIN_POLL_S = 1.0
 # Key of a record's state.
 STATE = "state"
 
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -244,3 +244,35 @@
             assert caught.value.reason == "no_connection"
 
     run(scenario())
+
+
+def test_head_callback_tells_whether_the_request_was_answered():
+    """A request given up without an answer was taken for one that had arrived."""
+
+    async def script(number, head, body, writer):
+        request_id = request_id_of(head)
+        if request_id == "answered":
+            writer.write(encode_response(request_id))
+        elif request_id == "reset":
+            writer.close()
+        else:
+            await asyncio.Event().wait()
+
+    async def scenario():
+        async with PoolFixture(script) as fixture:
+            calls = []
+            for request_id in ("answered", "reset", "given-up"):
+                connection = await fixture.pool.acquire(*fixture.process, 10)
+                response = connection.send(request_bytes(request_id), request_id)
+                response.add_head_callback(
+                    lambda has_head, name=request_id: calls.append((name, has_head))
+                )
+                try:
+                    await asyncio.wait_for(response.head(), 0.2)
+                except (CallError, TimeoutError):
+                    pass
+                response.close()
+            await asyncio.sleep(0.05)
+            assert calls == [("answered", True), ("reset", False)]
+
+    run(scenario())
