--- a/soak/injection.py
+++ b/soak/injection.py
@@ -57,10 +57,6 @@
     return component.name if isinstance(component, SoakEndpoint) else ""
 
 
-async def _all_hosts_kill(system, _, duration_s):
-    await asyncio.gather(*(system.kill_host(host, duration_s) for host in system.hosts))
-
-
 async def _host_kill(system, host, duration_s):
     await system.kill_host(host, duration_s)
 
@@ -98,23 +94,14 @@
     return apply
 
 
-async def _all_endpoints_full(system, _, duration_s):
-    apply = _endpoint_mode("full")
-    await asyncio.gather(
-        *(apply(system, endpoint, duration_s) for endpoint in system.backends)
-    )
-
-
-async def _all_endpoints_busy(system, _, duration_s):
-    apply = _endpoint_mode("busy")
-    await asyncio.gather(
-        *(apply(system, endpoint, duration_s) for endpoint in system.backends)
-    )
+def _for_all(list_name, apply):
+    """Return a fault that applies another one to all components of a list at once."""
 
+    async def apply_to_all(system, _, duration_s):
+        components = getattr(system, list_name)
+        await asyncio.gather(*(apply(system, c, duration_s) for c in components))
 
-async def _all_links_silent(system, _, duration_s):
-    apply = _link_block(True, True)
-    await asyncio.gather(*(apply(system, link, duration_s) for link in system.links))
+    return apply_to_all
 
 
 async def _hosts_apart(system, host, duration_s):
@@ -222,16 +209,16 @@
     "host_pause": ("hosts", _host_pause),
     "host_stop": ("hosts", _host_stop),
     "host_reload": ("hosts", _host_reload),
-    "all_hosts_kill": (None, _all_hosts_kill),
+    "all_hosts_kill": (None, _for_all("hosts", _host_kill)),
     "endpoint_restart": ("backends", _endpoint_restart),
     "endpoint_leave": ("backends", _endpoint_leave),
     "endpoint_errors": ("backends", _endpoint_mode("errors")),
     "endpoint_hang": ("backends", _endpoint_mode("hang")),
     "endpoint_break": ("backends", _endpoint_mode("break")),
     "endpoint_full": ("backends", _endpoint_mode("full")),
-    "all_endpoints_full": (None, _all_endpoints_full),
-    "all_endpoints_busy": (None, _all_endpoints_busy),
-    "all_links_silent": (None, _all_links_silent),
+    "all_endpoints_full": (None, _for_all("backends", _endpoint_mode("full"))),
+    "all_endpoints_busy": (None, _for_all("backends", _endpoint_mode("busy"))),
+    "all_links_silent": (None, _for_all("links", _link_block(True, True))),
     "hosts_apart": ("hosts", _hosts_apart),
     "records_lost": (None, _records_lost),
     "link_delay": ("links", _link_delay),
