Allow the soak's requests to end with a stop when a link held them back

The users' rule LOST excuses requests beside an unplanned disruption, and a host can't outlast its stop period. A cut without a held link, on another host or before the link was held is still reported, as the test shows.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -25,6 +25,8 @@
 IDLE_CLOSE_RACE_S = 0.3
 # Faults of a host that excuse failed requests to it.
 _HOST_FAULTS = ("host_kill", "host_pause", "all_hosts_kill")
+# Faults that hold back what hosts send to endpoints.
+_HOLDING = ("link_silent", "link_one_way", "all_links_silent")
 # Prefixes of faults that may cut off a response in its body.
 _CUTTING = (
     "endpoint_restart",
@@ -80,7 +82,8 @@
     took_s = outcome.ended_s - outcome.sent_s
     if took_s > deadline_s(outcome.kind) + RESPONSE_SLACK_S:
         found.append(f"no response within {took_s:.2f} s")
-    if outcome.problem == "cut" and (runs or took_s > IDLE_CLOSE_RACE_S):
+    is_idle_close = not runs and took_s <= IDLE_CLOSE_RACE_S
+    if outcome.problem == "cut" and not (is_idle_close or _is_held(records, outcome)):
         found.append("connection closed without a response")
     if outcome.problem == "broken" and not _may_be_cut_off(records, outcome):
         found.append("response cut off without a fault that explains it")
@@ -97,6 +100,20 @@
     return False
 
 
+def _is_held(records, outcome):
+    """Return whether a link held a request back until the end of a planned stop.
+
+    A host that stops waits for its requests until its stop period ends.
+    """
+    kinds = set()
+    for kind, target, from_s, to_s in records.spans:
+        if target in (outcome.host, "") and (
+            from_s <= outcome.ended_s and to_s >= outcome.sent_s
+        ):
+            kinds.add(kind)
+    return "host_stop" in kinds and not kinds.isdisjoint(_HOLDING)
+
+
 def _may_be_cut_off(records, outcome):
     """Return whether a response may be cut off in its body.
 
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -129,6 +129,24 @@
     assert violations(records) == []
 
 
+def test_request_held_back_until_the_end_of_a_stop_is_no_violation():
+    cut = outcome(kind=PROMPT, status=0, problem="cut", took_s=2.7, is_sealed=False)
+    records = records_of(cut)
+    for spans in (
+        [("host_stop", "h-1", 0.5, 3.6)],
+        [("all_links_silent", "", 0.8, 9.0)],
+        [("host_stop", "h-2", 0.5, 3.6), ("all_links_silent", "", 0.8, 9.0)],
+        [("host_stop", "h-1", 0.5, 3.6), ("all_links_silent", "", 3.8, 9.0)],
+    ):
+        records.spans = spans
+        assert violations(records) == ["connection closed without a response"]
+    records.spans = [
+        ("host_stop", "h-1", 0.5, 3.8),
+        ("all_links_silent", "", 0.8, 9.0),
+    ]
+    assert violations(records) == []
+
+
 def test_response_cut_off_without_cause_is_reported():
     records = records_of(outcome(problem="broken"))
     assert violations(records) == ["response cut off without a fault that explains it"]
