Give a retry's place back when its connection is cancelled

A send that was cancelled while its connection was being opened (the caller left, or the other of two sends was answered) stayed counted as connecting. Since sends under way keep a place in the retry budget, each such retry would have taken a place for the life of the process, and a host would have made no more retries in the end. Found by reading; the new test failed before.

--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -71,7 +71,7 @@
     exchange.send_counter.begin()
     try:
         connection = await _connect(context, state)
-    except CallError:
+    except (CallError, asyncio.CancelledError):
         exchange.send_counter.cancel()
         raise
     exchange.last_sent_s = context.clock()
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -21,7 +21,7 @@
 from gypsumusher_entry.context import Context
 from gypsumusher_entry.exchange import Exchange
 from gypsumusher_entry.metrics import Metrics
-from gypsumusher_entry.sending_to_endpoints import silence_timeout
+from gypsumusher_entry.sending_to_endpoints import silence_timeout, start_send
 from gypsumusher_platform import decode_configuration
 from gypsumusher_routing import HostStatus, RecordState
 
@@ -138,6 +138,26 @@
     run(scenario())
 
 
+def test_cancelled_connection_gives_its_place_in_the_budget_back():
+    """Each hedge that was cancelled while it connected took a retry for ever."""
+
+    async def scenario():
+        async with HostHarness(not_run, routes=(AT_MOST_ONCE_ROUTE,)) as harness:
+            context = harness.host.context
+            exchange = Exchange(context, None, None)
+            exchange.send_counter.retries = 1
+            context.acquire = lambda *_: asyncio.Event().wait()
+            send = start_send(exchange, context.endpoints.states["e-0"], None)
+            task = asyncio.ensure_future(send)
+            await asyncio.sleep(0)
+            assert exchange.send_counter.retries_under_way(0.0, 30.0) == 1
+            task.cancel()
+            await asyncio.wait([task])
+            assert exchange.send_counter.retries_under_way(0.0, 30.0) == 0
+
+    run(scenario())
+
+
 class Host:
     """One of seven hosts, with a clock that the test sets."""
 
