End a new host's part with its record also when it joined by waiting

A host that had read its record once, lost the store and waited for 360 s joined with a lease from the end of the wait, though its record might be lost by then and the others might no longer count it: 1/3 + 1/3 + 1/2 of the slack. The lease runs from the last time that the host saw its record now.

--- a/libs/entry/tests/test_membership_machine.py
+++ b/libs/entry/tests/test_membership_machine.py
@@ -212,6 +212,20 @@
     assert [host.part() for host in machine.hosts] == [1 / 3, 1 / 3, 1 / 3]
 
 
+def test_host_that_waits_without_the_store_does_not_join():
+    """A new host took its part after the wait, though its record was lost since."""
+    machine = Machine()
+    machine.advance(10)
+    machine.store.records.clear()
+    machine.hosts = [machine.start_host(number) for number in range(3)]
+    machine.advance(1)
+    machine.store.records.clear()
+    machine.groups = [0, 0, 1, 0]
+    machine.cut = {0}
+    machine.advance(80)
+    assert machine.hosts[0].part() == 0.0
+
+
 def test_new_host_waits_for_an_isolated_one_that_does_not_count_it():
     """A new host took its part at once, while an isolated one divided by fewer."""
     machine = machine_with_isolated_host()
--- a/libs/routing/gypsumusher_routing/membership.py
+++ b/libs/routing/gypsumusher_routing/membership.py
@@ -85,6 +85,8 @@
     def __init__(self, is_first_start: bool = False):
         self._joining_since_s = None
         self._confirmed_s = None
+        # When this host last saw its own record, in any state but `SILENT`.
+        self._seen_s = None
         # When this host's record may tell that it has joined.
         self._settled_s = float("-inf")
         self._is_founder = is_first_start
@@ -129,12 +131,13 @@
         if state is None:
             # Hosts that have read the records since may count it no longer.
             self._is_founder = self._is_founder and not self.has_joined()
-            self._confirmed_s = None
-            self._joining_since_s = None
-        elif state is RecordState.MEMBER or self.has_joined():
-            if state is not RecordState.SILENT:
+            self._confirmed_s = self._joining_since_s = self._seen_s = None
+            return
+        if state is not RecordState.SILENT:
+            self._seen_s = read_s
+            if state is RecordState.MEMBER or self.has_joined():
                 self._confirmed_s = max(read_s, self._confirmed_s or read_s)
-        elif self._joining_since_s is None:
+        if not self.has_joined() and self._joining_since_s is None:
             self._joining_since_s = read_s
 
     def try_join(self, now_s: float, acknowledgement: Acknowledgement) -> bool:
@@ -152,15 +155,19 @@
         count, acknowledged, has_member, is_alone = acknowledgement
         is_counted = count > 1 and acknowledged >= count - 1
         is_over = (
-            self._joining_since_s is not None
+            self._seen_s is not None
+            and self._joining_since_s is not None
             and now_s - self._joining_since_s > ABSENT_FOR_S
         )
         # Hosts that have all just started may miss an isolated one, unless the operator
         # says that none has served before.
         if is_counted and (has_member or self._is_founder):
             self._confirmed_s = now_s
-        elif is_over or (is_alone and self._is_founder):
+        elif is_alone and self._is_founder:
             self._confirmed_s = now_s
+        elif is_over:
+            # The others count this host because of its record.
+            self._confirmed_s = self._seen_s
         if self.has_joined():
             self._settled_s = now_s + (0.0 if self._is_founder else ABSENT_FOR_S)
         return self.has_joined()
