Count the hosts heard of only when the number that counts has changed

Each decision on a retry went over all hosts for the field heard of its log line: with hundreds of hosts and engines that reject, a part of a core for a line. The line keeps recorded and reported, which are known; heard stands in host_count_changed, which comes with the first request and each change.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -320,10 +320,10 @@
         int
             0 if it is unknown, or if this host may not use its part.
         """
-        is_member = self.membership.is_member(self.clock())
+        now_s = self.clock()
+        is_member = self.membership.is_member(now_s)
         count = self.hosts.existing_count() if is_member else 0
         if count != self._host_count:
-            counts = self.hosts.counts(self.clock())
             self.log(
                 "info",
                 "host_count_changed",
@@ -331,7 +331,8 @@
                 before=self._host_count,
                 is_member=is_member,
                 sees_store=self.sees_store,
-                **counts._asdict(),
+                heard=len(self.hosts.live(now_s)) + 1,
+                **self.hosts.counts()._asdict(),
             )
             self._host_count = count
         return count
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -146,7 +146,7 @@
         if decision.is_allowed and not self.send_counter.retries:
             context.retry_budget(self.service).track(self.send_counter)
         self.send_counter.retries += decision.is_allowed
-        counts = context.hosts.counts(context.clock())
+        counts = context.hosts.counts()
         self.log(
             "info",
             "retry_taken" if decision.is_allowed else "retry_withheld",
@@ -157,7 +157,6 @@
             hosts=decision.hosts,
             recorded=counts.recorded,
             reported=counts.reported,
-            heard=counts.heard,
         )
         return decision.is_allowed
 
--- a/libs/routing/gypsumusher_routing/host_table.py
+++ b/libs/routing/gypsumusher_routing/host_table.py
@@ -89,13 +89,10 @@
         Hosts known by their records or messages; 0 if the records were not read.
     reported : int
         Largest number that another host has reported; 0 if none has.
-    heard : int
-        Hosts that have sent a message recently.
     """
 
     recorded: int
     reported: int
-    heard: int
 
 
 def host_capacity(cores: float, link_mbps: float) -> float:
@@ -179,10 +176,9 @@
         has_member = any(status.is_member for status in found)
         return Acknowledgement(count, len(found), has_member, is_alone)
 
-    def counts(self, now_s: float) -> HostCounts:
+    def counts(self) -> HostCounts:
         """Return the numbers of hosts from which `existing_count` follows."""
-        heard = len(self.live(now_s)) + 1
-        return HostCounts(self.recorded_count(), self._reported, heard)
+        return HostCounts(self.recorded_count(), self._reported)
 
     def on_record(
         self,
