--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -34,6 +34,7 @@
     200: b"OK",
     204: b"No Content",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
@@ -136,6 +137,7 @@
         self._transport = None
         self._target = b""
         self._headers = []
+        self._has_all_headers = False
         self._header_bytes = 0
         self._body = bytearray()
         self._queued = deque()
@@ -199,6 +201,7 @@
         self._is_reading = True
         self._target = b""
         self._headers = []
+        self._has_all_headers = False
         self._header_bytes = 0
         self._body = bytearray()
 
@@ -208,9 +211,13 @@
 
     def on_header(self, name, value):
         self._count_header(len(name) + len(value))
+        if self._has_all_headers:
+            # A trailer. Merged into the header it could replace what the header says.
+            return
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
+        self._has_all_headers = True
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -226,3 +226,20 @@
             assert caller.requests == []
 
     run(scenario())
+
+
+def test_trailers_do_not_change_the_headers_of_a_request():
+    """Guards against a trailer that names another account after the check of a key."""
+
+    async def scenario():
+        async with CallerFixture() as caller:
+            caller.writer.write(
+                b"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"1\r\na\r\n0\r\nX-Gypsumusher-Key: late\r\nX-Other: late\r\n\r\n"
+            )
+            await caller.read_response()
+            (request,) = caller.requests
+            assert request.key is None
+            assert "X-Other" not in dict(request.headers)
+
+    run(scenario())
