--- a/libs/ports/gypsumusher_ports/calls.py
+++ b/libs/ports/gypsumusher_ports/calls.py
@@ -64,6 +64,9 @@
         Model and token counts; None when the request asks for no generated text.
     last_event_id : str or None
         Id of the last event that the caller has; a resumed stream continues after it.
+    key : str or None
+        Key of the caller's client account, a secret; None when the caller sent none, or
+        several that differ. It isn't among `headers`.
     """
 
     request_id: str
@@ -75,6 +78,7 @@
     caller_timeout_s: float | None
     generation: Generation | None
     last_event_id: str | None
+    key: str | None = None
 
 
 class SendOptions(NamedTuple):
@@ -96,6 +100,8 @@
         Address of an engine whose KV cache may hold parts of the prompt.
     last_event_id : str or None
         Id of the event after which the stream continues.
+    account : str or None
+        Name of the client account for which the endpoint runs the request.
     """
 
     endpoint_id: str
@@ -105,3 +111,4 @@
     kv_source: str | None = None
     kv_fetch: str | None = None
     last_event_id: str | None = None
+    account: str | None = None
--- a/libs/ports/gypsumusher_ports/configuration.py
+++ b/libs/ports/gypsumusher_ports/configuration.py
@@ -1,4 +1,4 @@
-"""The operators' configuration: routes, services and limits."""
+"""The operators' configuration: routes, services, client accounts and limits."""
 
 from typing import NamedTuple
 
@@ -6,6 +6,7 @@
     "ANY_TIMES",
     "AT_MOST_ONCE",
     "STREAM",
+    "ClientAccount",
     "Configuration",
     "EngineLimits",
     "Limits",
@@ -60,6 +61,9 @@
         Whether another endpoint may continue a stream that broke off.
     max_event_gap_s : float or None
         Objective for the longest pause between two events of a stream, in seconds.
+    requires_key : bool
+        Whether a request must carry the key of a client account, in a configuration
+        that has accounts.
     """
 
     name: str
@@ -73,6 +77,7 @@
     max_endpoints: int
     is_resumable: bool
     max_event_gap_s: float | None
+    requires_key: bool = True
 
 
 class EngineLimits(NamedTuple):
@@ -141,6 +146,28 @@
     idle_timeout_s: float
 
 
+class ClientAccount(NamedTuple):
+    """A client account, which its callers' requests name by a key.
+
+    Attributes
+    ----------
+    name : str
+        Name of the account, as endpoints and usage reports state it.
+    keys : tuple of str
+        Keys that are in force.
+    priority : int or None
+        Takes precedence over the route's priority; None leaves that of the route.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+
+    def __repr__(self):
+        # Keys are secrets and must not reach a log line.
+        return f"ClientAccount(name={self.name!r}, keys={len(self.keys)})"
+
+
 class Configuration(NamedTuple):
     """One version of the configuration.
 
@@ -154,9 +181,12 @@
         All services by name.
     limits : Limits
         Limits on callers' requests and connections.
+    accounts : tuple of ClientAccount or None
+        All client accounts; None when requests carry no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    accounts: tuple[ClientAccount, ...] | None = None
--- a/libs/ports/gypsumusher_ports/hosts.py
+++ b/libs/ports/gypsumusher_ports/hosts.py
@@ -32,6 +32,9 @@
         Longest time for which a caller may keep a list of hosts, in seconds.
     requires_fence : bool
         Whether engines refuse an order with an outdated fencing number.
+    key_withdrawal_s : float or None
+        Time after which no host may start a request with a key that was taken away, in
+        seconds; None when only hosts that hear of the withdrawal have to.
     """
 
     drain_s: float
@@ -45,6 +48,7 @@
     retry_window_s: float
     directory_ttl_max_s: float
     requires_fence: bool
+    key_withdrawal_s: float | None = None
 
 
 class HostSettings(NamedTuple):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -288,3 +288,67 @@
         "fence": 41,
         "precondition": 2,
     }
+
+
+def test_key_and_account_of_the_caller_are_not_forwarded():
+    """Guards against endpoints that see callers' keys, or accounts callers made up."""
+    headers = [
+        ("Host", "a"),
+        ("x-gypsumusher-KEY", "secret"),
+        ("X-Gypsumusher-Tenant", "other"),
+        ("Connection", "X-Gypsumusher-Key"),
+    ]
+    request = decode_request("GET", "/", headers, b"")
+    assert request.key == "secret"
+    sent = encode_endpoint_request(request, SendOptions("e", 1.0, account="shop"))
+    assert b"secret" not in sent
+    assert sent.lower().count(b"x-gypsumusher-tenant") == 1
+    assert b"X-Gypsumusher-Tenant: shop" in sent
+    assert (
+        b"tenant" not in encode_endpoint_request(request, SendOptions("e", 1.0)).lower()
+    )
+
+
+def test_different_keys_in_one_request_count_as_none():
+    """Guards against a smuggled second key that decides the account."""
+
+    def key_of(*values):
+        headers = [("X-Gypsumusher-Key", value) for value in values]
+        return decode_request("GET", "/", headers, b"").key
+
+    assert key_of("k", "other") is None
+    assert key_of("k", "k") == "k"
+    assert key_of() is None
+
+
+def test_client_accounts_are_decoded_with_their_keys():
+    open_route = {**ROUTE, "no_auth": True}
+    tenants = [
+        {"name": "shop", "api_keys": ["k-1", "k-2"], "priority": 1},
+        {"name": "closed"},
+    ]
+    configuration = decode_configuration(
+        {**CONFIGURATION, "routes": [ROUTE, open_route], "tenants": tenants}
+    )
+    assert [route.requires_key for route in configuration.routes] == [True, False]
+    assert [tuple(account) for account in configuration.accounts] == [
+        ("shop", ("k-1", "k-2"), 1),
+        ("closed", (), None),
+    ]
+    assert decode_configuration(CONFIGURATION).accounts is None
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        {"name": "a"},
+        [{"api_keys": []}],
+        [{"name": "a", "api_keys": [7]}],
+        [{"name": "a", "api_keys": [""]}],
+        [{"name": "a", "api_keys": ["k"]}, {"name": "b", "api_keys": ["k"]}],
+    ],
+)
+def test_unreadable_accounts_leave_the_configuration_unreadable(tenants):
+    """Guards against requests that run for one of two accounts by chance."""
+    with pytest.raises(DecodeError):
+        decode_configuration({**CONFIGURATION, "tenants": tenants})
