--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import time
 
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
@@ -11,6 +12,8 @@
 from gypsumusher_ports import DecodeError
 from gypsumusher_routing import (
     ALL_ON,
+    AccountTable,
+    ConfigurationAge,
     CostModel,
     EndpointTable,
     EnginePool,
@@ -20,9 +23,11 @@
     RetryBudget,
     RouteTable,
     active_host_count,
+    check_access,
     choose_active_hosts,
     choose_watchers,
     host_capacity,
+    key_lease_s,
 )
 
 __all__ = ["Context"]
@@ -42,6 +47,14 @@
 # How long a choice of the active hosts is reused. Choosing sorts all hosts, and a host
 # has to be silent for longer than this before it counts as dead.
 ACTIVE_HOSTS_CACHE_S = 0.2
+# Share of the bound for a new configuration up to which a key that the configuration
+# lacks is rejected for good. Above it, a newer configuration may have added the key.
+UNKNOWN_KEY_FRACTION = 0.5
+
+
+def read_boottime_s():
+    """Return a time in seconds that also advances while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Context:
@@ -65,6 +78,7 @@
         self.policy = policy
         self.settings = settings
         self.clock = clock
+        self.boottime_s = read_boottime_s
         self.log = log
         self.metrics = metrics
         self.draw_uniform = random.random
@@ -72,6 +86,11 @@
         self.configuration = None
         self.stored_configuration = None
         self.routes = None
+        self.accounts = None
+        # Counts on `boottime_s`.
+        self.configuration_age = ConfigurationAge(secrets.randbits(48))
+        # Handlers of datagrams other than the state updates, by kind.
+        self.datagram_handlers = {}
         self.endpoints = EndpointTable()
         self.hosts = HostTable(settings.name)
         self.staleness = StalenessMonitor(self)
@@ -240,6 +259,8 @@
         self.stored_configuration = stored
         self.metrics.set_configuration_version(configuration.version)
         self.routes = RouteTable(configuration)
+        self.accounts = AccountTable(configuration)
+        self.configuration_age.on_version_in_force(configuration.version)
         cache_capacity_tokens = {}
         for service in configuration.services.values():
             if service.engine is not None:
@@ -257,6 +278,44 @@
         )
         return True
 
+    def on_configuration_read(self, started_s, stored):
+        """Record that a read of the store, not a stale one, returned a configuration.
+
+        Parameters
+        ----------
+        started_s : float
+            Reading of `boottime_s` before the read was sent.
+        stored : StoredObject
+            The configuration as stored. One that couldn't be decoded isn't in force and
+            confirms nothing.
+        """
+        in_force = self.stored_configuration
+        if in_force is not None and in_force.revision >= stored.revision:
+            self.configuration_age.on_read(started_s, self.configuration_version)
+
+    def are_keys_confirmed(self):
+        """Return whether the configuration is young enough to use its accounts' keys.
+
+        A request may run only if this was true after it was read: the caller sent it
+        earlier, so that a pause of this process afterwards makes no difference.
+        """
+        bound_s = self.settings.bounds.key_withdrawal_s
+        if bound_s is None or not self.accounts.has_accounts:
+            return True
+        return self._configuration_age_s() <= key_lease_s(bound_s)
+
+    def check_access(self, route, key):
+        """Return the `Access` of a request that has been read, by its caller's key."""
+        bound_s = UNKNOWN_KEY_FRACTION * self.settings.bounds.configuration_s
+        is_recent = self._configuration_age_s() <= bound_s
+        return check_access(
+            self.accounts, route, key, self.are_keys_confirmed(), is_recent
+        )
+
+    def _configuration_age_s(self):
+        """Return the age of the configuration in force, in seconds."""
+        return self.configuration_age.age_s(self.boottime_s())
+
     def directory_ttl_s(self):
         """Return the time for which callers may cache the list of hosts, in seconds."""
         return min(DIRECTORY_TTL_S, self.settings.bounds.directory_ttl_max_s)
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -55,6 +55,7 @@
         self.reply = reply
         self.arrived_s = context.clock()
         self.route = None
+        self.account = None
         self.service = None
         self.deadline_at_s = self.arrived_s
         self.first_output_at_s = None
@@ -72,6 +73,18 @@
         """Whether an endpoint may have run the request, or may still run it."""
         return self.possible_runs > 0
 
+    @property
+    def priority(self):
+        """Priority of the request: that of its account, or else of its route."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
+
+    @property
+    def account_name(self):
+        """Name of the client account, or None."""
+        return None if self.account is None else self.account.name
+
     @property
     def remaining_s(self):
         """Time until the caller's or the route's time limit ends, in seconds."""
@@ -247,6 +260,11 @@
         exchange.refuse(404, "no_route")
         return
     exchange.route = route
+    access = context.check_access(route, request.key)
+    if access.refusal is not None:
+        exchange.refuse(*access.refusal)
+        return
+    exchange.account = access.account
     exchange.service = pick_service(route, context.draw_uniform)
     time_limit_s = route.timeout_s
     if request.caller_timeout_s is not None:
@@ -289,7 +307,8 @@
         "request_ended",
         outcome=exchange.outcome,
         route=route.name if route is not None else None,
-        rank=route.priority if route is not None else None,
+        rank=exchange.priority if route is not None else None,
+        account=exchange.account_name,
         service=exchange.service,
         version=context.configuration_version,
         sends=exchange.send_counter.arrivals,
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -91,12 +91,32 @@
     def datagram_received(self, data, address):
         """Apply one message; a message that can't be decoded changes nothing."""
         try:
-            message = _decode(data)
+            fields = msgpack.unpackb(data)
+            handler = self._find_handler(fields)
+            if handler is not None:
+                handler(fields[1:], address[0])
+                return
+            message = _decode(fields)
         except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
             self._context.log("warning", "gossip_unreadable", error=repr(error))
             return
         self._apply(message)
 
+    def _find_handler(self, fields):
+        """Return the handler of another kind of datagram, or None for an update."""
+        kind = fields[0] if isinstance(fields, list) and fields else None
+        if not isinstance(kind, str):
+            return None
+        return self._context.datagram_handlers[kind]
+
+    def send_datagram(self, kind, fields, ip):
+        """Send a datagram to the handler for its kind at one host."""
+        data = msgpack.packb([kind, *fields])
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.sendto(data, (ip, self._context.settings.datagram_port))
+        self._rate_limiter.on_sent(self._context.clock(), len(data))
+
     def error_received(self, error):
         """Ignore a refused datagram."""
         # The datagram of a host whose process is down is refused; its silence shows the
@@ -260,9 +280,9 @@
     lease: list | None
 
 
-def _decode(data):
+def _decode(fields):
     """Return the decoded message."""
-    version, *fields = msgpack.unpackb(data)
+    version, *fields = fields
     if version != MESSAGE_VERSION:
         raise ValueError(f"unsupported message version {version}")
     status, stages, loads, placements, lease = fields
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -1,8 +1,8 @@
 """One entry host: starts its components in order, and stops without losing requests."""
 
 import asyncio
-import time
 
+from gypsumusher_entry.configuration_confirmation import ConfigurationConfirmation
 from gypsumusher_entry.context import Context
 from gypsumusher_entry.exchange import create_handler
 from gypsumusher_entry.gossip import Gossip
@@ -59,6 +59,9 @@
         self._registration = Registration(self.context, self._store)
         self._peer_sync = PeerSync(self.context)
         self._gossip = Gossip(self.context)
+        self._confirmation = ConfigurationConfirmation(
+            self.context, self._store, self._gossip
+        )
         self._prefix_cache_recovery = PrefixCacheRecovery(self.context)
         codecs = decode_request, encode_refusal
         api_handler = create_api_handler(self.context)
@@ -84,6 +87,7 @@
         await self._store_watcher.start()
         await self._registration.start()
         await self._peer_sync.start()
+        await self._confirmation.start()
         # The peer and directory listeners open at once. The callers' listener waits for
         # a configuration.
         bound = await self._start_api()
@@ -101,7 +105,7 @@
         from gypsumusher_entry.stage_lease import StageLease
         from gypsumusher_entry.stage_orders import StageOrders
 
-        lease = StageLease(self.context, self._store, _clock_with_sleep)
+        lease = StageLease(self.context, self._store, self.context.boottime_s)
         self.context.stage_lease = lease
         await lease.start()
         await StageOrders(self.context, lease).start()
@@ -203,8 +207,3 @@
     """Listen on an address ``ip:port``; return it with the bound port."""
     ip, _, port = address.rpartition(":")
     return f"{ip}:{await listener.start(ip, int(port))}"
-
-
-def _clock_with_sleep():
-    """Return a time in seconds that also advances while the host is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/libs/entry/gypsumusher_entry/host_api.py
+++ b/libs/entry/gypsumusher_entry/host_api.py
@@ -32,6 +32,9 @@
         return status, [_JSON], _encode_json({"ready": context.is_ready})
 
     def answer_hosts(_):
+        if context.is_ready and not context.are_keys_confirmed():
+            # Cut off, this host would name only itself, and refuse who comes.
+            return 503, [_JSON], _encode_json({"error": "keys_unconfirmed"})
         addresses = [host.callers_address for host in context.active_hosts()]
         if not addresses:
             addresses = [context.settings.callers_address]
--- a/libs/entry/gypsumusher_entry/prefill.py
+++ b/libs/entry/gypsumusher_entry/prefill.py
@@ -118,9 +118,10 @@
     send = SendOptions(
         state.record.endpoint_id,
         exchange.endpoint_time_limit_s,
-        urgency=urgency_of(exchange.route.priority, prefill.lane),
+        urgency=urgency_of(exchange.priority, prefill.lane),
         is_prefill=True,
         kv_fetch=prefill.fetch_address,
+        account=exchange.account_name,
     )
     began_s = context.clock()
     state.own_running += 1
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -175,7 +175,11 @@
 
 async def _send(exchange, state):
     """Send once; return the outcome."""
-    send = SendOptions(state.record.endpoint_id, exchange.endpoint_time_limit_s)
+    send = SendOptions(
+        state.record.endpoint_id,
+        exchange.endpoint_time_limit_s,
+        account=exchange.account_name,
+    )
     response = None
     limit_s = OVERDUE_OBJECTIVE_MULTIPLE * exchange.route.objective_s
     pending = exchange.context.stall_monitor.begin(
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -97,6 +97,7 @@
                     own_pause_s = WATCHED_BY_PEERS_POLL_S
                     self._answered_kinds.discard(kind)
                     continue
+            started_s = self._context.boottime_s()
             if revision is None:
                 result = await self._store.list(kind)
             else:
@@ -120,6 +121,9 @@
             self._on_answered(kind, reads_directly)
             found = result.unwrap()
             apply(found, revision is None)
+            if kind == CONFIGURATION_KIND and revision is None:
+                # A watch confirms nothing: it may miss changes for a while.
+                self._confirm(started_s, found)
             revision = found.revision
             if kind not in self._listed_kinds:
                 self._listed_kinds.add(kind)
@@ -153,6 +157,12 @@
             if item.name == CONFIGURATION_NAME:
                 apply_stored_configuration(self._context, item, "store")
 
+    def _confirm(self, started_s, listing):
+        """Record that a complete list has the newest configuration."""
+        for item in listing.objects:
+            if item.name == CONFIGURATION_NAME:
+                self._context.on_configuration_read(started_s, item)
+
     def _on_endpoints(self, found, is_listing):
         """Apply the endpoints from a list or from changes of the store."""
         if is_listing:
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -170,11 +170,12 @@
             state.record.endpoint_id,
             exchange.endpoint_time_limit_s,
             urgency=urgency_of(
-                exchange.route.priority, TIMELY if prefill is None else prefill.lane
+                exchange.priority, TIMELY if prefill is None else prefill.lane
             ),
             kv_source=None if prompt is None else prompt.source,
             kv_fetch=None if prefill is None else prefill.fetch_address,
             last_event_id=self._last_event_id,
+            account=exchange.account_name,
         )
         run = _EngineRun(state, prefill, context.clock(), prompt)
         expected_s = 0.0 if prefill is None else prefill.expected_s
--- a/libs/entry/tests/test_concurrent_choices.py
+++ b/libs/entry/tests/test_concurrent_choices.py
@@ -64,6 +64,7 @@
 
 class _Configuration:
     version = 1
+    accounts = None
     routes = ()
     services = {}
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -1,10 +1,20 @@
 """Routing decisions for requests, without I/O and without reading a clock."""
 
+from gypsumusher_routing.accounts import Access, AccountTable, check_access
 from gypsumusher_routing.active_hosts import (
     active_host_count,
     choose_active_hosts,
     choose_watchers,
 )
+from gypsumusher_routing.configuration_age import (
+    CONFIRM_FROM_PEER,
+    CONFIRM_FROM_STORE,
+    AgeAnswer,
+    ConfigurationAge,
+    ConfirmationPlan,
+    ConfirmationRole,
+    key_lease_s,
+)
 from gypsumusher_routing.cost_model import CostModel, PrefillObservation
 from gypsumusher_routing.endpoint_state import EndpointState, Load, OrderedStage
 from gypsumusher_routing.endpoint_table import EndpointTable
@@ -63,6 +73,8 @@
     "ABSENT_FOR_S",
     "ALL_ON",
     "ASK",
+    "CONFIRM_FROM_PEER",
+    "CONFIRM_FROM_STORE",
     "DONE",
     "GIVEN_UP",
     "HOPELESS",
@@ -71,7 +83,13 @@
     "SEND",
     "TIMELY",
     "WAIT",
+    "Access",
+    "AccountTable",
     "Acknowledgement",
+    "AgeAnswer",
+    "ConfigurationAge",
+    "ConfirmationPlan",
+    "ConfirmationRole",
     "CostModel",
     "EndpointState",
     "EndpointTable",
@@ -107,6 +125,7 @@
     "abandoned_after_s",
     "active_host_count",
     "cache_transfer_s",
+    "check_access",
     "choose_active_hosts",
     "choose_decode",
     "choose_endpoint",
@@ -115,6 +134,7 @@
     "choose_watchers",
     "first_event_limit_s",
     "host_capacity",
+    "key_lease_s",
     "pick_service",
     "policy_without",
     "urgency_of",
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -44,6 +44,8 @@
         Hosts send each other their loads.
     hedges : bool
         An idempotent request without an answer is sent to a second endpoint.
+    shared_confirmations : bool
+        Hosts confirm their configuration from peers, and not each from the store.
     """
 
     lanes: bool = True
@@ -61,6 +63,7 @@
     stages: bool = True
     shared_loads: bool = True
     hedges: bool = True
+    shared_confirmations: bool = True
 
 
 # Policy of a host in service.
