--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -112,8 +112,6 @@
     def send_datagram(self, kind, fields, ip):
         """Send a datagram to the handler for its kind at one host."""
         data = msgpack.packb([kind, *fields])
-        if self._transport is None or self._transport.is_closing():
-            return
         self._transport.sendto(data, (ip, self._context.settings.datagram_port))
         self._rate_limiter.on_sent(self._context.clock(), len(data))
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -117,6 +117,8 @@
         try:
             call = self._session.get(f"http://{address}/v1/resolve")
             async with asyncio.timeout(CONNECT_TIMEOUT_S), call as response:
+                if response.status != 200:
+                    return
                 self._hosts = (await response.json())["addresses"]
                 self._hosts_expire_s = self._clock() + DIRECTORY_CACHE_S
         except (aiohttp.ClientError, TimeoutError, OSError):
@@ -132,6 +134,11 @@
             "X-Gypsumusher-Request-Id": request_id,
             "X-Gypsumusher-Deadline-Ms": str(int(deadline_s(kind) * 1000)),
         }
+        if self._records.keys:
+            # Also keys that were taken away: their callers don't know it.
+            key = self._rng.choice(sorted(self._records.keys))
+            headers["X-Gypsumusher-Key"] = key
+            self._records.keys_sent[request_id] = (key, sent_s)
         if kind in TOKEN_COUNTS and self._deployment.has_engines:
             headers["X-Gypsumusher-Token-Count"] = TOKEN_COUNTS[kind]
         timeout = aiohttp.ClientTimeout(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left
 from typing import NamedTuple
 
+from account_checks import find_account_violations
 from plan import RECOVERED_S
 from records import IDEMPOTENT, NON_IDEMPOTENT, PROMPT, STREAM, deadline_s
 
@@ -60,6 +61,7 @@
     found += _check_draining(records)
     found += _check_versions(records)
     found += _check_recovery(records, ends_s)
+    found += find_account_violations(records, ends_s)
     return found
 
 
@@ -264,8 +266,21 @@
         if outcome.sent_s < ends_s - RECOVERED_S:
             continue
         served += outcome.status == 200
+        if _has_withdrawn_key(records, outcome):
+            if outcome.status != 401:
+                found.append(f"withdrawn key not rejected after all: {outcome}")
+            continue
         if outcome.status != 200 or outcome.problem:
             found.append(f"request failed after the last fault: {outcome}")
     if not served:
         found.append("no request succeeded after the last fault")
     return found
+
+
+def _has_withdrawn_key(records, outcome):
+    """Return whether a request was sent with a key that was taken away before."""
+    if outcome.request_id not in records.keys_sent:
+        return False
+    key, sent_s = records.keys_sent[outcome.request_id]
+    withdrawn_s = records.keys[key].withdrawn_s
+    return withdrawn_s is not None and withdrawn_s < sent_s
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -33,6 +33,8 @@
         Kinds of faults with their minimum and maximum duration.
     fault_rate : FaultRate
         How often they begin.
+    accounts : int
+        Number of client accounts; 0 where callers need no key.
     """
 
     hosts: int
@@ -45,6 +47,7 @@
     retry_limit: RetryLimit
     fault_kinds: dict[str, tuple[float, float]]
     fault_rate: FaultRate
+    accounts: int = 0
 
     @property
     def has_engines(self):
@@ -108,8 +111,24 @@
 EIGHT_HOSTS = SEVEN_HOSTS._replace(
     hosts=8, endpoints=4, retry_limit=RetryLimit(0.2, 56.0, 10.0)
 )
+# Without stale reads: they make the store break its promise that reads are current,
+# on which the withdrawal of keys rests.
+ACCOUNT_KINDS = {kind: KINDS[kind] for kind in sorted(set(KINDS) - {"store_stale"})}
+ACCOUNT_KINDS |= {
+    "key_change": (0.0, 0.0),
+    "cloud_refuse": (0.5, 4.0),
+    "cloud_silent": (0.5, 4.0),
+    "cloud_lost": (0.5, 4.0),
+    "hosts_apart": (1.0, 6.0),
+}
+ACCOUNTS = SMALL._replace(
+    accounts=6,
+    fault_kinds=ACCOUNT_KINDS,
+    fault_rate=FaultRate(per_s=1.2, kinds=7, always=("key_change",)),
+)
 DEPLOYMENTS = {
     "small": SMALL,
+    "accounts": ACCOUNTS,
     "seven-hosts": SEVEN_HOSTS,
     "eight-hosts": EIGHT_HOSTS,
 }
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 
+from account_checks import KEY_BOUND_S, USAGE_LATE_S, USAGE_WINDOW_S
 from entry_program import CUT_VARIABLE
 from processes import Process, free_ports
 
@@ -36,6 +37,16 @@
 retry_slack = {retry_slack}
 budget_window_s = {retry_window_s}
 """
+# Settings where callers have accounts.
+ACCOUNT_SETTINGS = """strict_revoke = true
+revoke_ms = {key_bound_ms}
+window_s = {window_s}
+usage_late_s = {late_s}
+
+[cloud]
+addr = "{cloud}"
+duties = ["usage"]
+"""
 
 
 class EntryProcess(Process):
@@ -55,6 +66,8 @@
         The operator's limit on repeats.
     source : pathlib.Path or None
         Checkout whose program is run; None runs the one that is installed.
+    cloud : str or None
+        Address for usage reports; None where callers have no accounts.
 
     Attributes
     ----------
@@ -68,7 +81,16 @@
     """
 
     def __init__(
-        self, name, ip, zone, store, peer_port, folder, retry_limit, source=None
+        self,
+        name,
+        ip,
+        zone,
+        store,
+        peer_port,
+        folder,
+        retry_limit,
+        source=None,
+        cloud=None,
     ):
         callers_port, ready_port, directory_port = free_ports(ip, 3)
         self._settings_path = folder / f"{name}.toml"
@@ -79,6 +101,13 @@
             retry_ratio=retry_limit.ratio, retry_slack=retry_limit.slack,
             retry_window_s=retry_limit.window_s,
         )  # fmt: skip
+        if cloud is not None:
+            self._settings += ACCOUNT_SETTINGS.format(
+                cloud=cloud,
+                key_bound_ms=int(KEY_BOUND_S * 1000),
+                window_s=USAGE_WINDOW_S,
+                late_s=USAGE_LATE_S,
+            )
         self._cut_path = folder / f"{name}.cut"
         variables = [
             f"GYPSUMUSHER_SETTINGS={self._settings_path}",
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -37,7 +37,7 @@
 async def _inject_fault(system, fault):
     """Inject one fault, and record its target and its time span."""
     list_name, apply = _FAULTS[fault.kind]
-    component = None
+    component = fault.target
     if list_name is not None:
         components = getattr(system, list_name)
         component = components[fault.target % len(components)]
@@ -202,6 +202,22 @@
     system.add_routes()
 
 
+async def _key_change(system, target, _):
+    system.change_key(target)
+
+
+def _cloud_fault(name):
+    """Return a function that sets a fault of the platform for some time."""
+
+    async def apply(system, _, duration_s):
+        system.cloud.fault = name
+        await asyncio.sleep(duration_s)
+        if system.cloud.fault == name:
+            system.cloud.fault = ""
+
+    return apply
+
+
 # For each kind of fault: the attribute of `SoakSystem` that lists its possible targets
 # (None if it has no single target), and the function that applies it.
 _FAULTS = {
@@ -235,4 +251,8 @@
     "config_change": (None, _config_change),
     "config_large": (None, _config_large),
     "host_store_weak": ("store_links", _host_store_weak),
+    "key_change": (None, _key_change),
+    "cloud_refuse": (None, _cloud_fault("refuse")),
+    "cloud_silent": (None, _cloud_fault("silent")),
+    "cloud_lost": (None, _cloud_fault("lost")),
 }
--- a/soak/records.py
+++ b/soak/records.py
@@ -8,10 +8,13 @@
     "NON_IDEMPOTENT",
     "PROMPT",
     "STREAM",
+    "AccountKey",
+    "AccountRun",
     "Arrival",
     "Outcome",
     "Records",
     "RetryLimit",
+    "UsageReport",
     "deadline_s",
     "expected_body",
     "expected_event",
@@ -87,6 +90,46 @@
     at_s: float
 
 
+class AccountKey(NamedTuple):
+    """A key of a client account, and when it was added and taken away."""
+
+    account: str
+    added_s: float
+    withdrawn_s: float | None
+
+
+class AccountRun(NamedTuple):
+    """What an endpoint saw of a request that it ran.
+
+    Attributes
+    ----------
+    request_id, endpoint : str
+        The request and the endpoint.
+    at_s : float
+        When it began, in seconds since the run of the soak began.
+    account : str or None
+        Account that the endpoint was told.
+    has_key : bool
+        Whether the endpoint was sent the caller's key.
+    """
+
+    request_id: str
+    endpoint: str
+    at_s: float
+    account: str | None
+    has_key: bool
+
+
+class UsageReport(NamedTuple):
+    """A usage report that the platform has accepted."""
+
+    at_s: float
+    holder: str
+    fence: int
+    window: int
+    counts: dict
+
+
 class Records:
     """Everything that the checks of the guarantees use.
 
@@ -112,6 +155,16 @@
         Host and start count of its process, time, and configuration in force.
     written : list of (float, int)
         When the operator wrote a configuration, and its version.
+    keys : dict of str to AccountKey
+        All keys that any configuration had.
+    keys_sent : dict of str to (str, float)
+        Key and time of each request that callers sent, by request id.
+    account_runs : list of AccountRun
+        Requests that endpoints ran, where callers have accounts.
+    usage_reports : list of UsageReport
+        Reports in the order in which the platform accepted them.
+    began_unix_s : float
+        Time of day at which the run began.
     """
 
     def __init__(self, retry_limit):
@@ -125,6 +178,11 @@
         self.leaves = []
         self.versions = []
         self.written = []
+        self.keys = {}
+        self.keys_sent = {}
+        self.account_runs = []
+        self.usage_reports = []
+        self.began_unix_s = 0.0
 
 
 def deadline_s(kind):
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -4,7 +4,15 @@
 import json
 import random
 
-from records import EVENTS, PROMPT, STREAM, Arrival, expected_body, expected_event
+from records import (
+    EVENTS,
+    PROMPT,
+    STREAM,
+    AccountRun,
+    Arrival,
+    expected_body,
+    expected_event,
+)
 from scripted_endpoint import (
     ScriptedEndpoint,
     encode_chunk,
@@ -105,6 +113,10 @@
             writer.write(encode_response(request_id, body))
             return
         self._records.arrivals.append(arrival)
+        if self._records.keys:
+            account = headers.get("x-gypsumusher-tenant")
+            has_key = "x-gypsumusher-key" in headers
+            self._records.account_runs.append(AccountRun(*arrival, account, has_key))
         await asyncio.sleep(WORK_S)
         if mode == "hang":
             await asyncio.Event().wait()
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import tempfile
+import time
 
 import aiohttp
 from callers import Caller
@@ -17,9 +18,11 @@
     NON_IDEMPOTENT,
     PROMPT,
     STREAM,
+    AccountKey,
     Records,
     deadline_s,
 )
+from soak_cloud import SoakCloud
 from soak_endpoint import SoakEndpoint
 
 from gypsumusher_entry.peer_sync import PEER_SYNC_PATH
@@ -62,6 +65,7 @@
         self.records = Records(deployment.retry_limit)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gypsumusher-soak-"))
         self.store = ObjectStoreServer()
+        self.cloud = SoakCloud(self.clock, self.records)
         self.hosts = []
         self.backends = []
         self.links = []
@@ -84,6 +88,9 @@
     async def start(self):
         """Start everything, and wait until every host has a configuration."""
         address = await self.store.start()
+        cloud = await self.cloud.start() if self.deployment.accounts else None
+        for number in range(self.deployment.accounts):
+            self._add_key(f"account-{number}", 0.0)
         self.write_configuration()
         for endpoint in self._create_endpoints():
             self.backends.append(endpoint)
@@ -107,11 +114,13 @@
                 self.folder,
                 self.deployment.retry_limit,
                 self._source,
+                cloud,
             )
             self.hosts.append(host)
             await host.start()
         await self._wait_until_ready()
         self._began_s = asyncio.get_running_loop().time()
+        self.records.began_unix_s = time.time()
         directories = [host.directory for host in self.hosts]
         for number in range(self.deployment.callers):
             caller = Caller(
@@ -154,6 +163,8 @@
             host.destroy()
         for part in (*self.backends, *self.links, *self.store_links, self.store):
             await part.close()
+        if self.deployment.accounts:
+            await self.cloud.close()
 
     def spawn(self, coroutine):
         """Run a coroutine as a background task; `failures` returns its exception."""
@@ -172,6 +183,29 @@
         self._extra_routes += sample_routes(ADDED_ROUTES, {"kind": "idempotent"}, seed)
         self.write_configuration()
 
+    def _add_key(self, account, added_s):
+        """Add a key to an account; the next configuration has it."""
+        key = f"{account}-key-{len(self.records.keys)}"
+        self.records.keys[key] = AccountKey(account, added_s, None)
+
+    def change_key(self, target):
+        """Take one key away, and give its account another one."""
+        in_force = [k for k, v in self.records.keys.items() if v.withdrawn_s is None]
+        key = in_force[target % len(in_force)]
+        self._add_key(self.records.keys[key].account, self.clock())
+        withdrawn = self.records.keys[key]._replace(withdrawn_s=self.clock())
+        self.records.keys[key] = withdrawn
+        self.write_configuration()
+
+    def _tenants(self):
+        """Return the accounts with the keys in force, as the platform stores them."""
+        keys = {}
+        for key, holder in self.records.keys.items():
+            in_force = keys.setdefault(holder.account, [])
+            if holder.withdrawn_s is None:
+                in_force.append(key)
+        return [{"name": name, "api_keys": keys[name]} for name in sorted(keys)]
+
     def write_configuration(self):
         """Write the next version of the configuration, as an operator would."""
         self._version += 1
@@ -203,6 +237,8 @@
             content["services"].append(
                 {"name": ENGINES, "max_conns": 360, "engine": engines}
             )
+        if self.deployment.accounts:
+            content["tenants"] = self._tenants()
         self.store.put("config", "main", content)
         if self._version > 1:
             self.records.written.append((self.clock(), self._version))
