--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -176,3 +176,40 @@
     violations, counts = run_seed(2, HELD_SENDS_PLAN, deployment)
     assert not violations, violations
     assert counts["served"] > 0.3 * counts["requests"] > 100
+
+
+# Two of three hosts reach neither the store nor each other while keys are taken away,
+# and one of them is paused meanwhile.
+KEYS_WITHDRAWN_PLAN = Plan(
+    (
+        Fault(0.7, 7.0, "host_store_cut", 1),
+        Fault(0.7, 7.0, "host_store_cut", 2),
+        Fault(0.7, 7.0, "hosts_apart", 1),
+        Fault(0.8, 7.0, "hosts_apart", 2),
+        Fault(1.2, 0.0, "key_change", 0),
+        Fault(1.3, 0.0, "key_change", 3),
+        Fault(2.0, 2.0, "host_pause", 2),
+        Fault(2.5, 0.0, "key_change", 1),
+        Fault(3.0, 2.0, "cloud_lost", 0),
+        Fault(4.0, 0.5, "host_kill", 0),
+    ),
+    7.8 + CALM_AFTER_S,
+)
+
+
+@pytest.mark.processes
+def test_keys_withdrawn_while_hosts_are_cut_off_start_no_request():
+    """Guards against withdrawn keys at hosts that hear of nothing, and double usage."""
+    violations, counts = run_seed(3, KEYS_WITHDRAWN_PLAN, DEPLOYMENTS["accounts"])
+    assert not violations, violations
+    assert counts["served"] > 100
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", (5, 11))
+def test_seed_with_accounts_causes_no_violation(seed):
+    deployment = DEPLOYMENTS["accounts"]
+    plan = draw_plan(seed, FAULTY_S, deployment.fault_kinds, deployment.fault_rate)
+    violations, counts = run_seed(seed, plan, deployment)
+    assert not violations, violations
+    assert counts["served"] > 100
