--- a/libs/coordination/gypsumusher_coordination/usage_report.py
+++ b/libs/coordination/gypsumusher_coordination/usage_report.py
@@ -194,8 +194,8 @@
         in_time = times.first_in_time(true_s)
         value = self._value()
         if self._stored is None:
-            # Nothing has ever been reported: begin with the window that runs now.
-            return [self._write(int(true_s // times.window_s) - 1, {})]
+            # Nothing has ever been reported; callers may have come before the holder.
+            return [self._write(in_time - 1, {})]
         window = max(value["through"] + 1, in_time)
         effects = []
         if times.end_s(window) + times.settle_s > true_s:
--- a/libs/entry/gypsumusher_entry/configuration_confirmation.py
+++ b/libs/entry/gypsumusher_entry/configuration_confirmation.py
@@ -2,7 +2,7 @@
 
 import time
 
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from gypsumusher_entry.store_watcher import apply_stored_configuration
 from gypsumusher_platform import CONFIGURATION_KIND, CONFIGURATION_NAME
@@ -84,11 +84,12 @@
     def _role(self):
         """Return this host's part in confirming the configuration."""
         context = self._context
-        is_active = context.is_active()
+        name = context.settings.name
+        active = context.active_hosts()
         return ConfirmationRole(
             is_reader=context.should_order_stages(),
-            is_watcher=is_active and context.watches_store(),
-            is_active=is_active,
+            is_watcher=any(host.name == name for host in choose_watchers(active)),
+            is_active=any(host.name == name for host in active),
         )
 
     async def _read(self):
@@ -96,6 +97,7 @@
         context = self._context
         started_s = context.boottime_s()
         result = await self._store.get(CONFIGURATION_KIND, CONFIGURATION_NAME)
+        self._plan.on_read_ended(isinstance(result, Success))
         if isinstance(result, Failure):
             error = result.failure()
             context.log(
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -31,8 +31,10 @@
     key_lease_s,
 )
 
-__all__ = ["Context"]
+__all__ = ["USAGE_DUTY", "Context"]
 
+# Name of the duty to report usage, in the settings.
+USAGE_DUTY = "usage"
 
 # Time for which callers cache the list of hosts. A planned stop waits three times as
 # long, and callers try a dead host for as long; each caller asks for the list once per
@@ -92,9 +94,9 @@
         self.configuration_age = ConfigurationAge(secrets.randbits(48))
         # True time minus `boottime_s`, from the clocks of several hosts.
         self.true_time = TrueTime()
-        # Called with the account and the time, a reading of `boottime_s`, of each
-        # request that an endpoint has begun to run.
-        self.usage_listeners = []
+        # Requests that endpoints have begun to run and that aren't counted yet, by
+        # account and time, a reading of `boottime_s`.
+        self._begun_requests = []
         # Handlers of datagrams other than the state updates, by kind.
         self.datagram_handlers = {}
         self.endpoints = EndpointTable()
@@ -454,6 +456,16 @@
             placement = [state.record.endpoint_id, shared, round(wait_s, 2)]
             self._unsent_placements.append(placement)
 
+    def record_usage(self, account):
+        """Record that an endpoint has begun to run a request of an account."""
+        if USAGE_DUTY in self.settings.duties:
+            self._begun_requests.append((account, self.boottime_s()))
+
+    def pop_begun_requests(self):
+        """Return and remove the accounts and times that `record_usage` recorded."""
+        begun, self._begun_requests = self._begun_requests, []
+        return begun
+
     def pop_placements(self, count):
         """Return and remove the oldest unsent placements, at most `count`."""
         placements = self._unsent_placements[:count]
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -179,8 +179,7 @@
         if self.account is None or self._is_usage_counted:
             return
         self._is_usage_counted = True
-        for listener in self.context.usage_listeners:
-            listener(self.account.name, self.context.boottime_s())
+        self.context.record_usage(self.account.name)
 
     def log(self, level, event, **fields):
         """Log an event of this request."""
--- /dev/null
+++ b/libs/entry/gypsumusher_entry/fleet_orders.py
@@ -0,0 +1,179 @@
+"""Orders for engines by zone and kind, given by the host that holds the lease."""
+
+from returns.result import Failure, Success
+
+from gypsumusher_entry.staleness_monitor import ENDPOINTS
+from gypsumusher_routing import FleetLimits, FleetPlanner, FleetView
+
+__all__ = ["SCALE_DUTY", "FleetOrders"]
+
+SCALE_DUTY = "scale"
+TICK_S = 0.5
+# Least remaining time of the lease when an order is given; see `UsageReports`.
+MIN_LEASE_S = 1.0
+# Kind of the objects that hold how many engines a service needs.
+TARGETS_KIND = "fleet-targets"
+COUNT = "count"
+# Time for which the number of engines has to be unchanged before it counts as the one
+# that the operator has provided: at a first start entries appear one after the other.
+STABLE_S = 1.5
+
+
+class FleetOrders:
+    """Plans and orders the engines of each service that allows it.
+
+    Parameters
+    ----------
+    context : Context
+        State of the engines, and the configuration.
+    store : StoreClient
+        Holds how many engines each service needs.
+    lease : StageLease
+        Authority to give orders.
+    cloud : CloudClient
+        Accepts the orders.
+    """
+
+    def __init__(self, context, store, lease, cloud):
+        self._context = context
+        self._store = store
+        self._lease = lease
+        self._cloud = cloud
+        self._term = 0
+        self._planners = {}
+        self._targets = {}
+        self._seen = {}
+
+    async def start(self):
+        """Start to plan, until the context is closed."""
+        if self._context.policy.fleet:
+            self._context.spawn(self._run())
+
+    async def _run(self):
+        """Plan at each tick at which this host holds the lease for long enough."""
+        context = self._context
+        while True:
+            await context.wait_for_tick(TICK_S)
+            if context.configuration is None or not self._may_order():
+                continue
+            if self._lease.term != self._term:
+                # Another host may have ordered meanwhile.
+                self._term = self._lease.term
+                self._planners.clear()
+                self._targets.clear()
+                self._seen.clear()
+            for service in list(context.configuration.services.values()):
+                if service.scale is not None and service.scale.has_reclaimable:
+                    await self._plan(service)
+
+    def _may_order(self):
+        return self._lease.is_held_for(MIN_LEASE_S)
+
+    async def _plan(self, service):
+        """Plan the engines of one service, and give the orders that are due."""
+        context = self._context
+        counts = self._counts(service.name)
+        target = await self._target(service.name, sum(counts.values()))
+        if target is None:
+            return
+        planner = self._planners.get(service.name)
+        if planner is None:
+            scale = service.scale
+            limits = FleetLimits(
+                scale.min_count, scale.max_count, scale.boot_s, scale.zone_prices
+            )
+            planner = self._planners[service.name] = FleetPlanner(limits)
+        now_s = context.clock()
+        view = self._view(service.name, counts, target)
+        for order in planner.next_orders(now_s, view):
+            if not self._may_order():
+                return
+            await self._give(service.name, planner, order, view)
+
+    async def _give(self, service, planner, order, view):
+        """Give one order, and tell the planner how that ended."""
+        context = self._context
+        term = self._lease.term
+        now_s = context.clock()
+        result = await self._cloud.order_endpoints(
+            term, service, order.zone, order.count, order.is_reclaimable
+        )
+        code = None if isinstance(result, Success) else result.failure().code
+        if code in (None, "unknown"):
+            planner.on_ordered(now_s, order)
+        elif code != "refused":
+            planner.on_none_available(now_s, order)
+        context.metrics.on_fleet_order(service, code or "accepted")
+        context.log(
+            "info" if code is None else "warning",
+            "engines_ordered",
+            service=service,
+            zone=order.zone,
+            reclaimable=order.is_reclaimable,
+            count=order.count,
+            there=view.counts.get((order.zone, order.is_reclaimable), 0),
+            wanted=view.wanted_count,
+            ready=sum(view.counts.values()),
+            term=term,
+            outcome=code or "accepted",
+        )
+
+    def _view(self, service, counts, target):
+        """Return what the planner sees of a service."""
+        context = self._context
+        now_s = context.clock()
+        reclaimed, running = set(), 0
+        for state in context.endpoints.states.values():
+            if state.record.service != service:
+                continue
+            running += state.load(now_s).running
+            if state.record.is_reclaimable and state.record.is_draining:
+                reclaimed.add(state.record.zone)
+        sees_store = context.sees_store or any(
+            host.sees_store for host in context.hosts.live(now_s)
+        )
+        is_complete = (
+            sees_store
+            and not context.staleness.is_overdue(ENDPOINTS)
+            and not context.endpoints.is_in_grace_period(now_s)
+        )
+        return FleetView(counts, frozenset(reclaimed), target, is_complete, not running)
+
+    def _counts(self, service):
+        """Return the engines that accept work, by zone and kind."""
+        counts = {}
+        for state in self._context.endpoints.states.values():
+            record = state.record
+            if record.service != service or record.is_draining or state.is_gone:
+                continue
+            key = (record.zone, record.is_reclaimable)
+            counts[key] = counts.get(key, 0) + 1
+        return counts
+
+    async def _target(self, service, count):
+        """Return how many engines a service needs; None as long as that is unknown.
+
+        It is the number that the operator has provided at the first start, kept in the
+        store for later holders.
+        """
+        if service in self._targets:
+            return self._targets[service]
+        result = await self._store.get(TARGETS_KIND, service)
+        if isinstance(result, Failure) and result.failure().code == "absent":
+            if not self._is_stable(service, count):
+                return None
+            content = {COUNT: count}
+            result = await self._store.create(TARGETS_KIND, service, content)
+        if isinstance(result, Failure):
+            return None
+        self._targets[service] = result.unwrap().content[COUNT]
+        return self._targets[service]
+
+    def _is_stable(self, service, count):
+        """Return whether a service has had this number of engines for long enough."""
+        now_s = self._context.clock()
+        seen, since_s = self._seen.get(service, (0, now_s))
+        if seen != count:
+            self._seen[service] = (count, now_s)
+            return False
+        return count > 0 and now_s - since_s >= STABLE_S
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from gypsumusher_entry.configuration_confirmation import ConfigurationConfirmation
-from gypsumusher_entry.context import Context
+from gypsumusher_entry.context import USAGE_DUTY, Context
 from gypsumusher_entry.exchange import create_handler
+from gypsumusher_entry.fleet_orders import SCALE_DUTY, FleetOrders
 from gypsumusher_entry.gossip import Gossip
 from gypsumusher_entry.host_api import create_api_handler
 from gypsumusher_entry.metrics import Metrics
@@ -12,7 +13,7 @@
 from gypsumusher_entry.prefix_cache_recovery import PrefixCacheRecovery
 from gypsumusher_entry.registration import Registration
 from gypsumusher_entry.store_watcher import StoreWatcher
-from gypsumusher_entry.usage_reports import USAGE_DUTY, UsageReports
+from gypsumusher_entry.usage_reports import UsageReports
 from gypsumusher_http import Listener
 from gypsumusher_platform import (
     CloudClient,
@@ -124,15 +125,16 @@
     async def _start_duties(self, lease):
         """Start the duties that the platform gives to the holder of the lease."""
         settings = self.context.settings
-        if settings.cloud_address is None or USAGE_DUTY not in settings.duties:
+        if settings.cloud_address is None:
             return
         self._cloud = CloudClient(
             settings.cloud_address, settings.name, CLOUD_TIMEOUT_S, self.context.clock
         )
-        usage = UsageReports(
-            self.context, self._store, self._gossip, lease, self._cloud
-        )
-        await usage.start()
+        context, store, cloud = self.context, self._store, self._cloud
+        if USAGE_DUTY in settings.duties:
+            await UsageReports(context, store, self._gossip, lease, cloud).start()
+        if SCALE_DUTY in settings.duties:
+            await FleetOrders(context, store, lease, cloud).start()
 
     async def _start_api(self):
         """Start the other listeners; return their addresses by name."""
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -17,6 +17,7 @@
     total_time: Any
     first_output_time: Any
     stage_orders: Any
+    fleet_orders: Any
     version: Any
     lag: Any
 
@@ -72,6 +73,19 @@
         labels = {"stage": stage, "outcome": outcome or "left"}
         self._load().stage_orders.inc(labels)
 
+    def on_fleet_order(self, service, outcome):
+        """Count an order for engines.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        outcome : str
+            ``accepted``, or the code of the error.
+        """
+        labels = {"service": service, "outcome": outcome}
+        self._load().fleet_orders.inc(labels)
+
     def set_configuration_version(self, version):
         """Set the version of the configuration in force."""
         self._configuration_version = version
@@ -132,6 +146,11 @@
             "Orders that change an engine's stage, by stage and outcome",
             registry=registry,
         ),
+        fleet_orders=Counter(
+            "gypsumusher_fleet_orders_total",
+            "Orders for engines, by service and outcome",
+            registry=registry,
+        ),
         version=Gauge(
             "gypsumusher_configuration_version",
             "Version of the configuration in force",
--- a/libs/entry/gypsumusher_entry/usage_reports.py
+++ b/libs/entry/gypsumusher_entry/usage_reports.py
@@ -14,9 +14,8 @@
 from gypsumusher_entry.store_calls import perform_store_call
 from gypsumusher_routing import UsageCollector, UsageCounter, choose_watchers
 
-__all__ = ["USAGE_DUTY", "UsageReports"]
+__all__ = ["UsageReports"]
 
-USAGE_DUTY = "usage"
 # Kinds of the datagrams.
 COUNTS, ACKNOWLEDGEMENT = "usage", "usage_ack"
 # How often counts are sent. A host that dies takes what it hasn't sent with it: a tenth
@@ -69,15 +68,8 @@
         context = self._context
         context.datagram_handlers[COUNTS] = self._on_counts
         context.datagram_handlers[ACKNOWLEDGEMENT] = self._on_acknowledgement
-        context.usage_listeners.append(self._on_usage)
         context.spawn(self._run())
 
-    def _on_usage(self, account, began_s):
-        """Count a request that began at a reading of `boottime_s`."""
-        offset_s = self._context.true_time.offset_s(began_s)
-        if offset_s is not None:
-            self._counter.count(began_s + offset_s, account)
-
     async def _run(self):
         """Send and report at each tick."""
         context = self._context
@@ -89,6 +81,8 @@
             offset_s = context.true_time.offset_s(now_s)
             if offset_s is None:
                 continue
+            for account, began_s in context.pop_begun_requests():
+                self._counter.count(began_s + offset_s, account)
             self._send_counts(now_s + offset_s)
             await self._report(offset_s)
 
--- a/libs/ports/gypsumusher_ports/__init__.py
+++ b/libs/ports/gypsumusher_ports/__init__.py
@@ -15,6 +15,7 @@
     EngineLimits,
     Limits,
     Route,
+    ScaleLimits,
     Service,
     ServiceShare,
 )
@@ -55,6 +56,7 @@
     "Refusal",
     "ResponseHead",
     "Route",
+    "ScaleLimits",
     "SendOptions",
     "Service",
     "ServiceShare",
--- a/libs/ports/gypsumusher_ports/configuration.py
+++ b/libs/ports/gypsumusher_ports/configuration.py
@@ -11,6 +11,7 @@
     "EngineLimits",
     "Limits",
     "Route",
+    "ScaleLimits",
     "Service",
     "ServiceShare",
 ]
@@ -107,6 +108,28 @@
     role_change_s: float
 
 
+class ScaleLimits(NamedTuple):
+    """How many endpoints of a service this system may order, and their prices.
+
+    Attributes
+    ----------
+    min_count, max_count : int
+        Least and greatest number in one zone, reclaimable ones included.
+    boot_s : float
+        Time from an order until a new endpoint serves, in seconds.
+    zone_prices : dict of str to float
+        Relative price of an endpoint by zone.
+    has_reclaimable : bool
+        Whether there are endpoints that cost less and may be reclaimed.
+    """
+
+    min_count: int
+    max_count: int
+    boot_s: float
+    zone_prices: dict[str, float]
+    has_reclaimable: bool
+
+
 class Service(NamedTuple):
     """A group of endpoints that do the same work.
 
@@ -120,12 +143,15 @@
         Connections that one endpoint accepts from all hosts together.
     engine : EngineLimits or None
         Limits of the service's engines; None for a service that runs no models.
+    scale : ScaleLimits or None
+        Limits on ordering endpoints; None if their number is fixed.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineLimits | None
+    scale: ScaleLimits | None = None
 
 
 class Limits(NamedTuple):
--- a/libs/ports/gypsumusher_ports/endpoints.py
+++ b/libs/ports/gypsumusher_ports/endpoints.py
@@ -31,6 +31,8 @@
     heartbeat_count : int
         Number of times that the endpoint has renewed its entry; of two entries of one
         incarnation, the one with the lower count is older.
+    is_reclaimable : bool
+        Whether the platform may take the endpoint away at any time.
     """
 
     endpoint_id: str
@@ -43,6 +45,7 @@
     warmup_left_s: float
     stage: str | None
     heartbeat_count: int
+    is_reclaimable: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -27,6 +27,12 @@
     choose_prefill,
 )
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
+from gypsumusher_routing.fleet_plan import (
+    FleetLimits,
+    FleetOrder,
+    FleetPlanner,
+    FleetView,
+)
 from gypsumusher_routing.gossip_rate import GossipRateLimiter
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.host_table import (
@@ -104,6 +110,10 @@
     "Event",
     "EventSplitter",
     "FirstEventLimits",
+    "FleetLimits",
+    "FleetOrder",
+    "FleetPlanner",
+    "FleetView",
     "GossipRateLimiter",
     "Health",
     "HostCounts",
--- a/libs/routing/gypsumusher_routing/configuration_age.py
+++ b/libs/routing/gypsumusher_routing/configuration_age.py
@@ -37,6 +37,9 @@
 # one of the few that watch the store, and any other.
 WATCHER_READS_FRACTION = 0.3
 ANY_READS_FRACTION = 0.5
+# Limit on the pause between two reads of a host whose reads fail, in seconds. With
+# hundreds of hosts the store would otherwise return to a crowd of them.
+MAX_READ_PAUSE_S = 2.0
 # Number of questions that are remembered for their answers.
 MAX_QUESTIONS = 8
 
@@ -175,6 +178,18 @@
         self._lease_s = lease_s
         self._asks_peers = asks_peers
         self._called_s = float("-inf")
+        self._read_pause_s = 0.0
+        self._read_s = float("-inf")
+
+    def on_read_ended(self, is_done: bool) -> None:
+        """Record whether a read of the store succeeded."""
+        if is_done:
+            self._read_pause_s = 0.0
+            return
+        least_s = ACTIVE_INTERVAL_FRACTION * self._lease_s
+        self._read_pause_s = min(
+            MAX_READ_PAUSE_S, max(least_s, 2.0 * self._read_pause_s)
+        )
 
     def next_call(
         self, now_s: float, age_s: float, role: ConfirmationRole
@@ -194,12 +209,19 @@
         if now_s - self._called_s < share * self._lease_s:
             return None
         self._called_s = now_s
-        if role.is_reader or not self._asks_peers:
-            return CONFIRM_FROM_STORE
+        if self._asks_peers and not self._should_read(age_s, role, share):
+            return CONFIRM_FROM_PEER
+        if now_s - self._read_s < self._read_pause_s:
+            return CONFIRM_FROM_PEER if self._asks_peers else None
+        self._read_s = now_s
+        return CONFIRM_FROM_STORE
+
+    def _should_read(self, age_s, role, share):
+        """Return whether this host needs to read the store itself."""
+        if role.is_reader:
+            return True
         limit = WATCHER_READS_FRACTION if role.is_watcher else ANY_READS_FRACTION
         if not role.is_active:
             # Its questions are that much further apart.
             limit += share
-        return (
-            CONFIRM_FROM_STORE if age_s > limit * self._lease_s else CONFIRM_FROM_PEER
-        )
+        return age_s > limit * self._lease_s
--- /dev/null
+++ b/libs/routing/gypsumusher_routing/fleet_plan.py
@@ -0,0 +1,224 @@
+"""How many engines of a service run, of which kind, and in which zones.
+
+Engines that the platform may reclaim cost a fraction of the others. It reclaims those
+of a zone all at once, with a notice of seconds, and may then have none for a while. So
+they are spread evenly over the zones that have some, and the others only fill what is
+missing, until reclaimable ones have replaced them. An engine is given up only when the
+remaining ones are ready and enough.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["FleetLimits", "FleetOrder", "FleetPlanner", "FleetView"]
+
+# Time beyond an engine's start after which an order that has had no effect is repeated.
+ORDER_MARGIN_S = 2.0
+# Pauses before engines are ordered again in a zone that had none; each is twice the one
+# before.
+MIN_DRY_S, MAX_DRY_S = 2.0, 16.0
+# Share of the wanted engines that may be given up at a time while requests run, and the
+# pause after it: the parts of prompts that they keep have to be read again elsewhere.
+STEP_SHARE = 0.1
+STEP_PAUSE_S = 2.0
+# Time for which there have to be more reclaimable engines than wanted before some are
+# given up. They are cheap, and the zone that lost its own may lose them again.
+SURPLUS_S = 30.0
+
+
+class FleetLimits(NamedTuple):
+    """What the operator allows, and what engines cost.
+
+    Attributes
+    ----------
+    min_count, max_count : int
+        Least and greatest number of a service's engines in one zone, of both kinds.
+    boot_s : float
+        Time from an order until a new engine serves, in seconds.
+    zone_prices : dict of str to float
+        Price of an engine by zone, reclaimable or not.
+    """
+
+    min_count: int
+    max_count: int
+    boot_s: float
+    zone_prices: dict[str, float]
+
+
+class FleetView(NamedTuple):
+    """What the planner sees.
+
+    Attributes
+    ----------
+    counts : dict of (str, bool) to int
+        Engines that accept work, by zone and whether they are reclaimable.
+    reclaimed_zones : frozenset of str
+        Zones whose reclaimable engines are about to be taken away.
+    wanted_count : int
+        Engines that the service needs in all zones together.
+    is_sight_complete : bool
+        Whether the entries of all engines are known and recent.
+    is_idle : bool
+        Whether no request runs.
+    """
+
+    counts: dict[tuple[str, bool], int]
+    reclaimed_zones: frozenset[str]
+    wanted_count: int
+    is_sight_complete: bool
+    is_idle: bool
+
+
+class FleetOrder(NamedTuple):
+    """Number of engines of one kind to be ordered in one zone."""
+
+    zone: str
+    is_reclaimable: bool
+    count: int
+
+
+class FleetPlanner:
+    """Plans the engines of one service.
+
+    Parameters
+    ----------
+    limits : FleetLimits
+        What the operator allows.
+    """
+
+    def __init__(self, limits: FleetLimits):
+        self._limits = limits
+        # Number and time of the last order, by zone and kind.
+        self._ordered = {}
+        # End of the time in which a zone has no engines of a kind, and the next pause.
+        self._dry_until_s = {}
+        self._dry_pause_s = {}
+        self._step_at_s = float("-inf")
+        self._surplus_since_s = None
+
+    def next_orders(self, now_s: float, view: FleetView) -> list[FleetOrder]:
+        """Return the orders that are due, those that add engines first.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        view : FleetView
+            The engines, and how many are needed.
+        """
+        for zone in view.reclaimed_zones:
+            self._set_dry(now_s, (zone, True), MIN_DRY_S)
+        wanted = self._wanted(now_s, view)
+        orders = self._additions(now_s, view, wanted)
+        if view.is_sight_complete:
+            orders += self._removals(now_s, view, wanted)
+        return orders
+
+    def on_ordered(self, now_s: float, order: FleetOrder) -> None:
+        """Record an order that was accepted, or that may have been."""
+        key = (order.zone, order.is_reclaimable)
+        self._ordered[key] = (order.count, now_s)
+        self._dry_pause_s.pop(key, None)
+
+    def on_none_available(self, now_s: float, order: FleetOrder) -> None:
+        """Record that a zone has no engines of a kind at the moment."""
+        key = (order.zone, order.is_reclaimable)
+        pause_s = self._dry_pause_s.get(key, MIN_DRY_S)
+        self._set_dry(now_s, key, pause_s)
+        self._dry_pause_s[key] = min(MAX_DRY_S, 2.0 * pause_s)
+
+    def _set_dry(self, now_s, key, pause_s):
+        self._dry_until_s[key] = max(now_s + pause_s, self._dry_until_s.get(key, 0.0))
+
+    def _has_room(self, now_s, key, numbers):
+        """Return whether one more engine of a kind can be had in a zone."""
+        zone, is_reclaimable = key
+        if now_s < self._dry_until_s.get(key, float("-inf")):
+            return False
+        return numbers[zone, True] + numbers[zone, False] < self._limits.max_count
+
+    def _present(self, now_s, view):
+        """Return the engines that are there or ordered, by zone and kind."""
+        present = {}
+        for zone in self._limits.zone_prices:
+            for key in ((zone, True), (zone, False)):
+                there = view.counts.get(key, 0)
+                ordered, ordered_s = self._ordered.get(key, (0, float("-inf")))
+                is_coming = now_s < ordered_s + self._limits.boot_s + ORDER_MARGIN_S
+                is_lost = key[1] and zone in view.reclaimed_zones
+                present[key] = there
+                if is_coming and not is_lost:
+                    present[key] = max(there, ordered)
+        return present
+
+    def _wanted(self, now_s, view):
+        """Return the wanted number of engines by zone and kind."""
+        prices = self._limits.zone_prices
+        wanted = self._present(now_s, view)
+        missing = view.wanted_count - sum(
+            number for (_, is_reclaimable), number in wanted.items() if is_reclaimable
+        )
+        while missing > 0:
+            zones = [z for z in prices if self._has_room(now_s, (z, True), wanted)]
+            if not zones:
+                break
+            # Evenly, so that the loss of one zone's engines is as small as can be.
+            zone = min(zones, key=lambda z: (wanted[z, True], prices[z], z))
+            wanted[zone, True] += 1
+            missing -= 1
+        while missing < 0:
+            zone = max(prices, key=lambda z: (wanted[z, True], prices[z], z))
+            wanted[zone, True] -= 1
+            missing += 1
+        others = sum(wanted[zone, False] for zone in prices)
+        for zone in sorted(prices, key=lambda z: (-prices[z], z)):
+            removed = max(0, min(others - missing, wanted[zone, False]))
+            wanted[zone, False] -= removed
+            others -= removed
+        while others < missing:
+            zones = [z for z in prices if self._has_room(now_s, (z, False), wanted)]
+            if not zones:
+                break
+            wanted[min(zones, key=lambda z: (prices[z], z)), False] += 1
+            others += 1
+        return wanted
+
+    def _additions(self, now_s, view, wanted):
+        """Return the orders for more engines than there are or were ordered."""
+        present = self._present(now_s, view)
+        return [
+            FleetOrder(*key, count)
+            for key, count in wanted.items()
+            if count > present[key]
+        ]
+
+    def _removals(self, now_s, view, wanted):
+        """Return the orders that give up engines, of the dearest kind and zone first.
+
+        No more than the ready engines exceed the need.
+        """
+        surplus = sum(view.counts.values()) - view.wanted_count
+        if surplus <= 0:
+            self._surplus_since_s = None
+            return []
+        if self._surplus_since_s is None:
+            self._surplus_since_s = now_s
+        if now_s < self._step_at_s:
+            return []
+        if not view.is_idle:
+            surplus = min(surplus, max(1, int(STEP_SHARE * view.wanted_count)))
+        orders = []
+        prices = self._limits.zone_prices
+        for key in sorted(wanted, key=lambda key: (key[1], -prices[key[0]], key[0])):
+            zone, is_reclaimable = key
+            there, other = view.counts.get(key, 0), (zone, not is_reclaimable)
+            least = max(wanted[key], self._limits.min_count - view.counts.get(other, 0))
+            removed = min(surplus, there - least)
+            if removed <= 0:
+                continue
+            if is_reclaimable and now_s - self._surplus_since_s < SURPLUS_S:
+                continue
+            surplus -= removed
+            orders.append(FleetOrder(zone, is_reclaimable, there - removed))
+        if orders:
+            self._step_at_s = now_s + STEP_PAUSE_S
+        return orders
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -46,6 +46,8 @@
         An idempotent request without an answer is sent to a second endpoint.
     shared_confirmations : bool
         Hosts confirm their configuration from peers, and not each from the store.
+    fleet : bool
+        Engines are ordered where the operator allows it.
     """
 
     lanes: bool = True
@@ -64,6 +66,7 @@
     shared_loads: bool = True
     hedges: bool = True
     shared_confirmations: bool = True
+    fleet: bool = True
 
 
 # Policy of a host in service.
--- a/libs/routing/tests/test_configuration_age.py
+++ b/libs/routing/tests/test_configuration_age.py
@@ -200,3 +200,18 @@
     assert ConfirmationPlan(5.0).next_call(10.0, 1.6, ACTIVE) == CONFIRM_FROM_PEER
     assert ConfirmationPlan(5.0).next_call(10.0, 2.6, ACTIVE) == CONFIRM_FROM_STORE
     assert ConfirmationPlan(5.0).next_call(10.0, 4.1, INACTIVE) == CONFIRM_FROM_STORE
+
+
+def test_hosts_read_a_store_that_fails_less_and_less_often():
+    """Guards against hundreds of hosts that all call a store that is down."""
+    plan = ConfirmationPlan(5.0)
+    reads = 0
+    for tick in range(100):
+        if plan.next_call(tick * 0.1, 4.5, ACTIVE) == CONFIRM_FROM_STORE:
+            reads += 1
+            plan.on_read_ended(False)
+    assert reads <= 8
+    plan.on_read_ended(True)
+    assert plan.next_call(12.0, 4.5, ACTIVE) == CONFIRM_FROM_STORE
+    plan.on_read_ended(True)
+    assert plan.next_call(12.5, 4.5, ACTIVE) == CONFIRM_FROM_STORE
