--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -13,6 +13,7 @@
     decode_endpoint,
 )
 from gypsumusher_ports import DecodeError
+from gypsumusher_routing import choose_watchers, max_store_pause_s
 
 __all__ = ["StoreWatcher", "apply_stored_configuration"]
 
@@ -23,10 +24,8 @@
 # next call has to be answered within it.
 WATCH_MARGIN_S = 1.0
 WATCH_MIN_S, WATCH_MAX_S = 1.0, 20.0
-# Back-off between calls to a store that doesn't answer. It starts low because the
-# bounds count from the store's return, and its limit keeps the calls of all hosts
-# within the store's rate limits.
-MIN_PAUSE_S, MAX_PAUSE_S = 0.1, 0.5
+# First pause between calls to a store that doesn't answer; see `max_store_pause_s`.
+MIN_PAUSE_S = 0.1
 # A store whose last call failed within this time may have returned without the entries
 # that expired while it was down. While it is down, a following host calls it again
 # within 2 s; after an older failure the host had left watching to others, and finds all
@@ -112,7 +111,7 @@
                 # Random, so that hosts that lost the store don't return to it
                 # simultaneously.
                 await asyncio.sleep(pause_s * (0.5 + self._context.draw_uniform()))
-                pause_s = min(MAX_PAUSE_S, 2.0 * pause_s)
+                pause_s = min(self._max_pause_s(), 2.0 * pause_s)
                 continue
             pause_s = MIN_PAUSE_S
             if kind in self._lost_kinds and self._context.endpoints.states:
@@ -132,6 +131,14 @@
                 # Reading an object again doesn't help if its content can't be decoded.
                 own_pause_s = min(MAX_OWN_READ_PAUSE_S, 2.0 * own_pause_s)
 
+    def _max_pause_s(self):
+        """Return the longest pause between two calls to a store that doesn't answer."""
+        context = self._context
+        name = context.settings.name
+        watchers = choose_watchers(context.active_hosts())
+        is_watcher = any(host.name == name for host in watchers)
+        return max_store_pause_s(is_watcher, context.hosts.existing_count())
+
     def _is_watched_by_peers(self, kind):
         """Return whether peers watch a kind that this host has already received.
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -5,6 +5,7 @@
     active_host_count,
     choose_active_hosts,
     choose_watchers,
+    max_store_pause_s,
 )
 from gypsumusher_routing.configuration_age import (
     CONFIRM_FROM_PEER,
@@ -155,6 +156,7 @@
     "first_event_limit_s",
     "host_capacity",
     "key_lease_s",
+    "max_store_pause_s",
     "pick_service",
     "policy_without",
     "urgency_of",
--- a/libs/routing/gypsumusher_routing/active_hosts.py
+++ b/libs/routing/gypsumusher_routing/active_hosts.py
@@ -12,7 +12,13 @@
 
 from gypsumusher_routing.host_table import HostStatus
 
-__all__ = ["WATCHERS", "active_host_count", "choose_active_hosts", "choose_watchers"]
+__all__ = [
+    "WATCHERS",
+    "active_host_count",
+    "choose_active_hosts",
+    "choose_watchers",
+    "max_store_pause_s",
+]
 
 # Minimum number of active hosts, where there are as many. With seven and eight hosts,
 # four active ones served 0.013 more of the possible score than all hosts did, which is
@@ -30,6 +36,11 @@
 # counts against the store's rate limit. The first three active hosts are of three
 # zones, and the next ones replace those that fail.
 WATCHERS = 3
+# Limits on the pause between two calls to a store that doesn't answer, in seconds. The
+# bounds count from the store's return, and its rate limit is for all hosts together. A
+# host that isn't a watcher hears of the return from those that are.
+MIN_STORE_PAUSE_S, MAX_STORE_PAUSE_S = 0.5, 2.0
+STORE_PAUSE_PER_HOST_S = 1 / 32
 
 
 def active_host_count(hosts_count: int) -> int:
@@ -89,6 +100,22 @@
     return active[:WATCHERS]
 
 
+def max_store_pause_s(is_watcher: bool, hosts_count: int) -> float:
+    """Return the longest pause between two calls to a store that doesn't answer.
+
+    Parameters
+    ----------
+    is_watcher : bool
+        Whether this host is one of those that watch the store for all others.
+    hosts_count : int
+        Number of all hosts; 0 if it is unknown.
+    """
+    if is_watcher:
+        return MIN_STORE_PAUSE_S
+    wanted_s = STORE_PAUSE_PER_HOST_S * hosts_count
+    return min(MAX_STORE_PAUSE_S, max(MIN_STORE_PAUSE_S, wanted_s))
+
+
 def _sort_key(host):
     """Return a key that sorts by descending capacity, then by a hash of the name."""
     return (-host.capacity, zlib.crc32(host.name.encode()))
--- a/libs/routing/tests/test_many_hosts.py
+++ b/libs/routing/tests/test_many_hosts.py
@@ -12,6 +12,7 @@
     PrefillObservation,
     choose_active_hosts,
 )
+from gypsumusher_routing.active_hosts import WATCHERS, max_store_pause_s
 from gypsumusher_routing.estimates import Slowdown
 
 HOSTS, ENGINES = 195, 59
@@ -132,3 +133,13 @@
         )
         cost_model.on_prefill(0.05 * number, Slowdown(), observation)
     assert cost_model.prefill_timeout_s("prefill", expected_s) < 4.0 * expected_s
+
+
+def test_hosts_without_the_store_call_it_less_where_they_are_many():
+    """Guards against hundreds of hosts that all poll a store that is down."""
+    assert max_store_pause_s(False, 0) == max_store_pause_s(False, 8) == 0.5
+    assert max_store_pause_s(True, 330) == 0.5
+    kinds = 2
+    for hosts in (69, 195, 330):
+        others_per_s = kinds * (hosts - WATCHERS) / max_store_pause_s(False, hosts)
+        assert others_per_s <= hosts
