--- a/libs/routing/gypsumusher_routing/fleet_plan.py
+++ b/libs/routing/gypsumusher_routing/fleet_plan.py
@@ -2,9 +2,9 @@
 
 Engines that the platform may reclaim cost a fraction of the others. It reclaims those
 of a zone all at once, with a notice of seconds, and may then have none for a while. So
-they are spread evenly over the zones that have some, and the others only fill what is
-missing, until reclaimable ones have replaced them. An engine is given up only when the
-remaining ones are ready and enough.
+they are spread evenly over the zones, as many as are enough without those of one zone.
+The others only fill what is missing. An engine is given up only when the remaining ones
+are ready and enough.
 """
 
 from typing import NamedTuple
@@ -150,13 +150,17 @@
                     present[key] = max(there, ordered)
         return present
 
+    def _reclaimable_count(self, wanted_count):
+        """Return how many engines leave the wanted number when one zone loses its."""
+        zones = len(self._limits.zone_prices)
+        return wanted_count if zones < 2 else -(-wanted_count * zones // (zones - 1))
+
     def _wanted(self, now_s, view):
         """Return the wanted number of engines by zone and kind."""
         prices = self._limits.zone_prices
         wanted = self._present(now_s, view)
-        missing = view.wanted_count - sum(
-            number for (_, is_reclaimable), number in wanted.items() if is_reclaimable
-        )
+        reclaimable = sum(wanted[zone, True] for zone in prices)
+        missing = self._reclaimable_count(view.wanted_count) - reclaimable
         while missing > 0:
             zones = [z for z in prices if self._has_room(now_s, (z, True), wanted)]
             if not zones:
@@ -169,6 +173,7 @@
             zone = max(prices, key=lambda z: (wanted[z, True], prices[z], z))
             wanted[zone, True] -= 1
             missing += 1
+        missing = view.wanted_count - sum(wanted[zone, True] for zone in prices)
         others = sum(wanted[zone, False] for zone in prices)
         for zone in sorted(prices, key=lambda z: (-prices[z], z)):
             removed = max(0, min(others - missing, wanted[zone, False]))
