--- a/libs/entry/gypsumusher_entry/configuration_confirmation.py
+++ b/libs/entry/gypsumusher_entry/configuration_confirmation.py
@@ -1,5 +1,6 @@
 """Keeps the age of the configuration low, from the store or from peers that read it."""
 
+import asyncio
 import time
 
 from returns.result import Failure, Success
@@ -25,6 +26,10 @@
 DEFAULT_BOUND_S = 5.0
 # An answer that took longer says too little about the other host's time.
 MAX_CLOCK_DELAY_S = 0.3
+# Longest wait of a request for a confirmation, and least time between two that requests
+# ask for.
+CONFIRM_WAIT_S = 0.1
+CONFIRM_INTERVAL_S = 0.5
 
 
 class ConfigurationConfirmation:
@@ -53,11 +58,14 @@
         self._is_answered = True
         self._asked_s = float("-inf")
         self._was_confirmed = True
+        self._confirm_at_s = float("-inf")
+        self._confirmed = asyncio.Event()
 
     async def start(self):
         """Start to confirm, until the context is closed."""
         self._context.datagram_handlers[QUESTION] = self._on_question
         self._context.datagram_handlers[ANSWER] = self._on_answer
+        self._context.confirm_configuration = self.confirm
         self._context.spawn(self._run())
 
     async def _run(self):
@@ -74,13 +82,44 @@
             call = self._plan.next_call(now_s, age_s, self._role())
             if call is None:
                 continue
-            is_reading = self._read_task is not None and not self._read_task.done()
-            if call == CONFIRM_FROM_STORE and not is_reading:
-                self._read_task = context.spawn(self._read())
-            else:
+            if call != CONFIRM_FROM_STORE or not self._start_read():
                 # Peers may have what a store that doesn't answer this host has.
                 self._ask(now_s)
 
+    async def confirm(self):
+        """Confirm the configuration at once, for a request that waits for it.
+
+        Does nothing if that was tried a moment ago: what can't be served has to be
+        refused at once.
+        """
+        context = self._context
+        now_s = context.boottime_s()
+        if now_s - self._confirm_at_s >= CONFIRM_INTERVAL_S:
+            self._confirm_at_s = now_s
+            if self._role().is_reader or not self._peers():
+                self._start_read()
+            else:
+                self._ask(now_s)
+        elif now_s - self._confirm_at_s > CONFIRM_WAIT_S:
+            return
+        try:
+            async with asyncio.timeout(CONFIRM_WAIT_S):
+                await self._confirmed.wait()
+        except TimeoutError:
+            return
+
+    def _start_read(self):
+        """Start a read of the store; return whether none was under way."""
+        if self._read_task is not None and not self._read_task.done():
+            return False
+        self._read_task = self._context.spawn(self._read())
+        return True
+
+    def _notify_confirmed(self):
+        """Wake the requests that wait for a confirmation."""
+        self._confirmed.set()
+        self._confirmed.clear()
+
     def _role(self):
         """Return this host's part in confirming the configuration."""
         context = self._context
@@ -113,6 +152,7 @@
         if known is None or known.revision < stored.revision:
             apply_stored_configuration(context, stored, "store")
         context.on_configuration_read(started_s, stored)
+        self._notify_confirmed()
 
     def _ask(self, now_s):
         """Ask one peer for the age of its configuration."""
@@ -163,6 +203,7 @@
         if not context.configuration_age.on_answer(answer):
             return
         self._is_answered = True
+        self._notify_confirmed()
         now_s = context.boottime_s()
         took_s = now_s - self._asked_s
         if took_s <= MAX_CLOCK_DELAY_S:
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -94,6 +94,8 @@
         self.configuration_age = ConfigurationAge(secrets.randbits(48))
         # True time minus `boottime_s`, from the clocks of several hosts.
         self.true_time = TrueTime()
+        # Confirms the configuration at once; set once the host has started.
+        self.confirm_configuration = None
         # Requests that endpoints have begun to run and that aren't counted yet, by
         # account and time, a reading of `boottime_s`.
         self._begun_requests = []
@@ -310,17 +312,17 @@
         bound_s = self.settings.bounds.key_withdrawal_s
         if bound_s is None or not self.accounts.has_accounts:
             return True
-        return self._configuration_age_s() <= key_lease_s(bound_s)
+        return self.configuration_age_s() <= key_lease_s(bound_s)
 
     def check_access(self, route, key):
         """Return the `Access` of a request that has been read, by its caller's key."""
         bound_s = UNKNOWN_KEY_FRACTION * self.settings.bounds.configuration_s
-        is_recent = self._configuration_age_s() <= bound_s
+        is_recent = self.configuration_age_s() <= bound_s
         return check_access(
             self.accounts, route, key, self.are_keys_confirmed(), is_recent
         )
 
-    def _configuration_age_s(self):
+    def configuration_age_s(self):
         """Return the age of the configuration in force, in seconds."""
         return self.configuration_age.age_s(self.boottime_s())
 
@@ -456,10 +458,19 @@
             placement = [state.record.endpoint_id, shared, round(wait_s, 2)]
             self._unsent_placements.append(placement)
 
-    def record_usage(self, account):
-        """Record that an endpoint has begun to run a request of an account."""
+    def record_usage(self, account, began_s):
+        """Record that an endpoint began to run a request of an account.
+
+        Parameters
+        ----------
+        account : str
+            Name of the account.
+        began_s : float
+            Reading of `clock`, in seconds.
+        """
         if USAGE_DUTY in self.settings.duties:
-            self._begun_requests.append((account, self.boottime_s()))
+            passed_s = self.clock() - began_s
+            self._begun_requests.append((account, self.boottime_s() - passed_s))
 
     def pop_begun_requests(self):
         """Return and remove the accounts and times that `record_usage` recorded."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -174,12 +174,18 @@
         )
         return decision.is_allowed
 
-    def record_usage(self):
-        """Count the request for its account, once, as an endpoint begins to run it."""
+    def record_usage(self, began_s):
+        """Count the request for its account, once.
+
+        Parameters
+        ----------
+        began_s : float
+            When an endpoint began to run it, in seconds.
+        """
         if self.account is None or self._is_usage_counted:
             return
         self._is_usage_counted = True
-        self.context.record_usage(self.account.name)
+        self.context.record_usage(self.account.name, began_s)
 
     def log(self, level, event, **fields):
         """Log an event of this request."""
@@ -268,8 +274,15 @@
         exchange.refuse(404, "no_route")
         return
     exchange.route = route
-    access = context.check_access(route, request.key)
+    access = await _check_access(exchange)
     if access.refusal is not None:
+        exchange.log(
+            "info",
+            "request_refused",
+            reason=access.refusal.reason,
+            version=context.configuration_version,
+            age_s=round(context.configuration_age_s(), 3),
+        )
         exchange.refuse(*access.refusal)
         return
     exchange.account = access.account
@@ -296,6 +309,21 @@
         exchange.refuse(503, error.reason, NO_ENDPOINT_RETRY_AFTER_S)
 
 
+async def _check_access(exchange):
+    """Return whether the request's key is in force; look for a newer configuration.
+
+    Without that, a key that was just added is refused by a host that is a little late.
+    """
+    context = exchange.context
+    access = context.check_access(exchange.route, exchange.request.key)
+    if access.refusal is None or access.refusal.retry_after_s is None:
+        return access
+    if context.confirm_configuration is not None:
+        await context.confirm_configuration()
+        access = context.check_access(exchange.route, exchange.request.key)
+    return access
+
+
 def _record_end(exchange):
     """Log and count the end of a request."""
     context = exchange.context
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -188,10 +188,11 @@
     state.own_running += 1
     try:
         response = await start_send(exchange, state, send)
+        sent_s = exchange.last_sent_s
         head = await response.head()
         body = await response.body()
         check_response_head(exchange, state, head)
-        exchange.record_usage()
+        exchange.record_usage(sent_s)
         return _Result(state, head, body, None)
     except (CallError, NoRetryError) as error:
         return _Result(state, None, b"", error)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -273,7 +273,7 @@
         now_s = self._context.clock()
         if not run.has_started:
             run.on_first_event(self._context, self._generation)
-            exchange.record_usage()
+            exchange.record_usage(now_s)
             self._record_first_event(run, now_s)
         else:
             pause_s = now_s - run.last_event_s
--- a/libs/entry/tests/test_client_accounts.py
+++ b/libs/entry/tests/test_client_accounts.py
@@ -13,6 +13,8 @@
 )
 from scripted_endpoint import encode_response, request_id_of
 
+from gypsumusher_routing import ConfigurationAge
+
 OPEN_ROUTE = {**IDEMPOTENT_ROUTE, "no_auth": True}
 SHOP = {"name": "shop", "api_keys": ["key-1"], "priority": 3}
 
@@ -142,3 +144,17 @@
             assert (ended[-1]["rank"], ended[-1]["account"]) == (3, "shop")
 
     run(scenario())
+
+
+def test_request_waits_for_a_confirmation_that_is_to_be_had():
+    """Guards against refusals by a host that was busy or suspended for a moment."""
+
+    async def scenario():
+        async with Accounts() as harness:
+            context = harness.host.context
+            context.configuration_age = ConfigurationAge(1)
+            context.configuration_age.on_version_in_force(2)
+            assert not context.are_keys_confirmed()
+            assert await harness.status("key-1") == 200
+
+    run(scenario())
--- a/libs/entry/tests/test_duties.py
+++ b/libs/entry/tests/test_duties.py
@@ -1,5 +1,6 @@
 """A host that holds the lease reports usage and orders engines, under its term."""
 
+import asyncio
 import json
 import time
 
@@ -30,6 +31,11 @@
     writer.write(encode_response(request_id_of(head)))
 
 
+async def slow(number, head, body, writer):
+    await asyncio.sleep(0.8)
+    writer.write(encode_response(request_id_of(head)))
+
+
 class Cloud:
     """Records the calls for duties; an order takes effect in the store at once."""
 
@@ -124,6 +130,30 @@
     run(scenario())
 
 
+def test_usage_counts_in_the_window_of_its_send():
+    """Guards against usage in a later window when an answer is held up on its way."""
+
+    async def scenario():
+        async with Duties(slow, slow) as harness:
+            window = int(time.time() // 0.5)
+            await harness.ask(**{"X-Gypsumusher-Key": "key-1"})
+            answered = int(time.time() // 0.5)
+            assert answered > window + 1
+
+            def reported():
+                return [
+                    content["window_id"]
+                    for content in harness.cloud.of_duty("usage")
+                    if content["counts"]
+                ]
+
+            await until(reported)
+            # The send may have come just after the end of the window.
+            assert reported()[0] in (window, window + 1)
+
+    run(scenario())
+
+
 def test_report_is_repeated_exactly_until_the_platform_takes_it():
     """Guards against two reports for a window when the platform's answer is lost."""
 
