--- a/libs/entry/gypsumusher_entry/fleet_orders.py
+++ b/libs/entry/gypsumusher_entry/fleet_orders.py
@@ -73,7 +73,7 @@
         """Plan the engines of one service, and give the orders that are due."""
         context = self._context
         counts = self._counts(service.name)
-        target = await self._target(service.name, sum(counts.values()))
+        target = await self._target(service.name, counts)
         if target is None:
             return
         planner = self._planners.get(service.name)
@@ -85,6 +85,9 @@
             planner = self._planners[service.name] = FleetPlanner(limits)
         now_s = context.clock()
         view = self._view(service.name, counts, target)
+        if service.name not in self._targets:
+            # More engines may be about to appear; nothing is given up yet.
+            view = view._replace(is_sight_complete=False)
         for order in planner.next_orders(now_s, view):
             if not self._may_order():
                 return
@@ -150,19 +153,25 @@
             counts[key] = counts.get(key, 0) + 1
         return counts
 
-    async def _target(self, service, count):
-        """Return how many engines a service needs; None as long as that is unknown.
+    async def _target(self, service, counts):
+        """Return how many engines a service needs; None if the store doesn't tell.
 
         It is the number that the operator has provided at the first start, kept in the
-        store for later holders.
+        store for later holders. Until that number is stable it is the number so far, so
+        that the first replacements can be ordered at once.
         """
         if service in self._targets:
             return self._targets[service]
         result = await self._store.get(TARGETS_KIND, service)
         if isinstance(result, Failure) and result.failure().code == "absent":
-            if not self._is_stable(service, count):
-                return None
-            content = {COUNT: count}
+            usual = [
+                n for (_, is_reclaimable), n in counts.items() if not is_reclaimable
+            ]
+            # Reclaimable ones may be those that this host has just ordered.
+            provided = sum(usual) or sum(counts.values())
+            if not self._is_stable(service, provided):
+                return provided
+            content = {COUNT: provided}
             result = await self._store.create(TARGETS_KIND, service, content)
         if isinstance(result, Failure):
             return None
