--- a/libs/routing/gypsumusher_routing/prefix_cache.py
+++ b/libs/routing/gypsumusher_routing/prefix_cache.py
@@ -62,6 +62,8 @@
 
     def drop_expired(self, now_s: float) -> None:
         """Drop pending parts that should have been prefilled by now."""
+        if not self._pending_until_s:
+            return
         self._pending_until_s = {
             part_id: until_s
             for part_id, until_s in self._pending_until_s.items()
