--- a/libs/entry/gypsumusher_entry/configuration_confirmation.py
+++ b/libs/entry/gypsumusher_entry/configuration_confirmation.py
@@ -147,11 +147,8 @@
                 age_s=round(context.configuration_age.age_s(started_s), 3),
             )
             return
-        stored = result.unwrap()
-        known = context.stored_configuration
-        if known is None or known.revision < stored.revision:
-            apply_stored_configuration(context, stored, "store")
-        context.on_configuration_read(started_s, stored)
+        version = apply_stored_configuration(context, result.unwrap(), "store")
+        context.on_configuration_read(started_s, version)
         self._notify_confirmed()
 
     def _ask(self, now_s):
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -263,6 +263,9 @@
             Whether the configuration was put in force by this call.
         """
         if configuration.version <= self.configuration_version:
+            if configuration.version == self.configuration_version:
+                # The same content at another revision of the store.
+                self.stored_configuration = stored
             return False
         previous_version = self.configuration_version
         self.configuration = configuration
@@ -288,20 +291,19 @@
         )
         return True
 
-    def on_configuration_read(self, started_s, stored):
+    def on_configuration_read(self, started_s, version):
         """Record that a read of the store, not a stale one, returned a configuration.
 
         Parameters
         ----------
         started_s : float
             Reading of `boottime_s` before the read was sent.
-        stored : StoredObject
-            The configuration as stored. One that couldn't be decoded isn't in force and
-            confirms nothing.
+        version : int or None
+            Version of the configuration; None if it couldn't be decoded, which confirms
+            nothing.
         """
-        in_force = self.stored_configuration
-        if in_force is not None and in_force.revision >= stored.revision:
-            self.configuration_age.on_read(started_s, self.configuration_version)
+        if version is not None:
+            self.configuration_age.on_read(started_s, version)
 
     def are_keys_confirmed(self):
         """Return whether the configuration is young enough to use its accounts' keys.
--- a/libs/entry/gypsumusher_entry/stage_lease.py
+++ b/libs/entry/gypsumusher_entry/stage_lease.py
@@ -1,4 +1,4 @@
-"""The lease by which one host at a time orders the engines' stages."""
+"""The lease of the one host that gives orders and makes calls to the platform."""
 
 import secrets
 
@@ -8,7 +8,7 @@
 
 __all__ = ["StageLease"]
 
-# One lease covers the engines of all services.
+# One lease covers the engines of all services, their number and the usage reports.
 LEASE_NAME = "stages"
 TICK_INTERVAL_S = 0.1
 # Keys of a stored lease, as written by `Lease`.
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -168,7 +168,8 @@
         """Record that a complete list has the newest configuration."""
         for item in listing.objects:
             if item.name == CONFIGURATION_NAME:
-                self._context.on_configuration_read(started_s, item)
+                version = apply_stored_configuration(self._context, item, "store")
+                self._context.on_configuration_read(started_s, version)
 
     def _on_endpoints(self, found, is_listing):
         """Apply the endpoints from a list or from changes of the store."""
@@ -270,13 +271,22 @@
         The configuration as stored.
     source : str
         Name of the peer that sent it, or ``store``.
+
+    Returns
+    -------
+    int or None
+        Its version; None if it can't be decoded.
     """
+    known = context.stored_configuration
+    if known == stored:
+        return context.configuration_version
     try:
         configuration = decode_configuration(stored.content)
     except DecodeError as error:
         context.log("error", "configuration_unreadable", error=error, source=source)
-        return
+        return None
     context.apply_configuration(configuration, stored, source)
+    return configuration.version
 
 
 def _apply_endpoint_list(context, listing):
--- a/libs/entry/tests/test_client_accounts.py
+++ b/libs/entry/tests/test_client_accounts.py
@@ -158,3 +158,18 @@
             assert await harness.status("key-1") == 200
 
     run(scenario())
+
+
+def test_keys_stay_in_force_when_only_the_revision_of_the_configuration_changes():
+    """Guards against keys that lapse for good when a status is written beside them."""
+
+    async def scenario():
+        async with Accounts() as harness:
+            store = harness.store
+            store.revision += 1
+            metadata = store._objects["config", "main"]["metadata"]
+            metadata["rev"] = store.revision
+            await asyncio.sleep(1.3)
+            assert await harness.status("key-1") == 200
+
+    run(scenario())
