--- a/libs/entry/gypsumusher_entry/fleet_orders.py
+++ b/libs/entry/gypsumusher_entry/fleet_orders.py
@@ -3,7 +3,7 @@
 from returns.result import Failure, Success
 
 from gypsumusher_entry.staleness_monitor import ENDPOINTS
-from gypsumusher_routing import FleetLimits, FleetPlanner, FleetView
+from gypsumusher_routing import FleetPlanner, FleetView
 
 __all__ = ["SCALE_DUTY", "FleetOrders"]
 
@@ -78,11 +78,7 @@
             return
         planner = self._planners.get(service.name)
         if planner is None:
-            scale = service.scale
-            limits = FleetLimits(
-                scale.min_count, scale.max_count, scale.boot_s, scale.zone_prices
-            )
-            planner = self._planners[service.name] = FleetPlanner(limits)
+            planner = self._planners[service.name] = FleetPlanner(service.scale)
         now_s = context.clock()
         view = self._view(service.name, counts, target)
         if service.name not in self._targets:
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -29,7 +29,6 @@
 )
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
 from gypsumusher_routing.fleet_plan import (
-    FleetLimits,
     FleetOrder,
     FleetPlanner,
     FleetView,
@@ -111,7 +110,6 @@
     "Event",
     "EventSplitter",
     "FirstEventLimits",
-    "FleetLimits",
     "FleetOrder",
     "FleetPlanner",
     "FleetView",
--- a/libs/routing/gypsumusher_routing/fleet_plan.py
+++ b/libs/routing/gypsumusher_routing/fleet_plan.py
@@ -9,7 +9,9 @@
 
 from typing import NamedTuple
 
-__all__ = ["FleetLimits", "FleetOrder", "FleetPlanner", "FleetView"]
+from gypsumusher_ports import ScaleLimits
+
+__all__ = ["FleetOrder", "FleetPlanner", "FleetView"]
 
 # Time beyond an engine's start after which an order that has had no effect is repeated.
 ORDER_MARGIN_S = 2.0
@@ -25,25 +27,6 @@
 SURPLUS_S = 30.0
 
 
-class FleetLimits(NamedTuple):
-    """What the operator allows, and what engines cost.
-
-    Attributes
-    ----------
-    min_count, max_count : int
-        Least and greatest number of a service's engines in one zone, of both kinds.
-    boot_s : float
-        Time from an order until a new engine serves, in seconds.
-    zone_prices : dict of str to float
-        Price of an engine by zone, reclaimable or not.
-    """
-
-    min_count: int
-    max_count: int
-    boot_s: float
-    zone_prices: dict[str, float]
-
-
 class FleetView(NamedTuple):
     """What the planner sees.
 
@@ -81,11 +64,11 @@
 
     Parameters
     ----------
-    limits : FleetLimits
+    limits : ScaleLimits
         What the operator allows.
     """
 
-    def __init__(self, limits: FleetLimits):
+    def __init__(self, limits: ScaleLimits):
         self._limits = limits
         # Number and time of the last order, by zone and kind.
         self._ordered = {}
@@ -107,8 +90,14 @@
         """
         for zone in view.reclaimed_zones:
             self._set_dry(now_s, (zone, True), MIN_DRY_S)
-        wanted = self._wanted(now_s, view)
-        orders = self._additions(now_s, view, wanted)
+        present = self._present(now_s, view)
+        wanted = self._wanted(now_s, view, present)
+        # Those that were ordered a moment ago aren't ordered again.
+        orders = [
+            FleetOrder(*key, count)
+            for key, count in wanted.items()
+            if count > present[key]
+        ]
         if view.is_sight_complete:
             orders += self._removals(now_s, view, wanted)
         return orders
@@ -155,10 +144,10 @@
         zones = len(self._limits.zone_prices)
         return wanted_count if zones < 2 else -(-wanted_count * zones // (zones - 1))
 
-    def _wanted(self, now_s, view):
+    def _wanted(self, now_s, view, present):
         """Return the wanted number of engines by zone and kind."""
         prices = self._limits.zone_prices
-        wanted = self._present(now_s, view)
+        wanted = dict(present)
         reclaimable = sum(wanted[zone, True] for zone in prices)
         missing = self._reclaimable_count(view.wanted_count) - reclaimable
         while missing > 0:
@@ -187,15 +176,6 @@
             others += 1
         return wanted
 
-    def _additions(self, now_s, view, wanted):
-        """Return the orders for more engines than there are or were ordered."""
-        present = self._present(now_s, view)
-        return [
-            FleetOrder(*key, count)
-            for key, count in wanted.items()
-            if count > present[key]
-        ]
-
     def _removals(self, now_s, view, wanted):
         """Return the orders that give up engines, of the dearest kind and zone first.
 
--- a/libs/routing/tests/test_fleet_plan.py
+++ b/libs/routing/tests/test_fleet_plan.py
@@ -3,10 +3,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gypsumusher_routing import FleetLimits, FleetPlanner, FleetView
+from gypsumusher_ports import ScaleLimits
+from gypsumusher_routing import FleetPlanner, FleetView
 
 ZONES = ("a", "b", "c")
-LIMITS = FleetLimits(1, 30, 4.0, {"a": 0.85, "b": 1.2, "c": 1.0})
+LIMITS = ScaleLimits(1, 30, 4.0, {"a": 0.85, "b": 1.2, "c": 1.0}, True)
 WANTED = 45
 ALL_USUAL = {(zone, False): 15 for zone in ZONES}
 # Without those of any one zone, there are as many as wanted.
