--- a/libs/entry/gypsumusher_entry/configuration_confirmation.py
+++ b/libs/entry/gypsumusher_entry/configuration_confirmation.py
@@ -123,12 +123,10 @@
     def _role(self):
         """Return this host's part in confirming the configuration."""
         context = self._context
-        name = context.settings.name
-        active = context.active_hosts()
         return ConfirmationRole(
             is_reader=context.should_order_stages(),
-            is_watcher=any(host.name == name for host in choose_watchers(active)),
-            is_active=any(host.name == name for host in active),
+            is_watcher=context.is_watcher(),
+            is_active=context.is_active(),
         )
 
     async def _read(self):
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -208,18 +208,22 @@
         name = self.settings.name
         return any(host.name == name for host in self.active_hosts())
 
+    def is_watcher(self):
+        """Return whether this host is one of the few that watch the store for all."""
+        name = self.settings.name
+        return any(host.name == name for host in choose_watchers(self.active_hosts()))
+
+    def peers_see_store(self):
+        """Return whether a live peer reports that the store answers it."""
+        return any(host.sees_store for host in self.hosts.live(self.clock()))
+
     def watches_store(self):
         """Return whether this host is one of the few that watch the store for all.
 
         A host also watches the store itself when no peer reports that it sees the
         store.
         """
-        active = self.active_hosts()
-        watchers = choose_watchers(active)
-        if any(host.name == self.settings.name for host in watchers):
-            return True
-        now_s = self.clock()
-        return not any(host.sees_store for host in self.hosts.live(now_s))
+        return self.is_watcher() or not self.peers_see_store()
 
     def should_order_stages(self):
         """Return whether this host is the one that should hold the stage-order lease.
--- a/libs/entry/gypsumusher_entry/fleet_orders.py
+++ b/libs/entry/gypsumusher_entry/fleet_orders.py
@@ -128,11 +128,8 @@
             running += state.load(now_s).running
             if state.record.is_reclaimable and state.record.is_draining:
                 reclaimed.add(state.record.zone)
-        sees_store = context.sees_store or any(
-            host.sees_store for host in context.hosts.live(now_s)
-        )
         is_complete = (
-            sees_store
+            (context.sees_store or context.peers_see_store())
             and not context.staleness.is_overdue(ENDPOINTS)
             and not context.endpoints.is_in_grace_period(now_s)
         )
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -13,7 +13,7 @@
     decode_endpoint,
 )
 from gypsumusher_ports import DecodeError
-from gypsumusher_routing import choose_watchers, max_store_pause_s
+from gypsumusher_routing import max_store_pause_s
 
 __all__ = ["StoreWatcher", "apply_stored_configuration"]
 
@@ -134,10 +134,7 @@
     def _max_pause_s(self):
         """Return the longest pause between two calls to a store that doesn't answer."""
         context = self._context
-        name = context.settings.name
-        watchers = choose_watchers(context.active_hosts())
-        is_watcher = any(host.name == name for host in watchers)
-        return max_store_pause_s(is_watcher, context.hosts.existing_count())
+        return max_store_pause_s(context.is_watcher(), context.hosts.existing_count())
 
     def _is_watched_by_peers(self, kind):
         """Return whether peers watch a kind that this host has already received.
