Give the soak a deployment of 69 hosts with its kinds of trouble

Cause: the soak ended at eight hosts, one kind of content, callers that wait for each response, and engines without handles or orders; the reported case is of 69 hosts.

A 421 counts as an arrival. The store's stand-in finds events by bisection: scanning all of them took most of a core beside 69 hosts.

--- a/libs/standins/gypsumusher_standins/object_store_server.py
+++ b/libs/standins/gypsumusher_standins/object_store_server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+from bisect import bisect_right
 
 from aiohttp import web
 
@@ -174,10 +175,11 @@
         while True:
             if since < self._oldest_revision:
                 return web.json_response({"error": "history gone"}, status=410)
+            first = bisect_right(self._events, since, key=lambda event: event[0])
             events = [
                 {"object": item, "deleted": is_deleted}
-                for revision, other_kind, item, is_deleted in self._events
-                if other_kind == kind and revision > since
+                for _, other_kind, item, is_deleted in self._events[first:]
+                if other_kind == kind
             ]
             remaining_s = deadline_s - loop.time()
             if events or remaining_s <= 0:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,7 +17,7 @@
 
 from gypsumusher_objects import disable_retries
 
-__all__ = ["Caller"]
+__all__ = ["Caller", "Demand"]
 
 # Kinds of requests whose responses are streams of events.
 STREAMED = (STREAM, PROMPT)
@@ -33,6 +33,30 @@
 # problem "late".
 TIMEOUT_MARGIN_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
+# How often a caller that doesn't wait repeats a request that failed.
+IMPATIENT_REPEATS = 3
+
+
+class Demand:
+    """What all callers ask for at the moment; faults change it.
+
+    Attributes
+    ----------
+    rate : float
+        Multiple of the usual rate of requests.
+    favoured_kind : str or None
+        Kind of half of the requests; None for the usual kinds alone.
+    repeating_share : float
+        Share of failed requests that are sent again at once, as new requests.
+    leaving_share : float
+        Share of the requests that callers abandon, besides the usual one.
+    """
+
+    def __init__(self):
+        self.rate = 1.0
+        self.favoured_kind = None
+        self.repeating_share = 0.0
+        self.leaving_share = 0.0
 
 
 class Caller:
@@ -50,19 +74,23 @@
         Kinds of requests, and the delays between them.
     directories : list of str
         Addresses of the listeners that return the hosts to call.
+    demand : Demand
+        What the caller asks for at the moment.
     """
 
-    def __init__(self, number, seed, clock, records, deployment, directories):
+    def __init__(self, number, seed, clock, records, deployment, directories, demand):
         self._rng = random.Random(f"{seed}/{number}")
         self._ids = (f"r{seed}-{number}-{count}" for count in itertools.count())
         self._clock = clock
         self._records = records
         self._deployment = deployment
         self._directories = directories
+        self._demand = demand
         self._hosts = []
         self._hosts_expire_s = 0.0
         self._session = None
         self._task = None
+        self._requests = set()
         self._is_closing = False
 
     async def start(self):
@@ -86,21 +114,47 @@
 
     async def _run(self):
         while not self._is_closing:
-            await asyncio.sleep(self._rng.uniform(*self._deployment.request_interval_s))
-            await self._resolve_hosts()
-            if not self._hosts:
-                continue
-            host = self._rng.choice(self._hosts)
+            interval_s = self._rng.uniform(*self._deployment.request_interval_s)
+            await asyncio.sleep(interval_s / self._demand.rate)
             kind = self._rng.choice(self._deployment.request_kinds)
-            call = self._send(host, kind, next(self._ids))
-            if self._rng.random() < ABANDONED_SHARE:
-                await self._abandon(call)
-                continue
-            outcome = await call
-            self._records.outcomes.append(outcome)
-            if outcome.problem == "connect":
-                # Like a real client: try other addresses, then resolve again.
-                self._hosts = [other for other in self._hosts if other != host]
+            if self._demand.favoured_kind and self._rng.random() < 0.5:
+                kind = self._demand.favoured_kind
+            request = asyncio.ensure_future(self._request_and_repeat(kind))
+            self._requests.add(request)
+            request.add_done_callback(self._forget)
+            if self._deployment.callers_wait:
+                await request
+        if self._requests:
+            await asyncio.gather(*self._requests)
+
+    def _forget(self, request):
+        """Forget a request that has ended as it should."""
+        if not request.cancelled() and request.exception() is None:
+            self._requests.discard(request)
+
+    async def _request_and_repeat(self, kind):
+        """Send one request, and again at once for as long as it is to be repeated."""
+        for _ in range(1 + IMPATIENT_REPEATS):
+            await self._resolve_hosts()
+            if not self._hosts or not await self._request(kind):
+                return
+
+    async def _request(self, kind):
+        """Send one request; return whether to send it again at once."""
+        host = self._rng.choice(self._hosts)
+        call = self._send(host, kind, next(self._ids))
+        if self._rng.random() < ABANDONED_SHARE + self._demand.leaving_share:
+            await self._abandon(call)
+            return False
+        outcome = await call
+        self._records.outcomes.append(outcome)
+        if outcome.problem == "connect":
+            # Like a real client: try other addresses, then resolve again.
+            self._hosts = [other for other in self._hosts if other != host]
+        if not outcome.problem and outcome.status < 500:
+            return False
+        share = self._demand.repeating_share
+        return share > 0.0 and self._rng.random() < share
 
     async def _abandon(self, call):
         """Cancel a request after a random time, which closes its connection."""
@@ -146,10 +200,9 @@
             total=deadline_s(kind) + TIMEOUT_MARGIN_S, sock_connect=CONNECT_TIMEOUT_S
         )
         url = f"http://{host}/{kind}/x"
+        body = b"question" if self._deployment.shares_content else request_id.encode()
         try:
-            call = self._session.post(
-                url, data=b"question", headers=headers, timeout=timeout
-            )
+            call = self._session.post(url, data=body, headers=headers, timeout=timeout)
             async with call as response:
                 status = response.status
                 is_sealed = "X-Gypsumusher-Server-Seal" in response.headers
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -33,7 +33,13 @@
 # was closing the idle connection.
 IDLE_CLOSE_RACE_S = 0.3
 # Faults of a host that excuse failed requests to it.
-_HOST_FAULTS = ("host_kill", "host_pause", "all_hosts_kill")
+_HOST_FAULTS = (
+    "host_kill",
+    "host_pause",
+    "host_replace",
+    "host_slow",
+    "all_hosts_kill",
+)
 # Faults that hold back what hosts send to endpoints.
 _HOLDING = ("link_silent", "link_one_way", "all_links_silent")
 # Prefixes of faults that may cut off a response in its body.
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -35,6 +35,27 @@
         How often they begin.
     accounts : int
         Number of client accounts; 0 where callers need no key.
+    zones : int
+        Number of availability zones.
+    spares : int
+        Hosts that may join in place of others.
+    max_connections : int
+        Connections that an engine accepts from all hosts together.
+    plain_slots : int or None
+        Requests that a plain endpoint runs at once; None for any number.
+    takes_stage_orders : bool
+        Whether engines change their stage when a host orders it.
+    heartbeat_s : float
+        Interval at which endpoints renew their entries, in seconds.
+    shares_content : bool
+        Whether all requests of a kind have the same content.
+    have_served : bool
+        Whether the hosts have served before and have their records in the store.
+    lead_s : float
+        Time from when all hosts are ready until callers start.
+    callers_wait : bool
+        Whether a caller waits for each response before its next request. Otherwise
+        requests come at the same rate while responses are late.
     """
 
     hosts: int
@@ -48,6 +69,16 @@
     fault_kinds: dict[str, tuple[float, float]]
     fault_rate: FaultRate
     accounts: int = 0
+    zones: int = 2
+    spares: int = 0
+    max_connections: int = 360
+    plain_slots: int | None = None
+    takes_stage_orders: bool = False
+    heartbeat_s: float = 0.5
+    shares_content: bool = True
+    have_served: bool = False
+    lead_s: float = 0.0
+    callers_wait: bool = True
 
     @property
     def has_engines(self):
@@ -127,9 +158,84 @@
     fault_kinds=ACCOUNT_KINDS,
     fault_rate=FaultRate(per_s=1.2, kinds=7, always=("key_change",)),
 )
+# The kinds of faults of an operator who replaces hosts, orders and reclaims engines,
+# and withdraws keys. Durations as in `LONG_KINDS`; partitions last for over a minute.
+FLEET_KINDS = {
+    "traffic_burst": (3.0, 10.0),
+    "traffic_shift": (3.0, 12.0),
+    "callers_repeat": (4.0, 8.0),
+    "callers_leave": (4.0, 8.0),
+    "endpoint_restart": (0.1, 4.0),
+    "endpoint_flap": (5.0, 8.0),
+    "endpoint_hang": (2.0, 6.0),
+    "endpoint_break": (2.0, 6.0),
+    "endpoint_leave": (0.0, 0.0),
+    "endpoints_dark": (4.0, 20.0),
+    "endpoints_grey": (4.0, 8.0),
+    "endpoints_lose": (4.0, 8.0),
+    "endpoints_released": (6.0, 12.0),
+    "all_endpoints_busy": (6.0, 14.0),
+    "all_endpoints_full": (4.0, 12.0),
+    "all_links_silent": (1.0, 12.0),
+    "all_links_half_reset": (0.0, 0.0),
+    "zone_reclaimed": (2.0, 6.0),
+    "handles_lapse": (4.0, 8.0),
+    "transfers_slow": (4.0, 8.0),
+    "orders_late": (4.0, 8.0),
+    "host_kill": (0.1, 3.5),
+    "host_pause": (0.3, 8.0),
+    "host_slow": (4.0, 8.0),
+    "host_stop": (0.0, 1.0),
+    "host_replace": (0.5, 2.0),
+    "half_hosts_kill": (0.1, 2.0),
+    "hosts_roll": (8.0, 20.0),
+    "hosts_apart": (5.0, 75.0),
+    "hosts_store_cut": (2.0, 9.0),
+    "zone_lossy": (4.0, 8.0),
+    "store_refuse": (2.0, 6.0),
+    "store_silent": (2.0, 6.0),
+    "store_lost": (2.0, 6.0),
+    "store_slow": (2.0, 6.0),
+    "store_lapse": (2.0, 6.0),
+    "store_forget": (0.0, 0.0),
+    "config_change": (0.0, 0.0),
+    "key_change": (0.0, 0.0),
+    "cloud_refuse": (2.0, 6.0),
+    "cloud_silent": (2.0, 6.0),
+    "cloud_lost": (2.0, 6.0),
+}
+SIXTY_NINE_HOSTS = Deployment(
+    hosts=69,
+    endpoints=3,
+    prefill_engines=16,
+    decode_engines=29,
+    callers=48,
+    request_kinds=(
+        IDEMPOTENT,
+        *[NON_IDEMPOTENT] * 3,
+        *[STREAM] * 2,
+        *[PROMPT] * 5,
+    ),
+    request_interval_s=(0.1, 0.5),
+    retry_limit=RetryLimit(0.2, 178.0, 10.0),
+    fault_kinds=FLEET_KINDS,
+    fault_rate=FaultRate(per_s=0.35, kinds=12, always=("all_endpoints_busy",)),
+    accounts=12,
+    zones=3,
+    spares=13,
+    max_connections=730,
+    plain_slots=6,
+    takes_stage_orders=True,
+    heartbeat_s=1.2,
+    shares_content=False,
+    have_served=True,
+    lead_s=16.0,
+    callers_wait=False,
+)
 DEPLOYMENTS = {
     "small": SMALL,
     "accounts": ACCOUNTS,
     "seven-hosts": SEVEN_HOSTS,
     "eight-hosts": EIGHT_HOSTS,
+    "sixty-nine-hosts": SIXTY_NINE_HOSTS,
 }
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -5,10 +5,13 @@
 import sys
 
 from account_checks import KEY_BOUND_S, USAGE_LATE_S, USAGE_WINDOW_S
-from entry_program import CUT_VARIABLE
+from entry_program import CUT_VARIABLE, LOSS_PREFIX, START_VARIABLE
 from processes import Process, free_ports
 
-__all__ = ["EntryProcess"]
+__all__ = ["START_FILE", "EntryProcess"]
+
+# Hosts begin once this file is in their folder.
+START_FILE = "start"
 
 PROGRAM = pathlib.Path(__file__).with_name("entry_program.py")
 SETTINGS = """node = "{name}"
@@ -68,11 +71,15 @@
         Checkout whose program is run; None runs the one that is installed.
     cloud : str or None
         Address for usage reports; None where callers have no accounts.
+    is_first_start : bool
+        Whether the host starts together with the whole system.
 
     Attributes
     ----------
-    ip : str
-        Address of the host.
+    is_removed : bool
+        Whether the host was removed for good.
+    ip, zone : str
+        Address and availability zone of the host.
     callers, ready, directory, peers : str
         ``ip:port`` of the listeners for callers, for readiness checks, for the
         directory and for peers.
@@ -91,6 +98,7 @@
         retry_limit,
         source=None,
         cloud=None,
+        is_first_start=True,
     ):
         callers_port, ready_port, directory_port = free_ports(
             ip, 3, excluded=(peer_port,)
@@ -111,21 +119,25 @@
                 late_s=USAGE_LATE_S,
             )
         self._cut_path = folder / f"{name}.cut"
+        self._cut_ips, self._loss_share = (), 0.0
         variables = [
             f"GYPSUMUSHER_SETTINGS={self._settings_path}",
             f"{CUT_VARIABLE}={self._cut_path}",
+            f"{START_VARIABLE}={folder / START_FILE}",
         ]
         if source is not None:
             libraries = [str(source / "platform"), *map(str, source.glob("libs/*"))]
             variables.append(f"PYTHONPATH={':'.join(libraries)}")
         argv = ["/usr/bin/env", *variables, sys.executable, str(PROGRAM)]
         super().__init__(name, argv, folder / f"{name}.log")
-        self.ip = ip
+        self.ip, self.zone = ip, zone
         self.ready = f"{ip}:{ready_port}"
         self.callers = f"{ip}:{callers_port}"
         self.directory = f"{ip}:{directory_port}"
         self.peers = f"{ip}:{peer_port}"
         self.start_count = 0
+        self.is_removed = False
+        self._is_first_start = is_first_start
 
     async def start(self):
         """Start the host if it isn't running, without waiting until it is ready.
@@ -134,19 +146,34 @@
         one host may overlap, and both restart it: without the check, the first process
         would be leaked and outlive the run.
         """
-        if self.is_started and self.exit_code() is None:
+        if self.is_removed or (self.is_started and self.exit_code() is None):
             return
         self.start_count += 1
-        is_first_start = "true" if self.start_count == 1 else "false"
+        is_first = self._is_first_start and self.start_count == 1
+        is_first_start = "true" if is_first else "false"
         text = self._settings.format(is_first_start=is_first_start)
         self._settings_path.write_text(text)
         self.spawn()
 
+    def remove(self):
+        """Kill the host for good; later starts do nothing."""
+        self.is_removed = True
+        self.destroy()
+
     def cut_off(self, ips):
         """Cut the host off from the hosts at these addresses, and from no others."""
+        self._cut_ips = ips
+        self._write_cut_list()
+
+    def set_loss(self, share):
+        """Lose a share of the messages that the host sends to the others."""
+        self._loss_share = share
+        self._write_cut_list()
+
+    def _write_cut_list(self):
         # Renamed into place, so that the process never reads half of a list.
         path = self._cut_path.with_suffix(".new")
-        path.write_text("\n".join(ips))
+        path.write_text("\n".join([f"{LOSS_PREFIX}{self._loss_share}", *self._cut_ips]))
         path.rename(self._cut_path)
 
     def reload_settings(self):
--- a/soak/entry_program.py
+++ b/soak/entry_program.py
@@ -2,21 +2,29 @@
 
 The file is named by ``GYPSUMUSHER_SOAK_CUT`` and holds one IP address a line. Messages
 to these addresses and from them are dropped, and connections to them are refused, as by
-a network that is partitioned; the program itself isn't changed.
+a network that is partitioned. A line ``loss=SHARE`` has that share of all sent messages
+dropped. The program itself isn't changed.
 """
 
 import functools
 import os
+import random
 import runpy
 import sys
+import time
 
 # Imported first, since it disables io_uring before uvloop is imported.
 import gypsumusher_process  # noqa: F401  # isort: skip
 import uvloop
 
-__all__ = ["CUT_VARIABLE"]
+__all__ = ["CUT_VARIABLE", "LOSS_PREFIX", "START_VARIABLE"]
 
+# Names the file without which the program doesn't begin, so that many hosts can begin
+# at the same moment.
+START_VARIABLE = "GYPSUMUSHER_SOAK_START"
+START_POLL_S = 0.01
 CUT_VARIABLE = "GYPSUMUSHER_SOAK_CUT"
+LOSS_PREFIX = "loss="
 
 
 class _CutList:
@@ -26,17 +34,31 @@
         self._path = path
         self._modified_ns = 0
         self._ips = frozenset()
+        self._loss_share = 0.0
 
     def __contains__(self, ip):
+        self._read()
+        return ip in self._ips
+
+    def draw_loss(self):
+        """Return whether the next message is lost."""
+        self._read()
+        return random.random() < self._loss_share
+
+    def _read(self):
         try:
             modified_ns = os.stat(self._path).st_mtime_ns
         except FileNotFoundError:
-            return False
-        if modified_ns != self._modified_ns:
-            with open(self._path) as file:
-                self._ips = frozenset(file.read().split())
-            self._modified_ns = modified_ns
-        return ip in self._ips
+            return
+        if modified_ns == self._modified_ns:
+            return
+        with open(self._path) as file:
+            lines = file.read().split()
+        self._ips = frozenset(lines)
+        self._modified_ns = modified_ns
+        for line in lines:
+            if line.startswith(LOSS_PREFIX):
+                self._loss_share = float(line.removeprefix(LOSS_PREFIX))
 
 
 class _CutProtocol:
@@ -64,7 +86,7 @@
     # Called by the protocol, as on its transport
 
     def sendto(self, data, address):
-        if address[0] not in self._cut:
+        if address[0] not in self._cut and not self._cut.draw_loss():
             self._transport.sendto(data, address)
 
     def close(self):
@@ -87,7 +109,16 @@
         return await super().create_connection(protocol_factory, host, *args, **options)
 
 
+def _wait_for_start():
+    """Load the program's modules, then wait until the hosts are to begin."""
+    import gypsumusher_entry.host  # noqa: F401
+
+    while not os.path.exists(os.environ[START_VARIABLE]):
+        time.sleep(START_POLL_S)
+
+
 if __name__ == "__main__":
+    _wait_for_start()
     uvloop.run = functools.partial(uvloop.run, loop_factory=_CutLoop)
     sys.argv = sys.argv[:1]
     runpy.run_module("gypsumusher_entry", run_name="__main__")
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -1,11 +1,15 @@
 """Injects the faults of a plan into a running system, from outside its processes."""
 
 import asyncio
+import random
 
+from deployments import ENGINES
 from entry_process import EntryProcess
-from soak_endpoint import SoakEndpoint
+from plan import Fault
+from records import PROMPT, STREAM
+from soak_endpoint import HANDLE_TTL_S, SoakEndpoint
 
-__all__ = ["inject"]
+__all__ = ["FAULTS", "inject"]
 
 # Delay that a slow link adds to each read: long compared with an endpoint's 10 ms of
 # work for a request, short compared with the callers' deadline.
@@ -14,6 +18,24 @@
 LIMITED_BYTES_PER_S = 1_250_000.0
 # A twentieth of what an endpoint gets of the callers' requests.
 ENDPOINT_LIMIT_PER_S = 5.0
+# How many more requests come in a burst.
+BURST_RATE = 1.8
+# Shares of the callers that repeat at once what has failed, and of the requests that
+# callers leave early.
+REPEATING_SHARE, LEAVING_SHARE = 0.3, 0.3
+# Shares of the hosts and of the endpoints that a fault of many strikes at once.
+HOSTS_KILLED_SHARE, HOSTS_CUT_SHARE, ENDPOINTS_SHARE = 0.55, 0.17, 0.17
+RELEASED_SHARE, TRANSFERS_SHARE = 0.4, 0.35
+# Pause between the steps of planned work, and of an endpoint that crashes repeatedly.
+STEP_S, FLAP_S = 1.3, 1.4
+# Hosts that are stopped at a time when all are stopped in turn.
+STOPPED_AT_ONCE = 3
+# A slow host runs for a fifth of each period.
+SLOW_PERIOD_S, SLOW_RUNNING_S = 0.1, 0.02
+# Share of the messages that hosts in a zone with a bad network lose.
+LOSS_SHARE = 0.1
+# Delay of each read from a slow store: sixty times its usual one.
+STORE_DELAY_S = 0.24
 # By then the watches have delivered a change that reads do not return yet.
 WATCH_DELIVERY_S = 0.3
 # From the store's return until endpoints write their next heartbeat.
@@ -38,7 +60,7 @@
 
 async def _inject_fault(system, fault):
     """Inject one fault, and record its target and its time span."""
-    list_name, apply = _FAULTS[fault.kind]
+    list_name, apply = FAULTS[fault.kind]
     component = fault.target
     if list_name is not None:
         components = getattr(system, list_name)
@@ -129,6 +151,143 @@
     await system.send_crashing_content(target, duration_s)
 
 
+def _choose(components, share, target):
+    """Return a share of some components, at least one; the target seeds the draw."""
+    count = max(1, round(share * len(components)))
+    return random.Random(target).sample(range(len(components)), count)
+
+
+def _for_share(kind, list_name, share):
+    """Return a fault that applies another kind to a share of a list's components."""
+
+    async def apply(system, target, duration_s):
+        chosen = _choose(getattr(system, list_name), share, target)
+        await _inject_all(system, [Fault(0.0, duration_s, kind, n) for n in chosen])
+
+    return apply
+
+
+async def _inject_all(system, faults):
+    await asyncio.gather(*(_inject_fault(system, fault) for fault in faults))
+
+
+async def _in_turn(system, kind, numbers, pause_s):
+    """Apply a fault without duration to components in turn; they may overlap."""
+    running = []
+    for number in numbers:
+        fault = Fault(0.0, 0.0, kind, number)
+        running.append(asyncio.ensure_future(_inject_fault(system, fault)))
+        await asyncio.sleep(pause_s)
+    await asyncio.gather(*running)
+
+
+async def _endpoints_released(system, target, duration_s):
+    """Replace a share of the engines one after the other."""
+    chosen = _choose(system.backends, RELEASED_SHARE, target)
+    chosen = chosen[: max(1, int(duration_s / STEP_S))]
+    await _in_turn(system, "endpoint_leave", chosen, STEP_S)
+
+
+async def _zone_reclaimed(system, target, duration_s):
+    """Let all engines of a zone leave at once."""
+    zones = system.deployment.zones
+    chosen = [
+        number
+        for number, endpoint in enumerate(system.backends)
+        if number % zones == target % zones and endpoint.service == ENGINES
+    ]
+    faults = [Fault(0.0, duration_s, "endpoint_leave", n) for n in chosen]
+    await _inject_all(system, faults)
+
+
+async def _hosts_roll(system, target, duration_s):
+    """Stop hosts in turn, several at a time."""
+    count = STOPPED_AT_ONCE * max(1, int(duration_s / STEP_S))
+    numbers = [target + step for step in range(min(count, len(system.hosts)))]
+    await _in_turn(system, "host_stop", numbers, STEP_S / STOPPED_AT_ONCE)
+
+
+async def _host_replace(system, host, duration_s):
+    await system.replace_host(host, duration_s)
+
+
+async def _host_slow(system, host, duration_s):
+    until_s = system.clock() + duration_s
+    while system.clock() < until_s:
+        host.pause()
+        await asyncio.sleep(SLOW_PERIOD_S - SLOW_RUNNING_S)
+        host.resume()
+        await asyncio.sleep(SLOW_RUNNING_S)
+
+
+async def _zone_lossy(system, target, duration_s):
+    """Lose messages of all hosts in a zone, and send again what they sent the store."""
+    zones = system.deployment.zones
+    chosen = [n for n in range(len(system.hosts)) if n % zones == target % zones]
+    hosts = [system.hosts[number] for number in chosen]
+    links = [system.store_links[number] for number in chosen]
+    for host, link in zip(hosts, links, strict=True):
+        host.set_loss(LOSS_SHARE)
+        link.delay_s = LINK_DELAY_S
+    await asyncio.sleep(duration_s)
+    for host, link in zip(hosts, links, strict=True):
+        host.set_loss(0.0)
+        link.delay_s = 0.0
+
+
+async def _store_slow(system, _, duration_s):
+    links = list(system.store_links)
+    for link in links:
+        link.delay_s = STORE_DELAY_S
+    await asyncio.sleep(duration_s)
+    for link in links:
+        link.delay_s = 0.0
+
+
+async def _endpoint_flap(system, endpoint, duration_s):
+    until_s = system.clock() + duration_s
+    number = system.backends.index(endpoint)
+    while system.clock() < until_s:
+        fault = Fault(0.0, FLAP_S / 2.0, "endpoint_restart", number)
+        await _inject_fault(system, fault)
+        await asyncio.sleep(FLAP_S / 2.0)
+
+
+async def _endpoint_dark(system, endpoint, duration_s):
+    await system.silence_endpoint(endpoint, duration_s)
+
+
+def _endpoint_attribute(name, value, usual):
+    """Return a fault that sets an attribute of a share of the endpoints."""
+
+    async def apply(system, target, duration_s):
+        chosen = _choose(system.backends, TRANSFERS_SHARE, target)
+        endpoints = [system.backends[number] for number in chosen]
+        for endpoint in endpoints:
+            setattr(endpoint, name, value)
+        await asyncio.sleep(duration_s)
+        for endpoint in endpoints:
+            setattr(endpoint, name, usual)
+
+    return apply
+
+
+def _demand(name, value, usual):
+    """Return a fault that changes what callers ask for."""
+
+    async def apply(system, _, duration_s):
+        setattr(system.demand, name, value)
+        await asyncio.sleep(duration_s)
+        setattr(system.demand, name, usual)
+
+    return apply
+
+
+async def _traffic_shift(system, target, duration_s):
+    kind = (PROMPT, STREAM)[target % 2]
+    await _demand("favoured_kind", kind, None)(system, target, duration_s)
+
+
 async def _records_lost(system, _, duration_s):
     system.remove_host_records()
 
@@ -149,6 +308,14 @@
     link.reset()
 
 
+async def _link_half_reset(system, link, duration_s):
+    """Reset the hosts' side of a link's connections, as a firewall does that restarts.
+
+    The endpoint's side stays open, and gets what was on its way.
+    """
+    link.reset_clients()
+
+
 def _link_block(upstream, downstream):
     """Return a fault that holds back one or both directions of a link."""
 
@@ -230,7 +397,7 @@
 
 # For each kind of fault: the attribute of `SoakSystem` that lists its possible targets
 # (None if it has no single target), and the function that applies it.
-_FAULTS = {
+FAULTS = {
     "host_kill": ("hosts", _host_kill),
     "host_pause": ("hosts", _host_pause),
     "host_stop": ("hosts", _host_stop),
@@ -249,8 +416,36 @@
     "endpoint_limit": ("backends", _endpoint_limit),
     "crashing_content": (None, _crashing_content),
     "records_lost": (None, _records_lost),
+    "traffic_burst": (None, _demand("rate", BURST_RATE, 1.0)),
+    "traffic_shift": (None, _traffic_shift),
+    "callers_repeat": (None, _demand("repeating_share", REPEATING_SHARE, 0.0)),
+    "callers_leave": (None, _demand("leaving_share", LEAVING_SHARE, 0.0)),
+    "endpoint_flap": ("backends", _endpoint_flap),
+    "endpoint_dark": ("backends", _endpoint_dark),
+    "endpoint_grey": ("backends", _endpoint_mode("grey")),
+    "endpoint_lose": ("backends", _endpoint_mode("lose")),
+    "endpoints_dark": (None, _for_share("endpoint_dark", "backends", ENDPOINTS_SHARE)),
+    "endpoints_grey": (None, _for_share("endpoint_grey", "backends", ENDPOINTS_SHARE)),
+    "endpoints_lose": (None, _for_share("endpoint_lose", "backends", ENDPOINTS_SHARE)),
+    "endpoints_released": (None, _endpoints_released),
+    "zone_reclaimed": (None, _zone_reclaimed),
+    "handles_lapse": (None, _endpoint_attribute("handle_ttl_s", 0.0, HANDLE_TTL_S)),
+    "transfers_slow": (None, _endpoint_attribute("is_transfer_slow", True, False)),
+    "orders_late": (None, _endpoint_attribute("is_order_late", True, False)),
+    "host_replace": ("hosts", _host_replace),
+    "host_slow": ("hosts", _host_slow),
+    "half_hosts_kill": (None, _for_share("host_kill", "hosts", HOSTS_KILLED_SHARE)),
+    "hosts_roll": (None, _hosts_roll),
+    "hosts_store_cut": (
+        None,
+        _for_share("host_store_cut", "store_links", HOSTS_CUT_SHARE),
+    ),
+    "zone_lossy": (None, _zone_lossy),
+    "store_slow": (None, _store_slow),
     "link_delay": ("links", _link_delay),
     "link_reset": ("links", _link_reset),
+    "link_half_reset": ("links", _link_half_reset),
+    "all_links_half_reset": (None, _for_all("links", _link_half_reset)),
     "link_silent": ("links", _link_block(True, True)),
     "link_one_way": ("links", _link_block(False, True)),
     "store_refuse": (None, _store_fault("refuse")),
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -25,15 +25,23 @@
 
 # Simulated processing time of a request.
 WORK_S = 0.01
-# Duration of a prefill.
-PREFILL_S = 0.08
-# Share of the requests that a busy endpoint rejects.
-BUSY_SHARE = 0.9
+# Duration of a prefill, and of one by an engine that decodes.
+PREFILL_S, PREFILL_AT_DECODE_S = 0.08, 0.16
+# Requests that a plain endpoint with slots queues beyond them; it rejects any more.
+QUEUE_LENGTH = 24
+# How long engines keep the KV cache of a prompt, and how long a change of stage takes.
+HANDLE_TTL_S, SWITCH_S = 5.0, 3.0
+# Added by a slow transfer of a KV cache.
+SLOW_TRANSFER_S = 0.6
+# Delay of an order that is answered late, if at all.
+LATE_ORDER_S = 4.0
+# Share of the requests that a busy endpoint rejects, that fail at a grey one, and whose
+# answers one loses.
+BUSY_SHARE, GREY_SHARE, LOST_SHARE = 0.9, 0.45, 0.3
 # Responses of an engine to what isn't a caller's request, by path: its prefix cache is
-# empty, and it takes no stage orders.
+# empty.
 ENGINE_RESPONSES = {
     "/v1/kv-list": ("200 OK", {"epoch": 1, "next": 0, "held": []}),
-    "/v1/order": ("400 Bad Request", {}),
 }
 # Delay between two events of a stream.
 EVENT_INTERVAL_S = 0.02
@@ -54,20 +62,55 @@
         Name of its service.
     stage : str or None
         ``prefill`` or ``decode``; None for an endpoint that isn't an engine.
+    slots : int or None
+        Requests that it runs at once; None for any number.
+    handles : dict of str to (SoakEndpoint, float)
+        Engine that holds the KV cache of each handle, and until when; shared by all
+        engines.
+    takes_orders : bool
+        Whether the engine changes its stage when it is ordered to.
 
     Attributes
     ----------
     mode : str
-        ``well`` (healthy), ``errors`` (status 500 after the work), ``hang`` (no
-        response), ``break`` (response cut off in the body), ``full`` (rejects every
-        request with status 503 and ``X-Gypsumusher-Not-Run``) or ``busy`` (rejects
-        `BUSY_SHARE` of them).
+        ``well`` (healthy), ``errors`` (status 500 after the work), ``grey`` (the same
+        for `GREY_SHARE` of the requests), ``hang`` (no response), ``break`` (response
+        cut off in the body), ``lose`` (runs `LOST_SHARE` of the requests and closes the
+        connection without a response), ``full`` (rejects every request with status 503
+        and ``X-Gypsumusher-Not-Run``), ``busy`` (rejects `BUSY_SHARE` of them) or
+        ``shed`` (rejects `GREY_SHARE` of them).
+    handle_ttl_s : float
+        How long the engine keeps the KV cache of a prompt.
+    is_transfer_slow : bool
+        Whether the engine is slow to fetch the KV cache of a prompt.
+    is_order_late : bool
+        Whether the engine leaves orders unanswered and carries them out later.
     """
 
-    def __init__(self, name, clock, records, service="svc", stage=None):
+    def __init__(
+        self,
+        name,
+        clock,
+        records,
+        service="svc",
+        stage=None,
+        slots=None,
+        handles=None,
+        takes_orders=False,
+    ):
         self.name = name
         self.service = service
         self.stage = stage
+        self.handle_ttl_s = HANDLE_TTL_S
+        self.is_transfer_slow = self.is_order_late = False
+        self._slots = slots
+        self._running = 0
+        self._free_slot = asyncio.Semaphore(slots or 1)
+        self._handles = {} if handles is None else handles
+        self._handle_count = 0
+        self._takes_orders = takes_orders
+        self._order_count = 0
+        self._is_switching = False
         self._rng = random.Random(name)
         self.mode = "well"
         # Requests per second that the endpoint states in its responses; None for none.
@@ -86,6 +129,9 @@
     async def close(self):
         """Stop as in a crash: cut every connection and running request."""
         await self._endpoint.close()
+        for handle, (holder, _) in list(self._handles.items()):
+            if holder is self:
+                del self._handles[handle]
 
     def _encode(self, request_id, body=b"", status="200 OK", extra=(), framing=None):
         """Return a response, with the limit if there is one."""
@@ -97,29 +143,28 @@
         """Respond to one request as the current mode says."""
         headers = _parse_headers(head)
         request_id = request_id_of(head)
-        expected = headers.get("x-gypsumusher-expect-instance", self.name)
-        if expected != self.name:
-            writer.write(self._encode(request_id, b"", "421 Misdirected Request"))
-            return
-        path = head.split(b" ", 2)[1].decode()
+        method, path, _ = head.decode("latin-1").split(" ", 2)
         if not request_id:
-            status, content = ENGINE_RESPONSES.get(path, ("200 OK", {}))
-            body = json.dumps(content).encode()
-            writer.write(self._encode("health", body, status))
+            await self._respond_to_call(method, path, body, writer)
             return
-        mode = self.mode
-        if mode == "busy":
-            mode = "full" if self._rng.random() < BUSY_SHARE else "well"
         arrival = Arrival(request_id, self.name, self._clock())
-        if mode == "full":
+        is_prefill = headers.get("x-gypsumusher-stage") == "prefill"
+        expected = headers.get("x-gypsumusher-expect-instance", self.name)
+        is_wrong_stage = self.stage and is_prefill != (self.stage == "prefill")
+        if expected != self.name or is_wrong_stage:
+            self._records.rejections.append(arrival)
+            writer.write(self._encode(request_id, b"", "421 Misdirected Request"))
+            return
+        mode = self._draw_mode()
+        if mode == "full" or not self._has_kv_cache(headers):
             self._records.rejections.append(arrival)
             status, not_run = "503 Service Unavailable", ("X-Gypsumusher-Not-Run: 1",)
             writer.write(self._encode(request_id, b"", status, not_run))
             return
-        if headers.get("x-gypsumusher-stage") == "prefill":
+        if is_prefill:
             self._records.prefills.append(arrival)
             await asyncio.sleep(PREFILL_S)
-            prefilled = {"handle": request_id, "tokens": 30000, "version": 1}
+            prefilled = {"handle": self._hold(), "tokens": 30000, "version": 1}
             body = json.dumps(prefilled).encode()
             writer.write(self._encode(request_id, body))
             return
@@ -128,13 +173,16 @@
             account = headers.get("x-gypsumusher-tenant")
             has_key = "x-gypsumusher-key" in headers
             self._records.account_runs.append(AccountRun(*arrival, account, has_key))
-        await asyncio.sleep(WORK_S)
+        await self._work(headers)
         if path.startswith(CRASHING_PREFIX):
             self._records.crashes.append(arrival)
             self.on_crash(self)
             await asyncio.Event().wait()
         if mode == "hang":
             await asyncio.Event().wait()
+        if mode == "lose":
+            writer.close()
+            return
         if mode == "errors":
             writer.write(self._encode(request_id, b"", "500 Internal Server Error"))
             return
@@ -149,6 +197,97 @@
         writer.write(response)
         await writer.drain()
 
+    def _draw_mode(self):
+        """Return the mode in which to respond to one request."""
+        mode = self.mode
+        if mode == "busy":
+            mode = "full" if self._rng.random() < BUSY_SHARE else "well"
+        elif mode == "shed":
+            mode = "full" if self._rng.random() < GREY_SHARE else "well"
+        elif mode == "grey":
+            mode = "errors" if self._rng.random() < GREY_SHARE else "well"
+        elif mode == "lose":
+            mode = "lose" if self._rng.random() < LOST_SHARE else "well"
+        is_full = self._slots and self._running >= self._slots + QUEUE_LENGTH
+        return "full" if is_full or self._is_switching else mode
+
+    def _hold(self):
+        """Keep the KV cache of a prompt; return its handle."""
+        self._handle_count += 1
+        handle = f"{self.name}-{self._handle_count}"
+        self._handles[handle] = (self, self._clock() + self.handle_ttl_s)
+        return handle
+
+    def _has_kv_cache(self, headers):
+        """Return whether the KV cache that a request names can be fetched; take it."""
+        source = headers.get("x-gypsumusher-kv-source")
+        if source is None:
+            return True
+        _, until_s = self._handles.pop(source.rpartition("/")[2], (None, 0.0))
+        return self._clock() < until_s
+
+    async def _work(self, headers):
+        """Take the time of a request, once a slot is free."""
+        self._running += 1
+        try:
+            if self._slots:
+                async with self._free_slot:
+                    await asyncio.sleep(WORK_S)
+                return
+            work_s = WORK_S
+            if "x-gypsumusher-kv-source" in headers:
+                work_s += SLOW_TRANSFER_S * self.is_transfer_slow
+            elif "x-gypsumusher-token-count" in headers and self._takes_orders:
+                work_s += PREFILL_AT_DECODE_S
+            await asyncio.sleep(work_s)
+        finally:
+            self._running -= 1
+
+    async def _respond_to_call(self, method, path, body, writer):
+        """Respond to a call that isn't a caller's request."""
+        status, content = ENGINE_RESPONSES.get(path, ("200 OK", {}))
+        if method == "DELETE":
+            self._handles.pop(path.rpartition("/")[2], None)
+        if path == "/v1/report" and self.stage is not None:
+            content = {
+                "stage": self.stage,
+                "models": [],
+                "busy": self._is_switching,
+                "seq": self._order_count,
+                "queued": 0,
+                "active": self._running,
+                "kv_used": 0,
+                "kv_capacity": 450_000,
+                "kv_handles": 0,
+            }
+        if path == "/v1/order":
+            if self.is_order_late:
+                await asyncio.sleep(LATE_ORDER_S)
+                self._take_order(json.loads(body))
+                await asyncio.Event().wait()
+            status = self._take_order(json.loads(body))
+        writer.write(self._encode("health", json.dumps(content).encode(), status))
+
+    def _take_order(self, order):
+        """Begin to carry out an order, unless something forbids it."""
+        if not self._takes_orders or order.get("op") != "stage":
+            return "400 Bad Request"
+        if self._is_switching or order.get("precondition") not in (
+            None,
+            self._order_count,
+        ):
+            return "409 Conflict"
+        if order["stage"] == self.stage:
+            return "200 OK"
+        self._order_count += 1
+        self._is_switching = True
+        asyncio.get_running_loop().call_later(SWITCH_S, self._switch, order["stage"])
+        return "202 Accepted"
+
+    def _switch(self, stage):
+        """Take the stage that was ordered."""
+        self.stage, self._is_switching = stage, False
+
     async def _stream(self, request_id, headers, writer, mode):
         first = 1 + int(headers.get("last-event-id", -1))
         content_type = ("Content-Type: text/event-stream",)
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -7,9 +7,9 @@
 import time
 
 import aiohttp
-from callers import Caller
+from callers import Caller, Demand
 from deployments import ENGINES, PLAIN, SMALL
-from entry_process import EntryProcess
+from entry_process import START_FILE, EntryProcess
 from platform_samples import sample_configuration, sample_endpoint_entry, sample_routes
 from processes import free_ports
 from proxies import Proxy
@@ -37,14 +37,17 @@
 
 # Routes that a large configuration change adds.
 ADDED_ROUTES = 1400
-# Interval at which endpoints renew their entries in the store.
-HEARTBEAT_S = 0.5
-# Interval at which hosts are polled for the configuration in force.
-POLL_S = 0.1
+# Interval at which hosts are polled for the configuration in force, in a deployment of
+# `POLLED_HOSTS` or fewer; longer in proportion where there are more.
+POLL_S, POLLED_HOSTS = 0.1, 8
+# Time that a host's process takes to load the program, where many load it at once.
+LOADING_S_PER_HOST = 0.12
+# Heartbeats after whose absence an entry is removed.
+MISSED_HEARTBEATS = 3
 # How long a draining endpoint keeps running; longer than `checks.DRAIN_S`, after which
 # a request sent to it is a violation.
 DRAINING_S = 6.0
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S, START_TIMEOUT_PER_HOST_S = 20.0, 1.0
 # How long an endpoint is down after a request's content has crashed it, and the pause
 # between two attempts at that request.
 CRASHED_FOR_S, CRASHING_INTERVAL_S = 0.5, 0.15
@@ -71,7 +74,15 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="gypsumusher-soak-"))
         self.store = ObjectStoreServer()
         self.cloud = SoakCloud(self.clock, self.records)
+        self.demand = Demand()
         self.hosts = []
+        # Addresses of the hosts' directories, which callers share.
+        self._directories = []
+        self._host_count = 0
+        self._peer_port = free_ports("127.0.0.1", 1)[0]
+        self._store_address = self._cloud_address = None
+        # Engine and end of each handle.
+        self._handles = {}
         self.backends = []
         self.links = []
         self.store_links = []
@@ -95,8 +106,9 @@
 
     async def start(self):
         """Start everything, and wait until every host has a configuration."""
-        address = await self.store.start()
-        cloud = await self.cloud.start() if self.deployment.accounts else None
+        self._store_address = await self.store.start()
+        if self.deployment.accounts:
+            self._cloud_address = await self.cloud.start()
         for number in range(self.deployment.accounts):
             self._add_key(f"account-{number}", 0.0)
         self.write_configuration()
@@ -107,30 +119,19 @@
             await self.links[-1].start()
             self._heartbeats[endpoint.name] = [1, 1, "ready"]
         self._write_entries()
-        peer_port = free_ports("127.0.0.1", 1)[0]
-        for number in range(self.deployment.hosts):
-            # Every address of 127.0.0.0/8 is a loopback address.
-            ip = f"127.{1 + self.seed % 200}.{1 + peer_port % 250}.{1 + number}"
-            link = Proxy(address)
-            self.store_links.append(link)
-            store = await link.start()
-            host = EntryProcess(
-                f"host-{number}",
-                ip,
-                f"zone-{number % 2}",
-                store,
-                peer_port,
-                self.folder,
-                self.deployment.retry_limit,
-                self._source,
-                cloud,
-            )
-            self.hosts.append(host)
-            await host.start()
+        have_served = self.deployment.have_served
+        for _ in range(self.deployment.hosts):
+            host = await self._start_next_host(len(self.hosts), not have_served)
+            if have_served:
+                record = {"ip": host.ip, "zone": host.zone}
+                self.store.put(HOSTS_KIND, host.name, record)
+        await asyncio.sleep(LOADING_S_PER_HOST * len(self.hosts))
+        (self.folder / START_FILE).touch()
+        self.spawn(self._renew_entries())
         await self._wait_until_ready()
+        await asyncio.sleep(self.deployment.lead_s)
         self._began_s = asyncio.get_running_loop().time()
         self.records.began_unix_s = time.time()
-        directories = [host.directory for host in self.hosts]
         for number in range(self.deployment.callers):
             caller = Caller(
                 number,
@@ -138,24 +139,72 @@
                 self.clock,
                 self.records,
                 self.deployment,
-                directories,
+                self._directories,
+                self.demand,
             )
             self._callers.append(caller)
             await caller.start()
-        self.spawn(self._renew_entries())
         for host in self.hosts:
             self.spawn(self._poll_version(host))
 
+    async def _start_next_host(self, index, is_first_start):
+        """Start a new host in a place of `hosts`, the end included."""
+        number = self._host_count
+        self._host_count += 1
+        # Every address of 127.0.0.0/8 is a loopback address.
+        ip = f"127.{1 + self.seed % 200}.{1 + self._peer_port % 250}.{1 + number}"
+        link = Proxy(self._store_address)
+        host = EntryProcess(
+            f"host-{number}",
+            ip,
+            f"zone-{index % self.deployment.zones}",
+            await link.start(),
+            self._peer_port,
+            self.folder,
+            self.deployment.retry_limit,
+            self._source,
+            self._cloud_address,
+            is_first_start,
+        )
+        self.hosts[index : index + 1] = [host]
+        self.store_links[index : index + 1] = [link]
+        self._directories[index : index + 1] = [host.directory]
+        await host.start()
+        return host
+
+    async def replace_host(self, host, pause_s):
+        """Remove a host for good; a spare, if any is left, joins after a pause."""
+        if self._host_count >= self.deployment.hosts + self.deployment.spares:
+            await self.kill_host(host, pause_s)
+            return
+        index = self.hosts.index(host)
+        host.remove()
+        await asyncio.sleep(pause_s)
+        link = self.store_links[index]
+        spare = await self._start_next_host(index, is_first_start=False)
+        await link.close()
+        self.spawn(self._poll_version(spare))
+
     def _create_endpoints(self):
         """Return the endpoints of the plain service, then the engines."""
         deployment = self.deployment
         services = [(PLAIN, None)] * deployment.endpoints
         services += [(ENGINES, "prefill")] * deployment.prefill_engines
         services += [(ENGINES, "decode")] * deployment.decode_engines
-        return [
-            SoakEndpoint(f"e-{number}", self.clock, self.records, *service)
-            for number, service in enumerate(services)
-        ]
+        endpoints = []
+        for number, (service, stage) in enumerate(services):
+            endpoint = SoakEndpoint(
+                f"e-{number}",
+                self.clock,
+                self.records,
+                service,
+                stage,
+                deployment.plain_slots if service == PLAIN else None,
+                self._handles,
+                deployment.takes_stage_orders,
+            )
+            endpoints.append(endpoint)
+        return endpoints
 
     def remove_logs(self):
         """Remove the folder with the hosts' settings and logs."""
@@ -244,7 +293,11 @@
         if self.deployment.has_engines:
             engines = {"slots": 64, "kv_tokens": 450_000, "link_mbps": 5e5}
             content["services"].append(
-                {"name": ENGINES, "max_conns": 360, "engine": engines}
+                {
+                    "name": ENGINES,
+                    "max_conns": self.deployment.max_connections,
+                    "engine": engines,
+                }
             )
         if self.deployment.accounts:
             content["tenants"] = self._tenants()
@@ -282,6 +335,28 @@
         await asyncio.sleep(pause_s)
         await host.start()
 
+    async def silence_endpoint(self, endpoint, duration_s):
+        """Let an endpoint stand still: it gets and sends nothing, also no heartbeat.
+
+        What it was sent meanwhile reaches it afterwards.
+        """
+        number = self.backends.index(endpoint)
+        link, fields = self.links[number], self._heartbeats[endpoint.name]
+        if fields[2] != "ready":
+            return
+        link.set_blocked(True, True)
+        fields[2] = "silent"
+        lapse_s = MISSED_HEARTBEATS * self.deployment.heartbeat_s
+        await asyncio.sleep(min(lapse_s, duration_s))
+        # A restart replaces the fields, and a planned leave changes the state.
+        if duration_s > lapse_s and fields is self._heartbeats[endpoint.name]:
+            if fields[2] == "silent":
+                self._remove_entry(endpoint.name)
+            await asyncio.sleep(duration_s - lapse_s)
+        link.set_blocked(False, False)
+        if fields is self._heartbeats[endpoint.name] and fields[2] == "silent":
+            self.set_state(endpoint, "ready")
+
     async def kill_host(self, host, pause_s):
         """Kill a host, and start it again after a pause."""
         host.resume()
@@ -401,6 +476,8 @@
         for endpoint in self.backends:
             fields = self._heartbeats[endpoint.name]
             generation, heartbeat, state = fields
+            if state == "silent":
+                continue
             if not state:
                 self._remove_entry(endpoint.name)
                 continue
@@ -410,7 +487,7 @@
                 self.links[number].address,
                 state,
                 heartbeat,
-                zone=f"zone-{number % 2}",
+                zone=f"zone-{number % self.deployment.zones}",
                 born=generation,
                 service=endpoint.service,
             )
@@ -424,20 +501,22 @@
 
     async def _renew_entries(self):
         while True:
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self.deployment.heartbeat_s)
             if not self._lapsed:
                 self._write_entries()
 
     async def _wait_until_ready(self):
-        async with asyncio.timeout(START_TIMEOUT_S):
+        timeout_s = START_TIMEOUT_S + START_TIMEOUT_PER_HOST_S * len(self.hosts)
+        async with asyncio.timeout(timeout_s):
             for host in self.hosts:
                 while not await self._is_ready(host):
                     await asyncio.sleep(0.05)
 
     async def _poll_version(self, host):
         """Record periodically which configuration a host has in force."""
-        while True:
-            await asyncio.sleep(POLL_S)
+        interval_s = POLL_S * max(1.0, self.deployment.hosts / POLLED_HOSTS)
+        while not host.is_removed:
+            await asyncio.sleep(interval_s)
             process = f"{host.name}/{host.start_count}"
             version = await self._read_version(host)
             if version and process == f"{host.name}/{host.start_count}":
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 import pytest
 from deployments import DEPLOYMENTS, SMALL
 from entry_process import EntryProcess
+from injection import FAULTS
 from plan import CALM_AFTER_S, KINDS, Fault, Plan, draw_plan
 from proxies import Proxy
 from run_soak import load_kept_plans, run_seed
@@ -151,6 +152,12 @@
     assert found == set(KINDS)
 
 
+def test_every_kind_of_fault_of_a_deployment_can_be_injected():
+    for deployment in DEPLOYMENTS.values():
+        assert set(deployment.fault_kinds) <= set(FAULTS)
+        assert set(deployment.fault_rate.always) <= set(deployment.fault_kinds)
+
+
 def test_every_kept_plan_is_valid_and_names_its_cause():
     for plan, cause in load_kept_plans().values():
         assert {fault.kind for fault in plan.faults} <= set(KINDS)
--- a/tools/proxies.py
+++ b/tools/proxies.py
@@ -40,6 +40,7 @@
         self.upstream_blocked = False
         self.downstream_blocked = False
         self._writers = set()
+        self._client_writers = set()
         self._tasks = set()
         self._server = None
         self._block_changed = asyncio.Event()
@@ -72,9 +73,18 @@
         for writer in list(self._writers):
             _reset(writer)
 
+    def reset_clients(self):
+        """Reset all open connections on the side of those who opened them alone.
+
+        The target still gets what was sent before, once nothing blocks it any more.
+        """
+        for writer in list(self._client_writers):
+            _reset(writer)
+
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
         self._writers.add(writer)
+        self._client_writers.add(writer)
         try:
             await self._wait_while_blocked("upstream_blocked", b"")
             ip, _, port = self.target.rpartition(":")
@@ -100,6 +110,7 @@
 
     def _forget(self, writer):
         self._writers.discard(writer)
+        self._client_writers.discard(writer)
         self._tasks.discard(asyncio.current_task())
 
     async def _forward(self, reader, writer, direction):
