Log why sends without a response no longer count as under way

Cause: the hypotheses on forgotten sends can't be told apart by the logs: a retry's place is given back when its connection is lost, its endpoint gone, a later send answered, or after three windows, and no line says which.

Change: retry_taken and retry_withheld have lost, gone, overtaken and expired, the numbers of such sends since the start. No decision changes.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -18,6 +18,7 @@
     RoutingRequest,
     RunAccount,
     SendCounter,
+    SendFate,
     abandoned_after_s,
     content_fingerprint,
     first_event_limit_s,
@@ -192,6 +193,10 @@
             hosts=decision.hosts,
             recorded=counts.recorded,
             reported=counts.reported,
+            lost=decision.unanswered[SendFate.LOST],
+            gone=decision.unanswered[SendFate.GONE],
+            overtaken=decision.unanswered[SendFate.OVERTAKEN],
+            expired=decision.unanswered[SendFate.EXPIRED],
         )
         return decision.is_allowed
 
--- a/libs/routing/gypsumusher_routing/retry_budget.py
+++ b/libs/routing/gypsumusher_routing/retry_budget.py
@@ -13,9 +13,10 @@
 what the bucket holds are never more than its capacity.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
-from gypsumusher_routing.send_counter import SendCounter
+from gypsumusher_routing.send_counter import SendCounter, SendFate
 
 __all__ = ["RetryBudget", "RetryDecision"]
 
@@ -46,6 +47,9 @@
         Number of hosts that the slack was divided by; 0 if unknown.
     under_way : int
         Retries taken earlier whose sends may be yet to arrive.
+    unanswered : dict of SendFate to int
+        Sends of earlier requests without a response that count as arrived or as lost,
+        since this process started.
     """
 
     is_allowed: bool
@@ -53,6 +57,7 @@
     max_retries: float
     hosts: int
     under_way: int
+    unanswered: dict[SendFate, int]
 
 
 class RetryBudget:
@@ -78,6 +83,7 @@
         self._updated_s = started_s
         # Requests that have taken a retry, while any of these may be under way.
         self._counters = []
+        self._unanswered = Counter()
 
     def track(self, counter: SendCounter) -> None:
         """Follow the sends of a request that has taken its first retry."""
@@ -112,7 +118,14 @@
         is_allowed = self._retries >= 1.0
         if is_allowed:
             self._retries -= 1.0
-        return RetryDecision(is_allowed, self._retries, max_retries, hosts, under_way)
+        return RetryDecision(
+            is_allowed,
+            self._retries,
+            max_retries,
+            hosts,
+            under_way,
+            self._unanswered,
+        )
 
     def _refill(self, now_s, hosts):
         """Add the slack accrued since the last update.
@@ -133,10 +146,14 @@
     def _count_under_way(self, now_s):
         """Return how many retries may be yet to arrive; forget all others."""
         longest_s = UNDER_WAY_WINDOWS * self._window_s
-        counts = [c.retries_under_way(now_s, longest_s) for c in self._counters]
-        self._counters = [
-            counter
-            for counter, count in zip(self._counters, counts, strict=True)
-            if count
-        ]
-        return sum(counts)
+        counters, self._counters = self._counters, []
+        under_way = 0
+        for counter in counters:
+            count = counter.retries_under_way(now_s, longest_s)
+            under_way += count
+            if count:
+                self._counters.append(counter)
+                continue
+            self._unanswered.update(counter.fates(now_s, longest_s))
+        del self._unanswered[SendFate.ANSWERED]
+        return under_way
--- a/libs/routing/gypsumusher_routing/send_counter.py
+++ b/libs/routing/gypsumusher_routing/send_counter.py
@@ -5,9 +5,38 @@
 under way.
 """
 
+from enum import Enum
+
 from gypsumusher_routing.endpoint_state import EndpointState
 
-__all__ = ["SendCounter", "SentRequest"]
+__all__ = ["SendCounter", "SendFate", "SentRequest"]
+
+
+class SendFate(Enum):
+    """What is known of a send.
+
+    Attributes
+    ----------
+    UNDER_WAY
+        It may be yet to arrive.
+    ANSWERED
+        Its response has begun.
+    LOST
+        Its connection was lost.
+    GONE
+        The entry of its endpoint is gone.
+    OVERTAKEN
+        The endpoint has answered a later send.
+    EXPIRED
+        It was sent too long ago.
+    """
+
+    UNDER_WAY = "under_way"
+    ANSWERED = "answered"
+    LOST = "lost"
+    GONE = "gone"
+    OVERTAKEN = "overtaken"
+    EXPIRED = "expired"
 
 
 class SentRequest:
@@ -24,16 +53,16 @@
     def __init__(self, state: EndpointState, sent_s: float):
         self._state = state
         self._sent_s = sent_s
-        self._has_ended = False
+        self._end = None
 
     def on_head_or_lost(self, has_head: bool) -> None:
         """Record that the response has begun, or that the connection was lost."""
-        self._has_ended = True
+        self._end = SendFate.ANSWERED if has_head else SendFate.LOST
         if has_head:
             self._state.on_send_answered(self._sent_s)
 
-    def is_under_way(self, now_s: float, longest_s: float) -> bool:
-        """Return whether the endpoint may still receive this send.
+    def fate(self, now_s: float, longest_s: float) -> SendFate:
+        """Return whether the endpoint may still receive this send, or why not.
 
         It can't if its connection was lost to the endpoint, or if the endpoint is gone.
         It has if the endpoint has answered a later send over the same link.
@@ -45,11 +74,15 @@
         longest_s : float
             Time after which no send is taken to be under way, in seconds.
         """
-        if self._has_ended or self._state.is_gone:
-            return False
+        if self._end is not None:
+            return self._end
+        if self._state.is_gone:
+            return SendFate.GONE
         if self._state.answered_send_s > self._sent_s:
-            return False
-        return now_s - self._sent_s <= longest_s
+            return SendFate.OVERTAKEN
+        if now_s - self._sent_s > longest_s:
+            return SendFate.EXPIRED
+        return SendFate.UNDER_WAY
 
 
 class SendCounter:
@@ -103,9 +136,13 @@
 
         The arrival that comes first is no repeat, whichever send it is.
         """
-        under_way = sum(sent.is_under_way(now_s, longest_s) for sent in self._sent)
+        under_way = self.fates(now_s, longest_s).count(SendFate.UNDER_WAY)
         return min(self.retries, under_way + self._connecting)
 
+    def fates(self, now_s, longest_s):
+        """Return the fate of each send, in the order in which they left."""
+        return [sent.fate(now_s, longest_s) for sent in self._sent]
+
     def on_prompt_accepted(self):
         """Record that an engine has completed a prefill call of this request."""
         self._is_prefill_accepted = True
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -10,6 +10,7 @@
     HostTable,
     RetryBudget,
     SendCounter,
+    SendFate,
     SentRequest,
 )
 from gypsumusher_routing.retry_budget import UNDER_WAY_WINDOWS
@@ -202,8 +203,9 @@
     gone.is_gone = True
     # An answer to an earlier send tells nothing of a later one.
     SentRequest(held, 4.9).on_head_or_lost(True)
-    assert [s.is_under_way(6.0, 30.0) for s in sends] == [False, False, True]
-    assert [s.is_under_way(35.1, 30.0) for s in sends] == [False, False, False]
+    under_way = SendFate.UNDER_WAY
+    assert [s.fate(6.0, 30.0) is under_way for s in sends] == [False, False, True]
+    assert [s.fate(35.1, 30.0) is under_way for s in sends] == [False, False, False]
 
 
 HELD_STEPS = st.lists(
