--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -14,6 +14,7 @@
     run,
     sample_configuration,
     settings,
+    until,
 )
 from scripted_endpoint import encode_response, request_id_of
 
@@ -142,6 +143,32 @@
     run(scenario())
 
 
+def test_later_retry_of_a_request_keeps_its_place_in_the_budget():
+    """Only a request's first retry kept its place while its send was held back."""
+    calls = []
+
+    async def reject_twice(number, head, body, writer):
+        calls.append(number)
+        if len(calls) > 2:
+            await asyncio.Event().wait()
+        await not_run(number, head, body, writer)
+
+    async def scenario():
+        scripts = [reject_twice] * 3
+        async with HostHarness(*scripts, routes=(AT_MOST_ONCE_ROUTE,)) as harness:
+            context = harness.host.context
+            context.started_s -= 100.0
+            request = asyncio.ensure_future(harness.ask(method="POST"))
+            await until(lambda: len(calls) == 3)
+            assert context.take_retry("svc").under_way == 1
+            request.cancel()
+            await asyncio.wait([request])
+            # The caller has left; the send may still be on its way.
+            assert context.take_retry("svc").under_way == 1
+
+    run(scenario())
+
+
 class Host:
     """One of seven hosts, with a clock that the test sets."""
 
