Follow a request's sends until it has ended, not until nothing is under way

Callers saw nothing; endpoints may get more repeats than the operator allows. Cause: the budget followed a request from its first retry on, and forgot it once none of its sends was under way. That is so whenever a second retry is taken, as the sends before it have been rejected by then; the request wasn't followed again, so that later sends that links or paused endpoints hold back took no place in the bucket. Class: a registration that is dropped by a momentary state, while its owner goes on.

Change: taking a retry and following its request are one call (RetryBudget.take), and a request is followed until it has ended and nothing of it may be yet to arrive.

Tests of libs/routing and libs/entry pass.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -381,15 +381,24 @@
         """Return the endpoints of a service that this host may send a request to."""
         return self.endpoint_limits.usable(self.endpoints.of_service(service))
 
-    def take_retry(self, service):
+    def take_retry(self, service, counter):
         """Take one retry from this host's share of a service's budget, if any is left.
 
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        counter : SendCounter
+            The request, which gets the retry.
+
         Returns
         -------
         RetryDecision
             Whether the retry is allowed.
         """
-        return self.retry_budget(service).take(self.clock(), self.count_hosts())
+        return self.retry_budget(service).take(
+            self.clock(), self.count_hosts(), counter
+        )
 
     def record_request(self, service):
         """Count a request of a service; the retry budget grows with it."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -177,12 +177,8 @@
         """Like `reserve_send`, but return whether the request may be sent."""
         if not self.send_counter.needs_retry():
             return True
-        context = self.context
-        decision = context.take_retry(self.service)
-        if decision.is_allowed and not self.send_counter.retries:
-            context.retry_budget(self.service).track(self.send_counter)
-        self.send_counter.retries += decision.is_allowed
-        counts = context.hosts.counts()
+        decision = self.context.take_retry(self.service, self.send_counter)
+        counts = self.context.hosts.counts()
         self.log(
             "info",
             "retry_taken" if decision.is_allowed else "retry_withheld",
@@ -309,6 +305,7 @@
             exchange.outcome = "caller_left"
             raise
         finally:
+            exchange.send_counter.has_ended = True
             _record_end(exchange)
 
     return handle
--- a/libs/entry/tests/test_retry_budget.py
+++ b/libs/entry/tests/test_retry_budget.py
@@ -23,7 +23,7 @@
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.sending_to_endpoints import silence_timeout, start_send
 from gypsumusher_platform import decode_configuration
-from gypsumusher_routing import HostStatus, RecordState
+from gypsumusher_routing import HostStatus, RecordState, SendCounter
 
 REQUESTS = 200
 HOSTS = 7
@@ -160,11 +160,11 @@
             context.started_s -= 100.0
             request = asyncio.ensure_future(harness.ask(method="POST"))
             await until(lambda: len(calls) == 3)
-            assert context.take_retry("svc").under_way == 1
+            assert context.take_retry("svc", SendCounter()).under_way == 1
             request.cancel()
             await asyncio.wait([request])
             # The caller has left; the send may still be on its way.
-            assert context.take_retry("svc").under_way == 1
+            assert context.take_retry("svc", SendCounter()).under_way == 1
 
     run(scenario())
 
@@ -209,7 +209,7 @@
     """Return how many retries the hosts take when each takes all that it may."""
     retries = 0
     for host in hosts:
-        while host.context.take_retry("svc").is_allowed:
+        while host.context.take_retry("svc", SendCounter()).is_allowed:
             retries += 1
     return retries
 
--- a/libs/routing/gypsumusher_routing/retry_budget.py
+++ b/libs/routing/gypsumusher_routing/retry_budget.py
@@ -81,14 +81,10 @@
         self._window_s = window_s
         self._retries = 0.0
         self._updated_s = started_s
-        # Requests that have taken a retry, while any of these may be under way.
+        # Requests that have taken a retry, until they end and nothing is under way.
         self._counters = []
         self._unanswered = Counter()
 
-    def track(self, counter: SendCounter) -> None:
-        """Follow the sends of a request that has taken its first retry."""
-        self._counters.append(counter)
-
     def on_first_send(self, now_s: float, hosts: int) -> None:
         """Add to the budget for the first send of a request.
 
@@ -103,8 +99,11 @@
             self._retries + USED_SHARE * self._ratio,
         )
 
-    def take(self, now_s: float, hosts: int) -> RetryDecision:
-        """Take one retry from the budget, unless it is exhausted.
+    def take(self, now_s: float, hosts: int, counter: SendCounter) -> RetryDecision:
+        """Take one retry for a request, unless the budget is exhausted.
+
+        The request's sends are followed from its first retry on, until the request has
+        ended and none of them may be yet to arrive.
 
         Parameters
         ----------
@@ -113,11 +112,16 @@
         hosts : int
             Number of hosts that share the slack, including this one; 0 if unknown, in
             which case this host gets none of it.
+        counter : SendCounter
+            The request, which gets the retry.
         """
         max_retries, under_way = self._refill(now_s, hosts)
         is_allowed = self._retries >= 1.0
         if is_allowed:
             self._retries -= 1.0
+            if not counter.retries:
+                self._counters.append(counter)
+            counter.retries += 1
         return RetryDecision(
             is_allowed,
             self._retries,
@@ -151,7 +155,7 @@
         for counter in counters:
             count = counter.retries_under_way(now_s, longest_s)
             under_way += count
-            if count:
+            if count or not counter.has_ended:
                 self._counters.append(counter)
                 continue
             self._unanswered.update(counter.fates(now_s, longest_s))
--- a/libs/routing/gypsumusher_routing/send_counter.py
+++ b/libs/routing/gypsumusher_routing/send_counter.py
@@ -98,11 +98,14 @@
         Sends that have reached an endpoint.
     retries : int
         Retries that the request has taken from the budget.
+    has_ended : bool
+        Whether the request has ended, so that it makes no further send.
     """
 
     def __init__(self):
         self.arrivals = 0
         self.retries = 0
+        self.has_ended = False
         self._connecting = 0
         self._is_prefill_accepted = False
         self._sent = []
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -23,6 +23,11 @@
     return SentRequest(EndpointState(None), at_s)
 
 
+def is_retry_left(budget, now_s, hosts):
+    """Take a retry for another request; return whether one was left."""
+    return budget.take(now_s, hosts, SendCounter()).is_allowed
+
+
 # Outcomes of sends: not sent, rejected by an endpoint, or accepted as a prefill call.
 OUTCOMES = st.lists(st.sampled_from(["unsent", "rejected", "prefilled"]), max_size=8)
 
@@ -93,7 +98,7 @@
             if action == "requests":
                 budgets[number].on_first_send(now_s, HOSTS)
                 requests_s.append(now_s)
-            if action == "retries" and budgets[number].take(now_s, HOSTS).is_allowed:
+            if action == "retries" and is_retry_left(budgets[number], now_s, HOSTS):
                 retries_s.append(now_s)
     for window_start_s in retries_s:
         window_end_s = window_start_s + WINDOW_S
@@ -108,7 +113,7 @@
     for started_s, now_s in ((-100.0, 0.0), (0.1, 9.9)):
         for _ in range(HOSTS):
             budget = RetryBudget(RATIO, SLACK, WINDOW_S, started_s)
-            while budget.take(now_s, HOSTS).is_allowed:
+            while is_retry_left(budget, now_s, HOSTS):
                 retries += 1
     assert 0 < retries <= SLACK
 
@@ -116,8 +121,8 @@
 def test_host_that_does_not_know_the_number_of_hosts_gets_no_slack():
     """Guards against a host that starts without the store and takes all the slack."""
     budget = RetryBudget(RATIO, SLACK, WINDOW_S, 0.0)
-    assert not budget.take(50.0, 0).is_allowed
-    assert budget.take(60.0, HOSTS).is_allowed
+    assert not is_retry_left(budget, 50.0, 0)
+    assert is_retry_left(budget, 60.0, HOSTS)
 
 
 def status(name, hosts_recorded):
@@ -151,48 +156,49 @@
     assert table.existing_count() == 10
 
 
-def counter_with_retry(*sends):
-    """Return the counter of a request with one retry and these sends."""
+def request_with_retry(budget, *sends):
+    """Take a retry at 0 s for a request that has ended with these sends."""
     counter = SendCounter()
-    counter.retries = 1
+    assert budget.take(0.0, 1, counter).is_allowed
     for send in sends:
         counter.begin()
         counter.on_sent(send)
+    counter.has_ended = True
     return counter
 
 
-def budget_with(*counters):
-    """Return the full budget of one host that follows some requests."""
-    budget = RetryBudget(RATIO, SLACK, WINDOW_S, -100.0)
-    for counter in counters:
-        budget.track(counter)
-    return budget
+def full_budget():
+    """Return the full budget of one host, for 18 retries at 0 s."""
+    return RetryBudget(RATIO, SLACK, WINDOW_S, -100.0)
 
 
 def take_all(budget, now_s, hosts=1):
     """Take retries until none is left; return how many were taken."""
     retries = 0
-    while budget.take(now_s, hosts).is_allowed:
+    while is_retry_left(budget, now_s, hosts):
         retries += 1
     return retries
 
 
 def test_retries_that_links_hold_back_keep_their_places():
     """Retries sent into silent links arrived with those of the next window."""
-    held = [counter_with_retry(sent(), sent()) for _ in range(10)]
-    assert take_all(budget_with(), 1.0) == 18
-    assert take_all(budget_with(*held), 1.0) == 8
-    # The requests are over, but their sends may still arrive.
-    assert take_all(budget_with(*held), 20.0) == 8
+    assert take_all(full_budget(), 1.0) == 18
+    for now_s in (1.0, 20.0):
+        budget = full_budget()
+        for _ in range(10):
+            request_with_retry(budget, sent(), sent())
+        # The requests are over, but their sends may still arrive.
+        assert take_all(budget, now_s) == 8
 
 
 def test_first_send_that_is_held_back_keeps_the_place_of_its_retry():
     """A held first send arrives after its retry, and is the repeat then."""
     first, second = sent(), sent()
     second.on_head_or_lost(True)
-    assert counter_with_retry(first, second).retries_under_way(1.0, 30.0) == 1
+    counter = request_with_retry(full_budget(), first, second)
+    assert counter.retries_under_way(1.0, 30.0) == 1
     first.on_head_or_lost(False)
-    assert counter_with_retry(first, second).retries_under_way(1.0, 30.0) == 0
+    assert counter.retries_under_way(1.0, 30.0) == 0
 
 
 def test_send_is_no_longer_under_way_when_it_has_arrived_or_cannot():
@@ -227,12 +233,14 @@
             if action == "requests":
                 budget.on_first_send(now_s, 1)
                 requests_s.append(now_s)
-            if action == "retries" and budget.take(now_s, 1).is_allowed:
+            counter = SendCounter()
+            if action == "retries" and budget.take(now_s, 1, counter).is_allowed:
                 send = sent(now_s)
                 answered = sent(now_s)
                 answered.on_head_or_lost(True)
-                counter = counter_with_retry(answered, send)
-                budget.track(counter)
+                for each in (answered, send):
+                    counter.begin()
+                    counter.on_sent(each)
                 held.append((now_s, send))
         while action == "deliver" and held:
             sent_s, send = held.pop()
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -26,6 +26,7 @@
     PrefixCacheEstimate,
     RetryBudget,
     RouteTable,
+    SendCounter,
     abandoned_after_s,
     choose_active_hosts,
     choose_endpoint,
@@ -132,7 +133,7 @@
         for budget in budgets:
             budget.on_first_send(now_s, hosts)
             requests += 1
-            retries += budget.take(now_s, hosts).is_allowed
+            retries += budget.take(now_s, hosts, SendCounter()).is_allowed
     assert 0 < retries <= 0.2 * requests + 54
 
 
@@ -140,8 +141,8 @@
     # Hosts are killed repeatedly. If each start added the host's slack again, the
     # retries within a window would exceed the bound.
     budget = RetryBudget(0.2, 54, 10.0, started_s=100.0)
-    assert not budget.take(100.0, 1).is_allowed
-    assert budget.take(105.0, 1).is_allowed
+    assert not budget.take(100.0, 1, SendCounter()).is_allowed
+    assert budget.take(105.0, 1, SendCounter()).is_allowed
 
 
 def test_penalty_decays_and_answers_reduce_it():
