--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -42,6 +42,8 @@
 POLL_S, POLLED_HOSTS = 0.1, 8
 # Time that a host's process takes to load the program, where many load it at once.
 LOADING_S_PER_HOST = 0.12
+# Requests that an engine runs at once.
+ENGINE_SLOTS = 64
 # Heartbeats after whose absence an entry is removed.
 MISSED_HEARTBEATS = 3
 # How long a draining endpoint keeps running; longer than `checks.DRAIN_S`, after which
@@ -96,7 +98,7 @@
         self._lapsed = False
         self._callers = []
         self._crashing_count = 0
-        # Endpoints that are restarting after a crash.
+        # Names of the endpoints that are restarting after a crash.
         self._restarting = set()
         self._tasks = set()
 
@@ -212,8 +214,7 @@
 
     async def close(self):
         """Stop everything that was started; the logs stay."""
-        for caller in self._callers:
-            await caller.close()
+        await asyncio.gather(*(caller.close() for caller in self._callers))
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -291,7 +292,7 @@
             )
         content = sample_configuration(self._version, *routes, *self._extra_routes)
         if self.deployment.has_engines:
-            engines = {"slots": 64, "kv_tokens": 450_000, "link_mbps": 5e5}
+            engines = {"slots": ENGINE_SLOTS, "kv_tokens": 450_000, "link_mbps": 5e5}
             content["services"].append(
                 {
                     "name": ENGINES,
@@ -366,6 +367,15 @@
 
     async def restart_endpoint(self, endpoint, pause_s):
         """Crash an endpoint, and restart it under the same id after a pause."""
+        if endpoint.name in self._restarting:
+            return
+        self._restarting.add(endpoint.name)
+        try:
+            await self._crash_and_start(endpoint, pause_s)
+        finally:
+            self._restarting.discard(endpoint.name)
+
+    async def _crash_and_start(self, endpoint, pause_s):
         number = self.backends.index(endpoint)
         self._crashed_s[endpoint.name] = self.clock()
         await endpoint.close()
@@ -378,13 +388,11 @@
     def _on_content_crash(self, endpoint):
         """Crash an endpoint under the request that it runs, and restart it."""
         if endpoint.name not in self._restarting:
-            self._restarting.add(endpoint.name)
-            self.spawn(self._crash_and_restart(endpoint))
+            self.spawn(self._restart_crashed(endpoint))
 
-    async def _crash_and_restart(self, endpoint):
+    async def _restart_crashed(self, endpoint):
         began_s = self.clock()
         await self.restart_endpoint(endpoint, CRASHED_FOR_S)
-        self._restarting.discard(endpoint.name)
         span = ("endpoint_restart", endpoint.name, began_s, self.clock())
         self.records.spans.append(span)
 
@@ -492,7 +500,7 @@
                 service=endpoint.service,
             )
             if endpoint.stage is not None:
-                content["stage"] = endpoint.stage
+                content |= {"stage": endpoint.stage, "slots": ENGINE_SLOTS}
             self.store.put("servers", endpoint.name, content)
 
     def _remove_entry(self, name):
