Keep a retry's place when the entry of its endpoint lapses

Callers saw nothing; endpoints may get more repeats than the operator allows. Cause: a missing entry was taken for the proof that the endpoint gets nothing any more. A paused endpoint loses its entry after three heartbeats, and reads what its kernel has taken once it goes on; each lapse freed the places of what was held back. Class: an inference from the absence of news, which doesn't bound what it stands for.

Change: DeliveryRecord, one for each incarnation, tells whether sends may still arrive. It outlives the entry, so that an answer after the entry's return counts for earlier sends too; only another incarnation in the endpoint's place ends it.

Evidence: test_send_to_an_endpoint_whose_entry_lapsed_keeps_its_place fails if a lapsed entry ends the record, as it did before. An assertion of test_send_is_no_longer_under_way_when_it_has_arrived_or_cannot encoded the fault (is_gone by a missing entry); it holds for a replaced incarnation now.

--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -79,7 +79,7 @@
             run.on_unsent()
         raise
     exchange.last_sent_s = context.clock()
-    sent = SentRequest(state, exchange.last_sent_s)
+    sent = SentRequest(state.delivery, exchange.last_sent_s)
     exchange.send_counter.on_sent(sent)
     if exchange.send_counter.repeats:
         exchange.log(
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -68,7 +68,12 @@
 from gypsumusher_routing.retry_budget import RetryBudget, RetryDecision
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.run_account import PossibleRun, RunAccount
-from gypsumusher_routing.send_counter import SendCounter, SendFate, SentRequest
+from gypsumusher_routing.send_counter import (
+    DeliveryRecord,
+    SendCounter,
+    SendFate,
+    SentRequest,
+)
 from gypsumusher_routing.service_choice import choose_endpoint
 from gypsumusher_routing.stage_order import (
     ASK,
@@ -125,6 +130,7 @@
     "CrashedRun",
     "CrashingContent",
     "EndpointLimits",
+    "DeliveryRecord",
     "EndpointState",
     "EndpointTable",
     "EnginePool",
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -6,6 +6,7 @@
 from gypsumusher_routing.estimates import RunningQuantile, Slowdown
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
+from gypsumusher_routing.send_counter import DeliveryRecord
 from gypsumusher_routing.urgency import LANES
 
 __all__ = ["EndpointState", "Load", "OrderedStage"]
@@ -77,10 +78,18 @@
         The endpoint's entry in the store.
     kv_tokens : int
         Number of tokens that fit into its KV memory.
+    delivery : DeliveryRecord or None
+        What is known of earlier sends to this incarnation; by default nothing.
     """
 
-    def __init__(self, record: EndpointRecord, kv_tokens: int = DEFAULT_KV_TOKENS):
+    def __init__(
+        self,
+        record: EndpointRecord,
+        kv_tokens: int = DEFAULT_KV_TOKENS,
+        delivery: DeliveryRecord | None = None,
+    ):
         self.record = record
+        self.delivery = DeliveryRecord() if delivery is None else delivery
         self.health = Health()
         self.prefixes = PrefixCacheEstimate(kv_tokens)
         self.own_running = 0
@@ -93,8 +102,6 @@
         self._peers = {}
         self.slowdown = Slowdown()
         self._answered_s = float("-inf")
-        # When the newest send that has been answered was sent.
-        self.answered_send_s = float("-inf")
         # Set once the entry is gone, or is that of another incarnation.
         self.is_gone = False
         self._event_gap_ratio = RunningQuantile(
@@ -155,10 +162,6 @@
             self.is_address_taken = False
         self.record = record
 
-    def on_send_answered(self, sent_s: float) -> None:
-        """Record that the endpoint has answered what was sent at a time."""
-        self.answered_send_s = max(self.answered_send_s, sent_s)
-
     def on_answer_bytes(self, now_s: float) -> None:
         """Record that the endpoint sent bytes of an answer to any request."""
         self._answered_s = now_s
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -6,8 +6,11 @@
 restore an older entry, in which a draining endpoint is still ready.
 """
 
+from weakref import WeakValueDictionary
+
 from gypsumusher_ports import EndpointRecord
 from gypsumusher_routing.endpoint_state import DEFAULT_KV_TOKENS, EndpointState
+from gypsumusher_routing.send_counter import DeliveryRecord
 
 __all__ = ["EndpointTable"]
 
@@ -31,6 +34,8 @@
         self._grace_until_s = 0.0
         self._kv_tokens = {}
         self._endpoints_by_peer = {}
+        # By incarnation and address, for as long as sends may be under way there.
+        self._deliveries = WeakValueDictionary()
         # Revision of each change after a base revision, for peers. The base is that of
         # the last full list, or later once removed ids were forgotten.
         self._base_revision = None
@@ -248,8 +253,11 @@
         if state is None or not _is_same_incarnation(state.record, record):
             if state is not None:
                 state.is_gone = True
+                state.delivery.has_ended = True
             kv_tokens = self._kv_tokens.get(record.service, DEFAULT_KV_TOKENS)
-            self.states[record.endpoint_id] = EndpointState(record, kv_tokens)
+            self.states[record.endpoint_id] = EndpointState(
+                record, kv_tokens, self._delivery_to(record)
+            )
             return True
         known = state.record
         if record.heartbeat_count < known.heartbeat_count:
@@ -259,6 +267,14 @@
         state.on_record(record)
         return record != known._replace(heartbeat_count=record.heartbeat_count)
 
+    def _delivery_to(self, record):
+        """Return the delivery record of an incarnation, also after its entry lapsed."""
+        key = (record.incarnation, record.address)
+        delivery = self._deliveries.get(key)
+        if delivery is None:
+            delivery = self._deliveries[key] = DeliveryRecord()
+        return delivery
+
     def _mark_missing(self, now_s, endpoint_id):
         """Mark an endpoint as missing, and drop it unless a grace period runs."""
         self._missing_since_s.setdefault(endpoint_id, now_s)
--- a/libs/routing/gypsumusher_routing/send_counter.py
+++ b/libs/routing/gypsumusher_routing/send_counter.py
@@ -7,9 +7,7 @@
 
 from enum import Enum
 
-from gypsumusher_routing.endpoint_state import EndpointState
-
-__all__ = ["SendCounter", "SendFate", "SentRequest"]
+__all__ = ["DeliveryRecord", "SendCounter", "SendFate", "SentRequest"]
 
 
 class SendFate(Enum):
@@ -24,7 +22,7 @@
     LOST
         Its connection was lost.
     GONE
-        The entry of its endpoint is gone.
+        Another incarnation has taken the endpoint's place.
     OVERTAKEN
         The endpoint has answered a later send.
     EXPIRED
@@ -39,19 +37,42 @@
     EXPIRED = "expired"
 
 
+class DeliveryRecord:
+    """What tells whether sends to one incarnation of an endpoint may still arrive.
+
+    It outlives the endpoint's entry. A paused endpoint loses its entry, and gets what
+    was sent to it once it goes on.
+
+    Attributes
+    ----------
+    answered_send_s : float
+        When the newest send that has been answered was sent, in seconds.
+    has_ended : bool
+        Whether another incarnation has taken the endpoint's place.
+    """
+
+    def __init__(self):
+        self.answered_send_s = float("-inf")
+        self.has_ended = False
+
+    def on_answered(self, sent_s: float) -> None:
+        """Record that the endpoint has answered what was sent at a time."""
+        self.answered_send_s = max(self.answered_send_s, sent_s)
+
+
 class SentRequest:
     """One send of a request, which may still be on its way to its endpoint.
 
     Parameters
     ----------
-    state : EndpointState
-        The endpoint.
+    delivery : DeliveryRecord
+        That of the endpoint.
     sent_s : float
         When the first byte was sent, in seconds.
     """
 
-    def __init__(self, state: EndpointState, sent_s: float):
-        self._state = state
+    def __init__(self, delivery: DeliveryRecord, sent_s: float):
+        self._delivery = delivery
         self._sent_s = sent_s
         self._end = None
 
@@ -59,13 +80,14 @@
         """Record that the response has begun, or that the connection was lost."""
         self._end = SendFate.ANSWERED if has_head else SendFate.LOST
         if has_head:
-            self._state.on_send_answered(self._sent_s)
+            self._delivery.on_answered(self._sent_s)
 
     def fate(self, now_s: float, longest_s: float) -> SendFate:
         """Return whether the endpoint may still receive this send, or why not.
 
-        It can't if its connection was lost to the endpoint, or if the endpoint is gone.
-        It has if the endpoint has answered a later send over the same link.
+        It can't if its connection was lost to the endpoint, or if the endpoint's
+        process has ended, of which a missing entry is no proof. It has if the endpoint
+        has answered a later send over the same link.
 
         Parameters
         ----------
@@ -76,9 +98,9 @@
         """
         if self._end is not None:
             return self._end
-        if self._state.is_gone:
+        if self._delivery.has_ended:
             return SendFate.GONE
-        if self._state.answered_send_s > self._sent_s:
+        if self._delivery.answered_send_s > self._sent_s:
             return SendFate.OVERTAKEN
         if now_s - self._sent_s > longest_s:
             return SendFate.EXPIRED
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -2,10 +2,12 @@
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
+from samples import engine
 
 from gypsumusher_routing import (
     ABSENT_FOR_S,
-    EndpointState,
+    DeliveryRecord,
+    EndpointTable,
     HostStatus,
     HostTable,
     RetryBudget,
@@ -20,7 +22,7 @@
 
 def sent(at_s=0.0):
     """Return a send to an endpoint of its own."""
-    return SentRequest(EndpointState(None), at_s)
+    return SentRequest(DeliveryRecord(), at_s)
 
 
 def is_retry_left(budget, now_s, hosts):
@@ -203,10 +205,10 @@
 
 def test_send_is_no_longer_under_way_when_it_has_arrived_or_cannot():
     """Requests to an endpoint that had answered since kept back all retries."""
-    slow, gone, held = (EndpointState(None) for _ in range(3))
-    sends = [SentRequest(state, 5.0) for state in (slow, gone, held)]
+    slow, ended, held = (DeliveryRecord() for _ in range(3))
+    sends = [SentRequest(delivery, 5.0) for delivery in (slow, ended, held)]
     SentRequest(slow, 5.1).on_head_or_lost(True)
-    gone.is_gone = True
+    ended.has_ended = True
     # An answer to an earlier send tells nothing of a later one.
     SentRequest(held, 4.9).on_head_or_lost(True)
     under_way = SendFate.UNDER_WAY
@@ -214,6 +216,21 @@
     assert [s.fate(35.1, 30.0) is under_way for s in sends] == [False, False, False]
 
 
+def test_send_to_an_endpoint_whose_entry_lapsed_keeps_its_place():
+    """Retries sent to paused endpoints were forgotten when the entries lapsed."""
+    table = EndpointTable()
+    record = engine("e-1").record
+    table.on_record(record, 1)
+    send = SentRequest(table.states["e-1"].delivery, 5.0)
+    table.on_deleted(6.0, "e-1", 2)
+    assert not table.states
+    assert send.fate(7.0, 30.0) is SendFate.UNDER_WAY
+    # The endpoint goes on, and has read its connections when it answers again.
+    table.on_record(record, 3)
+    SentRequest(table.states["e-1"].delivery, 8.0).on_head_or_lost(True)
+    assert send.fate(9.0, 30.0) is SendFate.OVERTAKEN
+
+
 HELD_STEPS = st.lists(
     st.tuples(st.floats(0.0, 2.0), st.sampled_from(["requests", "retries", "deliver"])),
     max_size=60,
