Keep a retry's place when its connection is lost while its endpoint lives

Callers saw nothing; endpoints may get more repeats than the operator allows. Cause: a lost connection was taken for the proof that the send can't arrive. The bytes may have left: a firewall or proxy that resets the hosts' side alone, or a paused endpoint, delivers them later.

Change: a send whose connection was lost is under way until its endpoint has answered a later one, has lost its entry too, or has been replaced. A crashed endpoint loses its entry within three heartbeats, which is how long a place is held for nothing.

Evidence: test_send_whose_connection_was_lost_keeps_its_place_while_its_endpoint_lives fails if a lost connection ends a send, as it did before. The last assertion of test_first_send_that_is_held_back_keeps_the_place_of_its_retry used a lost connection for what an answer shows; it does so with an answer now. Suspected only for the reported case.

--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -227,6 +227,7 @@
             state = self.states.pop(endpoint_id, None)
             if state is not None:
                 state.is_gone = True
+                state.delivery.is_listed = False
             dropped.append(endpoint_id)
         return dropped
 
@@ -273,6 +274,7 @@
         delivery = self._deliveries.get(key)
         if delivery is None:
             delivery = self._deliveries[key] = DeliveryRecord()
+        delivery.is_listed = True
         return delivery
 
     def _mark_missing(self, now_s, endpoint_id):
--- a/libs/routing/gypsumusher_routing/send_counter.py
+++ b/libs/routing/gypsumusher_routing/send_counter.py
@@ -20,7 +20,7 @@
     ANSWERED
         Its response has begun.
     LOST
-        Its connection was lost.
+        Its connection was lost, and the entry of its endpoint is gone.
     GONE
         Another incarnation has taken the endpoint's place.
     OVERTAKEN
@@ -47,12 +47,15 @@
     ----------
     answered_send_s : float
         When the newest send that has been answered was sent, in seconds.
+    is_listed : bool
+        Whether the endpoint has an entry.
     has_ended : bool
         Whether another incarnation has taken the endpoint's place.
     """
 
     def __init__(self):
         self.answered_send_s = float("-inf")
+        self.is_listed = True
         self.has_ended = False
 
     def on_answered(self, sent_s: float) -> None:
@@ -74,20 +77,21 @@
     def __init__(self, delivery: DeliveryRecord, sent_s: float):
         self._delivery = delivery
         self._sent_s = sent_s
-        self._end = None
+        self._is_answered = self._is_lost = False
 
     def on_head_or_lost(self, has_head: bool) -> None:
         """Record that the response has begun, or that the connection was lost."""
-        self._end = SendFate.ANSWERED if has_head else SendFate.LOST
+        self._is_answered, self._is_lost = has_head, not has_head
         if has_head:
             self._delivery.on_answered(self._sent_s)
 
     def fate(self, now_s: float, longest_s: float) -> SendFate:
         """Return whether the endpoint may still receive this send, or why not.
 
-        It can't if its connection was lost to the endpoint, or if the endpoint's
-        process has ended, of which a missing entry is no proof. It has if the endpoint
-        has answered a later send over the same link.
+        It can't if the endpoint's process has ended. Neither a missing entry nor a lost
+        connection proves that alone: a paused endpoint loses its entry, and a firewall
+        or proxy may reset this host's side only. It has if the endpoint has answered a
+        later send over the same link.
 
         Parameters
         ----------
@@ -96,12 +100,14 @@
         longest_s : float
             Time after which no send is taken to be under way, in seconds.
         """
-        if self._end is not None:
-            return self._end
+        if self._is_answered:
+            return SendFate.ANSWERED
         if self._delivery.has_ended:
             return SendFate.GONE
         if self._delivery.answered_send_s > self._sent_s:
             return SendFate.OVERTAKEN
+        if self._is_lost and not self._delivery.is_listed:
+            return SendFate.LOST
         if now_s - self._sent_s > longest_s:
             return SendFate.EXPIRED
         return SendFate.UNDER_WAY
