--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -276,3 +276,13 @@
     violations, counts = run_seed(seed, plan, deployment)
     assert not violations, violations
     assert counts["served"] > 100
+
+
+@pytest.mark.processes
+def test_sixty_nine_hosts_with_all_kinds_of_trouble_cause_no_violation():
+    """Guards against bounds over all hosts that hold only where hosts are few."""
+    deployment = DEPLOYMENTS["sixty-nine-hosts"]
+    plan = draw_plan(13, 8.0, deployment.fault_kinds, deployment.fault_rate)
+    violations, counts = run_seed(13, plan, deployment)
+    assert not violations, violations
+    assert counts["served"] > 0.3 * counts["requests"] > 100
