--- a/soak/callers.py
+++ b/soak/callers.py
@@ -33,6 +33,8 @@
 # problem "late".
 TIMEOUT_MARGIN_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
+# Share of the requests that are of the favoured kind, if there is one.
+FAVOURED_SHARE = 0.5
 # How often a caller that doesn't wait repeats a request that failed.
 IMPATIENT_REPEATS = 3
 
@@ -45,7 +47,7 @@
     rate : float
         Multiple of the usual rate of requests.
     favoured_kind : str or None
-        Kind of half of the requests; None for the usual kinds alone.
+        Kind of `FAVOURED_SHARE` of the requests; None for the usual kinds alone.
     repeating_share : float
         Share of failed requests that are sent again at once, as new requests.
     leaving_share : float
@@ -117,8 +119,9 @@
             interval_s = self._rng.uniform(*self._deployment.request_interval_s)
             await asyncio.sleep(interval_s / self._demand.rate)
             kind = self._rng.choice(self._deployment.request_kinds)
-            if self._demand.favoured_kind and self._rng.random() < 0.5:
-                kind = self._demand.favoured_kind
+            favoured_kind = self._demand.favoured_kind
+            if favoured_kind and self._rng.random() < FAVOURED_SHARE:
+                kind = favoured_kind
             request = asyncio.ensure_future(self._request_and_repeat(kind))
             self._requests.add(request)
             request.add_done_callback(self._forget)
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -77,8 +77,7 @@
         for `GREY_SHARE` of the requests), ``hang`` (no response), ``break`` (response
         cut off in the body), ``lose`` (runs `LOST_SHARE` of the requests and closes the
         connection without a response), ``full`` (rejects every request with status 503
-        and ``X-Gypsumusher-Not-Run``), ``busy`` (rejects `BUSY_SHARE` of them) or
-        ``shed`` (rejects `GREY_SHARE` of them).
+        and ``X-Gypsumusher-Not-Run``) or ``busy`` (rejects `BUSY_SHARE` of them).
     handle_ttl_s : float
         How long the engine keeps the KV cache of a prompt.
     is_transfer_slow : bool
@@ -202,8 +201,6 @@
         mode = self.mode
         if mode == "busy":
             mode = "full" if self._rng.random() < BUSY_SHARE else "well"
-        elif mode == "shed":
-            mode = "full" if self._rng.random() < GREY_SHARE else "well"
         elif mode == "grey":
             mode = "errors" if self._rng.random() < GREY_SHARE else "well"
         elif mode == "lose":
