Count runs in the soak's usage check when they begin, standstills allowed for

Engines also recorded a run when the request arrived, not with its first token, from which hosts count.

Change: engines record a run with its first token; a run may count for an earlier window by as much as the recorded standstills before it. A test shows both sides of the bound.

--- a/soak/account_checks.py
+++ b/soak/account_checks.py
@@ -9,6 +9,9 @@
 KEY_EFFECT_S = 4.0
 # Time that a request may take from its first event at the endpoint to its count.
 COUNT_SLACK_S = 0.5
+# Time before a run within which the soak's process may have delayed it by a standstill:
+# the host counts when it sends, and the endpoint is in the soak's process.
+STALL_SPAN_S = 3.0
 
 
 def find_account_violations(records, ends_s):
@@ -81,7 +84,8 @@
                 run.request_id
                 for run in records.account_runs
                 if run.account == account
-                and begin_s - COUNT_SLACK_S <= run.at_s <= end_s + COUNT_SLACK_S
+                and begin_s - COUNT_SLACK_S <= run.at_s
+                and run.at_s - _delay_s(records, run) <= end_s + COUNT_SLACK_S
             }
             if number > len(began):
                 yield f"window {window}: {number} of {account}, {len(began)} began"
@@ -94,6 +98,11 @@
             yield f"window {window} was not reported"
 
 
+def _delay_s(records, run):
+    """Return by how much the soak's own standstills may have delayed a run."""
+    return records.stalled_s(run.at_s - STALL_SPAN_S, run.at_s)
+
+
 def _is_disturbed(records, begin_s, end_s):
     """Return whether any fault overlaps a span of time."""
     return any(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -100,7 +100,7 @@
         return found
     took_s = outcome.ended_s - outcome.sent_s
     limit_s = deadline_s(outcome.kind) + RESPONSE_SLACK_S
-    if took_s - _stalled_s(records, outcome) > limit_s:
+    if took_s - records.stalled_s(outcome.sent_s, outcome.ended_s) > limit_s:
         found.append(f"no response within {took_s:.2f} s")
     is_idle_close = not runs and took_s <= IDLE_CLOSE_RACE_S
     if outcome.problem == "cut" and not (is_idle_close or _is_held(records, outcome)):
@@ -110,14 +110,6 @@
     return found
 
 
-def _stalled_s(records, outcome):
-    """Return for how long the caller of a request itself stood still meanwhile."""
-    return sum(
-        max(0.0, min(to_s, outcome.ended_s) - max(from_s, outcome.sent_s))
-        for from_s, to_s in records.stalls
-    )
-
-
 def _is_disturbed(records, host, began_s, ended_s):
     """Return whether a host was killed or paused around a span of time."""
     for kind, target, from_s, to_s in records.spans:
--- a/soak/records.py
+++ b/soak/records.py
@@ -223,6 +223,13 @@
         self.began_unix_s = 0.0
         self.stalls = []
 
+    def stalled_s(self, began_s, ended_s):
+        """Return for how long the soak's process stood still within a span of time."""
+        return sum(
+            max(0.0, min(to_s, ended_s) - max(from_s, began_s))
+            for from_s, to_s in self.stalls
+        )
+
 
 def deadline_s(kind):
     """Return how long callers wait for a response to a kind of request."""
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -168,11 +168,13 @@
             writer.write(self._encode(request_id, body))
             return
         self._records.arrivals.append(arrival)
-        if self._records.keys:
-            account = headers.get("x-gypsumusher-tenant")
-            has_key = "x-gypsumusher-key" in headers
-            self._records.account_runs.append(AccountRun(*arrival, account, has_key))
+        if self.stage is None:
+            self._record_account(arrival, headers)
         await self._work(headers)
+        if self.stage is not None:
+            # An engine begins to run a request with its first token.
+            began = arrival._replace(at_s=self._clock())
+            self._record_account(began, headers)
         if path.startswith(CRASHING_PREFIX):
             self._records.crashes.append(arrival)
             self.on_crash(self)
@@ -196,6 +198,13 @@
         writer.write(response)
         await writer.drain()
 
+    def _record_account(self, began, headers):
+        """Record whose request begins to run, where callers have accounts."""
+        if self._records.keys:
+            account = headers.get("x-gypsumusher-tenant")
+            has_key = "x-gypsumusher-key" in headers
+            self._records.account_runs.append(AccountRun(*began, account, has_key))
+
     def _draw_mode(self):
         """Return the mode in which to respond to one request."""
         mode = self.mode
--- a/soak/tests/test_account_checks.py
+++ b/soak/tests/test_account_checks.py
@@ -88,3 +88,14 @@
 def test_violation_is_reported(changes, problem):
     found = list(find_account_violations(records_of(**changes), ENDS_S))
     assert any(problem in line for line in found), found
+
+
+def test_run_counts_for_the_window_before_a_standstill_of_the_soak():
+    """An endpoint read what was sent in the window before only after it."""
+    run = AccountRun("r-1", "e-0", 4.7, "shop", False)
+    records = records_of(account_runs=[run])
+    assert list(find_account_violations(records, ENDS_S))
+    records.stalls = [(3.9, 4.0)]
+    assert list(find_account_violations(records, ENDS_S))
+    records.stalls.append((4.1, 4.6))
+    assert list(find_account_violations(records, ENDS_S)) == []
