Wait for the end of a request in the test of an account's priority

Cause: the host logs the end of a request after it has sent the response; the test waited for one turn of the loop, in which its client may read the response first.

Change: it waits for the line.

--- a/libs/entry/tests/test_client_accounts.py
+++ b/libs/entry/tests/test_client_accounts.py
@@ -139,9 +139,10 @@
     async def scenario():
         async with Accounts() as harness:
             await harness.status("key-1")
-            await asyncio.sleep(0)
-            ended = [f for event, f in harness.log_lines if event == "request_ended"]
-            assert (ended[-1]["rank"], ended[-1]["account"]) == (3, "shop")
+            # The host logs the end of a request after it has sent the response.
+            await until(lambda: "request_ended" in dict(harness.log_lines))
+            ended = dict(harness.log_lines)["request_ended"]
+            assert (ended["rank"], ended["account"]) == (3, "shop")
 
     run(scenario())
 
