--- a/soak/injection.py
+++ b/soak/injection.py
@@ -182,7 +182,7 @@
 
 
 async def _endpoints_released(system, target, duration_s):
-    """Replace a share of the engines one after the other."""
+    """Replace a share of the endpoints one after the other."""
     chosen = _choose(system.backends, RELEASED_SHARE, target)
     chosen = chosen[: max(1, int(duration_s / STEP_S))]
     await _in_turn(system, "endpoint_leave", chosen, STEP_S)
