Share the setting of attributes and the choice of a zone among the soak's faults

Found on a second reading: nine faults set an attribute, wait and set it back, each with its own loop, and two chose the components of a zone alike. _set_for and _in_zone serve them all. No fault behaves otherwise.

--- a/soak/injection.py
+++ b/soak/injection.py
@@ -111,9 +111,7 @@
     """Return a fault that puts an endpoint into a failure mode."""
 
     async def apply(system, endpoint, duration_s):
-        endpoint.mode = mode
-        await asyncio.sleep(duration_s)
-        endpoint.mode = "well"
+        await _set_for(duration_s, [endpoint], "mode", mode, "well")
 
     return apply
 
@@ -157,6 +155,21 @@
     return random.Random(target).sample(range(len(components)), count)
 
 
+def _in_zone(system, components, target):
+    """Return the numbers of the components in one zone."""
+    zones = system.deployment.zones
+    return [n for n in range(len(components)) if n % zones == target % zones]
+
+
+async def _set_for(duration_s, components, name, value, usual):
+    """Set an attribute of components for some time."""
+    for component in components:
+        setattr(component, name, value)
+    await asyncio.sleep(duration_s)
+    for component in components:
+        setattr(component, name, usual)
+
+
 def _for_share(kind, list_name, share):
     """Return a fault that applies another kind to a share of a list's components."""
 
@@ -190,11 +203,10 @@
 
 async def _zone_reclaimed(system, target, duration_s):
     """Let all engines of a zone leave at once."""
-    zones = system.deployment.zones
     chosen = [
         number
-        for number, endpoint in enumerate(system.backends)
-        if number % zones == target % zones and endpoint.service == ENGINES
+        for number in _in_zone(system, system.backends, target)
+        if system.backends[number].service == ENGINES
     ]
     faults = [Fault(0.0, duration_s, "endpoint_leave", n) for n in chosen]
     await _inject_all(system, faults)
@@ -222,26 +234,19 @@
 
 async def _zone_lossy(system, target, duration_s):
     """Lose messages of all hosts in a zone, and send again what they sent the store."""
-    zones = system.deployment.zones
-    chosen = [n for n in range(len(system.hosts)) if n % zones == target % zones]
+    chosen = _in_zone(system, system.hosts, target)
     hosts = [system.hosts[number] for number in chosen]
     links = [system.store_links[number] for number in chosen]
-    for host, link in zip(hosts, links, strict=True):
+    for host in hosts:
         host.set_loss(LOSS_SHARE)
-        link.delay_s = LINK_DELAY_S
-    await asyncio.sleep(duration_s)
-    for host, link in zip(hosts, links, strict=True):
+    await _set_for(duration_s, links, "delay_s", LINK_DELAY_S, 0.0)
+    for host in hosts:
         host.set_loss(0.0)
-        link.delay_s = 0.0
 
 
 async def _store_slow(system, _, duration_s):
     links = list(system.store_links)
-    for link in links:
-        link.delay_s = STORE_DELAY_S
-    await asyncio.sleep(duration_s)
-    for link in links:
-        link.delay_s = 0.0
+    await _set_for(duration_s, links, "delay_s", STORE_DELAY_S, 0.0)
 
 
 async def _endpoint_flap(system, endpoint, duration_s):
@@ -263,11 +268,7 @@
     async def apply(system, target, duration_s):
         chosen = _choose(system.backends, TRANSFERS_SHARE, target)
         endpoints = [system.backends[number] for number in chosen]
-        for endpoint in endpoints:
-            setattr(endpoint, name, value)
-        await asyncio.sleep(duration_s)
-        for endpoint in endpoints:
-            setattr(endpoint, name, usual)
+        await _set_for(duration_s, endpoints, name, value, usual)
 
     return apply
 
@@ -276,9 +277,7 @@
     """Return a fault that changes what callers ask for."""
 
     async def apply(system, _, duration_s):
-        setattr(system.demand, name, value)
-        await asyncio.sleep(duration_s)
-        setattr(system.demand, name, usual)
+        await _set_for(duration_s, [system.demand], name, value, usual)
 
     return apply
 
@@ -293,15 +292,11 @@
 
 
 async def _link_delay(system, link, duration_s):
-    link.delay_s = LINK_DELAY_S
-    await asyncio.sleep(duration_s)
-    link.delay_s = 0.0
+    await _set_for(duration_s, [link], "delay_s", LINK_DELAY_S, 0.0)
 
 
 async def _host_store_weak(system, link, duration_s):
-    link.bytes_per_s = LIMITED_BYTES_PER_S
-    await asyncio.sleep(duration_s)
-    link.bytes_per_s = None
+    await _set_for(duration_s, [link], "bytes_per_s", LIMITED_BYTES_PER_S, None)
 
 
 async def _link_reset(system, link, duration_s):
