Log how streams of endpoints end

The incident's hypotheses differ in the framing of the endpoint's response, in how its connection ended and in what was left over of an event; no line told any of them. stream_ended says so for each stream that ends with its connection or within an event, and send_failed has is_reset for a connection that was lost with an error.

--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -218,6 +218,7 @@
         step=error.step,
         endpoint=state.record.endpoint_id,
         reason=error.reason,
+        is_reset=error.is_reset or None,
         may_have_run=error.may_have_run,
         penalty=round(state.health.penalty(now_s), 2),
         since_send_ms=_since_send_ms(exchange, error, now_s),
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -241,6 +241,15 @@
             for event in splitter.feed(data):
                 self._forward_event(head, event, run)
             await exchange.reply.drain()
+        if response.ends_with_connection or splitter.incomplete_bytes:
+            exchange.log(
+                "info",
+                "stream_ended",
+                endpoint=run.state.record.endpoint_id,
+                ends_with_connection=response.ends_with_connection,
+                incomplete_bytes=splitter.incomplete_bytes,
+                events=exchange.event_count,
+            )
         if not exchange.reply.is_started:
             exchange.reply.start(head.status, head.headers)
         exchange.reply.end()
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -42,11 +42,18 @@
         Connection on which the request was sent.
     request_id : str or None
         Id that the response must carry; with None, any response fits.
+
+    Attributes
+    ----------
+    ends_with_connection : bool
+        Whether the response has neither a length nor chunks, so that the end of its
+        connection ends it.
     """
 
     def __init__(self, connection, request_id):
         self.request_id = request_id
         self.is_complete = False
+        self.ends_with_connection = False
         self._connection = connection
         self._head = asyncio.get_running_loop().create_future()
         # Retrieves the exception, since no task may await the head when the connection
@@ -158,6 +165,7 @@
         self._skipped_responses = 0
         self._is_skipping_response = False
         self._ends_at_eof = False
+        self._is_reset = False
         self._is_unusable = False
 
     @property
@@ -229,9 +237,11 @@
         sock = self._transport.get_extra_info("socket")
         if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self._ends_at_eof = False
+            self._is_reset = True
 
     def connection_lost(self, error):
         self._transport = None
+        self._is_reset = self._is_reset or error is not None
         self._pool.discard(self)
         if self._response is None or self._response.is_complete:
             return
@@ -301,12 +311,13 @@
             elif key == "keep-alive":
                 self.idle_timeout_s = _parse_idle_timeout_s(value)
         self._ends_at_eof = not has_length
+        self._response.ends_with_connection = self._ends_at_eof
         if self._ends_at_eof:
             self._is_unusable = False
 
     def _fail(self, reason):
         """Fail the current response; the endpoint may have run the request."""
-        error = CallError("run", self.address, reason, True)
+        error = CallError("run", self.address, reason, True, self._is_reset)
         self._response.on_failed(error)
 
 
--- a/libs/http/gypsumusher_http/errors.py
+++ b/libs/http/gypsumusher_http/errors.py
@@ -19,11 +19,14 @@
         `gypsumusher_routing.Health` rates endpoints by these reasons.
     may_have_run : bool
         Whether the other process may have run the call, or may still run it.
+    is_reset : bool
+        Whether the connection was lost with an error, not by a regular end.
     """
 
-    def __init__(self, step, peer, reason, may_have_run):
+    def __init__(self, step, peer, reason, may_have_run, is_reset=False):
         super().__init__(f"step={step} peer={peer} reason={reason}")
         self.step = step
         self.peer = peer
         self.reason = reason
         self.may_have_run = may_have_run
+        self.is_reset = is_reset
--- a/libs/routing/gypsumusher_routing/events.py
+++ b/libs/routing/gypsumusher_routing/events.py
@@ -42,6 +42,11 @@
     def __init__(self):
         self._incomplete = b""
 
+    @property
+    def incomplete_bytes(self):
+        """Size of the incomplete event that is held back."""
+        return len(self._incomplete)
+
     def feed(self, data):
         """Return the events that are complete with the next bytes.
 
