Take a stream that ends within an event as broken off

Callers got a stream that its engine had broken off as complete: 200, signed, its last chunk sent, the events after the break missing.

Cause: the end of the endpoint's connection, or its last chunk, counted as the end of the stream, whatever the splitter still held of an incomplete event. Evidence: a stream without length that ends within an event by FIN was passed on as complete, by RST not (the tests).

Now the events decide: a stream that ends within an event, or with its connection before any event, is a failed send, which aborts the caller's response or resumes the stream. Line ends after the last event begin none, and are passed on.

--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -241,17 +241,10 @@
             for event in splitter.feed(data):
                 self._forward_event(head, event, run)
             await exchange.reply.drain()
-        if response.ends_with_connection or splitter.incomplete_bytes:
-            exchange.log(
-                "info",
-                "stream_ended",
-                endpoint=run.state.record.endpoint_id,
-                ends_with_connection=response.ends_with_connection,
-                incomplete_bytes=splitter.incomplete_bytes,
-                events=exchange.event_count,
-            )
+        self._check_end(response, run, splitter)
         if not exchange.reply.is_started:
             exchange.reply.start(head.status, head.headers)
+        exchange.reply.write(splitter.incomplete)
         exchange.reply.end()
         if self._is_generation() and exchange.event_count:
             exchange.tokens_per_event.learn(
@@ -259,6 +252,28 @@
             )
         exchange.outcome = f"{head.status}:streamed"
 
+    def _check_end(self, response, run, splitter):
+        """Raise CallError if a response has ended before its stream.
+
+        The end of a connection alone doesn't show that a stream is complete: an
+        endpoint that breaks off may close it like one that is done.
+        """
+        is_cut = splitter.is_within_event or (
+            response.ends_with_connection and not run.has_started
+        )
+        if response.ends_with_connection or is_cut:
+            self._exchange.log(
+                "info",
+                "stream_ended",
+                endpoint=run.state.record.endpoint_id,
+                ends_with_connection=response.ends_with_connection,
+                incomplete_bytes=len(splitter.incomplete),
+                events=self._exchange.event_count,
+                is_cut=is_cut,
+            )
+        if is_cut:
+            raise CallError("run", run.state.record.address, "broken", True)
+
     async def _await_head(self, response, run):
         """Return the response head; abandon a silent engine if the route allows it."""
         route = self._exchange.route
--- a/libs/routing/gypsumusher_routing/events.py
+++ b/libs/routing/gypsumusher_routing/events.py
@@ -43,9 +43,14 @@
         self._incomplete = b""
 
     @property
-    def incomplete_bytes(self):
-        """Size of the incomplete event that is held back."""
-        return len(self._incomplete)
+    def incomplete(self):
+        """Bytes after the last complete event, which are held back."""
+        return self._incomplete
+
+    @property
+    def is_within_event(self):
+        """Whether an event has begun that isn't complete; blank lines begin none."""
+        return bool(self._incomplete.strip(b"\r\n"))
 
     def feed(self, data):
         """Return the events that are complete with the next bytes.
