End events of streams at any line end

Cause: the splitter looked for two line feeds; the format of server-sent events allows three line ends. Found while looking for kin of the streams cut short.

--- a/libs/entry/tests/test_streams_cut_short.py
+++ b/libs/entry/tests/test_streams_cut_short.py
@@ -106,3 +106,18 @@
         assert await ask_stream(stream_once(FIRST, SECOND)) == (200, FIRST + SECOND)
 
     run(scenario())
+
+
+# Guards against events with other line ends, which were held back until the end of the
+# stream and dropped there.
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+@pytest.mark.parametrize("framing", [WITHOUT_LENGTH, CHUNKED])
+def test_stream_with_other_line_ends_is_passed_on_whole(framing, line_end):
+    async def scenario():
+        events = [event.replace(b"\n", line_end) for event in (FIRST, SECOND)]
+        body = b"".join(events)
+        # Two bytes at a time, so that line ends are split between reads.
+        pieces = [body[at : at + 2] for at in range(0, len(body), 2)]
+        assert await ask_stream(stream_once(*pieces, framing=framing)) == (200, body)
+
+    run(scenario())
--- a/libs/routing/gypsumusher_routing/events.py
+++ b/libs/routing/gypsumusher_routing/events.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events without parsing their payload."""
 
+import re
 from typing import NamedTuple
 
 __all__ = ["DONE", "Event", "EventSplitter", "OversizedEvent"]
@@ -8,6 +9,8 @@
 # An engine's event carries one token or a few, so one that exceeds this is malformed.
 # The limit bounds the buffer per stream.
 EVENT_BYTES_MAX = 1_048_576
+# A blank line ends an event; each line ends with CR LF, LF or CR.
+_EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 
 
 class OversizedEvent(Exception):
@@ -68,12 +71,9 @@
         buffered = self._incomplete + data
         events = []
         start = 0
-        while True:
-            end = buffered.find(b"\n\n", start)
-            if end < 0:
-                break
-            events.append(_parse_event(buffered[start : end + 2]))
-            start = end + 2
+        for match in _EVENT_END.finditer(buffered):
+            events.append(_parse_event(buffered[start : match.end()]))
+            start = match.end()
         self._incomplete = buffered[start:]
         if len(self._incomplete) > EVENT_BYTES_MAX:
             raise OversizedEvent(f"event exceeds {EVENT_BYTES_MAX} bytes")
@@ -84,7 +84,7 @@
     """Return the event in some bytes, with its id and whether it is the end marker."""
     event_id = None
     done = False
-    for line in raw.split(b"\n"):
+    for line in raw.splitlines():
         if line.startswith(b"id:"):
             number = line[3:].strip()
             event_id = int(number) if number.isdigit() else None
