Send streams to HTTP/1.0 callers without chunks, and break them off by a reset

A caller over HTTP/1.0 got a stream in chunks, which it takes for a part of the body; sent without chunks, a stream that broke off would have looked complete to it.

Cause: each stream was framed by chunks, whatever the caller's version. Found while looking for kin of the streams cut short: how a caller sees that its response is incomplete. The connection is set to end by a reset before the first byte, and regularly only after the last one, so that a killed process doesn't complete it either.

Before: both tests of callers over HTTP/1.0 fail; after: pass, with uvloop too.

--- a/libs/entry/tests/test_streams_cut_short.py
+++ b/libs/entry/tests/test_streams_cut_short.py
@@ -121,3 +121,45 @@
         assert await ask_stream(stream_once(*pieces, framing=framing)) == (200, body)
 
     run(scenario())
+
+
+async def ask_over_http_1_0(address):
+    """Ask a host over HTTP/1.0; return all bytes up to a regular end.
+
+    Raises
+    ------
+    ConnectionResetError
+        When the connection is reset.
+    """
+    reader, writer = await asyncio.open_connection(*address.split(":"))
+    writer.write(
+        b"POST /0/x HTTP/1.0\r\nHost: shop.example\r\nX-Gypsumusher-Request-Id: r-1\r\n"
+        b"X-Gypsumusher-Deadline-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+    )
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+# Guards against chunks, which callers over HTTP/1.0 take for a part of the body.
+def test_caller_over_http_1_0_gets_a_stream_without_chunks():
+    async def scenario():
+        script = stream_once(FIRST, SECOND, framing=CHUNKED)
+        async with HostHarness(script, routes=(STREAM_ROUTE,)) as harness:
+            received = await ask_over_http_1_0(harness.addresses["callers"])
+        assert received.partition(b"\r\n\r\n")[2] == FIRST + SECOND
+
+    run(scenario())
+
+
+# Guards against a broken stream that looks complete to a caller over HTTP/1.0, where
+# the end of the connection is the end of the response.
+def test_broken_stream_is_reset_for_a_caller_over_http_1_0():
+    async def scenario():
+        script = stream_once(FIRST, b"id: 2\nda")
+        async with HostHarness(script, routes=(STREAM_ROUTE,)) as harness:
+            with pytest.raises(ConnectionResetError):
+                await ask_over_http_1_0(harness.addresses["callers"])
+
+    run(scenario())
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections import deque
 
 import httptools
@@ -30,6 +32,8 @@
 LISTEN_BACKLOG = 1024
 # `Reply.drain` waits while more than this is buffered for one caller.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
+# SO_LINGER values: closing the socket sends a reset, or delivers what was written.
+_CLOSE_BY_RESET, _CLOSE_REGULARLY = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
 _REASON_PHRASES = {
     200: b"OK",
     204: b"No Content",
@@ -59,14 +63,19 @@
         Whether the caller asks to keep the connection open.
     is_head : bool
         Whether the request's method is HEAD, so that the response has no body.
+    accepts_chunks : bool
+        Whether the caller understands chunks, which HTTP/1.0 lacks. Otherwise the end
+        of the connection ends a response that is written in chunks, and a reset shows
+        that it is incomplete.
     """
 
-    def __init__(self, connection, keeps_alive, is_head):
+    def __init__(self, connection, keeps_alive, is_head, accepts_chunks=True):
         self.is_started = False
         self.is_ended = False
         self._connection = connection
         self._keeps_alive = keeps_alive
         self._is_head = is_head
+        self._accepts_chunks = accepts_chunks
         self._is_chunked = False
 
     def send(self, status, headers, body):
@@ -87,15 +96,25 @@
 
     def start(self, status, headers):
         """Write the head of a response whose body is written in chunks."""
-        self._is_chunked = True
-        head = self._head(status, headers, "Transfer-Encoding: chunked")
-        self._connection.write(head)
+        self._is_chunked = self._accepts_chunks
+        if self._is_chunked:
+            framing = "Transfer-Encoding: chunked"
+        else:
+            # Set before the first byte: the connection is also closed when this process
+            # is killed.
+            self._connection.close_by_reset(True)
+            self._keeps_alive = False
+            framing = None
+        self._connection.write(self._head(status, headers, framing))
         self.is_started = True
 
     def write(self, data):
         """Write a chunk of the body."""
-        if data and not self._is_head:
-            self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if not data or self._is_head:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._connection.write(data)
 
     async def drain(self):
         """Wait until the write buffer has room again."""
@@ -105,6 +124,8 @@
         """Write the end of the body, after all of its chunks."""
         if self._is_chunked and not self._is_head:
             self._connection.write(b"0\r\n\r\n")
+        if not self._is_chunked:
+            self._connection.close_by_reset(False)
         self.is_ended = True
 
     def abort(self):
@@ -122,7 +143,8 @@
         reason = _REASON_PHRASES.get(status, b"-").decode()
         lines = [f"HTTP/1.1 {status} {reason}"]
         lines += [f"{name}: {value}" for name, value in headers]
-        lines.append(framing)
+        if framing is not None:
+            lines.append(framing)
         if not self._keeps_alive:
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
@@ -235,7 +257,12 @@
         target = self._target.decode("latin-1")
         decode = self._listener.decode_request
         request = decode(method, target, self._headers, bytes(self._body))
-        reply = Reply(self, self._parser.should_keep_alive(), method == "HEAD")
+        reply = Reply(
+            self,
+            self._parser.should_keep_alive(),
+            method == "HEAD",
+            self._parser.get_http_version() != "1.0",
+        )
         self._body = bytearray()
         self._queued.append((request, reply))
         if self._task is None:
@@ -260,6 +287,14 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_by_reset(self, is_reset):
+        """Set whether the connection ends by a reset or regularly."""
+        if self._transport is None:
+            return
+        linger = _CLOSE_BY_RESET if is_reset else _CLOSE_REGULARLY
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _count_header(self, size):
         """Reject the request when its header exceeds the limit."""
         self._header_bytes += size
