Pass a reset on as a reset in the test proxy

When one side of a proxied connection was reset, the other one got a regular end, so that a response without length that its endpoint had reset looked complete behind the proxy.

--- a/tools/proxies.py
+++ b/tools/proxies.py
@@ -128,7 +128,7 @@
                 writer.write_eof()
         except OSError:
             # One side was reset, so the other one is reset as well.
-            writer.transport.abort()
+            _reset(writer)
 
     async def _write(self, data, writer, direction):
         """Write data at once, or in packets at the rate of a limited link."""
