Play responses without length that end early in the soak

An endpoint in mode unframed sends neither a length nor chunks; a third of its streams are whole, a third end early by FIN, a third by a reset. Existing checks judge what callers get.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -47,6 +47,7 @@
     "endpoint_restart",
     "endpoint_break",
     "endpoint_leave",
+    "endpoint_unframed",
     "link_",
     "all_links_",
 )
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -404,6 +404,7 @@
     "endpoint_hang": ("backends", _endpoint_mode("hang")),
     "endpoint_break": ("backends", _endpoint_mode("break")),
     "endpoint_full": ("backends", _endpoint_mode("full")),
+    "endpoint_unframed": ("backends", _endpoint_mode("unframed")),
     "all_endpoints_full": (None, _for_all("backends", _endpoint_mode("full"))),
     "all_endpoints_busy": (None, _for_all("backends", _endpoint_mode("busy"))),
     "all_links_silent": (None, _for_all("links", _link_block(True, True))),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -20,6 +20,7 @@
     "endpoint_hang": (0.5, 3.0),
     "endpoint_break": (0.5, 3.0),
     "endpoint_full": (0.5, 3.0),
+    "endpoint_unframed": (0.5, 3.0),
     "all_endpoints_full": (0.5, 3.0),
     "link_delay": (0.5, 3.0),
     "link_reset": (0.0, 0.0),
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import random
+import socket
+import struct
 
 from records import (
     CRASHING_PREFIX,
@@ -45,6 +47,10 @@
 }
 # Delay between two events of a stream.
 EVENT_INTERVAL_S = 0.02
+# How responses without length end: complete, early by a regular end, early by a reset.
+UNFRAMED_ENDS = COMPLETE, CUT, RESET = ("complete", "cut", "reset")
+# SO_LINGER value (on, 0 s): closing the socket sends a reset.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class SoakEndpoint:
@@ -76,7 +82,8 @@
         ``well`` (healthy), ``errors`` (status 500 after the work), ``grey`` (the same
         for `GREY_SHARE` of the requests), ``hang`` (no response), ``break`` (response
         cut off in the body), ``lose`` (runs `LOST_SHARE` of the requests and closes the
-        connection without a response), ``full`` (rejects every request with status 503
+        connection without a response), ``unframed`` (responses have no length, and most
+        end early, see `UNFRAMED_ENDS`), ``full`` (rejects every request with status 503
         and ``X-Gypsumusher-Not-Run``) or ``busy`` (rejects `BUSY_SHARE` of them).
     handle_ttl_s : float
         How long the engine keeps the KV cache of a prompt.
@@ -195,6 +202,9 @@
             writer.write(response[: -len(expected_body(request_id)) // 2])
             writer.close()
             return
+        if mode == "unframed":
+            await self._respond_unframed(request_id, writer)
+            return
         writer.write(response)
         await writer.drain()
 
@@ -294,8 +304,40 @@
         """Take the stage that was ordered."""
         self.stage, self._is_switching = stage, False
 
+    async def _respond_unframed(self, request_id, writer):
+        """Respond without a length, with the whole body or a reset in the middle.
+
+        A body of no known form that ends early by a regular end can't be told from a
+        whole one, so there is no such response.
+        """
+        body = expected_body(request_id)
+        is_reset = self._rng.choice((COMPLETE, RESET)) == RESET
+        sent = body[: len(body) // 2] if is_reset else body
+        writer.write(self._encode(request_id, sent, framing="Connection: close"))
+        await writer.drain()
+        _end_connection(writer, is_reset)
+
+    async def _stream_unframed(self, request_id, first, writer):
+        """Stream without chunks; most streams end early, within an event."""
+        end = self._rng.choice(UNFRAMED_ENDS)
+        content_type = ("Content-Type: text/event-stream",)
+        framing = "Connection: close"
+        writer.write(self._encode(request_id, b"", extra=content_type, framing=framing))
+        ends_before = EVENTS if end == COMPLETE else self._rng.randint(first, EVENTS)
+        for number in range(first, ends_before):
+            writer.write(expected_event(request_id, number))
+            await writer.drain()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        if end != COMPLETE and ends_before < EVENTS:
+            event = expected_event(request_id, ends_before)
+            writer.write(event[: self._rng.randrange(1, len(event))])
+        _end_connection(writer, end == RESET)
+
     async def _stream(self, request_id, headers, writer, mode):
         first = 1 + int(headers.get("last-event-id", -1))
+        if mode == "unframed":
+            await self._stream_unframed(request_id, first, writer)
+            return
         content_type = ("Content-Type: text/event-stream",)
         framing = "Transfer-Encoding: chunked"
         writer.write(self._encode(request_id, b"", extra=content_type, framing=framing))
@@ -311,6 +353,16 @@
         writer.write(b"0\r\n\r\n")
 
 
+def _end_connection(writer, is_reset):
+    """End a connection by a reset, or regularly after all that was written."""
+    if not is_reset:
+        writer.close()
+        return
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
+
+
 def _parse_headers(head):
     """Return the headers of a request head by lower-case name."""
     lines = head.decode("latin-1").split("\r\n")[1:]
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -27,6 +27,7 @@
     "config_large",
     "endpoint_full",
     "endpoint_limit",
+    "endpoint_unframed",
     "host_store_weak",
 }
 SEEDED_KINDS = {kind: KINDS[kind] for kind in KINDS if kind not in LATER_KINDS}
@@ -46,6 +47,16 @@
 )
 
 
+# Responses without length, most of which end early, while a host is stopped.
+UNFRAMED_PLAN = Plan(
+    (
+        *[Fault(0.7, 4.0, "endpoint_unframed", number) for number in range(4)],
+        Fault(2.0, 0.3, "host_stop", 1),
+    ),
+    5.0 + CALM_AFTER_S,
+)
+
+
 # Attempts at one request crash endpoints while hosts are killed and stopped.
 CRASHING_CONTENT_PLAN = Plan(
     (
@@ -86,6 +97,14 @@
     assert counts["served"] > 0.5 * counts["requests"] > 100
 
 
+@pytest.mark.processes
+def test_responses_without_length_that_end_early_never_look_complete():
+    """Guards against streams that break off and reach their callers as complete."""
+    violations, counts = run_seed(1, UNFRAMED_PLAN)
+    assert not violations, violations
+    assert counts["served"] > 0.3 * counts["requests"] > 100
+
+
 @pytest.mark.processes
 def test_crashing_content_is_refused_on_all_hosts():
     """Attempts at a request that crashes endpoints crashed them on and on."""
