Log whose failures make up an endpoint's penalty

send_failed had the sum over all hosts only, so that a host's log doesn't tell an endpoint that fails here from one that fails elsewhere (second hypothesis of hosts without endpoints).

--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -221,6 +221,7 @@
         is_reset=error.is_reset or None,
         may_have_run=error.may_have_run,
         penalty=round(state.health.penalty(now_s), 2),
+        own_penalty=round(state.health.own_penalty(now_s), 2),
         since_send_ms=_since_send_ms(exchange, error, now_s),
         content=exchange.fingerprint.hex() if error.may_have_run else None,
         **fields,
