--- a/soak/checks.py
+++ b/soak/checks.py
@@ -29,6 +29,11 @@
 # a host counts that was told of the limit, and the time until the bound holds.
 LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
 LIMIT_TOLD_S, LIMIT_STABLE_S = 0.5, 3.0
+# Hosts that have lost their links to all endpoints serve at least this share of what
+# the others serve, from this time on after the loss, or fail no more than the slack and
+# a share of all requests.
+LINKS_SERVED_SHARE, LINKS_STABLE_S = 2.0 / 3.0, 3.0
+LINKS_FAILED_SLACK, LINKS_FAILED_SHARE = 10, 0.02
 # A request that fails within this time of its send may have been sent while the host
 # was closing the idle connection.
 IDLE_CLOSE_RACE_S = 0.3
@@ -40,8 +45,16 @@
     "host_slow",
     "all_hosts_kill",
 )
+# Faults after which a host isn't compared with those that lost their links.
+_PARTING_FAULTS = (*_HOST_FAULTS, "host_stop", "hosts_apart", "zone_lossy")
 # Faults that hold back what hosts send to endpoints.
-_HOLDING = ("link_silent", "link_one_way", "all_links_silent")
+_HOLDING = (
+    "link_silent",
+    "link_one_way",
+    "all_links_silent",
+    "host_links_cut",
+    "host_links_partly_cut",
+)
 # Prefixes of faults that may cut off a response in its body.
 _CUTTING = (
     "endpoint_restart",
@@ -50,6 +63,7 @@
     "endpoint_unframed",
     "link_",
     "all_links_",
+    "host_links_",
 )
 
 
@@ -78,6 +92,7 @@
     found += _check_recovery(records, ends_s)
     found += _check_crashing(records)
     found += _check_limits(records)
+    found += _check_link_cuts(records)
     if records.keys:
         found += find_account_violations(records, ends_s)
     return found
@@ -111,10 +126,10 @@
     return found
 
 
-def _is_disturbed(records, host, began_s, ended_s):
+def _is_disturbed(records, host, began_s, ended_s, kinds=_HOST_FAULTS):
     """Return whether a host was killed or paused around a span of time."""
     for kind, target, from_s, to_s in records.spans:
-        if kind not in _HOST_FAULTS or target not in (host, ""):
+        if kind not in kinds or target not in (host, ""):
             continue
         if from_s <= ended_s + 0.05 and to_s + AFTER_FAULT_S >= began_s:
             return True
@@ -329,6 +344,45 @@
     return found
 
 
+def _check_link_cuts(records):
+    """Return the spans in which hosts without links to endpoints served far worse.
+
+    Hosts that were disturbed otherwise, or cut off from other hosts, don't count.
+    """
+    found = []
+    for cut in records.link_cuts:
+        from_s = cut.began_s + LINKS_STABLE_S
+        cut_hosts = {
+            host
+            for other in records.link_cuts
+            if other.began_s < cut.ended_s and other.ended_s > cut.began_s
+            for host in other.hosts
+        }
+        # Numbers of served and of all requests, at the cut hosts and at the others.
+        served, asked = [0, 0], [0, 0]
+        for outcome in records.outcomes:
+            host = outcome.host
+            if not from_s <= outcome.sent_s < cut.ended_s:
+                continue
+            is_other = host not in cut.hosts
+            if is_other and host in cut_hosts:
+                continue
+            if _is_disturbed(records, host, cut.began_s, cut.ended_s, _PARTING_FAULTS):
+                continue
+            asked[is_other] += 1
+            served[is_other] += outcome.status == 200 and not outcome.problem
+        failed = asked[0] - served[0]
+        if failed <= LINKS_FAILED_SLACK + LINKS_FAILED_SHARE * sum(asked):
+            continue
+        if served[0] * asked[1] < LINKS_SERVED_SHARE * served[1] * asked[0]:
+            found.append(
+                f"hosts without links to endpoints ({cut.mode}) served {served[0]} of"
+                f" {asked[0]} requests from {from_s:.2f} s, the others {served[1]} of"
+                f" {asked[1]}"
+            )
+    return found
+
+
 def _check_versions(records):
     """Return the hosts whose process went back to an older configuration."""
     found = []
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -108,6 +108,8 @@
     "all_links_silent": (1.0, 6.0),
     "link_reset": (0.0, 0.0),
     "host_store_cut": (2.0, 20.0),
+    "host_links_cut": (5.0, 14.0),
+    "host_links_partly_cut": (2.0, 12.0),
     "store_refuse": (2.0, 20.0),
 }
 # Endpoints reject in most runs of such a plan, so that retries come near to the limit.
@@ -193,6 +195,8 @@
     "hosts_roll": (8.0, 20.0),
     "hosts_apart": (5.0, 75.0),
     "hosts_store_cut": (2.0, 9.0),
+    "host_links_cut": (5.0, 12.0),
+    "host_links_partly_cut": (2.0, 10.0),
     "zone_lossy": (4.0, 8.0),
     "store_refuse": (2.0, 6.0),
     "store_silent": (2.0, 6.0),
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -5,7 +5,7 @@
 import sys
 
 from account_checks import KEY_BOUND_S, USAGE_LATE_S, USAGE_WINDOW_S
-from entry_program import CUT_VARIABLE, LOSS_PREFIX, START_VARIABLE
+from entry_program import CUT_VARIABLE, LINK_PREFIX, LOSS_PREFIX, START_VARIABLE
 from processes import Process, free_ports
 
 __all__ = ["START_FILE", "EntryProcess"]
@@ -120,6 +120,7 @@
             )
         self._cut_path = folder / f"{name}.cut"
         self._cut_ips, self._loss_share = (), 0.0
+        self._link_modes = {}
         variables = [
             f"GYPSUMUSHER_SETTINGS={self._settings_path}",
             f"{CUT_VARIABLE}={self._cut_path}",
@@ -170,10 +171,22 @@
         self._loss_share = share
         self._write_cut_list()
 
+    def set_links(self, addresses, mode):
+        """Disturb the host's own links to some addresses; mode None mends them."""
+        for address in addresses:
+            self._link_modes[address] = mode
+        self._write_cut_list()
+
     def _write_cut_list(self):
         # Renamed into place, so that the process never reads half of a list.
         path = self._cut_path.with_suffix(".new")
-        path.write_text("\n".join([f"{LOSS_PREFIX}{self._loss_share}", *self._cut_ips]))
+        links = [
+            f"{LINK_PREFIX}{address}={mode}"
+            for address, mode in self._link_modes.items()
+            if mode is not None
+        ]
+        lines = [f"{LOSS_PREFIX}{self._loss_share}", *links, *self._cut_ips]
+        path.write_text("\n".join(lines))
         path.rename(self._cut_path)
 
     def reload_settings(self):
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -5,6 +5,7 @@
 
 from deployments import ENGINES
 from entry_process import EntryProcess
+from entry_program import LINK_MODES
 from plan import Fault
 from records import PROMPT, STREAM
 from soak_endpoint import HANDLE_TTL_S, SoakEndpoint
@@ -141,6 +142,29 @@
     system.set_apart([hosts])
 
 
+def _hosts_to_cut(system, target):
+    """Return one host, all hosts of a zone, or all but one, as the target says."""
+    hosts = system.hosts
+    if target % 3 == 0:
+        return [hosts[target % len(hosts)]]
+    if target % 3 == 1:
+        return [hosts[number] for number in _in_zone(system, hosts, target)]
+    spared = hosts[target % len(hosts)]
+    return [host for host in hosts if host is not spared]
+
+
+async def _host_links_cut(system, target, duration_s):
+    """Cut hosts off from all endpoints, while callers, store and hosts reach them."""
+    mode = LINK_MODES[target // 3 % len(LINK_MODES)]
+    await system.cut_links(_hosts_to_cut(system, target), mode, duration_s)
+
+
+async def _host_links_partly_cut(system, target, duration_s):
+    """Cut hosts off from half of the endpoints."""
+    mode = LINK_MODES[target // 3 % len(LINK_MODES)]
+    await system.cut_links(_hosts_to_cut(system, target), mode, duration_s, 0.5)
+
+
 async def _endpoint_limit(system, endpoint, duration_s):
     await system.limit_endpoint(endpoint, ENDPOINT_LIMIT_PER_S, duration_s)
 
@@ -451,6 +475,8 @@
     "store_stale": (None, _store_stale),
     "store_lapse": (None, _store_lapse),
     "host_store_cut": ("store_links", _host_store_cut),
+    "host_links_cut": (None, _host_links_cut),
+    "host_links_partly_cut": (None, _host_links_partly_cut),
     "config_change": (None, _config_change),
     "config_large": (None, _config_large),
     "host_store_weak": ("store_links", _host_store_weak),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -38,6 +38,8 @@
     "host_store_weak": (0.5, 4.0),
     "crashing_content": (4.0, 8.0),
     "endpoint_limit": (5.0, 9.0),
+    "host_links_cut": (4.0, 8.0),
+    "host_links_partly_cut": (1.0, 6.0),
 }
 # Time without faults before the first one, and after the end of the last one: long
 # enough for silence limits, grace periods and health penalties to expire.
--- a/soak/records.py
+++ b/soak/records.py
@@ -12,6 +12,7 @@
     "AccountKey",
     "AccountRun",
     "Arrival",
+    "LinkCut",
     "Outcome",
     "Records",
     "RetryLimit",
@@ -113,6 +114,25 @@
     ended_s: float
 
 
+class LinkCut(NamedTuple):
+    """Hosts that had lost their links to all endpoints.
+
+    Attributes
+    ----------
+    hosts : frozenset of str
+        Addresses of the hosts.
+    mode : str
+        What happened to their connections, one of `entry_program.LINK_MODES`.
+    began_s, ended_s : float
+        When it began and ended, in seconds since the run began.
+    """
+
+    hosts: frozenset
+    mode: str
+    began_s: float
+    ended_s: float
+
+
 class AccountKey(NamedTuple):
     """A key of a client account, and when it was added and taken away."""
 
@@ -190,6 +210,8 @@
         Host that each request was sent to, by request id.
     limits : list of StatedLimit
         Limits that endpoints stated.
+    link_cuts : list of LinkCut
+        When hosts had lost their links to all endpoints.
     account_runs : list of AccountRun
         Requests that endpoints ran, where callers have accounts.
     usage_reports : list of UsageReport
@@ -218,6 +240,7 @@
         self.hosts = {}
         self.limits = []
         self.crashes = []
+        self.link_cuts = []
         self.account_runs = []
         self.usage_reports = []
         self.began_unix_s = 0.0
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -20,6 +20,7 @@
     PROMPT,
     STREAM,
     AccountKey,
+    LinkCut,
     Records,
     StatedLimit,
     deadline_s,
@@ -461,6 +462,28 @@
             for host in group:
                 host.cut_off([other.ip for other in others])
 
+    async def cut_links(self, hosts, mode, duration_s, share=1.0):
+        """Disturb the links of hosts to a share of the endpoints for some time.
+
+        Each host loses other endpoints, unless it loses all.
+        """
+        count = round(share * len(self.links))
+        began_s = self.clock()
+        cut = {}
+        for number, host in enumerate(hosts):
+            chosen = [self.links[(number + n) % len(self.links)] for n in range(count)]
+            cut[host] = [link.address for link in chosen]
+            host.set_links(cut[host], mode)
+        try:
+            await asyncio.sleep(duration_s)
+        finally:
+            for host, addresses in cut.items():
+                host.set_links(addresses, None)
+            if share == 1.0:
+                names = frozenset(host.callers for host in hosts)
+                cut_span = LinkCut(names, mode, began_s, self.clock())
+                self.records.link_cuts.append(cut_span)
+
     def remove_host_records(self):
         """Remove all records by which the hosts find each other."""
         for host in self.hosts:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -7,6 +7,7 @@
     PROMPT,
     STREAM,
     Arrival,
+    LinkCut,
     Outcome,
     Records,
     RetryLimit,
@@ -86,6 +87,44 @@
     assert violations(records) == []
 
 
+def records_of_link_cut(failed):
+    """Return records of 30 requests to a cut host, some of which failed, and 40 others.
+
+    The cut lasts from 2 s to 9 s.
+    """
+    outcomes = [
+        outcome(
+            f"c-{number}",
+            sent_s=6.0,
+            status=503 if number < failed else 200,
+            is_sealed=number >= failed,
+            retry_after="1.0",
+        )
+        for number in range(30)
+    ]
+    others = [outcome(f"o-{n}", sent_s=6.0, host="h-2") for n in range(40)]
+    records = records_of(*outcomes, *others)
+    records.link_cuts = [LinkCut(frozenset({"h-1"}), "hang", 2.0, 9.0)]
+    return records
+
+
+def test_hosts_without_links_that_serve_far_worse_are_reported():
+    # Slack of 10 and a fiftieth of 70; two thirds of 30.
+    assert violations(records_of_link_cut(11)) == []
+    records = records_of_link_cut(12)
+    found = find_violations(records, ENDS_S)
+    assert len(found) == 1 and "served 18 of 30" in found[0]
+    # They had not lost their links for long enough.
+    records.link_cuts = [records.link_cuts[0]._replace(began_s=3.5)]
+    assert violations(records) == []
+
+
+def test_hosts_without_links_that_were_killed_too_are_not_reported():
+    records = records_of_link_cut(30)
+    records.spans = [("host_kill", "h-1", 5.0, 5.5)]
+    assert violations(records) == []
+
+
 def test_content_that_crashes_endpoints_on_and_on_is_reported():
     records = records_of(outcome())
     for number in range(6):
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 import pytest
 from deployments import DEPLOYMENTS, SMALL
 from entry_process import EntryProcess
+from entry_program import LINK_MODES
 from injection import FAULTS
 from plan import CALM_AFTER_S, KINDS, Fault, Plan, draw_plan
 from proxies import Proxy
@@ -28,6 +29,8 @@
     "endpoint_full",
     "endpoint_limit",
     "endpoint_unframed",
+    "host_links_cut",
+    "host_links_partly_cut",
     "host_store_weak",
 }
 SEEDED_KINDS = {kind: KINDS[kind] for kind in KINDS if kind not in LATER_KINDS}
@@ -57,6 +60,21 @@
 )
 
 
+# Hosts lose their links to all endpoints, once one of them and once all but one, while
+# another one is stopped. A target chooses the hosts and what happens to connections.
+LINK_CUT_PLANS = {
+    mode: Plan(
+        (
+            Fault(0.7, 6.0, "host_links_cut", 3 * number),
+            Fault(3.0, 0.3, "host_stop", 3 * number + 1),
+            Fault(9.0, 6.0, "host_links_cut", 3 * number + 2),
+        ),
+        15.0 + CALM_AFTER_S,
+    )
+    for number, mode in enumerate(LINK_MODES)
+}
+
+
 # Attempts at one request crash endpoints while hosts are killed and stopped.
 CRASHING_CONTENT_PLAN = Plan(
     (
@@ -105,6 +123,15 @@
     assert counts["served"] > 0.3 * counts["requests"] > 100
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("mode", LINK_MODES)
+def test_hosts_without_links_to_endpoints_serve_like_the_others(mode):
+    """Guards against hosts cut off from all endpoints that refuse what others serve."""
+    violations, counts = run_seed(1, LINK_CUT_PLANS[mode])
+    assert not violations, violations
+    assert counts["served"] > 0.8 * counts["requests"] > 100
+
+
 @pytest.mark.processes
 def test_crashing_content_is_refused_on_all_hosts():
     """Attempts at a request that crashes endpoints crashed them on and on."""
