Tell the links apart over which an endpoint has answered

A later answer shows that earlier sends have arrived over the same link only. With sends through other hosts, an answer through one of them says nothing of what this host's own link holds back; those sends keep their places in the retry budget. A loss of a run still counts as survived when the endpoint answers over any link.

The test fails without the change (the record knew no links).

--- a/libs/entry/gypsumusher_entry/crash_reports.py
+++ b/libs/entry/gypsumusher_entry/crash_reports.py
@@ -83,7 +83,7 @@
         if state.is_address_taken:
             # What answers there now is another endpoint.
             return False
-        return state.delivery.answered_send_s > crash.lost_s
+        return state.delivery.has_answered_after(crash.lost_s)
 
     def _report_soon(self):
         """Start the reports unless they are being sent."""
--- a/libs/routing/gypsumusher_routing/send_counter.py
+++ b/libs/routing/gypsumusher_routing/send_counter.py
@@ -45,8 +45,6 @@
 
     Attributes
     ----------
-    answered_send_s : float
-        When the newest send that has been answered was sent, in seconds.
     is_listed : bool
         Whether the endpoint has an entry.
     has_ended : bool
@@ -54,13 +52,31 @@
     """
 
     def __init__(self):
-        self.answered_send_s = float("-inf")
+        # When the newest send that has been answered was sent, by link.
+        self._answered_send_s = {}
         self.is_listed = True
         self.has_ended = False
 
-    def on_answered(self, sent_s: float) -> None:
-        """Record that the endpoint has answered what was sent at a time."""
-        self.answered_send_s = max(self.answered_send_s, sent_s)
+    def on_answered(self, sent_s: float, link: str | None = None) -> None:
+        """Record that the endpoint has answered what was sent at a time.
+
+        Parameters
+        ----------
+        sent_s : float
+            When it was sent, in seconds.
+        link : str or None
+            Host through which it was sent; None for this host's own link.
+        """
+        newest_s = self._answered_send_s.get(link, sent_s)
+        self._answered_send_s[link] = max(newest_s, sent_s)
+
+    def has_answered_after(self, sent_s: float) -> bool:
+        """Return whether the endpoint has answered anything sent after a time."""
+        return any(at_s > sent_s for at_s in self._answered_send_s.values())
+
+    def has_overtaken(self, sent_s: float, link: str | None) -> bool:
+        """Return whether the endpoint has answered what a link sent after a time."""
+        return self._answered_send_s.get(link, float("-inf")) > sent_s
 
 
 class SentRequest:
@@ -72,18 +88,23 @@
         That of the endpoint.
     sent_s : float
         When the first byte was sent, in seconds.
+    link : str or None
+        Host through which it was sent; None for this host's own link.
     """
 
-    def __init__(self, delivery: DeliveryRecord, sent_s: float):
+    def __init__(
+        self, delivery: DeliveryRecord, sent_s: float, link: str | None = None
+    ):
         self._delivery = delivery
         self._sent_s = sent_s
+        self._link = link
         self._is_answered = self._is_lost = False
 
     def on_head_or_lost(self, has_head: bool) -> None:
         """Record that the response has begun, or that the connection was lost."""
         self._is_answered, self._is_lost = has_head, not has_head
         if has_head:
-            self._delivery.on_answered(self._sent_s)
+            self._delivery.on_answered(self._sent_s, self._link)
 
     def fate(self, now_s: float, longest_s: float) -> SendFate:
         """Return whether the endpoint may still receive this send, or why not.
@@ -104,7 +125,7 @@
             return SendFate.ANSWERED
         if self._delivery.has_ended:
             return SendFate.GONE
-        if self._delivery.answered_send_s > self._sent_s:
+        if self._delivery.has_overtaken(self._sent_s, self._link):
             return SendFate.OVERTAKEN
         if self._is_lost and not self._delivery.is_listed:
             return SendFate.LOST
--- a/libs/routing/tests/test_retries.py
+++ b/libs/routing/tests/test_retries.py
@@ -286,3 +286,15 @@
         arrivals = sum(begin_s <= at_s < end_s for at_s in arrivals_s)
         requests = sum(begin_s - WINDOW_S <= at_s < end_s for at_s in requests_s)
         assert arrivals <= RATIO * requests + SLACK
+
+
+# Guards against sends held back by this host's own link that count as arrived since the
+# endpoint has answered through another host.
+def test_answer_over_another_link_shows_nothing_of_earlier_sends():
+    delivery = DeliveryRecord()
+    held = SentRequest(delivery, 1.0)
+    SentRequest(delivery, 2.0, "host-2").on_head_or_lost(True)
+    assert held.fate(3.0, 10.0) == SendFate.UNDER_WAY
+    assert delivery.has_answered_after(1.0) and not delivery.has_answered_after(2.0)
+    SentRequest(delivery, 2.0).on_head_or_lost(True)
+    assert held.fate(3.0, 10.0) == SendFate.OVERTAKEN
