Reach endpoints through other hosts when this host's links are down

Callers of hosts that were partitioned from all endpoints were refused, and callers of sound hosts too.

Cause: what a host saw of its own links was taken for the state of endpoints. It penalized them all and told its peers so; it tried them one after the other and refused; peers avoided sound endpoints, opened a new connection for each send and ran into the limit with their idle ones (503:no_connection).

Now a connection that doesn't open directly within 0.1 s is also opened through another host, by CONNECT on the peers' port; opening one sends no request, so trying several is safe. All decisions on the request stay where they were: budget, limits, runs, deadline. When only the other host reaches the endpoint, the link counts as down and is tried once a second; failures over it count neither against the endpoint nor as crashes; idle connections that may hang with it are closed. A host whose own link is down, or that is stopping, forwards nothing, so there is one hop. Calls that aren't requests of callers, orders above all, never go through another host. Ends of connections are passed on as they are; a killed host in between resets its tunnels. Connections that aren't reused leave room for new ones at once.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -6,6 +6,7 @@
 import time
 
 from gypsumusher_entry.crash_reports import CrashReports
+from gypsumusher_entry.endpoint_connections import EndpointConnections
 from gypsumusher_entry.endpoint_limit_sync import EndpointLimitSync
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
 from gypsumusher_entry.stall_monitor import StallMonitor
@@ -111,6 +112,7 @@
         self.connection_pool = ConnectionPool(
             clock, decode_response_head, CONNECT_TIMEOUT_S
         )
+        self.endpoint_connections = EndpointConnections(self)
         self.stall_monitor = StallMonitor(clock, log, self.wait_for_tick)
         # Stage orders of this host that gossip announces to the other hosts.
         self.ordered_stages = []
@@ -442,15 +444,15 @@
             / self.expected_host_count()
         )
 
-    async def acquire(self, record, connection_limit, requires_new=False):
-        """Return a connection to one incarnation of an endpoint.
+    async def acquire(self, record, connection_limit):
+        """Return a connection over this host's own link to an endpoint.
 
-        The other parameters are those of `ConnectionPool.acquire`.
+        An order has to come from the host that holds the lease, so calls that aren't
+        requests of callers never go through another host. The other parameter is that
+        of `ConnectionPool.acquire`.
         """
         key = (*record.incarnation, record.address)
-        return await self.connection_pool.acquire(
-            key, record.address, connection_limit, requires_new
-        )
+        return await self.connection_pool.acquire(key, record.address, connection_limit)
 
     def notify_prefill_start(self):
         """Call the listeners: an engine is about to be sent a prompt for prefill."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -73,6 +73,8 @@
         self.event_count = 0
         self.longest_pause_s = 0.0
         self.run_endpoint_id = None
+        # Host through which the last send went; None if it went directly.
+        self.relay = None
         self.prefill_endpoint_id = None
         # Engine at which room to decode the prompt is reserved; see `prefill_prompt`.
         self.reserved_state = None
@@ -410,6 +412,7 @@
         repeats=exchange.send_counter.repeats or None,
         retries=exchange.send_counter.retries or None,
         endpoint=exchange.run_endpoint_id,
+        relay=exchange.relay,
         # Set only when the request ended while its prompt was waiting for prefill.
         waited_at=exchange.prefill_endpoint_id,
         events=exchange.event_count or None,
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -257,6 +257,8 @@
         peer = message.status.name
         if not context.hosts.on_status(now_s, message.status):
             return
+        if not message.status.is_ready:
+            context.endpoint_connections.close_idle_through(peer)
         if message.lease is not None and context.stage_lease is not None:
             context.stage_lease.on_peer_state(message.lease)
         context.endpoints.on_peer_loads(now_s, peer, message.loads)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -3,18 +3,18 @@
 import asyncio
 
 from gypsumusher_entry.configuration_confirmation import ConfigurationConfirmation
-from gypsumusher_entry.context import USAGE_DUTY, Context
+from gypsumusher_entry.context import CONNECT_TIMEOUT_S, USAGE_DUTY, Context
 from gypsumusher_entry.exchange import create_handler
 from gypsumusher_entry.fleet_orders import SCALE_DUTY, FleetOrders
 from gypsumusher_entry.gossip import Gossip
-from gypsumusher_entry.host_api import create_api_handler
+from gypsumusher_entry.host_api import create_api_handler, create_peer_handler
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.peer_sync import PeerSync
 from gypsumusher_entry.prefix_cache_recovery import PrefixCacheRecovery
 from gypsumusher_entry.registration import Registration
 from gypsumusher_entry.store_watcher import StoreWatcher
 from gypsumusher_entry.usage_reports import UsageReports
-from gypsumusher_http import Listener
+from gypsumusher_http import Listener, TunnelRelay
 from gypsumusher_platform import (
     CloudClient,
     StoreClient,
@@ -77,6 +77,11 @@
         codecs = decode_request, encode_refusal
         api_handler = create_api_handler(self.context)
         self._api = Listener(api_handler, *codecs, clock, log)
+        self._tunnel_relay = TunnelRelay(CONNECT_TIMEOUT_S)
+        peer_handler = create_peer_handler(
+            self.context, api_handler, self._tunnel_relay
+        )
+        self._peer_api = Listener(peer_handler, *codecs, clock, log)
         self._listener = Listener(create_handler(self.context), *codecs, clock, log)
 
     async def start(self):
@@ -144,11 +149,10 @@
         addresses = {
             "ready": settings.ready_address,
             "directory": settings.directory_address,
-            "peers": settings.peers_address,
         }
         if self._metrics_port is not None:
             addresses["metrics"] = f"{settings.ip}:{self._metrics_port}"
-        bound = {}
+        bound = {"peers": await _listen(self._peer_api, settings.peers_address)}
         for name, address in addresses.items():
             bound[name] = await _listen(self._api, address)
         return bound
@@ -193,23 +197,29 @@
         lists_expire_s = DIRECTORY_TTL_FACTOR * context.directory_ttl_s()
         await asyncio.sleep(min(lists_expire_s, bounds.stop_s / 2.0))
         self._listener.stop_accepting()
-        while self._listener.count_active() and context.clock() < deadline_at_s:
+        while self._count_active() and context.clock() < deadline_at_s:
             await asyncio.sleep(POLL_S)
             self._gossip.send_now()
         self.log(
             "info",
             "stop_done",
-            busy=self._listener.count_active(),
+            busy=self._count_active(),
             took_s=context.clock() - began_s,
         )
         await self.close()
 
+    def _count_active(self):
+        """Return the number of busy callers, and of tunnels of other hosts."""
+        return self._listener.count_active() + self._tunnel_relay.tunnel_count
+
     async def close(self):
         """Close all components at once."""
         await self._listener.close()
         await self._peer_sync.close()
         await self._gossip.close()
         await self._api.close()
+        await self._peer_api.close()
+        self._tunnel_relay.close()
         await self.context.close()
         await self._store.close()
         if self._cloud is not None:
--- a/libs/entry/gypsumusher_entry/host_api.py
+++ b/libs/entry/gypsumusher_entry/host_api.py
@@ -6,7 +6,10 @@
 from gypsumusher_entry.sync_messages import SyncResponse, SyncResponseEncoder
 from gypsumusher_platform import READY_PATH, RESOLVE_PATH, encode_host_list
 
-__all__ = ["create_api_handler"]
+__all__ = ["create_api_handler", "create_peer_handler"]
+
+# Tunnels that one host keeps open for all others.
+MAX_TUNNELS = 500
 
 _JSON = ("Content-Type", "application/json")
 _MSGPACK = ("Content-Type", "application/msgpack")
@@ -78,6 +81,57 @@
     return handle
 
 
+def create_peer_handler(context, handle, tunnel_relay):
+    """Return the coroutine function that answers one request of another host.
+
+    Parameters
+    ----------
+    context : Context
+        Endpoints that tunnels may lead to.
+    handle : callable
+        Answers requests other than those for tunnels.
+    tunnel_relay : TunnelRelay
+        Opens the tunnels.
+
+    Returns
+    -------
+    callable
+        ``handle(request, reply)``.
+    """
+
+    def refusal_reason(address):
+        states = [
+            state
+            for state in context.endpoints.states.values()
+            if state.record.address == address
+        ]
+        if context.is_draining:
+            return "draining"
+        if not any(state.is_usable for state in states):
+            return "no_endpoint"
+        if any(state.path.is_down for state in states):
+            return "link_down"
+        if tunnel_relay.tunnel_count >= MAX_TUNNELS:
+            return "tunnels"
+        return None
+
+    async def handle_peer(request, reply):
+        if request.method != "CONNECT":
+            await handle(request, reply)
+            return
+        reason = refusal_reason(request.target)
+        if reason is None:
+            try:
+                await tunnel_relay.forward(reply, request.target)
+                return
+            except (OSError, TimeoutError) as error:
+                reason = repr(error)
+        context.log("info", "tunnel_refused", address=request.target, reason=reason)
+        reply.send(503, [_JSON], _encode_json({"error": reason}))
+
+    return handle_peer
+
+
 def _encode_json(value):
     return json.dumps(value).encode()
 
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -79,7 +79,8 @@
             run.on_unsent()
         raise
     exchange.last_sent_s = context.clock()
-    sent = SentRequest(state.delivery, exchange.last_sent_s)
+    exchange.relay = connection.relay
+    sent = SentRequest(state.delivery, exchange.last_sent_s, connection.relay)
     exchange.send_counter.on_sent(sent)
     if exchange.send_counter.repeats:
         exchange.log(
@@ -128,7 +129,7 @@
     record = state.record
     limit = context.connection_limit(record.service)
     requires_new = state.health.penalty(context.clock()) >= NEW_CONNECTION_PENALTY
-    connection = await context.acquire(record, limit, requires_new)
+    connection = await context.endpoint_connections.acquire(state, limit, requires_new)
     if not context.endpoints.is_current(state):
         context.connection_pool.release(connection)
         raise CallError("connect", record.address, "left", False)
@@ -208,9 +209,12 @@
     """Log a failed send, and count it against the endpoint."""
     context = exchange.context
     now_s = context.clock()
-    if error.reason not in BLAMELESS_REASONS:
+    # Over a link that is down, a lost or silent connection shows nothing of the
+    # endpoint.
+    is_link_down = state.path.is_down and exchange.relay is None
+    if error.reason not in BLAMELESS_REASONS and not is_link_down:
         state.health.on_failure(now_s, error.reason)
-    if error.may_have_run and error.reason == "broken":
+    if error.may_have_run and error.reason == "broken" and not is_link_down:
         context.crash_reports.on_lost(exchange, state)
     exchange.log(
         "warning",
@@ -219,6 +223,8 @@
         endpoint=state.record.endpoint_id,
         reason=error.reason,
         is_reset=error.is_reset or None,
+        is_link_down=is_link_down or None,
+        relay=exchange.relay,
         may_have_run=error.may_have_run,
         penalty=round(state.health.penalty(now_s), 2),
         own_penalty=round(state.health.own_penalty(now_s), 2),
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -184,6 +184,7 @@
     state.own_running += 1
     try:
         response = await start_send(exchange, state, send, run)
+        pending.relay = response.relay
         sent_s = exchange.last_sent_s
         head = await response.head()
         body = await response.body()
--- a/libs/entry/gypsumusher_entry/stall_monitor.py
+++ b/libs/entry/gypsumusher_entry/stall_monitor.py
@@ -35,6 +35,13 @@
         self.request_id = request_id
         self.state = state
         self.due_s = due_s
+        # Host through which the request was sent; None if directly.
+        self.relay = None
+
+    @property
+    def is_link_down(self):
+        """Whether silence is explained by this host's own link."""
+        return self.relay is None and self.state.path.is_down
 
 
 class StallMonitor:
@@ -98,6 +105,8 @@
                 continue
             late_s = now_s - pending.due_s
             pending.due_s = now_s + RECOUNT_INTERVAL_S
+            if pending.is_link_down:
+                continue
             if pending.state.has_answered_since(now_s - SILENCE_S):
                 # The endpoint is busy, not silent: it serves this request after others.
                 continue
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -197,6 +197,7 @@
             context.notify_prefill_start()
         try:
             response = await start_send(exchange, state, send, possible_run)
+            pending.relay = response.relay
             await self._forward_events(response, run, pending)
         except CallError as error:
             record_failure(exchange, state, error, kv_source=send.kv_source)
--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -250,10 +250,15 @@
             settings(address, ip, f"host-{number}", (), port), lambda *a, **f: None
         )
         listens = await host.start()
+        # Hosts tell each other the port that was assigned.
+        host.context.settings = host.context.settings._replace(
+            peers_address=listens["peers"]
+        )
         hosts.append(host)
         url = f"http://{listens['callers']}"
         sessions.append(aiohttp.ClientSession(base_url=url))
     await until(lambda: all(len(h.context.active_hosts()) == 2 for h in hosts))
+    await until(lambda: all(_knows_ports(host) for host in hosts))
     for host in hosts:
         # The retry budget fills up from the start on.
         host.context.started_s -= 100.0
@@ -266,6 +271,12 @@
             await part.close()
 
 
+def _knows_ports(host):
+    """Return whether a host has heard at which ports all others listen for hosts."""
+    others = host.context.hosts.live(host.context.clock())
+    return all(not other.peers_address.endswith(":0") for other in others)
+
+
 async def until(condition):
     """Wait for a condition; the time limit of the test ends a wait that fails."""
     while not condition():
--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -7,8 +7,9 @@
 
 from gypsumusher_http.calls import CallLimits, HttpClient
 from gypsumusher_http.connections import ConnectionPool, Response
-from gypsumusher_http.errors import CallError
+from gypsumusher_http.errors import CallError, TunnelRefusedError
 from gypsumusher_http.listener import Listener, Reply
+from gypsumusher_http.tunnels import TunnelRelay
 
 __all__ = [
     "CallError",
@@ -18,4 +19,6 @@
     "Listener",
     "Reply",
     "Response",
+    "TunnelRefusedError",
+    "TunnelRelay",
 ]
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -7,12 +7,16 @@
 """
 
 import asyncio
-import socket
 from collections import deque
 
 import httptools
 
-from gypsumusher_http.errors import CallError
+from gypsumusher_http.errors import CallError, TunnelRefusedError
+from gypsumusher_http.tunnels import (
+    enable_tcp_keepalive,
+    has_pending_error,
+    open_tunnel,
+)
 
 __all__ = ["ConnectionPool", "Response"]
 
@@ -24,9 +28,6 @@
 # Responses to other requests that are skipped before the expected one. One is the usual
 # fault; with more, the connection counts as unreliable and is closed.
 MAX_SKIPPED_RESPONSES = 2
-# TCP keepalive: idle time and interval of the probes in seconds, and number of probes.
-# A connection that died without a reset is closed before a request is lost on it.
-KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_COUNT = 1, 1, 2
 # Connections to one process that a host may always have, also when its share of the
 # process's limit is lower.
 MIN_CONNECTIONS = 4
@@ -55,6 +56,8 @@
         self.is_complete = False
         self.ends_with_connection = False
         self._connection = connection
+        # Name of the host through which the request was sent, None if directly.
+        self.relay = connection.relay
         self._head = asyncio.get_running_loop().create_future()
         # Retrieves the exception, since no task may await the head when the connection
         # fails; asyncio would log it as never retrieved.
@@ -152,9 +155,11 @@
 class _Connection(asyncio.Protocol):
     """A client connection that carries one request at a time."""
 
-    def __init__(self, pool, key, address):
+    def __init__(self, pool, key, address, relay=None):
         self.key = key
         self.address = address
+        # Name of the host through which the connection goes; None for a direct one.
+        self.relay = relay
         self.idle_since_s = 0.0
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._pool = pool
@@ -211,7 +216,7 @@
         self._parser = httptools.HttpResponseParser(self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
-            _enable_tcp_keepalive(sock)
+            enable_tcp_keepalive(sock)
 
     def data_received(self, data):
         if self._response is None or self._response.is_complete:
@@ -234,8 +239,7 @@
         would take half a response for a whole one. The error is still pending at the
         socket.
         """
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if has_pending_error(self._transport):
             self._ends_at_eof = False
             self._is_reset = True
 
@@ -343,7 +347,7 @@
         self._open = {}
         self.opened_count = 0
 
-    async def acquire(self, key, address, max_connections, requires_new=False):
+    async def acquire(self, key, address, max_connections):
         """Return an idle or a new connection to a process.
 
         Parameters
@@ -356,8 +360,6 @@
         max_connections : int
             Limit on this host's connections to the process; at least
             ``MIN_CONNECTIONS`` are allowed.
-        requires_new : bool
-            Whether idle connections mustn't be reused.
 
         Returns
         -------
@@ -369,19 +371,50 @@
             When the limit is reached or the connection can't be opened. No request has
             been sent then.
         """
+        connection = self.take_idle(key)
+        if connection is not None:
+            return connection
+        self.check_limit(key, address, max_connections)
+        return await self.connect(key, address)
+
+    def take_idle(self, key, may_reuse=None):
+        """Return an idle connection to a process, or None.
+
+        Parameters
+        ----------
+        key : hashable
+            Key of the process.
+        may_reuse : callable or None
+            ``may_reuse(connection)`` returns whether a connection may be used; others
+            are closed.
+        """
         idle = self._idle.get(key, [])
         now_s = self._clock()
-        while idle and not requires_new:
+        while idle:
             connection = idle.pop()
             if not connection.is_open:
                 continue
-            if now_s - connection.idle_since_s > connection.idle_timeout_s:
+            is_expired = now_s - connection.idle_since_s > connection.idle_timeout_s
+            if is_expired or (may_reuse is not None and not may_reuse(connection)):
+                # At once, so that it doesn't count against the limit any more.
+                self.discard(connection)
                 connection.abort()
                 continue
             return connection
+        return None
+
+    def check_limit(self, key, address, max_connections):
+        """Raise CallError if this host has no connection to a process left to open."""
         if len(self._open.get(key, ())) >= max(MIN_CONNECTIONS, max_connections):
             raise CallError("connect", address, "no_connection", False)
-        return await self._connect(key, address)
+
+    def close_idle(self, is_unwanted):
+        """Close the idle connections for which ``is_unwanted(connection)`` is true."""
+        for connections in list(self._idle.values()):
+            for connection in list(connections):
+                if is_unwanted(connection):
+                    connections.remove(connection)
+                    connection.abort()
 
     def release(self, connection):
         """Make a connection available again after a complete response."""
@@ -414,17 +447,43 @@
             for connection in list(connections):
                 connection.abort()
 
-    async def _connect(self, key, address):
-        """Open a connection; raise CallError when it can't be opened in time."""
-        ip, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        connection = _Connection(self, key, address)
+    async def connect(self, key, address, relay=None, timeout_s=None):
+        """Open a connection to a process.
+
+        Parameters
+        ----------
+        key : hashable
+            Key of the process.
+        address : str
+            ``ip:port`` of the process.
+        relay : tuple of (str, str) or None
+            Name and address of the host through which the connection goes; None opens
+            it directly.
+        timeout_s : float or None
+            Longest time to open it, in seconds; by default that of the pool.
+
+        Returns
+        -------
+        _Connection
+
+        Raises
+        ------
+        CallError
+            When it can't be opened in time.
+        """
+        name, relay_address = (None, None) if relay is None else relay
+        connection = _Connection(self, key, address, name)
         self._open.setdefault(key, []).append(connection)
         self.opened_count += 1
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with asyncio.timeout(timeout_s or self._connect_timeout_s):
+                if relay is not None:
+                    await open_tunnel(connection, relay_address, address)
+                    return connection
+                ip, _, port = address.rpartition(":")
+                loop = asyncio.get_running_loop()
                 await loop.create_connection(lambda: connection, ip, int(port))
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, TunnelRefusedError) as error:
             self.discard(connection)
             raise CallError("connect", address, "connect", False) from error
         except asyncio.CancelledError:
@@ -444,16 +503,3 @@
         if name.lower() == "timeout" and number.isdigit():
             return max(0.0, int(number) - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
-
-
-def _enable_tcp_keepalive(sock):
-    """Enable TCP keepalive on a socket."""
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
-    except OSError:
-        # The connection works without these options; a dead peer is only detected
-        # later.
-        return
--- a/libs/http/gypsumusher_http/errors.py
+++ b/libs/http/gypsumusher_http/errors.py
@@ -2,7 +2,7 @@
 
 from gypsumusher_ports import GypsumusherError
 
-__all__ = ["CallError"]
+__all__ = ["CallError", "TunnelRefusedError"]
 
 
 class CallError(GypsumusherError):
@@ -30,3 +30,21 @@
         self.reason = reason
         self.may_have_run = may_have_run
         self.is_reset = is_reset
+
+
+class TunnelRefusedError(GypsumusherError):
+    """A host in between opened no tunnel; nothing was sent through it.
+
+    Parameters
+    ----------
+    relay, peer : str
+        Addresses of the host in between, and of the other process.
+    status : int
+        Status of its response; 0 if it gave none.
+    """
+
+    def __init__(self, relay, peer, status):
+        super().__init__(f"relay={relay} peer={peer} status={status}")
+        self.relay = relay
+        self.peer = peer
+        self.status = status
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -7,12 +7,11 @@
 """
 
 import asyncio
-import socket
-import struct
 from collections import deque
 
 import httptools
 
+from gypsumusher_http.tunnels import reset_on_close
 from gypsumusher_ports import Refusal
 
 __all__ = ["Listener", "Reply"]
@@ -32,8 +31,6 @@
 LISTEN_BACKLOG = 1024
 # `Reply.drain` waits while more than this is buffered for one caller.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
-# SO_LINGER values: closing the socket sends a reset, or delivers what was written.
-_CLOSE_BY_RESET, _CLOSE_REGULARLY = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
 _REASON_PHRASES = {
     200: b"OK",
     204: b"No Content",
@@ -132,6 +129,18 @@
         """Abort the connection, so that the caller sees the response as incomplete."""
         self._connection.abort()
 
+    def hand_over(self):
+        """Accept a CONNECT request, and return the transport for other use.
+
+        Returns
+        -------
+        asyncio.Transport or None
+            None when the caller has left.
+        """
+        self._connection.write(b"HTTP/1.1 200 Connection Established\r\n\r\n")
+        self.is_started = self.is_ended = True
+        return self._connection.hand_over()
+
     @property
     def keeps_alive(self):
         """Whether the connection stays open after this response."""
@@ -198,6 +207,9 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # A CONNECT request is complete; its caller waits for the response.
+            return
         except httptools.HttpParserError as error:
             # The end of the request is unknown; later data could be part of its body.
             self._reject(Refusal(400, "malformed_request", None), str(error))
@@ -289,11 +301,14 @@
 
     def close_by_reset(self, is_reset):
         """Set whether the connection ends by a reset or regularly."""
-        if self._transport is None:
-            return
-        linger = _CLOSE_BY_RESET if is_reset else _CLOSE_REGULARLY
-        sock = self._transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if self._transport is not None:
+            reset_on_close(self._transport, is_reset)
+
+    def hand_over(self):
+        """Return the transport, which another protocol uses from now on."""
+        transport, self._transport = self._transport, None
+        self._listener.connections.discard(self)
+        return transport
 
     def _count_header(self, size):
         """Reject the request when its header exceeds the limit."""
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -32,6 +32,7 @@
     LimitReport,
     LimitView,
 )
+from gypsumusher_routing.endpoint_paths import DirectPath, RelayTable
 from gypsumusher_routing.endpoint_state import EndpointState, Load, OrderedStage
 from gypsumusher_routing.endpoint_table import EndpointTable
 from gypsumusher_routing.engine_choice import (
@@ -104,6 +105,8 @@
 from gypsumusher_routing.version_lag import VersionLag
 
 __all__ = [
+    "DirectPath",
+    "RelayTable",
     "ABSENT_FOR_S",
     "ALL_ON",
     "ASK",
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from gypsumusher_ports import EndpointRecord
+from gypsumusher_routing.endpoint_paths import DirectPath
 from gypsumusher_routing.estimates import RunningQuantile, Slowdown
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
@@ -91,6 +92,7 @@
         self.record = record
         self.delivery = DeliveryRecord() if delivery is None else delivery
         self.health = Health()
+        self.path = DirectPath()
         self.prefixes = PrefixCacheEstimate(kv_tokens)
         self.own_running = 0
         self._own_prefills = 0
--- a/libs/routing/gypsumusher_routing/health.py
+++ b/libs/routing/gypsumusher_routing/health.py
@@ -55,6 +55,10 @@
         self._penalty = self.own_penalty(now_s) * SUCCESS_FACTOR
         self._updated_s = now_s
 
+    def clear_own(self) -> None:
+        """Drop the penalty from this host's own requests."""
+        self._penalty = 0.0
+
     def on_peer_penalty(self, now_s: float, peer: str, penalty: float) -> None:
         """Store the penalty that a peer reports from its own requests."""
         if penalty <= 0.0:
