Open tunnels on the peers' port only, and close a connection after an upgrade

A CONNECT or Upgrade request on the callers' listener was answered, and bytes behind it were dropped with the connection left open; before the tunnels the parser's upgrade went unhandled and closed the connection without a word. Cause: httptools reports an upgrade by an exception of its own family. Found while reading the change.

Both cases of the new test fail on the commit before.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -81,7 +81,9 @@
         peer_handler = create_peer_handler(
             self.context, api_handler, self._tunnel_relay
         )
-        self._peer_api = Listener(peer_handler, *codecs, clock, log)
+        self._peer_api = Listener(
+            peer_handler, *codecs, clock, log, accepts_tunnels=True
+        )
         self._listener = Listener(create_handler(self.context), *codecs, clock, log)
 
     async def start(self):
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -208,8 +208,10 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            # A CONNECT request is complete; its caller waits for the response.
-            return
+            # The request is complete. Its caller waits for a tunnel, or what follows
+            # is in a protocol that this listener doesn't speak.
+            if not self._accepts_tunnel():
+                self._reject(Refusal(400, "upgrade", None), "")
         except httptools.HttpParserError as error:
             # The end of the request is unknown; later data could be part of its body.
             self._reject(Refusal(400, "malformed_request", None), str(error))
@@ -310,6 +312,11 @@
         self._listener.connections.discard(self)
         return transport
 
+    def _accepts_tunnel(self):
+        """Return whether the current request asks for a tunnel and may get one."""
+        is_connect = self._parser.get_method() == b"CONNECT"
+        return is_connect and self._listener.accepts_tunnels
+
     def _count_header(self, size):
         """Reject the request when its header exceeds the limit."""
         self._header_bytes += size
@@ -379,9 +386,21 @@
         response.
     clock, log : callable
         Monotonic clock in seconds, and function ``log(level, event, **fields)``.
+    accepts_tunnels : bool
+        Whether a CONNECT request may be answered by `Reply.hand_over`. Otherwise the
+        connection closes after the response to it.
     """
 
-    def __init__(self, handle, decode_request, encode_refusal, clock, log):
+    def __init__(
+        self,
+        handle,
+        decode_request,
+        encode_refusal,
+        clock,
+        log,
+        accepts_tunnels=False,
+    ):
+        self.accepts_tunnels = accepts_tunnels
         self.handle = handle
         self.decode_request = decode_request
         self.encode_refusal = encode_refusal
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -243,3 +243,23 @@
             assert "X-Other" not in dict(request.headers)
 
     run(scenario())
+
+
+# Guards against bytes after a request for a tunnel or an upgrade that are dropped, or
+# read as a request, on a listener that opens no tunnels.
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n",
+        b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: u\r\n\r\n",
+    ],
+)
+def test_connection_closes_after_the_response_to_an_upgrade(request_bytes):
+    async def scenario():
+        async with CallerFixture() as caller:
+            caller.writer.write(request_bytes + HIDDEN)
+            received = await asyncio.wait_for(caller.reader.read(), 5)
+            assert received.count(b"HTTP/1.1 ") == 1
+            assert len(caller.requests) == 1
+
+    asyncio.run(scenario())
