End a tunnel whose endpoint has closed at once, and test long responses through one

A connection that the endpoint closed between its opening and the start of the tunnel left the tunnel with one side only.

--- a/libs/entry/tests/test_endpoint_paths.py
+++ b/libs/entry/tests/test_endpoint_paths.py
@@ -169,6 +169,34 @@
     run(scenario())
 
 
+def test_long_response_without_length_is_whole_through_another_host():
+    async def scenario():
+        whole = bytes(range(256)) * 20_000
+        failures = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+
+        async def long(number, head, body, writer):
+            framing = "Connection: close"
+            writer.write(encode_response(request_id_of(head), whole, framing=framing))
+            writer.close()
+
+        async with two_hosts(long) as system:
+            cut_links(system.hosts[0])
+            pool = system.hosts[0].context.connection_pool
+            process = ("e-0", states_of(system.hosts[0])[0].record.address)
+            relay = ("host-1", system.hosts[1].context.settings.peers_address)
+            connection = await pool.connect(*process, relay)
+            response = connection.send(b"GET /0/x HTTP/1.1\r\nHost: h\r\n\r\n", None)
+            connection._transport.pause_reading()
+            await asyncio.sleep(0.3)
+            connection._transport.resume_reading()
+            assert await response.body() == whole
+            assert not failures
+
+    run(scenario())
+
+
 # Guards against a stream without length that looks complete since the host in between
 # has ended.
 def test_end_of_the_host_in_between_completes_no_stream():
--- a/libs/http/gypsumusher_http/tunnels.py
+++ b/libs/http/gypsumusher_http/tunnels.py
@@ -143,8 +143,11 @@
         async with asyncio.timeout(self._connect_timeout_s):
             await loop.create_connection(lambda: far, ip, int(port))
         transport = reply.hand_over()
-        if transport is None:
-            far.transport.abort()
+        if transport is None or far.transport is None:
+            # The caller has left, or the endpoint has closed at once.
+            for side in (transport, far.transport):
+                if side is not None:
+                    side.abort()
             return
         near.join(far)
         transport.set_protocol(near)
@@ -178,17 +181,18 @@
         enable_tcp_keepalive(transport.get_extra_info("socket"))
 
     def data_received(self, data):
-        if self._other is None or self._other.transport is None:
+        if self._other is None:
             # An endpoint speaks only when it is asked.
             self.transport.abort()
             return
         self._other.transport.write(data)
 
     def pause_writing(self):
-        self._other.transport.pause_reading()
+        if self._other is not None:
+            self._other.transport.pause_reading()
 
     def resume_writing(self):
-        if self._other.transport is not None:
+        if self._other is not None:
             self._other.transport.resume_reading()
 
     def eof_received(self):
