Treat a connection that is lost before its request is sent as one that didn't open

Callers' connections were closed without a response: the host's handler failed on a connection whose transport was gone (AttributeError), after the request had been counted as sent. Cause: a connection may be lost between its opening and its first use, more easily with tunnels, since they are opened by tasks and the endpoint's side may be reset at once.

Nothing was sent, so the request may go elsewhere. The test fails before: the caller is disconnected.

--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -130,6 +130,9 @@
     limit = context.connection_limit(record.service)
     requires_new = state.health.penalty(context.clock()) >= NEW_CONNECTION_PENALTY
     connection = await context.endpoint_connections.acquire(state, limit, requires_new)
+    if not connection.is_open:
+        # It was lost between its opening and now.
+        raise CallError("connect", record.address, "connect", False)
     if not context.endpoints.is_current(state):
         context.connection_pool.release(connection)
         raise CallError("connect", record.address, "left", False)
--- a/libs/entry/tests/test_host.py
+++ b/libs/entry/tests/test_host.py
@@ -4,6 +4,7 @@
 import json
 
 import aiohttp
+import pytest
 from host_harness import (
     AT_MOST_ONCE_ROUTE,
     BOUNDS,
@@ -27,6 +28,7 @@
 )
 
 from gypsumusher_entry.host import EntryHost
+from gypsumusher_http import CallError
 from gypsumusher_standins.object_store_server import ObjectStoreServer
 
 
@@ -618,3 +620,29 @@
             assert body == b"".join(EVENTS[4:])
 
     run(scenario())
+
+
+# Guards against a connection that is lost right after its opening, which ended the
+# caller's connection without a response.
+def test_request_whose_connection_is_lost_before_it_is_sent_goes_elsewhere():
+    async def scenario():
+        async with HostHarness(
+            healthy, healthy, routes=(AT_MOST_ONCE_ROUTE,)
+        ) as harness:
+            connections = harness.host.context.endpoint_connections
+            acquire, acquired = connections.acquire, []
+
+            async def lost_once(*args):
+                acquired.append(await acquire(*args))
+                if len(acquired) == 1:
+                    acquired[0].abort()
+                    await asyncio.sleep(0.01)
+                return acquired[-1]
+
+            connections.acquire = lost_once
+            status, _, _ = await harness.ask(method="POST")
+            assert (status, harness.arrivals(), len(acquired)) == (200, 1, 2)
+            with pytest.raises(CallError, match="connect"):
+                acquired[0].send(b"", "r-2")
+
+    run(scenario())
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -183,7 +183,15 @@
         )
 
     def send(self, data, request_id):
-        """Write a request; return the `Response` to it."""
+        """Write a request; return the `Response` to it.
+
+        Raises
+        ------
+        CallError
+            When the connection was lost before; nothing was sent then.
+        """
+        if self._transport is None:
+            raise CallError("connect", self.address, "connect", False)
         self._response = Response(self, request_id)
         self._skipped_responses = 0
         self._is_skipping_response = False
