Fail prompts with their link only once it is down for sure

A single connection that doesn't open in 0.1 s, as after a lost packet, had the prompts at that engine fail and be sent again. They fail now when a second link is down too, or when a second try has failed a second later.

--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -79,7 +79,7 @@
 
     @contextlib.contextmanager
     def fails_with_link(self, state, response):
-        """Let a response fail as soon as this host's link to its endpoint goes down.
+        """Let a response fail once this host's link to its endpoint is down for sure.
 
         For calls that may be made again elsewhere. While one waits, all hosts count its
         work as a part of the endpoint's queue, although the endpoint may not have it.
@@ -132,6 +132,7 @@
             connection = await self._connect_directly(state)
         except CallError:
             # The link is still down, which `endpoint_path_changed` has said.
+            self._fail_waiting(state)
             return
         self._context.connection_pool.release(connection)
 
@@ -188,13 +189,13 @@
         self._log_path(state, relay)
         # What failed here shows nothing of the endpoint.
         state.health.clear_own()
-        error = CallError("prefill", state.record.address, "link_down", False)
-        for response in list(self._waiting.get(_key(state.record), ())):
-            response.on_failed(error)
         suspects = [state]
         if was_down:
-            # With two links down, those of endpoints that have been silent since may be
-            # down too, and requests on their idle connections would be lost.
+            # One connection that fails to open may be a lost packet, two links are not.
+            for down in (state, *was_down):
+                self._fail_waiting(down)
+            # Links to endpoints that have been silent since may be down too, and
+            # requests on their idle connections would be lost.
             first_down_s = min(other.path.down_since_s for other in was_down)
             suspects += [
                 other
@@ -204,6 +205,12 @@
         keys = {_key(suspect.record) for suspect in suspects}
         context.connection_pool.close_idle(lambda connection: connection.key in keys)
 
+    def _fail_waiting(self, state):
+        """Fail the responses that are given up with the link to an endpoint."""
+        error = CallError("prefill", state.record.address, "link_down", False)
+        for response in list(self._waiting.get(_key(state.record), ())):
+            response.on_failed(error)
+
     def _log_path(self, state, relay):
         """Log that the path to an endpoint has changed."""
         states = self._context.endpoints.states.values()
