Share the expiry of idle connections and the key of an endpoint's connections

The pool judged the age of an idle connection at two places and walked its idle connections at two; close_expired is close_idle with the one judgement now. The key of an endpoint's direct connections, on which orders and requests must agree, was built at two places.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -6,7 +6,7 @@
 import time
 
 from gypsumusher_entry.crash_reports import CrashReports
-from gypsumusher_entry.endpoint_connections import EndpointConnections
+from gypsumusher_entry.endpoint_connections import EndpointConnections, connection_key
 from gypsumusher_entry.endpoint_limit_sync import EndpointLimitSync
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
 from gypsumusher_entry.stall_monitor import StallMonitor
@@ -451,8 +451,9 @@
         requests of callers never go through another host. The other parameter is that
         of `ConnectionPool.acquire`.
         """
-        key = (*record.incarnation, record.address)
-        return await self.connection_pool.acquire(key, record.address, connection_limit)
+        return await self.connection_pool.acquire(
+            connection_key(record), record.address, connection_limit
+        )
 
     def notify_prefill_start(self):
         """Call the listeners: an engine is about to be sent a prompt for prefill."""
--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -6,7 +6,7 @@
 from gypsumusher_http import CallError
 from gypsumusher_routing import RelayTable
 
-__all__ = ["EndpointConnections"]
+__all__ = ["EndpointConnections", "connection_key"]
 
 # Time that a direct connection is given before another host is asked as well. Most open
 # within a few milliseconds.
@@ -59,7 +59,7 @@
         pool, path = self._context.connection_pool, state.path
         if path.take_try(self._context.clock()):
             self._context.spawn(self._try_direct(state))
-        key = _key(state.record, is_relayed=path.is_down)
+        key = connection_key(state.record, is_relayed=path.is_down)
         ready = {host.name for host in self._ready_hosts()} if path.is_down else ()
 
         def may_reuse(connection):
@@ -87,14 +87,14 @@
         if response.relay is not None:
             yield
             return
-        waiting = self._waiting.setdefault(_key(state.record), set())
+        waiting = self._waiting.setdefault(connection_key(state.record), set())
         waiting.add(response)
         try:
             yield
         finally:
             waiting.discard(response)
             if not waiting:
-                self._waiting.pop(_key(state.record), None)
+                self._waiting.pop(connection_key(state.record), None)
 
     def close_idle_through(self, host):
         """Close idle connections through a host that accepts no more requests."""
@@ -121,7 +121,7 @@
     async def _connect_directly(self, state):
         """Open a connection over this host's own link."""
         pool, record = self._context.connection_pool, state.record
-        connection = await pool.connect(_key(record), record.address)
+        connection = await pool.connect(connection_key(record), record.address)
         if state.path.on_connected():
             self._log_path(state, None)
         return connection
@@ -154,7 +154,7 @@
                 return None
             try:
                 connection = await context.connection_pool.connect(
-                    _key(record, is_relayed=True),
+                    connection_key(record, is_relayed=True),
                     record.address,
                     (relay.name, relay.peers_address),
                     min(RELAY_TIMEOUT_S, left_s),
@@ -202,13 +202,13 @@
                 for other in states.values()
                 if not other.has_answered_since(first_down_s)
             ]
-        keys = {_key(suspect.record) for suspect in suspects}
+        keys = {connection_key(suspect.record) for suspect in suspects}
         context.connection_pool.close_idle(lambda connection: connection.key in keys)
 
     def _fail_waiting(self, state):
         """Fail the responses that are given up with the link to an endpoint."""
         error = CallError("prefill", state.record.address, "link_down", False)
-        for response in list(self._waiting.get(_key(state.record), ())):
+        for response in list(self._waiting.get(connection_key(state.record), ())):
             response.on_failed(error)
 
     def _log_path(self, state, relay):
@@ -255,7 +255,7 @@
         connection.abort()
 
 
-def _key(record, is_relayed=False):
+def connection_key(record, is_relayed=False):
     """Return the key in the pool of direct or of relayed connections to an endpoint."""
     key = (*record.incarnation, record.address)
     return (*key, "relayed") if is_relayed else key
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -397,13 +397,12 @@
             are closed.
         """
         idle = self._idle.get(key, [])
-        now_s = self._clock()
         while idle:
             connection = idle.pop()
             if not connection.is_open:
                 continue
-            is_expired = now_s - connection.idle_since_s > connection.idle_timeout_s
-            if is_expired or (may_reuse is not None and not may_reuse(connection)):
+            is_refused = may_reuse is not None and not may_reuse(connection)
+            if is_refused or self._has_expired(connection):
                 # At once, so that it doesn't count against the limit any more.
                 self.discard(connection)
                 connection.abort()
@@ -442,12 +441,7 @@
 
     def close_expired(self):
         """Close connections that have been idle for longer than their time-out."""
-        now_s = self._clock()
-        for connections in list(self._idle.values()):
-            for connection in list(connections):
-                if now_s - connection.idle_since_s > connection.idle_timeout_s:
-                    connections.remove(connection)
-                    connection.abort()
+        self.close_idle(self._has_expired)
 
     def close(self):
         """Close all connections at once."""
@@ -455,6 +449,10 @@
             for connection in list(connections):
                 connection.abort()
 
+    def _has_expired(self, connection):
+        """Return whether a connection has been idle for longer than its time-out."""
+        return self._clock() - connection.idle_since_s > connection.idle_timeout_s
+
     async def connect(self, key, address, relay=None, timeout_s=None):
         """Open a connection to a process.
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -105,8 +105,6 @@
 from gypsumusher_routing.version_lag import VersionLag
 
 __all__ = [
-    "DirectPath",
-    "RelayTable",
     "ABSENT_FOR_S",
     "ALL_ON",
     "ASK",
@@ -134,6 +132,7 @@
     "CrashingContent",
     "EndpointLimits",
     "DeliveryRecord",
+    "DirectPath",
     "EndpointState",
     "EndpointTable",
     "EnginePool",
@@ -164,6 +163,7 @@
     "PrefixCacheEstimate",
     "RecordState",
     "RefusedContent",
+    "RelayTable",
     "RetryBudget",
     "RetryDecision",
     "RouteTable",
