Decode software versions and Resumes, and log them with streams and repeats

Cause: the logs of the incident don't say which software version an endpoint has, whether a repeat followed events, or that a caller resumed a stream, so that an answer joined within one attempt can't be told from one joined over a caller's tries, nor either from an outdated entry. Change: EndpointRecord.software_version and CallerRequest.resumed_id, decoded in platform/; endpoint_changed, repeat_sent and request_ended log them. Hosts send each other versions only when asked, so that hosts of the release before still read them; endpoints without versions from such a host aren't used. No decision depends on them yet.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -73,6 +73,8 @@
         self.event_count = 0
         self.longest_pause_s = 0.0
         self.run_endpoint_id = None
+        # Software version that has written all events so far; None before the first.
+        self.software_version = None
         # Host through which the last send went; None if it went directly.
         self.relay = None
         self.prefill_endpoint_id = None
@@ -412,6 +414,9 @@
         repeats=exchange.send_counter.repeats or None,
         retries=exchange.send_counter.retries or None,
         endpoint=exchange.run_endpoint_id,
+        software=exchange.software_version,
+        resumed_after=exchange.request.last_event_id,
+        resumed_id=exchange.request.resumed_id,
         relay=exchange.relay,
         # Set only when the request ended while its prompt was waiting for prefill.
         waited_at=exchange.prefill_endpoint_id,
--- a/libs/entry/gypsumusher_entry/host_api.py
+++ b/libs/entry/gypsumusher_entry/host_api.py
@@ -53,7 +53,7 @@
         revision = _parse_number(known, "revision")
         accepts_changes = "changes" in known
         response = _state_newer_than(context, version, revision, accepts_changes)
-        body = encoder.encode(response)
+        body = encoder.encode(response, has_versions="software" in known)
         return 200, [_MSGPACK], body
 
     def answer_metrics(_):
--- a/libs/entry/gypsumusher_entry/peer_sync.py
+++ b/libs/entry/gypsumusher_entry/peer_sync.py
@@ -149,11 +149,13 @@
             "revision": str(context.endpoints.revision),
             # This host accepts changes in place of the list of all endpoints.
             "changes": "1",
+            # Without versions, streams could go on at endpoints of another version.
+            "software": "1",
         }
         _, data = await self._client.call(
             "GET", peer.peers_address, PEER_SYNC_PATH, RESPONSE_LIMITS, known
         )
-        return decode_sync_response(peer.name, data)
+        return decode_sync_response(peer.name, data, requires_versions=True)
 
     def _apply(self, peer, response):
         """Apply the response of a peer."""
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -91,6 +91,9 @@
             endpoint=record.endpoint_id,
             sends=exchange.send_counter.arrivals,
             retries=exchange.send_counter.retries,
+            software=record.software_version,
+            software_before=exchange.software_version,
+            events=exchange.event_count or None,
             connect_ms=round((exchange.last_sent_s - began_s) * 1000),
         )
     if run is not None:
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -322,6 +322,7 @@
         address=record.address,
         zone=record.zone,
         stage=record.stage,
+        software=record.software_version,
         leaving=record.is_draining,
         beat=record.heartbeat_count,
         source="store",
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -307,6 +307,7 @@
         if not run.has_started:
             run.on_first_event(self._context, self._generation)
             exchange.record_usage(now_s)
+            exchange.software_version = run.state.record.software_version
             self._record_first_event(run, now_s)
         else:
             pause_s = now_s - run.last_event_s
--- a/libs/entry/gypsumusher_entry/sync_messages.py
+++ b/libs/entry/gypsumusher_entry/sync_messages.py
@@ -65,8 +65,17 @@
     def __init__(self):
         self._compressed = {}
 
-    def encode(self, response: SyncResponse) -> bytes:
-        """Return the encoded response."""
+    def encode(self, response: SyncResponse, has_versions: bool = True) -> bytes:
+        """Return the encoded response.
+
+        Parameters
+        ----------
+        response : SyncResponse
+            The response.
+        has_versions : bool
+            Whether the asking host expects the endpoints' software versions; hosts of
+            earlier releases don't.
+        """
         stored = response.configuration
         configuration = None
         if stored is not None:
@@ -75,7 +84,8 @@
         endpoints = None
         if response.endpoints is not None:
             # Not cached: a heartbeat changes the record but not the revision.
-            records = [list(record) for record in response.endpoints]
+            fields_sent = len(EndpointRecord._fields) - (not has_versions)
+            records = [list(record)[:fields_sent] for record in response.endpoints]
             endpoints = self._compress(None, records)
         fields = [configuration, endpoints, response.revision, response.is_complete]
         if response.removed is not None:
@@ -93,7 +103,9 @@
         return compressed
 
 
-def decode_sync_response(peer: str, data: bytes) -> SyncResponse:
+def decode_sync_response(
+    peer: str, data: bytes, requires_versions: bool = False
+) -> SyncResponse:
     """Return the decoded response.
 
     Parameters
@@ -102,6 +114,9 @@
         Name of the sender, for errors.
     data : bytes
         The response.
+    requires_versions : bool
+        Whether endpoints without a field for their software version are an error. Hosts
+        of earlier releases don't send that field.
 
     Raises
     ------
@@ -119,9 +134,11 @@
             stored = StoredObject(*_decompress(configuration))
         records = None
         if endpoints is not None:
-            records = tuple(
-                EndpointRecord(*fields) for fields in _decompress(endpoints)
-            )
+            entries = _decompress(endpoints)
+            expected = len(EndpointRecord._fields)
+            if requires_versions and any(len(fields) < expected for fields in entries):
+                raise ValueError("endpoints without software versions")
+            records = tuple(EndpointRecord(*fields) for fields in entries)
     except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as error:
         raise DecodeError("beliefs", peer, repr(error)) from error
     if type(revision) is not int or type(is_complete) is not bool:
--- a/libs/entry/tests/test_peer_sync.py
+++ b/libs/entry/tests/test_peer_sync.py
@@ -238,3 +238,14 @@
         server.close()
 
     run(scenario())
+
+
+# Guards against hosts of two releases that can't read each other's endpoints, and
+# against endpoints that seem to have no software version.
+def test_versions_of_endpoints_are_left_out_for_hosts_that_do_not_expect_them():
+    response = sync_response(0, 3)
+    data = SyncResponseEncoder().encode(response, has_versions=False)
+    decoded = decode_sync_response("host-2", data)
+    assert {record.software_version for record in decoded.endpoints} == {""}
+    with pytest.raises(DecodeError, match="software versions"):
+        decode_sync_response("host-2", data, requires_versions=True)
--- a/libs/ports/gypsumusher_ports/calls.py
+++ b/libs/ports/gypsumusher_ports/calls.py
@@ -67,6 +67,9 @@
     key : str or None
         Key of the caller's client account, a secret; None when the caller sent none, or
         several that differ. It isn't among `headers`.
+    resumed_id : str or None
+        Id of the attempt that brought the first event of the stream that the caller
+        resumes; None when the caller sent none, or several that differ.
     """
 
     request_id: str
@@ -79,6 +82,7 @@
     generation: Generation | None
     last_event_id: str | None
     key: str | None = None
+    resumed_id: str | None = None
 
 
 class SendOptions(NamedTuple):
--- a/libs/ports/gypsumusher_ports/endpoints.py
+++ b/libs/ports/gypsumusher_ports/endpoints.py
@@ -33,6 +33,8 @@
         incarnation, the one with the lower count is older.
     is_reclaimable : bool
         Whether the platform may take the endpoint away at any time.
+    software_version : str
+        Version of the endpoint's software; empty if its entry has none.
     """
 
     endpoint_id: str
@@ -46,6 +48,7 @@
     stage: str | None
     heartbeat_count: int
     is_reclaimable: bool = False
+    software_version: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -364,3 +364,22 @@
     """Guards against requests that run for one of two accounts by chance."""
     with pytest.raises(DecodeError):
         decode_configuration({**CONFIGURATION, "tenants": tenants})
+
+
+def test_software_version_of_an_endpoint_is_decoded():
+    stored = StoredObject("e-1", 1, dict(ENTRY), None)
+    assert decode_endpoint(stored).software_version == "v1"
+    del stored.content["version"]
+    assert decode_endpoint(stored).software_version == ""
+    stored.content["version"] = 2
+    with pytest.raises(DecodeError, match="version"):
+        decode_endpoint(stored)
+
+
+@pytest.mark.parametrize(
+    ("values", "resumed_id"),
+    [((), None), (("r-1",), "r-1"), ((" r-1", "r-1"), "r-1"), (("r-1", "r-2"), None)],
+)
+def test_id_of_a_resumed_stream_is_decoded_unless_it_is_ambiguous(values, resumed_id):
+    headers = [("Host", "a"), *(("RESUMES", value) for value in values)]
+    assert decode_request("GET", "/", headers, b"").resumed_id == resumed_id
