Add failing tests of streams that go on at another software version

Soak: the deployment versions has two versions side by side, releases in series, and callers that leave streams and take them up with Resumes; checks that no stream is mixed, and that the share that goes on is at least half of the share that begins.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,9 +10,10 @@
     PROMPT,
     STREAM,
     Outcome,
+    StreamTry,
     deadline_s,
     expected_body,
-    expected_event,
+    parse_events,
 )
 
 from gypsumusher_objects import disable_retries
@@ -37,6 +38,9 @@
 FAVOURED_SHARE = 0.5
 # How often a caller that doesn't wait repeats a request that failed.
 IMPATIENT_REPEATS = 3
+# Attempts that a caller makes at a stream until it has all events, the longest pause
+# between two of them, and the share of the first ones that it leaves after some events.
+STREAM_TRIES, STREAM_PAUSE_S, STREAM_LEFT_SHARE = 4, 0.3, 0.3
 
 
 class Demand:
@@ -145,11 +149,14 @@
     async def _request(self, kind):
         """Send one request; return whether to send it again at once."""
         host = self._rng.choice(self._hosts)
+        if kind == STREAM and self._deployment.callers_take_up_streams:
+            await self._follow_stream(host)
+            return False
         call = self._send(host, kind, next(self._ids))
         if self._rng.random() < ABANDONED_SHARE + self._demand.leaving_share:
             await self._abandon(call)
             return False
-        outcome = await call
+        outcome, _ = await call
         self._records.outcomes.append(outcome)
         if outcome.problem == "connect":
             # Like a real client: try other addresses, then resolve again.
@@ -159,6 +166,41 @@
         share = self._demand.repeating_share
         return share > 0.0 and self._rng.random() < share
 
+    async def _follow_stream(self, host):
+        """Begin a stream, and take it up where it broke off until it is whole."""
+        first_id = began_id = None
+        had_events = 0
+        for number in range(STREAM_TRIES):
+            request_id = next(self._ids)
+            first_id = first_id or request_id
+            leaves_after = None
+            if number == 0 and self._rng.random() < STREAM_LEFT_SHARE:
+                leaves_after = self._rng.randrange(1, EVENTS)
+            outcome, events = await self._send(
+                host, STREAM, request_id, began_id, had_events, leaves_after
+            )
+            if leaves_after is None or len(events) < leaves_after:
+                self._records.outcomes.append(outcome)
+            versions = tuple(version for _, version in events)
+            self._records.stream_tries.append(
+                StreamTry(
+                    first_id, request_id, host, outcome.sent_s, outcome.ended_s,
+                    had_events, versions,
+                )
+            )  # fmt: skip
+            if events and began_id is None:
+                began_id = request_id
+            had_events += len(events)
+            if had_events >= EVENTS:
+                return
+            await asyncio.sleep(self._rng.uniform(0.0, STREAM_PAUSE_S))
+            if outcome.problem == "connect":
+                self._hosts = [other for other in self._hosts if other != host]
+            await self._resolve_hosts()
+            if not self._hosts:
+                return
+            host = self._rng.choice(self._hosts)
+
     async def _abandon(self, call):
         """Cancel a request after a random time, which closes its connection."""
         try:
@@ -181,8 +223,27 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
 
-    async def _send(self, host, kind, request_id):
-        """Send one request, check the response and return the outcome."""
+    async def _send(
+        self, host, kind, request_id, began_id=None, had_events=0, leaves_after=None
+    ):
+        """Send one request and check the response.
+
+        Parameters
+        ----------
+        host, kind, request_id : str
+            Address of the host, and kind and id of the request.
+        began_id : str or None
+            Id of the attempt that brought the first event of the stream to be taken up.
+        had_events : int
+            Number of events that the caller has of it.
+        leaves_after : int or None
+            Number of events after which the caller closes the connection.
+
+        Returns
+        -------
+        (Outcome, list of (int, str))
+            The outcome, and the number and software version of each event that came.
+        """
         sent_s = self._clock()
         self._records.sent[request_id] = (self._deployment.service_of(kind), sent_s)
         self._records.hosts[request_id] = host
@@ -197,6 +258,9 @@
             key = self._rng.choice(sorted(self._records.keys))
             headers["X-Gypsumusher-Key"] = key
             self._records.keys_sent[request_id] = (key, sent_s)
+        if began_id is not None:
+            headers["Resumes"] = began_id
+            headers["Last-Event-Id"] = str(had_events - 1)
         if kind in TOKEN_COUNTS and self._deployment.has_engines:
             headers["X-Gypsumusher-Token-Count"] = TOKEN_COUNTS[kind]
         timeout = aiohttp.ClientTimeout(
@@ -204,30 +268,47 @@
         )
         url = f"http://{host}/{kind}/x"
         body = b"question" if self._deployment.shares_content else request_id.encode()
+        data, events = b"", []
         try:
             call = self._session.post(url, data=body, headers=headers, timeout=timeout)
             async with call as response:
                 status = response.status
                 is_sealed = "X-Gypsumusher-Server-Seal" in response.headers
                 retry_after = response.headers.get("Retry-After")
-                body = await response.read()
                 if response.headers.get("X-Gypsumusher-Request-Id") != request_id:
                     problem = "wrong_id"
-                elif status == 200 and body != _expected_response(kind, request_id):
-                    problem = "wrong_body"
+                async for piece in response.content.iter_any():
+                    data += piece
+                    if kind in STREAMED and status == 200:
+                        events = parse_events(request_id, data) or []
+                    if leaves_after is not None and len(events) >= leaves_after:
+                        break
+                else:
+                    if status == 200 and not problem:
+                        expected = _is_expected(kind, request_id, data, had_events)
+                        problem = "" if expected else "wrong_body"
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             problem = "connect"
         except TimeoutError:
             problem = "late"
         except (aiohttp.ClientError, OSError):
             problem = "broken" if status else "cut"
-        return Outcome(
+        if [number for number, _ in events] != list(
+            range(had_events, had_events + len(events))
+        ):
+            problem = "wrong_body"
+        outcome = Outcome(
             request_id, kind, host, sent_s, self._clock(), status, problem, is_sealed,
             retry_after,
         )  # fmt: skip
+        return outcome, events
 
 
-def _expected_response(kind, request_id):
+def _is_expected(kind, request_id, data, had_events):
+    """Return whether a body is the whole valid response to a request."""
     if kind not in STREAMED:
-        return expected_body(request_id)
-    return b"".join(expected_event(request_id, number) for number in range(EVENTS))
+        return data == expected_body(request_id)
+    events = parse_events(request_id, data)
+    if events is None or not data.endswith(b"\n\n"):
+        return False
+    return [number for number, _ in events] == list(range(had_events, EVENTS))
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,7 @@
 from account_checks import find_account_violations
 from plan import RECOVERED_S
 from records import IDEMPOTENT, NON_IDEMPOTENT, PROMPT, STREAM, deadline_s
+from stream_checks import find_stream_violations
 
 __all__ = ["find_violations", "peak_retry_usage"]
 
@@ -93,6 +94,7 @@
     found += _check_crashing(records)
     found += _check_limits(records)
     found += _check_link_cuts(records)
+    found += find_stream_violations(records, _is_disturbed)
     if records.keys:
         found += find_account_violations(records, ends_s)
     return found
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -53,6 +53,12 @@
         Whether the hosts have served before and have their records in the store.
     lead_s : float
         Time from when all hosts are ready until callers start.
+    versions : int
+        Number of software versions of endpoints that serve side by side at first.
+    event_interval_s : float
+        Delay between two events of a stream, in seconds.
+    callers_take_up_streams : bool
+        Whether callers take streams up again that have broken off, or that they left.
     callers_wait : bool
         Whether a caller waits for each response before its next request. Otherwise
         requests come at the same rate while responses are late.
@@ -79,6 +85,9 @@
     have_served: bool = False
     lead_s: float = 0.0
     callers_wait: bool = True
+    versions: int = 1
+    event_interval_s: float = 0.02
+    callers_take_up_streams: bool = False
 
     @property
     def has_engines(self):
@@ -238,8 +247,41 @@
     lead_s=16.0,
     callers_wait=False,
 )
+# Releases in series, while hosts and endpoints are lost, stopped and cut off.
+VERSION_KINDS = {
+    "release": (3.0, 8.0),
+    "host_kill": (0.1, 2.0),
+    "host_pause": (0.3, 3.0),
+    "host_stop": (0.0, 1.0),
+    "all_hosts_kill": (0.0, 0.5),
+    "hosts_apart": (1.0, 6.0),
+    "endpoint_restart": (0.1, 2.0),
+    "endpoint_break": (0.5, 3.0),
+    "endpoint_full": (0.5, 3.0),
+    "link_reset": (0.0, 0.0),
+    "link_silent": (0.3, 3.0),
+    "store_refuse": (0.5, 4.0),
+    "store_silent": (0.5, 4.0),
+    "store_lost": (0.5, 2.0),
+    "store_lapse": (0.5, 3.0),
+    "store_forget": (0.0, 0.0),
+    "host_store_cut": (0.5, 4.0),
+    "config_change": (0.0, 0.0),
+}
+VERSIONS = SMALL._replace(
+    hosts=5,
+    endpoints=8,
+    callers=16,
+    request_kinds=(IDEMPOTENT, STREAM, STREAM, STREAM),
+    fault_kinds=VERSION_KINDS,
+    fault_rate=FaultRate(per_s=1.2, kinds=6, always=("release",)),
+    versions=2,
+    event_interval_s=0.1,
+    callers_take_up_streams=True,
+)
 DEPLOYMENTS = {
     "small": SMALL,
+    "versions": VERSIONS,
     "accounts": ACCOUNTS,
     "seven-hosts": SEVEN_HOSTS,
     "eight-hosts": EIGHT_HOSTS,
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -225,6 +225,14 @@
     await _in_turn(system, "endpoint_leave", chosen, STEP_S)
 
 
+async def _release(system, target, duration_s):
+    """Replace a share of the endpoints by a new software version, one by one."""
+    chosen = _choose(system.backends, RELEASED_SHARE, target)
+    chosen = chosen[: max(1, int(duration_s / STEP_S))]
+    system.release_next_version([system.backends[number] for number in chosen])
+    await _in_turn(system, "endpoint_leave", chosen, STEP_S)
+
+
 async def _zone_reclaimed(system, target, duration_s):
     """Let all engines of a zone leave at once."""
     chosen = [
@@ -448,6 +456,7 @@
     "endpoints_grey": (None, _for_share("endpoint_grey", "backends", ENDPOINTS_SHARE)),
     "endpoints_lose": (None, _for_share("endpoint_lose", "backends", ENDPOINTS_SHARE)),
     "endpoints_released": (None, _endpoints_released),
+    "release": (None, _release),
     "zone_reclaimed": (None, _zone_reclaimed),
     "handles_lapse": (None, _endpoint_attribute("handle_ttl_s", 0.0, HANDLE_TTL_S)),
     "transfers_slow": (None, _endpoint_attribute("is_transfer_slow", True, False)),
--- a/soak/records.py
+++ b/soak/records.py
@@ -1,5 +1,6 @@
 """What callers, endpoints and the operator observed in a soak run."""
 
+import re
 from typing import NamedTuple
 
 __all__ = [
@@ -16,11 +17,14 @@
     "Outcome",
     "Records",
     "RetryLimit",
+    "ServingSpan",
     "StatedLimit",
+    "StreamTry",
     "UsageReport",
     "deadline_s",
     "expected_body",
     "expected_event",
+    "parse_events",
 ]
 
 # Kinds of requests: may run several times, may run at most once, resumable stream, and
@@ -39,6 +43,9 @@
 BODY_REPEATS = (1, 40, 4000)
 
 
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)-(\d+) (\S+)\n\n")
+
+
 class Outcome(NamedTuple):
     """How one request ended for its caller.
 
@@ -173,6 +180,44 @@
     counts: dict
 
 
+class StreamTry(NamedTuple):
+    """One attempt of a caller at a stream.
+
+    Attributes
+    ----------
+    stream_id : str
+        Id of the caller's first attempt at this stream.
+    request_id, host : str
+        Id of this attempt, and the host it was sent to.
+    sent_s, ended_s : float
+        When it was sent and when it ended, in seconds since the run began.
+    had_events : int
+        Number of events that the caller had before.
+    versions : tuple of str
+        Software version that wrote each event of this attempt.
+    """
+
+    stream_id: str
+    request_id: str
+    host: str
+    sent_s: float
+    ended_s: float
+    had_events: int
+    versions: tuple[str, ...]
+
+
+class ServingSpan(NamedTuple):
+    """When an endpoint of a software version was ready, in seconds since the run began.
+
+    The end is None while it still is.
+    """
+
+    endpoint: str
+    version: str
+    began_s: float
+    ended_s: float | None
+
+
 class Records:
     """Everything that the checks of the guarantees use.
 
@@ -216,6 +261,10 @@
         Requests that endpoints ran, where callers have accounts.
     usage_reports : list of UsageReport
         Reports in the order in which the platform accepted them.
+    stream_tries : list of StreamTry
+        Attempts at streams, where callers take them up again.
+    serving : list of ServingSpan
+        When endpoints were ready, with their software versions.
     began_unix_s : float
         Time of day at which the run began.
     stalls : list of (float, float)
@@ -243,6 +292,8 @@
         self.link_cuts = []
         self.account_runs = []
         self.usage_reports = []
+        self.stream_tries = []
+        self.serving = []
         self.began_unix_s = 0.0
         self.stalls = []
 
@@ -265,6 +316,31 @@
     return request_id.encode() * repeats
 
 
-def expected_event(request_id, number):
-    """Return the only valid event of a stream at an index."""
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+def expected_event(request_id, number, version):
+    """Return the only valid event of a stream at an index, by a software version."""
+    return f"id: {number}\ndata: {request_id}-{number} {version}\n\n".encode()
+
+
+def parse_events(request_id, data):
+    """Return the complete events in the body of a response.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    data : bytes
+        The body, or the part of it that has arrived.
+
+    Returns
+    -------
+    list of (int, str) or None
+        Number and software version of each event; None if any isn't a valid event of
+        this request.
+    """
+    found = []
+    for raw in re.findall(rb".*?\n\n", data, re.DOTALL):
+        match = _EVENT.fullmatch(raw)
+        if match is None or match[2].decode() != request_id or match[1] != match[3]:
+            return None
+        found.append((int(match[1]), match[4].decode()))
+    return found
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -45,8 +45,6 @@
 ENGINE_RESPONSES = {
     "/v1/kv-list": ("200 OK", {"epoch": 1, "next": 0, "held": []}),
 }
-# Delay between two events of a stream.
-EVENT_INTERVAL_S = 0.02
 # How responses without length end: complete, early by a regular end, early by a reset.
 UNFRAMED_ENDS = COMPLETE, CUT, RESET = ("complete", "cut", "reset")
 # SO_LINGER value (on, 0 s): closing the socket sends a reset.
@@ -75,9 +73,15 @@
         engines.
     takes_orders : bool
         Whether the engine changes its stage when it is ordered to.
+    event_interval_s : float
+        Delay between two events of a stream, in seconds.
 
     Attributes
     ----------
+    version : str
+        Version of its software, which each event names.
+    next_version : str or None
+        Version that it has from its next planned restart on.
     mode : str
         ``well`` (healthy), ``errors`` (status 500 after the work), ``grey`` (the same
         for `GREY_SHARE` of the requests), ``hang`` (no response), ``break`` (response
@@ -103,8 +107,11 @@
         slots=None,
         handles=None,
         takes_orders=False,
+        event_interval_s=0.02,
     ):
         self.name = name
+        self.version, self.next_version = "v1", None
+        self._event_interval_s = event_interval_s
         self.service = service
         self.stage = stage
         self.handle_ttl_s = HANDLE_TTL_S
@@ -325,11 +332,11 @@
         writer.write(self._encode(request_id, b"", extra=content_type, framing=framing))
         ends_before = EVENTS if end == COMPLETE else self._rng.randint(first, EVENTS)
         for number in range(first, ends_before):
-            writer.write(expected_event(request_id, number))
+            writer.write(expected_event(request_id, number, self.version))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self._event_interval_s)
         if end != COMPLETE and ends_before < EVENTS:
-            event = expected_event(request_id, ends_before)
+            event = expected_event(request_id, ends_before, self.version)
             writer.write(event[: self._rng.randrange(1, len(event))])
         _end_connection(writer, end == RESET)
 
@@ -342,14 +349,14 @@
         framing = "Transfer-Encoding: chunked"
         writer.write(self._encode(request_id, b"", extra=content_type, framing=framing))
         for number in range(first, EVENTS):
-            event = expected_event(request_id, number)
+            event = expected_event(request_id, number, self.version)
             if mode == "break" and number >= first + 2:
                 writer.write(encode_chunk(event[:5]))
                 writer.close()
                 return
             writer.write(encode_chunk(event))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self._event_interval_s)
         writer.write(b"0\r\n\r\n")
 
 
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -22,6 +22,7 @@
     AccountKey,
     LinkCut,
     Records,
+    ServingSpan,
     StatedLimit,
     deadline_s,
 )
@@ -102,6 +103,7 @@
         self._lapsed = False
         self._callers = []
         self._crashing_count = 0
+        self._software_count = deployment.versions
         # Names of the endpoints that are restarting after a crash.
         self._restarting = set()
         self._tasks = set()
@@ -150,6 +152,8 @@
             )
             self._callers.append(caller)
             await caller.start()
+        for endpoint in self.backends:
+            self._begin_serving(endpoint)
         for host in self.hosts:
             self.spawn(self._poll_version(host))
         self.spawn(self._record_stalls())
@@ -209,7 +213,9 @@
                 deployment.plain_slots if service == PLAIN else None,
                 self._handles,
                 deployment.takes_stage_orders,
+                deployment.event_interval_s,
             )
+            endpoint.version = f"v{1 + number % deployment.versions}"
             endpoints.append(endpoint)
         return endpoints
 
@@ -380,8 +386,27 @@
         finally:
             self._restarting.discard(endpoint.name)
 
+    def release_next_version(self, endpoints):
+        """Give endpoints the next software version at their next planned restart."""
+        self._software_count += 1
+        for endpoint in endpoints:
+            endpoint.next_version = f"v{self._software_count}"
+
+    def _begin_serving(self, endpoint):
+        """Record that an endpoint is ready with its software version."""
+        span = ServingSpan(endpoint.name, endpoint.version, self.clock(), None)
+        self.records.serving.append(span)
+
+    def _end_serving(self, endpoint):
+        """Record that an endpoint isn't ready any more."""
+        serving = self.records.serving
+        for number, span in enumerate(serving):
+            if span.endpoint == endpoint.name and span.ended_s is None:
+                serving[number] = span._replace(ended_s=self.clock())
+
     async def _crash_and_start(self, endpoint, pause_s):
         number = self.backends.index(endpoint)
+        self._end_serving(endpoint)
         self._crashed_s[endpoint.name] = self.clock()
         await endpoint.close()
         self.links[number].reset()
@@ -389,6 +414,7 @@
         endpoint.mode = "well"
         endpoint.limit_per_s = None
         self.record_restart(endpoint, await endpoint.start())
+        self._begin_serving(endpoint)
 
     def _on_content_crash(self, endpoint):
         """Crash an endpoint under the request that it runs, and restart it."""
@@ -495,6 +521,7 @@
         draining_s = self.clock()
         generation = self._heartbeats[endpoint.name][0]
         self.set_state(endpoint, "draining")
+        self._end_serving(endpoint)
         while self.clock() < draining_s + DRAINING_S:
             await asyncio.sleep(POLL_S)
             if self._heartbeats[endpoint.name][0] != generation:
@@ -504,6 +531,8 @@
                 return
         self.records.leaves.append((endpoint.name, draining_s, self.clock()))
         self.set_state(endpoint, "")
+        if endpoint.next_version is not None:
+            endpoint.version, endpoint.next_version = endpoint.next_version, None
         await self.restart_endpoint(endpoint, 0.3)
 
     def _write_entries(self):
@@ -525,6 +554,7 @@
                 zone=f"zone-{number % self.deployment.zones}",
                 born=generation,
                 service=endpoint.service,
+                version=endpoint.version,
             )
             if endpoint.stage is not None:
                 content |= {"stage": endpoint.stage, "slots": ENGINE_SLOTS}
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -99,6 +99,24 @@
 )
 
 
+# Releases in series, while one host and then all hosts are killed, and endpoints crash.
+RELEASES_PLAN = Plan(
+    (
+        Fault(0.7, 4.0, "release", 0),
+        Fault(1.5, 0.5, "host_kill", 1),
+        Fault(2.5, 0.5, "endpoint_restart", 2),
+        Fault(3.0, 0.0, "link_reset", 5),
+        Fault(3.5, 0.5, "host_kill", 3),
+        Fault(5.0, 4.0, "release", 1),
+        Fault(6.5, 0.3, "all_hosts_kill", 0),
+        Fault(8.0, 0.3, "host_stop", 0),
+        Fault(8.5, 1.0, "store_refuse", 0),
+        Fault(8.8, 0.5, "host_kill", 2),
+    ),
+    12.0 + CALM_AFTER_S,
+)
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", SEEDS)
 def test_seed_causes_no_violation(seed):
@@ -332,3 +350,12 @@
     violations, counts = run_seed(13, plan, deployment)
     assert not violations, violations
     assert counts["served"] > 0.3 * counts["requests"] > 100
+
+
+# Guards against streams that go on at another software version than began them, and
+# against ones that are refused although hosts know theirs.
+@pytest.mark.processes
+def test_streams_keep_to_their_versions_over_releases():
+    violations, counts = run_seed(1, RELEASES_PLAN, DEPLOYMENTS["versions"])
+    assert not violations, violations
+    assert counts["served"] > 0.5 * counts["requests"] > 100
