Let streams go on only at the software version that began them

Cause: the version of an endpoint's entry was dropped when it was decoded, so that a further run took any endpoint of the service; and what only the forwarding host had seen, which endpoint began a stream, decided later at other hosts that had no way to know it. Change: within an answer the first event fixes the version, and a run of another one is ended before its first event is passed on. A host records each stream it begins. While several versions may have begun streams, it tells two others by rendezvous over the stream's key before the first event leaves, and the streams that it began before when the second version appears; a caller's attempt is looked up there. While there is one version nothing is sent: the versions that may have begun streams are recorded in the store, before a stream begins at a further one, and a host that knows nothing of a stream reads that record and concludes the version where there is only one; without the store it asks its peers. A stream of an unknown version, or of one without endpoints, is refused at once with when to come back. Endpoints' limits are weighed among the endpoints that a stream may use.

--- /dev/null
+++ b/libs/entry/gypsumusher_entry/begun_streams.py
@@ -0,0 +1,319 @@
+"""Streams that hosts have begun, for callers that take them up at another host."""
+
+import asyncio
+import secrets
+from typing import NamedTuple
+
+from gypsumusher_routing import (
+    STREAM_KEY_BYTES,
+    STREAM_LIFETIME_FACTOR,
+    BegunStream,
+    StreamVersions,
+    rendezvous_weight,
+    stream_key,
+)
+
+__all__ = ["BegunStreams"]
+
+# Kinds of the datagrams.
+BEGUN, ASKED, ANSWERED = "begun", "begun_asked", "begun_answered"
+# Hosts that are told of a stream, besides the one that began it. When a host ends, one
+# of the others knows the stream, unless a third of all end with it.
+TOLD_HOSTS = 2
+# Hosts that are asked for a stream: those that were told, also after other hosts have
+# come or gone.
+ASKED_HOSTS = 6
+# Time limits of the answers of hosts, with the time after which they are asked again,
+# and of a read of the store.
+ANSWER_TIMEOUT_S, ASK_AGAIN_S, READ_TIMEOUT_S = 0.3, 0.1, 0.3
+# Streams in one datagram.
+MAX_KEYS = 128
+# Longest id of an attempt that is looked for.
+MAX_ID_CHARS = 256
+
+
+class _Question(NamedTuple):
+    """A question to other hosts.
+
+    Attributes
+    ----------
+    keys : dict of str to bytes
+        Key of the stream for each service that may have begun it.
+    awaited : set of str
+        IP addresses of the hosts that haven't answered.
+    possible : set of str
+        Versions that may have begun the stream, according to the answers.
+    ended : asyncio.Future
+        The service and the version, or None once all hosts have answered.
+    """
+
+    keys: dict
+    awaited: set
+    possible: set
+    ended: asyncio.Future
+
+
+class BegunStreams:
+    """Records this host's streams, and exchanges them with a few other hosts.
+
+    While only one version can have begun any stream, nothing is sent.
+
+    Parameters
+    ----------
+    context : Context
+        Hosts, and the versions that may begin streams.
+    """
+
+    def __init__(self, context):
+        self.streams = StreamVersions()
+        self._context = context
+        self._send_datagram = None
+        self._questions = {}
+        # Services with several versions, whose streams other hosts are told of.
+        self._told_services = set()
+
+    def start(self, send_datagram):
+        """Start to exchange streams.
+
+        Parameters
+        ----------
+        send_datagram : callable
+            ``send_datagram(kind, fields, ip)``.
+        """
+        self._send_datagram = send_datagram
+        handlers = self._context.datagram_handlers
+        handlers[BEGUN] = self._on_begun
+        handlers[ASKED] = self._on_asked
+        handlers[ANSWERED] = self._on_answered
+        self._context.version_records.listeners.append(self._check_service)
+
+    def on_first_event(self, exchange, version):
+        """Record which version has begun a request's stream, before its first event.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        version : str
+            Software version of the endpoint.
+        """
+        now_s = self._context.clock()
+        for_s = STREAM_LIFETIME_FACTOR * exchange.route.timeout_s
+        request = exchange.request
+        began_id = request.request_id
+        if exchange.is_resumed:
+            began_id = _usable_id(request.resumed_id)
+        if not began_id:
+            return
+        key = stream_key(exchange.service, exchange.account_name, began_id)
+        stream = BegunStream(version, now_s + for_s, exchange.service)
+        self.streams.put(now_s, key, stream)
+        if not self._check_service(exchange.service):
+            self._tell([(key, stream)])
+
+    async def find(self, exchange):
+        """Find out which version began the stream that a request takes up.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+
+        Returns
+        -------
+        (str, str) or None
+            The service and the version; None if they are unknown.
+        """
+        began_s = self._context.clock()
+        found, source, possible = await self._find(exchange)
+        exchange.log(
+            "info",
+            "stream_resumed",
+            resumed_id=exchange.request.resumed_id,
+            after=exchange.request.last_event_id,
+            service=exchange.service if found is None else found[0],
+            software=None if found is None else found[1],
+            source=source,
+            possible=",".join(sorted(possible)),
+            took_ms=round((self._context.clock() - began_s) * 1000),
+        )
+        self._context.metrics.on_stream_resumed(source)
+        return found
+
+    async def _find(self, exchange):
+        """Return what `find` does, its source, and the versions that are possible."""
+        context, service = self._context, exchange.service
+        possible = context.version_records.possible(service)
+        keys = _keys(exchange)
+        for other, key in keys.items():
+            known = self.streams.find(context.clock(), key)
+            if known is not None:
+                return _found(other, known.version), "own", possible
+        # A single version that this host knows may have become one of several.
+        reading = None
+        if len(possible) == 1:
+            reading = asyncio.ensure_future(self._read(service))
+        elif not keys:
+            return None, "none", possible
+        asking = asyncio.ensure_future(self._ask(keys or {service: b""}))
+        try:
+            if reading is not None:
+                recorded = await reading
+                if recorded is not None and recorded <= possible:
+                    return (service, *possible), "store", possible
+                if recorded is not None:
+                    possible |= recorded
+            answer, told_possible, has_answer = await asking
+        finally:
+            asking.cancel()
+            if reading is not None:
+                reading.cancel()
+        if answer is not None:
+            return _found(*answer), "hosts", possible
+        possible |= told_possible | context.version_records.possible(service)
+        # Without the store, hosts that hear each other know the versions in use.
+        is_alone = context.hosts.existing_count() == 1
+        if reading is not None and len(possible) == 1 and (has_answer or is_alone):
+            return (service, *possible), "hosts", possible
+        return None, "none", possible
+
+    async def _read(self, service):
+        """Return the recorded versions of a service; None if the store is silent."""
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                return await self._context.version_records.read(service)
+        except TimeoutError:
+            return None
+
+    async def _ask(self, keys):
+        """Ask other hosts for a stream.
+
+        Returns
+        -------
+        ((str, str or None) or None, set of str, bool)
+            Its service and version if a host knows it, the versions that may have begun
+            it, and whether any host has answered.
+        """
+        key = next(iter(keys.values()))
+        awaited = {host.ip for host in self._choose_hosts(key, ASKED_HOSTS)}
+        count = len(awaited)
+        if not count:
+            return None, set(), False
+        number = secrets.randbits(32)
+        ended = asyncio.get_running_loop().create_future()
+        question = _Question(keys, awaited, set(), ended)
+        self._questions[number] = question
+        try:
+            for wait_s in (ASK_AGAIN_S, ANSWER_TIMEOUT_S - ASK_AGAIN_S):
+                fields = [number, [[name, key] for name, key in keys.items()]]
+                for ip in awaited:
+                    self._send_datagram(ASKED, fields, ip)
+                await asyncio.wait([ended], timeout=wait_s)
+                if ended.done():
+                    break
+        finally:
+            del self._questions[number]
+        answer = ended.result() if ended.done() else None
+        return answer, question.possible, len(awaited) < count
+
+    def _choose_hosts(self, key, count):
+        """Return other active hosts, the same ones for a stream on all hosts."""
+        name, text = self._context.settings.name, key.hex()
+        others = [host for host in self._context.active_hosts() if host.name != name]
+        others.sort(key=lambda host: rendezvous_weight(host.name, text))
+        return others[:count]
+
+    def _check_service(self, service):
+        """Tell of all streams of a service once it has several versions.
+
+        Returns
+        -------
+        bool
+            Whether other hosts need not be told of a single stream.
+        """
+        if len(self._context.version_records.possible(service)) <= 1:
+            self._told_services.discard(service)
+            return True
+        if service in self._told_services:
+            return False
+        self._told_services.add(service)
+        self._tell(self.streams.of_service(self._context.clock(), service))
+        return True
+
+    def _tell(self, streams):
+        """Tell a few hosts of streams."""
+        if self._send_datagram is None:
+            return
+        now_s = self._context.clock()
+        parts = {}
+        for key, stream in streams:
+            for host in self._choose_hosts(key, TOLD_HOSTS):
+                for_s = round(stream.expires_s - now_s)
+                part = parts.setdefault((host.ip, stream.version, for_s), [])
+                part.append(key)
+        for (ip, version, for_s), keys in parts.items():
+            for first in range(0, len(keys), MAX_KEYS):
+                joined = b"".join(keys[first : first + MAX_KEYS])
+                self._send_datagram(BEGUN, [version, for_s, joined], ip)
+
+    def _on_begun(self, fields, ip):
+        """Record streams that another host has begun."""
+        version, for_s, joined = fields
+        if not (version is None or type(version) is str) or type(for_s) is not int:
+            raise ValueError("not a list of begun streams")
+        now_s = self._context.clock()
+        for first in range(0, len(joined), STREAM_KEY_BYTES):
+            key = bytes(joined[first : first + STREAM_KEY_BYTES])
+            self.streams.put(now_s, key, BegunStream(version, now_s + for_s))
+
+    def _on_asked(self, fields, ip):
+        """Answer another host's question."""
+        number, keys = fields
+        now_s = self._context.clock()
+        found = []
+        for service, key in keys:
+            known = self.streams.find(now_s, bytes(key))
+            possible = sorted(self._context.version_records.possible(str(service)))
+            version = None if known is None else known.version
+            found.append([service, known is not None, version, possible])
+        self._send_datagram(ANSWERED, [number, found], ip)
+
+    def _on_answered(self, fields, ip):
+        """Apply another host's answer to a question of this host."""
+        number, found = fields
+        question = self._questions.get(number)
+        if question is None or ip not in question.awaited or question.ended.done():
+            return
+        question.awaited.discard(ip)
+        for service, is_known, version, possible in found:
+            question.possible.update(map(str, possible))
+            if is_known and service in question.keys and not question.ended.done():
+                question.ended.set_result((service, version))
+        if not question.awaited and not question.ended.done():
+            question.ended.set_result(None)
+
+
+def _found(service, version):
+    """Return a service and a version; None if reports contradict each other."""
+    return None if version is None else (service, version)
+
+
+def _usable_id(request_id):
+    """Return the id of an attempt, or None if no attempt has such an id."""
+    if not request_id or len(request_id) > MAX_ID_CHARS:
+        return None
+    return request_id
+
+
+def _keys(exchange):
+    """Return the stream's key for each service of its route that may have begun it."""
+    began_id = _usable_id(exchange.request.resumed_id)
+    if began_id is None:
+        return {}
+    services = [share.service for share in exchange.route.shares]
+    if exchange.service not in services:
+        services.append(exchange.service)
+    return {
+        service: stream_key(service, exchange.account_name, began_id)
+        for service in services
+    }
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -5,16 +5,19 @@
 import secrets
 import time
 
+from gypsumusher_entry.begun_streams import BegunStreams
 from gypsumusher_entry.crash_reports import CrashReports
 from gypsumusher_entry.endpoint_connections import EndpointConnections, connection_key
 from gypsumusher_entry.endpoint_limit_sync import EndpointLimitSync
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
 from gypsumusher_entry.stall_monitor import StallMonitor
+from gypsumusher_entry.version_records import VersionRecords
 from gypsumusher_http import ConnectionPool
 from gypsumusher_platform import decode_response_head
-from gypsumusher_ports import DecodeError
+from gypsumusher_ports import STREAM, DecodeError
 from gypsumusher_routing import (
     ALL_ON,
+    STREAM_LIFETIME_FACTOR,
     AccountTable,
     ConfigurationAge,
     CostModel,
@@ -107,6 +110,8 @@
         self.endpoints = EndpointTable()
         self.hosts = HostTable(settings.name)
         self.crash_reports = CrashReports(self)
+        self.version_records = VersionRecords(self)
+        self.begun_streams = BegunStreams(self)
         self.endpoint_limits = EndpointLimitSync(self)
         self.staleness = StalenessMonitor(self)
         self.connection_pool = ConnectionPool(
@@ -379,9 +384,30 @@
         connections = self.connection_limit(service)
         return EnginePool(states, limits, cost_model, zone, connections, self.policy)
 
-    def sendable_endpoints(self, service):
-        """Return the endpoints of a service that this host may send a request to."""
-        return self.endpoint_limits.usable(self.endpoints.of_service(service))
+    def sendable_endpoints(self, service, is_allowed=None):
+        """Return the endpoints of a service that this host may send a request to.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        is_allowed : callable or None
+            Returns whether the request may use an endpoint; by default it may use all.
+        """
+        states = self.endpoints.of_service(service)
+        if is_allowed is not None:
+            states = [state for state in states if is_allowed(state)]
+        return self.endpoint_limits.usable(states)
+
+    def longest_stream_s(self):
+        """Return how long a stream may be taken up after its first event, in seconds.
+
+        The longest time of all routes in the configuration.
+        """
+        if self.configuration is None:
+            return 0.0
+        limits_s = [r.timeout_s for r in self.configuration.routes if r.kind == STREAM]
+        return STREAM_LIFETIME_FACTOR * max(limits_s, default=0.0)
 
     def take_retry(self, service, counter):
         """Take one retry from this host's share of a service's budget, if any is left.
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -73,7 +73,8 @@
         self.event_count = 0
         self.longest_pause_s = 0.0
         self.run_endpoint_id = None
-        # Software version that has written all events so far; None before the first.
+        # Software version that has written all events so far, those of the caller's
+        # earlier attempts included; None before the first.
         self.software_version = None
         # Host through which the last send went; None if it went directly.
         self.relay = None
@@ -84,6 +85,12 @@
         self._fingerprint = None
         self.outcome = None
 
+    @property
+    def is_resumed(self):
+        """Whether the caller takes up a stream of which it has events."""
+        request = self.request
+        return bool(request.last_event_id) or request.resumed_id is not None
+
     @property
     def may_have_run(self):
         """Whether an endpoint may have run the request, or may still run it."""
@@ -162,6 +169,26 @@
         """Time within which an endpoint has to finish, in seconds."""
         return max(MIN_ENDPOINT_TIME_S, self.remaining_s - RESPONSE_OVERHEAD_S)
 
+    def stream_endpoints(self):
+        """Return the endpoints that may run this stream now, or prefill its prompt.
+
+        A stream that has begun goes on at its software version only. The prompt may be
+        prefilled by any.
+        """
+        context, service = self.context, self.service
+        if self.software_version is not None:
+            versions = (self.software_version,)
+        else:
+            versions = context.version_records.beginning_versions(service)
+        if versions is None:
+            return context.sendable_endpoints(service)
+        return context.sendable_endpoints(
+            service,
+            lambda state: (
+                state.stage == "prefill" or state.record.software_version in versions
+            ),
+        )
+
     def reserve_send(self):
         """Take a retry from the budget if the next send needs one that isn't held yet.
 
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -102,7 +102,10 @@
         await self.context.stall_monitor.start()
         await self.context.staleness.start()
         await self._gossip.start()
-        self.context.crash_reports.start(self._gossip.send_datagram)
+        send_datagram = self._gossip.send_datagram
+        self.context.crash_reports.start(send_datagram)
+        self.context.version_records.start(self._store, send_datagram)
+        self.context.begun_streams.start(send_datagram)
         self.context.endpoint_limits.start(self._gossip)
         await self._store_watcher.start()
         await self._registration.start()
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -18,6 +18,7 @@
     first_output_time: Any
     stage_orders: Any
     fleet_orders: Any
+    streams_resumed: Any
     version: Any
     lag: Any
 
@@ -86,6 +87,17 @@
         labels = {"service": service, "outcome": outcome}
         self._load().fleet_orders.inc(labels)
 
+    def on_stream_resumed(self, source):
+        """Count a stream that a caller takes up.
+
+        Parameters
+        ----------
+        source : str
+            What tells its software version: ``own`` table, ``hosts``, ``store`` or
+            ``none``.
+        """
+        self._load().streams_resumed.inc({"source": source})
+
     def set_configuration_version(self, version):
         """Set the version of the configuration in force."""
         self._configuration_version = version
@@ -151,6 +163,11 @@
             "Orders for engines, by service and outcome",
             registry=registry,
         ),
+        streams_resumed=Counter(
+            "gypsumusher_streams_resumed_total",
+            "Streams that callers take up, by what tells their software version",
+            registry=registry,
+        ),
         version=Gauge(
             "gypsumusher_configuration_version",
             "Version of the configuration in force",
--- a/libs/entry/gypsumusher_entry/prefill.py
+++ b/libs/entry/gypsumusher_entry/prefill.py
@@ -89,7 +89,7 @@
     context = exchange.context
     tried_ids = set()
     for _ in range(MAX_PREFILL_ENGINES):
-        states = context.sendable_endpoints(exchange.service)
+        states = exchange.stream_endpoints()
         states = [s for s in states if s.record.endpoint_id not in tried_ids]
         engine_pool = context.engine_pool(exchange.service, limits, states)
         prefill = choose_prefill(
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -24,6 +24,9 @@
 
 __all__ = ["serve_stream"]
 
+# Reasons for which a stream that is taken up is refused: it isn't known which software
+# version began it, and no endpoint of that version is left.
+VERSION_UNKNOWN, VERSION_GONE = "version_unknown", "version_gone"
 # Limits the sends of one request, refused ones included.
 MAX_SENDS = 4
 NO_CAPACITY_RETRY_AFTER_S = 1.0
@@ -72,7 +75,18 @@
     async def run(self):
         """Prefill the prompt, then send until a stream is complete or none can be."""
         exchange, context = self._exchange, self._context
+        reason = await self._check_version()
         context.record_request(exchange.service)
+        if reason is not None:
+            exchange.log(
+                "info",
+                "request_refused",
+                reason=reason,
+                service=exchange.service,
+                software=exchange.software_version,
+            )
+            exchange.refuse(503, reason, NO_CAPACITY_RETRY_AFTER_S)
+            return
         try:
             if self._is_generation():
                 self._prefilled_prompt = await prefill_prompt(exchange, self._limits)
@@ -84,6 +98,31 @@
                 self._failed_response, error, self._retry_after_s()
             )
 
+    async def _check_version(self):
+        """Find out at which software version the stream may run.
+
+        Returns
+        -------
+        str or None
+            Why the stream can't run now; None if it can.
+        """
+        exchange, context = self._exchange, self._context
+        if not exchange.is_resumed:
+            await context.version_records.prepare(exchange.service)
+            return None
+        found = await context.begun_streams.find(exchange)
+        if found is None:
+            return VERSION_UNKNOWN
+        service, version = found
+        if service != exchange.service:
+            exchange.service = service
+            configuration = context.configuration.services.get(service)
+            self._limits = None if configuration is None else configuration.engine
+        exchange.software_version = version
+        if version not in context.endpoints.versions.present(service):
+            return VERSION_GONE
+        return None
+
     async def _send_until_complete(self):
         """Send until a stream is complete; return success and the last error."""
         exchange = self._exchange
@@ -135,14 +174,12 @@
                 return reserved, None
         exchange.release_limit()
         now_s = context.clock()
-        states = context.sendable_endpoints(exchange.service)
+        states = exchange.stream_endpoints()
         untried = [s for s in states if s.record.endpoint_id not in self._tried_ids]
         states = untried or states
         if not self._is_generation():
             zone = context.settings.zone
-            state = choose_endpoint(
-                now_s, states, self._tried_ids, zone, context.draw_uniform
-            )
+            state = choose_endpoint(now_s, states, set(), zone, context.draw_uniform)
             return state, None
         engine_pool = context.engine_pool(exchange.service, self._limits, states)
         if self._prefilled_prompt is not None:
@@ -305,9 +342,9 @@
         exchange = self._exchange
         now_s = self._context.clock()
         if not run.has_started:
+            self._check_run_version(run)
             run.on_first_event(self._context, self._generation)
             exchange.record_usage(now_s)
-            exchange.software_version = run.state.record.software_version
             self._record_first_event(run, now_s)
         else:
             pause_s = now_s - run.last_event_s
@@ -323,6 +360,33 @@
         if event.event_id is not None:
             self._last_event_id = str(event.event_id)
 
+    def _check_run_version(self, run):
+        """Record which software version begins the stream, before its first event.
+
+        Raises
+        ------
+        CallError
+            When the run is of another version than the stream. The endpoint's entry may
+            have changed since it was chosen.
+        """
+        exchange = self._exchange
+        version = run.state.record.software_version
+        expected = exchange.software_version
+        if version != run.software_version or expected not in (None, version):
+            exchange.log(
+                "error",
+                "version_changed",
+                endpoint=run.state.record.endpoint_id,
+                software=version,
+                software_sent_to=run.software_version,
+                software_before=expected,
+            )
+            peer = run.state.record.address
+            raise CallError("run", peer, "other_version", True)
+        exchange.software_version = version
+        if not exchange.event_count:
+            self._context.begun_streams.on_first_event(exchange, version)
+
     def _record_first_event(self, run, now_s):
         """Record the time to the first event as a cost of prefill or transfer."""
         took_s = now_s - run.sent_s
@@ -356,6 +420,7 @@
         self.sent_s = sent_s
         self.prompt = prompt
         self.possible_run = possible_run
+        self.software_version = state.record.software_version
         self.has_started = False
         self.last_event_s = 0.0
         self._is_prefilling = False
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -76,6 +76,11 @@
     SentRequest,
 )
 from gypsumusher_routing.service_choice import choose_endpoint
+from gypsumusher_routing.software_versions import (
+    LEFT_FOR_S,
+    RecordedVersions,
+    VersionPresence,
+)
 from gypsumusher_routing.stage_order import (
     ASK,
     DONE,
@@ -85,6 +90,13 @@
     StageOrder,
 )
 from gypsumusher_routing.stage_plan import EngineView, StageChange, StagePlanner
+from gypsumusher_routing.stream_versions import (
+    STREAM_KEY_BYTES,
+    STREAM_LIFETIME_FACTOR,
+    BegunStream,
+    StreamVersions,
+    stream_key,
+)
 from gypsumusher_routing.true_time import TrueTime
 from gypsumusher_routing.urgency import (
     HOPELESS,
@@ -199,4 +211,12 @@
     "policy_without",
     "rendezvous_weight",
     "urgency_of",
+    "LEFT_FOR_S",
+    "RecordedVersions",
+    "VersionPresence",
+    "STREAM_KEY_BYTES",
+    "STREAM_LIFETIME_FACTOR",
+    "BegunStream",
+    "StreamVersions",
+    "stream_key",
 ]
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -11,6 +11,7 @@
 from gypsumusher_ports import EndpointRecord
 from gypsumusher_routing.endpoint_state import DEFAULT_KV_TOKENS, EndpointState
 from gypsumusher_routing.send_counter import DeliveryRecord
+from gypsumusher_routing.software_versions import VersionPresence
 
 __all__ = ["EndpointTable"]
 
@@ -28,6 +29,7 @@
 
     def __init__(self):
         self.states = {}
+        self.versions = VersionPresence()
         self.revision = 0
         self._partial_revision = 0
         self._missing_since_s = {}
@@ -228,6 +230,7 @@
             if state is not None:
                 state.is_gone = True
                 state.delivery.is_listed = False
+                self.versions.remove(state.record)
             dropped.append(endpoint_id)
         return dropped
 
@@ -255,6 +258,8 @@
             if state is not None:
                 state.is_gone = True
                 state.delivery.has_ended = True
+                self.versions.remove(state.record)
+            self.versions.add(record)
             kv_tokens = self._kv_tokens.get(record.service, DEFAULT_KV_TOKENS)
             self.states[record.endpoint_id] = EndpointState(
                 record, kv_tokens, self._delivery_to(record)
@@ -265,6 +270,12 @@
             return False
         # An incarnation that has begun to drain never becomes ready again.
         record = record._replace(is_draining=record.is_draining or known.is_draining)
+        if (record.service, record.software_version) != (
+            known.service,
+            known.software_version,
+        ):
+            self.versions.remove(known)
+            self.versions.add(record)
         state.on_record(record)
         return record != known._replace(heartbeat_count=record.heartbeat_count)
 
