--- a/libs/entry/tests/test_stream_versions.py
+++ b/libs/entry/tests/test_stream_versions.py
@@ -47,6 +47,20 @@
     run(scenario())
 
 
+# Guards against the same at engines, whose prompts another engine prefills.
+def test_answer_goes_on_at_its_version_after_the_loss_of_an_engine():
+    async def scenario():
+        stages = ("prefill", "decode")
+        async with versioned_fleet(
+            *TWO_VERSIONS * 2, host_count=1, stages=stages
+        ) as fleet:
+            fleet.set_mode("reset")
+            results = [await fleet.ask(fleet.hosts[0]) for _ in range(STREAMS)]
+            check_streams([(result, result) for result in results])
+
+    run(scenario())
+
+
 # Guards against a stream whose caller has lost its connection and that another host, or
 # the same one, continues at another software version.
 @pytest.mark.parametrize("host_number", [0, 1])
--- a/libs/entry/tests/version_harness.py
+++ b/libs/entry/tests/version_harness.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import struct
 from typing import NamedTuple
@@ -80,6 +81,14 @@
 
     async def _respond(self, number, head, body, writer):
         text = head.decode().lower()
+        if "x-gypsumusher-stage: prefill" in text:
+            prefilled = {"handle": f"h{number}", "tokens": 30000, "version": 1}
+            body = json.dumps(prefilled).encode()
+            writer.write(encode_response(request_id_of(head), body))
+            return
+        if "x-gypsumusher-request-id" not in text:
+            writer.write(encode_response("", b"{}"))
+            return
         last = 0
         for line in text.split("\r\n"):
             key, _, value = line.partition(": ")
@@ -110,13 +119,14 @@
 class VersionedFleet:
     """A store, hosts that hear each other, and endpoints with versions."""
 
-    def __init__(self, route):
+    def __init__(self, route, stages=()):
         self.store = ObjectStoreServer()
         self.endpoints = {}
         self.hosts = []
         self.lines = []
         self._addresses = []
         self._route = route
+        self._stages = stages
         self._host_count = self._attempt_count = 0
         self._port = free_ports("127.0.0.2", 1)[0]
         self._store_address = None
@@ -127,9 +137,14 @@
         """Start endpoints of some versions, then hosts."""
         self._store_address = await self.store.start()
         self._session = aiohttp.ClientSession()
-        self.store.put("config", "main", sample_configuration(1, self._route))
+        content = sample_configuration(1, self._route)
+        if self._stages:
+            content["services"][0]["engine"] = {"slots": 8}
+        self.store.put("config", "main", content)
         for version in versions:
-            await self.add_endpoint(version)
+            for stage in self._stages or (None,):
+                fields = {} if stage is None else {"stage": stage}
+                await self.add_endpoint(version, **fields)
         for _ in range(host_count):
             await self.start_host()
 
@@ -249,6 +264,7 @@
             "Host": "shop.example",
             "X-Gypsumusher-Request-Id": request_id,
             "X-Gypsumusher-Deadline-Ms": "1500",
+            "X-Gypsumusher-Token-Count": "30000,8" if self._stages else None,
             **headers,
         }
         headers = {name: value for name, value in headers.items() if value is not None}
@@ -274,9 +290,12 @@
 
 
 @contextlib.asynccontextmanager
-async def versioned_fleet(*versions, host_count=2, route=RESUMABLE_ROUTE):
-    """Start a fleet with an endpoint for each version named."""
-    fleet = VersionedFleet(route)
+async def versioned_fleet(*versions, host_count=2, route=RESUMABLE_ROUTE, stages=()):
+    """Start a fleet with an endpoint for each version named.
+
+    With stages, there is an engine of each stage for each version.
+    """
+    fleet = VersionedFleet(route, stages)
     try:
         await fleet.start(versions, host_count)
         yield fleet
--- a/libs/standins/gypsumusher_standins/object_store_server.py
+++ b/libs/standins/gypsumusher_standins/object_store_server.py
@@ -86,6 +86,11 @@
         """Return whether an object exists."""
         return (kind, name) in self._objects
 
+    def spec(self, kind, name):
+        """Return the content of an object, or None if it doesn't exist."""
+        item = self._objects.get((kind, name))
+        return None if item is None else item["spec"]
+
     def remove(self, kind, name):
         """Delete an existing object."""
         item = self._objects.pop((kind, name))
