Read the record of versions for hosts that can't reach the store

Cause: a host without the store asked others what they know, and took the only version that they knew for the only one there is, although none of them may have heard of a further one yet. Change: a host that is asked for this reads the record; what one host has read decides. Reads of the record come before questions, so that no datagram is sent where the record shows one version.

--- a/libs/entry/gypsumusher_entry/begun_streams.py
+++ b/libs/entry/gypsumusher_entry/begun_streams.py
@@ -41,18 +41,39 @@
         Key of the stream for each service that may have begun it.
     awaited : set of str
         IP addresses of the hosts that haven't answered.
-    possible : set of str
-        Versions that may have begun the stream, according to the answers.
+    possible, read : set of str
+        Versions that may have begun the stream, according to all answers, and to those
+        of hosts that have read the record.
     ended : asyncio.Future
-        The service and the version, or None once all hosts have answered.
+        The service and the version; None once all hosts have answered without, or one
+        has read a record with a single version.
     """
 
     keys: dict
     awaited: set
     possible: set
+    read: set
     ended: asyncio.Future
 
 
+class _Answers(NamedTuple):
+    """What other hosts have answered to a question.
+
+    Attributes
+    ----------
+    found : (str, str or None) or None
+        Service and version of the stream, if a host knows it.
+    possible : frozenset of str
+        Versions that may have begun it.
+    has_any : bool
+        Whether any host has answered.
+    """
+
+    found: tuple | None
+    possible: frozenset
+    has_any: bool
+
+
 class BegunStreams:
     """Records this host's streams, and exchanges them with a few other hosts.
 
@@ -69,6 +90,8 @@
         self._context = context
         self._send_datagram = None
         self._questions = {}
+        # Questions of other hosts, by number and address, for which records are read.
+        self._reading = set()
         # Services with several versions, whose streams other hosts are told of.
         self._told_services = set()
 
@@ -149,63 +172,66 @@
             known = self.streams.find(context.clock(), key)
             if known is not None:
                 return _found(other, known.version), "own", possible
-        # A single version that this host knows may have become one of several.
-        reading = None
+        has_read = False
         if len(possible) == 1:
-            reading = asyncio.ensure_future(self._read(service))
-        elif not keys:
+            # There may be others that this host hasn't heard of.
+            recorded = await self._read(service)
+            has_read = recorded is not None
+            if has_read and recorded <= possible:
+                return (service, next(iter(possible))), "store", possible
+            possible |= recorded or frozenset()
+        needs_record = not has_read and len(possible) == 1
+        if not keys and not needs_record:
             return None, "none", possible
-        asking = asyncio.ensure_future(self._ask(keys or {service: b""}))
-        try:
-            if reading is not None:
-                recorded = await reading
-                if recorded is not None and recorded <= possible:
-                    return (service, *possible), "store", possible
-                if recorded is not None:
-                    possible |= recorded
-            answer, told_possible, has_answer = await asking
-        finally:
-            asking.cancel()
-            if reading is not None:
-                reading.cancel()
-        if answer is not None:
-            return _found(*answer), "hosts", possible
-        possible |= told_possible | context.version_records.possible(service)
-        # Without the store, hosts that hear each other know the versions in use.
+        answers = await self._ask(keys or {service: b""}, needs_record)
+        if answers.found is not None:
+            return _found(*answers.found), "hosts", possible
+        possible |= answers.possible | context.version_records.possible(service)
         is_alone = context.hosts.existing_count() == 1
-        if reading is not None and len(possible) == 1 and (has_answer or is_alone):
-            return (service, *possible), "hosts", possible
+        if needs_record and len(possible) == 1 and (answers.has_any or is_alone):
+            return (service, next(iter(possible))), "hosts", possible
         return None, "none", possible
 
     async def _read(self, service):
-        """Return the recorded versions of a service; None if the store is silent."""
+        """Return the recorded versions of a service; None if the store is away."""
+        context = self._context
+        if context.watches_store() and not context.sees_store:
+            return None
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
-                return await self._context.version_records.read(service)
+                return await context.version_records.read(service)
         except TimeoutError:
             return None
 
-    async def _ask(self, keys):
+    async def _ask(self, keys, needs_record):
         """Ask other hosts for a stream.
 
+        Parameters
+        ----------
+        keys : dict of str to bytes
+            Key of the stream for each service that may have begun it.
+        needs_record : bool
+            Whether they are to read the services' records for this host.
+
         Returns
         -------
-        ((str, str or None) or None, set of str, bool)
-            Its service and version if a host knows it, the versions that may have begun
-            it, and whether any host has answered.
+        _Answers
         """
         key = next(iter(keys.values()))
         awaited = {host.ip for host in self._choose_hosts(key, ASKED_HOSTS)}
         count = len(awaited)
         if not count:
-            return None, set(), False
+            return _Answers(None, frozenset(), False)
         number = secrets.randbits(32)
         ended = asyncio.get_running_loop().create_future()
-        question = _Question(keys, awaited, set(), ended)
+        question = _Question(keys, awaited, set(), set(), ended)
         self._questions[number] = question
+        fields = [number, [[name, key] for name, key in keys.items()], needs_record]
+        last_wait_s = ANSWER_TIMEOUT_S - ASK_AGAIN_S
+        if needs_record:
+            last_wait_s += READ_TIMEOUT_S
         try:
-            for wait_s in (ASK_AGAIN_S, ANSWER_TIMEOUT_S - ASK_AGAIN_S):
-                fields = [number, [[name, key] for name, key in keys.items()]]
+            for wait_s in (ASK_AGAIN_S, last_wait_s):
                 for ip in awaited:
                     self._send_datagram(ASKED, fields, ip)
                 await asyncio.wait([ended], timeout=wait_s)
@@ -213,8 +239,11 @@
                     break
         finally:
             del self._questions[number]
-        answer = ended.result() if ended.done() else None
-        return answer, question.possible, len(awaited) < count
+        found = ended.result() if ended.done() else None
+        # The record as one host has read it has all versions, also those that the
+        # others haven't heard of.
+        possible = question.read or question.possible
+        return _Answers(found, frozenset(possible), len(awaited) < count)
 
     def _choose_hosts(self, key, count):
         """Return other active hosts, the same ones for a stream on all hosts."""
@@ -268,28 +297,48 @@
 
     def _on_asked(self, fields, ip):
         """Answer another host's question."""
-        number, keys = fields
+        number, keys, needs_record = fields
+        keys = {str(service): bytes(key) for service, key in keys}
+        if needs_record and (number, ip) not in self._reading:
+            self._reading.add((number, ip))
+            self._context.spawn(self._read_and_answer(number, keys, ip))
+        elif not needs_record:
+            self._answer(number, keys, ip, False)
+
+    async def _read_and_answer(self, number, keys, ip):
+        """Answer another host's question with the records read for it."""
+        try:
+            results = [await self._read(service) for service in keys]
+        finally:
+            self._reading.discard((number, ip))
+        self._answer(number, keys, ip, None not in results)
+
+    def _answer(self, number, keys, ip, has_read):
+        """Send what this host knows of a stream, and the versions that it knows."""
         now_s = self._context.clock()
         found = []
-        for service, key in keys:
-            known = self.streams.find(now_s, bytes(key))
-            possible = sorted(self._context.version_records.possible(str(service)))
+        for service, key in keys.items():
+            known = self.streams.find(now_s, key)
+            possible = sorted(self._context.version_records.possible(service))
             version = None if known is None else known.version
             found.append([service, known is not None, version, possible])
-        self._send_datagram(ANSWERED, [number, found], ip)
+        self._send_datagram(ANSWERED, [number, has_read, found], ip)
 
     def _on_answered(self, fields, ip):
         """Apply another host's answer to a question of this host."""
-        number, found = fields
+        number, has_read, found = fields
         question = self._questions.get(number)
         if question is None or ip not in question.awaited or question.ended.done():
             return
         question.awaited.discard(ip)
         for service, is_known, version, possible in found:
             question.possible.update(map(str, possible))
+            if has_read:
+                question.read.update(map(str, possible))
             if is_known and service in question.keys and not question.ended.done():
                 question.ended.set_result((service, version))
-        if not question.awaited and not question.ended.done():
+        is_single = len(question.read) == 1
+        if not question.ended.done() and (is_single or not question.awaited):
             question.ended.set_result(None)
 
 
