Count resumed streams without the metrics library; refuse at once without endpoints

Cause: counting a resumed stream imported the metrics library, which a start after the loss of all hosts puts off until the first request has ended; and a resumed stream of a service without any endpoint asked other hosts for its version first. A run of another version than its stream counted against its endpoint. Change: plain counts, set as the page is rendered; 503:no_endpoint at once; the reason other_version is blameless.

--- a/libs/entry/gypsumusher_entry/errors.py
+++ b/libs/entry/gypsumusher_entry/errors.py
@@ -2,10 +2,18 @@
 
 from gypsumusher_ports import GypsumusherError
 
-__all__ = ["LIMITED", "CrashingContentError", "NoRetryError", "OverloadedError"]
+__all__ = [
+    "LIMITED",
+    "OTHER_VERSION",
+    "CrashingContentError",
+    "NoRetryError",
+    "OverloadedError",
+]
 
 # Reason of sends and of requests that would exceed endpoints' limits.
 LIMITED = "limited"
+# Reason of runs whose endpoint has another software version than their stream.
+OTHER_VERSION = "other_version"
 
 
 class NoRetryError(GypsumusherError):
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -35,6 +35,8 @@
         self._running_count = 0
         self._configuration_version = 0
         self._lags_s = {}
+        # Counted here, since the first requests after a start may be resumed streams.
+        self._streams_resumed = {}
 
     def on_request_start(self):
         """Count a request that starts."""
@@ -96,7 +98,7 @@
             What tells its software version: ``own`` table, ``hosts``, ``store`` or
             ``none``.
         """
-        self._load().streams_resumed.inc({"source": source})
+        self._streams_resumed[source] = self._streams_resumed.get(source, 0) + 1
 
     def set_configuration_version(self, version):
         """Set the version of the configuration in force."""
@@ -113,6 +115,8 @@
         collectors = self._load()
         collectors.running.set({}, self._running_count)
         collectors.version.set({}, self._configuration_version)
+        for source, count in self._streams_resumed.items():
+            collectors.streams_resumed.set({"source": source}, count)
         for kind, lag_s in self._lags_s.items():
             collectors.lag.set({"kind": kind}, lag_s)
         return render(collectors.registry, [])
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -4,7 +4,7 @@
 import contextlib
 from typing import NamedTuple
 
-from gypsumusher_entry.errors import LIMITED, NoRetryError
+from gypsumusher_entry.errors import LIMITED, OTHER_VERSION, NoRetryError
 from gypsumusher_http import CallError
 from gypsumusher_platform import encode_endpoint_request
 from gypsumusher_ports import ANY_TIMES
@@ -24,9 +24,9 @@
 # run; a new connection is refused before anything is sent.
 NEW_CONNECTION_PENALTY = 0.2
 # Failure reasons that aren't counted against the endpoint: it drains as planned, it
-# serves earlier requests first, or this host has used up its connections or its part of
-# the endpoint's limit.
-BLAMELESS_REASONS = ("left", "behind", "no_connection", LIMITED)
+# serves earlier requests first, its software version isn't the stream's, or this host
+# has used up its connections or its part of the endpoint's limit.
+BLAMELESS_REASONS = ("left", "behind", "no_connection", OTHER_VERSION, LIMITED)
 
 
 class EngineReply(NamedTuple):
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -1,6 +1,6 @@
 """Streaming requests to engines: prefill, decode, and forwarding of the events."""
 
-from gypsumusher_entry.errors import NoRetryError, OverloadedError
+from gypsumusher_entry.errors import OTHER_VERSION, NoRetryError, OverloadedError
 from gypsumusher_entry.prefill import prefill_prompt, record_prefill
 from gypsumusher_entry.sending_to_endpoints import (
     check_response_head,
@@ -27,6 +27,8 @@
 # Reasons for which a stream that is taken up is refused: it isn't known which software
 # version began it, and no endpoint of that version is left.
 VERSION_UNKNOWN, VERSION_GONE = "version_unknown", "version_gone"
+# The same where no endpoint of its service is known.
+NO_ENDPOINT = "no_endpoint"
 # Limits the sends of one request, refused ones included.
 MAX_SENDS = 4
 NO_CAPACITY_RETRY_AFTER_S = 1.0
@@ -110,6 +112,8 @@
         if not exchange.is_resumed:
             await context.version_records.prepare(exchange.service)
             return None
+        if not context.endpoints.versions.present(exchange.service):
+            return NO_ENDPOINT
         found = await context.begun_streams.find(exchange)
         if found is None:
             return VERSION_UNKNOWN
@@ -382,7 +386,7 @@
                 software_before=expected,
             )
             peer = run.state.record.address
-            raise CallError("run", peer, "other_version", True)
+            raise CallError("run", peer, OTHER_VERSION, True)
         exchange.software_version = version
         if not exchange.event_count:
             self._context.begun_streams.on_first_event(exchange, version)
--- a/libs/entry/tests/test_stream_versions.py
+++ b/libs/entry/tests/test_stream_versions.py
@@ -1,5 +1,7 @@
 """Streams go on only at the software version that began them."""
 
+import asyncio
+
 import pytest
 from host_harness import run
 from version_harness import UNKNOWN_IDS, versioned_fleet
@@ -197,3 +199,41 @@
             check_streams(results, 0.0)
 
     run(scenario())
+
+
+# Guards against events of an endpoint whose entry has changed its version meanwhile.
+def test_run_of_a_changed_version_is_ended_before_its_first_event():
+    async def scenario():
+        async with versioned_fleet("v1", host_count=1) as fleet:
+            (host,) = fleet.hosts
+            await fleet.ask(host)
+            (endpoint,) = fleet.endpoints.values()
+            endpoint.delay_s = 0.3
+            asking = asyncio.ensure_future(fleet.ask(host))
+            await asyncio.sleep(0.1)
+            endpoint.version = "v2"
+            entry = {**fleet.store.spec("servers", "e-0"), "version": "v2", "seq": 9}
+            fleet.store.put("servers", "e-0", entry)
+            result = await asking
+            changed = [line for line in fleet.lines if line[1] == "version_changed"]
+            assert len(changed) == 1
+            # The next run is of the changed version.
+            assert set(result.versions) == {"v2"} and result.is_complete
+
+    run(scenario())
+
+
+def test_resumed_streams_are_counted_by_what_tells_their_version():
+    async def scenario():
+        async with versioned_fleet(*TWO_VERSIONS, host_count=1) as fleet:
+            (host,) = fleet.hosts
+            begun, response = await fleet.begin(host)
+            response.close()
+            await fleet.take_up(host, begun)
+            await fleet.take_up(host, begun)
+            await fleet.take_up(host, begun, Resumes="unknown")
+            page = host.context.metrics.render()[0].decode()
+            assert 'gypsumusher_streams_resumed_total{source="own"} 2' in page
+            assert 'gypsumusher_streams_resumed_total{source="none"} 1' in page
+
+    run(scenario())
--- a/libs/entry/tests/version_harness.py
+++ b/libs/entry/tests/version_harness.py
@@ -71,12 +71,15 @@
         ``complete`` (streams are whole), ``hold`` (after its first event a new stream
         brings no other) or ``reset`` (it is reset there). Streams that are taken up
         are always whole.
+    delay_s : float
+        Time from the start of the response to its first event, in seconds.
     """
 
     def __init__(self, name, version):
         self.name = name
         self.version = version
         self.mode = "complete"
+        self.delay_s = 0.0
         self.server = ScriptedEndpoint(self._respond)
 
     async def _respond(self, number, head, body, writer):
@@ -99,6 +102,8 @@
             request_id_of(head), b"", "200 OK", STREAM_TYPE, framing
         )
         writer.write(start)
+        await writer.drain()
+        await asyncio.sleep(self.delay_s)
         for event_id in range(last + 1, EVENTS + 1):
             event = f"id: {event_id}\ndata: {self.version}\n\n"
             writer.write(encode_chunk(event.encode()))
