Share the choice of hosts by rendezvous, and the reset of test connections

Cause: the hosts that are told of streams were ranked by a second copy of what chooses those that count crashes; the test harness, the soak's endpoint and a test reset connections by copies of what tools/proxies.py has; two faults of the soak chose endpoints alike, and two tests refused writes alike. Change: choose_hosts in rendezvous.py, reset_connection of proxies.py, _choose_released, refuse_write. The weight itself is no longer exported, as only its own library uses it. No behaviour, check or assertion changes.

--- a/libs/entry/gypsumusher_entry/begun_streams.py
+++ b/libs/entry/gypsumusher_entry/begun_streams.py
@@ -9,7 +9,7 @@
     STREAM_LIFETIME_FACTOR,
     BegunStream,
     StreamVersions,
-    rendezvous_weight,
+    choose_hosts,
     stream_key,
 )
 
@@ -247,10 +247,9 @@
 
     def _choose_hosts(self, key, count):
         """Return other active hosts, the same ones for a stream on all hosts."""
-        name, text = self._context.settings.name, key.hex()
+        name = self._context.settings.name
         others = [host for host in self._context.active_hosts() if host.name != name]
-        others.sort(key=lambda host: rendezvous_weight(host.name, text))
-        return others[:count]
+        return choose_hosts(others, key, count)
 
     def _check_service(self, service):
         """Tell of all streams of a service once it has several versions.
--- a/libs/entry/gypsumusher_entry/crash_reports.py
+++ b/libs/entry/gypsumusher_entry/crash_reports.py
@@ -8,7 +8,7 @@
     CrashingContent,
     CrashReport,
     RefusedContent,
-    rendezvous_weight,
+    choose_hosts,
 )
 
 __all__ = ["CrashReports"]
@@ -115,10 +115,10 @@
         live = self._context.hosts.live(self._context.clock())
         parts = {}
         for crash in report.crashes:
-            for host in _counting_hosts(live, crash.fingerprint):
+            for host in choose_hosts(live, crash.fingerprint, COUNTING_HOSTS):
                 parts.setdefault(host.ip, ([], []))[0].append(crash)
         for answer in report.answered:
-            for host in _counting_hosts(live, answer[0]):
+            for host in choose_hosts(live, answer[0], COUNTING_HOSTS):
                 parts.setdefault(host.ip, ([], []))[1].append(answer)
         for ip, (crashes, answered) in parts.items():
             part = CrashReport(tuple(crashes), tuple(answered))
@@ -146,13 +146,6 @@
         )
 
 
-def _counting_hosts(live, fingerprint):
-    """Return the hosts that count the losses of a content, by rendezvous hashing."""
-    key = fingerprint.hex()
-    ranked = sorted(live, key=lambda host: rendezvous_weight(host.name, key))
-    return ranked[:COUNTING_HOSTS]
-
-
 def _encode(now_s, report):
     """Return a report's fields, with ages in place of times."""
     return [
--- a/libs/entry/tests/test_streams_cut_short.py
+++ b/libs/entry/tests/test_streams_cut_short.py
@@ -1,18 +1,15 @@
 """Streams of endpoints that break off, and what their callers see."""
 
 import asyncio
-import socket
-import struct
 
 import aiohttp
 import pytest
 from host_harness import RESUMABLE_ROUTE, STREAM_ROUTE, HostHarness, run
+from proxies import reset_connection
 from scripted_endpoint import encode_chunk, encode_response, request_id_of
 
 STREAM_TYPE = ("Content-Type: text/event-stream",)
 WITHOUT_LENGTH, CHUNKED = "Connection: close", "Transfer-Encoding: chunked"
-# SO_LINGER value (on, 0 s): closing the socket sends a reset.
-LINGER_RESET = struct.pack("ii", 1, 0)
 FIRST, SECOND = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
 
 
@@ -33,9 +30,7 @@
             writer.write(b"0\r\n\r\n")
             return
         if resets:
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            writer.transport.abort()
+            reset_connection(writer)
             return
         writer.close()
 
--- a/libs/entry/tests/test_version_records.py
+++ b/libs/entry/tests/test_version_records.py
@@ -24,6 +24,11 @@
     return versions
 
 
+async def refuse_write(*_):
+    """Refuse a write, in place of a method of the store's client."""
+    return Failure(PlatformError("replace", "store", "refused", ""))
+
+
 def recorded(fleet):
     """Return the versions in the store's record."""
     spec = fleet.store.spec(VERSIONS_KIND, "svc")
@@ -57,11 +62,7 @@
             await until(lambda: recorded(fleet) == ["v1"])
             store = host.context.version_records._store
             replace = store.replace
-
-            async def refuse(*_):
-                return Failure(PlatformError("replace", "store", "refused", ""))
-
-            store.replace = refuse
+            store.replace = refuse_write
             await fleet.add_endpoint("v2")
             await fleet.wait_for_endpoints()
             assert await begin_streams(fleet, host) == {"v1"}
@@ -80,11 +81,7 @@
             await begin_streams(fleet, host)
             await until(lambda: recorded(fleet) == ["v1"])
             store = host.context.version_records._store
-
-            async def refuse(*_):
-                return Failure(PlatformError("replace", "store", "refused", ""))
-
-            store.replace = refuse
+            store.replace = refuse_write
             await fleet.add_endpoint("v2")
             await fleet.wait_for_endpoints()
             await fleet.drop_endpoint("e-0")
--- a/libs/entry/tests/version_harness.py
+++ b/libs/entry/tests/version_harness.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import json
-import socket
-import struct
 from typing import NamedTuple
 
 import aiohttp
 from host_harness import RESUMABLE_ROUTE, settings, until
 from platform_samples import sample_configuration, sample_endpoint_entry
 from processes import free_ports
+from proxies import reset_connection
 from scripted_endpoint import (
     ScriptedEndpoint,
     encode_chunk,
@@ -24,7 +23,6 @@
 
 __all__ = ["UNKNOWN_IDS", "StreamResult", "VersionedFleet", "versioned_fleet"]
 
-LINGER_RESET = struct.pack("ii", 1, 0)
 STREAM_TYPE = ("Content-Type: text/event-stream",)
 # Number of events of a stream.
 EVENTS = 3
@@ -114,9 +112,7 @@
                 await asyncio.Event().wait()
             # The event has to arrive before the reset.
             await asyncio.sleep(0.03)
-            sock = writer.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            writer.transport.abort()
+            reset_connection(writer)
             return
         writer.write(b"0\r\n\r\n")
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -65,7 +65,7 @@
 )
 from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
-from gypsumusher_routing.rendezvous import rendezvous_weight
+from gypsumusher_routing.rendezvous import choose_hosts
 from gypsumusher_routing.retry_budget import RetryBudget, RetryDecision
 from gypsumusher_routing.routes import RouteTable, pick_service
 from gypsumusher_routing.run_account import PossibleRun, RunAccount
@@ -199,6 +199,7 @@
     "choose_active_hosts",
     "choose_decode",
     "choose_endpoint",
+    "choose_hosts",
     "choose_lane",
     "choose_prefill",
     "choose_watchers",
@@ -209,7 +210,6 @@
     "max_store_pause_s",
     "pick_service",
     "policy_without",
-    "rendezvous_weight",
     "urgency_of",
     "LEFT_FOR_S",
     "RecordedVersions",
--- a/libs/routing/gypsumusher_routing/rendezvous.py
+++ b/libs/routing/gypsumusher_routing/rendezvous.py
@@ -6,7 +6,7 @@
 
 import zlib
 
-__all__ = ["rendezvous_weight"]
+__all__ = ["choose_hosts", "rendezvous_weight"]
 
 
 def rendezvous_weight(name: str, key: str) -> int:
@@ -20,3 +20,20 @@
         What the choice is made for.
     """
     return zlib.crc32(f"{name}/{key}".encode())
+
+
+def choose_hosts(hosts, key: bytes, count: int) -> list:
+    """Return some of the hosts, the same ones for a key on all hosts.
+
+    Parameters
+    ----------
+    hosts : iterable
+        Hosts with a ``name``.
+    key : bytes
+        What they are chosen for.
+    count : int
+        Number of hosts; fewer are returned where there are fewer.
+    """
+    text = key.hex()
+    ranked = sorted(hosts, key=lambda host: rendezvous_weight(host.name, text))
+    return ranked[:count]
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -218,17 +218,21 @@
     await asyncio.gather(*running)
 
 
+def _choose_released(system, target, duration_s):
+    """Return the endpoints that are replaced within some time."""
+    chosen = _choose(system.backends, RELEASED_SHARE, target)
+    return chosen[: max(1, int(duration_s / STEP_S))]
+
+
 async def _endpoints_released(system, target, duration_s):
     """Replace a share of the endpoints one after the other."""
-    chosen = _choose(system.backends, RELEASED_SHARE, target)
-    chosen = chosen[: max(1, int(duration_s / STEP_S))]
+    chosen = _choose_released(system, target, duration_s)
     await _in_turn(system, "endpoint_leave", chosen, STEP_S)
 
 
 async def _release(system, target, duration_s):
     """Replace a share of the endpoints by a new software version, one by one."""
-    chosen = _choose(system.backends, RELEASED_SHARE, target)
-    chosen = chosen[: max(1, int(duration_s / STEP_S))]
+    chosen = _choose_released(system, target, duration_s)
     system.release_next_version([system.backends[number] for number in chosen])
     await _in_turn(system, "endpoint_leave", chosen, STEP_S)
 
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -3,9 +3,8 @@
 import asyncio
 import json
 import random
-import socket
-import struct
 
+from proxies import reset_connection
 from records import (
     CRASHING_PREFIX,
     EVENTS,
@@ -47,8 +46,6 @@
 }
 # How responses without length end: complete, early by a regular end, early by a reset.
 UNFRAMED_ENDS = COMPLETE, CUT, RESET = ("complete", "cut", "reset")
-# SO_LINGER value (on, 0 s): closing the socket sends a reset.
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class SoakEndpoint:
@@ -365,9 +362,7 @@
     if not is_reset:
         writer.close()
         return
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-    writer.transport.abort()
+    reset_connection(writer)
 
 
 def _parse_headers(head):
--- a/tools/proxies.py
+++ b/tools/proxies.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 
-__all__ = ["OrderProxy", "Proxy"]
+__all__ = ["OrderProxy", "Proxy", "reset_connection"]
 
 READ_BYTES = 65_536
 # Payload of a network packet. A read on loopback may return forty times as much, which
@@ -71,7 +71,7 @@
     def reset(self):
         """Reset all open connections on both sides."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer)
 
     def reset_clients(self):
         """Reset all open connections on the side of those who opened them alone.
@@ -79,7 +79,7 @@
         The target still gets what was sent before, once nothing blocks it any more.
         """
         for writer in list(self._client_writers):
-            _reset(writer)
+            reset_connection(writer)
 
     async def _serve(self, reader, writer):
         self._tasks.add(asyncio.current_task())
@@ -91,7 +91,7 @@
             target_reader, target_writer = await asyncio.open_connection(ip, int(port))
         except OSError:
             # Nothing listens at the target: the client of the proxy sees a reset.
-            _reset(writer)
+            reset_connection(writer)
             self._forget(writer)
             return
         self._writers.add(target_writer)
@@ -128,7 +128,7 @@
                 writer.write_eof()
         except OSError:
             # One side was reset, so the other one is reset as well.
-            _reset(writer)
+            reset_connection(writer)
 
     async def _write(self, data, writer, direction):
         """Write data at once, or in packets at the rate of a limited link."""
@@ -184,7 +184,7 @@
             await self.released.wait()
 
 
-def _reset(writer):
+def reset_connection(writer):
     """Reset a connection, so that its peer sees an error, not the end of data."""
     sock = writer.get_extra_info("socket")
     if sock is not None and sock.fileno() >= 0:
