Wait on conditions in two tests of software versions

Cause: test_run_of_a_changed_version_is_ended_before_its_first_event let 0.1 s pass for the run to be sent and 0.2 s for the host to hear the changed entry. Beside load the request left after the change, or its first event came before the news, and the line it looks for wasn't logged.

Change: the endpoint holds its first event until the host knows the changed entry; the short times are set after the check that nothing is dropped early.

--- a/libs/entry/tests/test_stream_versions.py
+++ b/libs/entry/tests/test_stream_versions.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from host_harness import run
+from host_harness import run, until
 from version_harness import UNKNOWN_IDS, versioned_fleet
 
 # Streams in each test, and the least share of them that has to go on.
@@ -208,12 +208,16 @@
             (host,) = fleet.hosts
             await fleet.ask(host)
             (endpoint,) = fleet.endpoints.values()
-            endpoint.delay_s = 0.3
-            asking = asyncio.ensure_future(fleet.ask(host))
-            await asyncio.sleep(0.1)
+            endpoint.may_begin.clear()
+            request_count = len(endpoint.server.requests)
+            headers = {"X-Gypsumusher-Deadline-Ms": "20000"}
+            asking = asyncio.ensure_future(fleet.ask(host, **headers))
+            await until(lambda: len(endpoint.server.requests) > request_count)
             endpoint.version = "v2"
             entry = {**fleet.store.spec("servers", "e-0"), "version": "v2", "seq": 9}
             fleet.store.put("servers", "e-0", entry)
+            await fleet.wait_for_endpoints()
+            endpoint.may_begin.set()
             result = await asking
             changed = [line for line in fleet.lines if line[1] == "version_changed"]
             assert len(changed) == 1
--- a/libs/entry/tests/test_version_records.py
+++ b/libs/entry/tests/test_version_records.py
@@ -93,10 +93,6 @@
 # Guards against streams that are refused for ever after a release, because the version
 # before it is still recorded.
 def test_version_is_dropped_long_after_its_endpoints(monkeypatch):
-    monkeypatch.setattr(software_versions, "LEFT_FOR_S", 0.3)
-    monkeypatch.setattr(version_records, "LEFT_FOR_S", 0.3)
-    monkeypatch.setattr(version_records, "DROP_INTERVAL_S", 0.1)
-
     async def scenario():
         async with versioned_fleet("v1", "v2", host_count=2) as fleet:
             for host in fleet.hosts:
@@ -105,6 +101,9 @@
             await fleet.drop_endpoint("e-0")
             await begin_streams(fleet, fleet.hosts[0], 2)
             assert recorded(fleet) == ["v1", "v2"]
+            monkeypatch.setattr(software_versions, "LEFT_FOR_S", 0.3)
+            monkeypatch.setattr(version_records, "LEFT_FOR_S", 0.3)
+            monkeypatch.setattr(version_records, "DROP_INTERVAL_S", 0.1)
             await asyncio.sleep(0.5)
             while recorded(fleet) != ["v2"]:
                 for host in fleet.hosts:
--- a/libs/entry/tests/version_harness.py
+++ b/libs/entry/tests/version_harness.py
@@ -69,15 +69,16 @@
         ``complete`` (streams are whole), ``hold`` (after its first event a new stream
         brings no other) or ``reset`` (it is reset there). Streams that are taken up
         are always whole.
-    delay_s : float
-        Time from the start of the response to its first event, in seconds.
+    may_begin : asyncio.Event
+        Streams wait for it before their first event.
     """
 
     def __init__(self, name, version):
         self.name = name
         self.version = version
         self.mode = "complete"
-        self.delay_s = 0.0
+        self.may_begin = asyncio.Event()
+        self.may_begin.set()
         self.server = ScriptedEndpoint(self._respond)
 
     async def _respond(self, number, head, body, writer):
@@ -101,7 +102,7 @@
         )
         writer.write(start)
         await writer.drain()
-        await asyncio.sleep(self.delay_s)
+        await self.may_begin.wait()
         for event_id in range(last + 1, EVENTS + 1):
             event = f"id: {event_id}\ndata: {self.version}\n\n"
             writer.write(encode_chunk(event.encode()))
