Give the soak's endpoints a new id at each start

Cause: in the soak an endpoint that crashed came back under the same id, with a later start in its entry. While the store is silent hosts don't hear of that entry, and an answer of the new process counted as survival of the content that had crashed the former one, so that the content was not refused. The platform's protocol gives each start a new id: a request for the former one is rejected with 421, and the answers of another process never speak for the former one. The soak was wrong, not the hosts; the check stays as it was.

Change: SoakEndpoint has an id for each start, registers under it and rejects requests that expect another one. The entry of the former id stays until its heartbeats lack, as that of a crashed replica does.

Ruled out: that hosts should count only answers on connections that were open before the loss. Where ids are new at each start a later answer is proof, and without it three broken connections would refuse content that many requests share for 300 s.

--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -49,12 +49,12 @@
 
 
 class SoakEndpoint:
-    """One endpoint that can crash and restart under the same id.
+    """One endpoint that can crash and restart, each time under a new id.
 
     Parameters
     ----------
     name : str
-        Id of the endpoint.
+        Name of the endpoint in the records, the same after a restart.
     clock : callable
         Returns the seconds since the run began.
     records : Records
@@ -107,6 +107,7 @@
         event_interval_s=0.02,
     ):
         self.name = name
+        self._start_count = 0
         self.version, self.next_version = "v1", None
         self._event_interval_s = event_interval_s
         self.service = service
@@ -131,8 +132,14 @@
         # Called with this endpoint when a request's content crashes it.
         self.on_crash = lambda endpoint: None
 
+    @property
+    def instance_id(self) -> str:
+        """Id of the running process, under which it registers."""
+        return f"{self.name}.{self._start_count}"
+
     async def start(self):
         """Start listening and return the address."""
+        self._start_count += 1
         self._endpoint = ScriptedEndpoint(self._respond)
         return await self._endpoint.start()
 
@@ -159,9 +166,9 @@
             return
         arrival = Arrival(request_id, self.name, self._clock())
         is_prefill = headers.get("x-gypsumusher-stage") == "prefill"
-        expected = headers.get("x-gypsumusher-expect-instance", self.name)
+        expected = headers.get("x-gypsumusher-expect-instance", self.instance_id)
         is_wrong_stage = self.stage and is_prefill != (self.stage == "prefill")
-        if expected != self.name or is_wrong_stage:
+        if expected != self.instance_id or is_wrong_stage:
             self._records.rejections.append(arrival)
             writer.write(self._encode(request_id, b"", "421 Misdirected Request"))
             return
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -339,7 +339,7 @@
             self._write_entries()
             return
         for endpoint in self.backends:
-            self._remove_entry(endpoint.name)
+            self._remove_entry(endpoint.instance_id)
 
     async def stop_host(self, host, pause_s):
         """Stop a host by SIGTERM, and start it again after a pause."""
@@ -363,7 +363,7 @@
         # A restart replaces the fields, and a planned leave changes the state.
         if duration_s > lapse_s and fields is self._heartbeats[endpoint.name]:
             if fields[2] == "silent":
-                self._remove_entry(endpoint.name)
+                self._remove_entry(endpoint.instance_id)
             await asyncio.sleep(duration_s - lapse_s)
         link.set_blocked(False, False)
         if fields is self._heartbeats[endpoint.name] and fields[2] == "silent":
@@ -377,7 +377,7 @@
         await host.start()
 
     async def restart_endpoint(self, endpoint, pause_s):
-        """Crash an endpoint, and restart it under the same id after a pause."""
+        """Crash an endpoint, and restart it under a new id after a pause."""
         if endpoint.name in self._restarting:
             return
         self._restarting.add(endpoint.name)
@@ -408,12 +408,14 @@
         number = self.backends.index(endpoint)
         self._end_serving(endpoint)
         self._crashed_s[endpoint.name] = self.clock()
+        former_id = endpoint.instance_id
         await endpoint.close()
         self.links[number].reset()
         await asyncio.sleep(pause_s)
         endpoint.mode = "well"
         endpoint.limit_per_s = None
         self.record_restart(endpoint, await endpoint.start())
+        self.spawn(self._expire_entry(former_id))
         self._begin_serving(endpoint)
 
     def _on_content_crash(self, endpoint):
@@ -543,7 +545,7 @@
             if state == "silent":
                 continue
             if not state:
-                self._remove_entry(endpoint.name)
+                self._remove_entry(endpoint.instance_id)
                 continue
             fields[1] = heartbeat + 1
             number = self.backends.index(endpoint)
@@ -558,11 +560,16 @@
             )
             if endpoint.stage is not None:
                 content |= {"stage": endpoint.stage, "slots": ENGINE_SLOTS}
-            self.store.put("servers", endpoint.name, content)
+            self.store.put("servers", endpoint.instance_id, content)
 
-    def _remove_entry(self, name):
-        if self.store.has("servers", name):
-            self.store.remove("servers", name)
+    def _remove_entry(self, instance_id):
+        if self.store.has("servers", instance_id):
+            self.store.remove("servers", instance_id)
+
+    async def _expire_entry(self, instance_id):
+        """Remove the entry of an endpoint that has ended once its heartbeats lack."""
+        await asyncio.sleep(MISSED_HEARTBEATS * self.deployment.heartbeat_s)
+        self._remove_entry(instance_id)
 
     async def _renew_entries(self):
         while True:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 import asyncio
 import time
 
+import aiohttp
 import entry_process
 import pytest
 from deployments import DEPLOYMENTS, SMALL
@@ -14,7 +15,9 @@
 from injection import FAULTS
 from plan import CALM_AFTER_S, KINDS, Fault, Plan, draw_plan
 from proxies import Proxy
+from records import Records
 from run_soak import load_kept_plans, run_seed
+from soak_endpoint import SoakEndpoint
 
 # Time span in which faults begin; half of the default of `run_soak.py`.
 FAULTY_S = 3.0
@@ -86,6 +89,20 @@
 )
 
 
+# Content crashes all endpoints while the store is silent, so that hosts don't hear of
+# the restarted ones.
+UNHEARD_RESTARTS_PLAN = Plan(
+    (
+        Fault(0.7, 1.0, "store_silent", 0),
+        Fault(0.75, 6.7, "crashing_content", 14),
+        Fault(2.2, 3.35, "store_silent", 0),
+        Fault(3.9, 5.7, "crashing_content", 46),
+        Fault(5.7, 1.0, "store_silent", 0),
+    ),
+    9.6 + CALM_AFTER_S,
+)
+
+
 # Endpoints state limits, two at a time, while hosts are killed, stopped and cut off.
 ENDPOINT_LIMIT_PLAN = Plan(
     (
@@ -158,6 +175,39 @@
     assert counts["served"] > 0.5 * counts["requests"] > 100
 
 
+# Guards against content that crashes endpoints and isn't refused, since answers of the
+# restarted endpoints count as answers of the crashed ones.
+@pytest.mark.processes
+def test_answer_of_restarted_endpoint_does_not_speak_for_crashing_content():
+    violations, counts = run_seed(1, UNHEARD_RESTARTS_PLAN)
+    assert not violations, violations
+    assert counts["served"] > 0.3 * counts["requests"] > 100
+
+
+# Guards against a soak endpoint that keeps its id and runs what was sent to the process
+# before it.
+def test_restarted_endpoint_has_a_new_id_and_rejects_the_former_one():
+    async def scenario():
+        endpoint = SoakEndpoint("e-0", time.monotonic, Records(SMALL.retry_limit))
+        statuses, ids = [], []
+        async with aiohttp.ClientSession() as session:
+            for _ in range(2):
+                address = await endpoint.start()
+                ids.append(endpoint.instance_id)
+                for instance_id in ids:
+                    headers = {
+                        "X-Gypsumusher-Request-Id": "r",
+                        "X-Gypsumusher-Expect-Instance": instance_id,
+                    }
+                    url = f"http://{address}/any_times/x"
+                    async with session.post(url, headers=headers) as response:
+                        statuses.append(response.status)
+                await endpoint.close()
+        assert statuses == [200, 421, 200]
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.processes
 def test_large_configurations_over_limited_links_cause_no_violation():
     violations, counts = run_seed(1, LARGE_CONFIGURATION_PLAN)
