Ask hosts side by side for a path to an endpoint

Cause: a host whose connection to an endpoint doesn't open asks up to three others in turn, 0.2 s each and 0.35 s in all. A host that has lost its own link as well answers only by that timeout, so that two such hosts took all the time, and the one that reaches the endpoint was found by chance.

Change: a host that hasn't answered within 0.06 s isn't waited for; the next one is asked beside it. At most three hosts, as before, 0.32 s in all.

--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -14,8 +14,10 @@
 # Longest time to open a connection through another host. A host that has lost its own
 # link may only learn so from this attempt, and would take longer to say no.
 RELAY_TIMEOUT_S = 0.2
-# Hosts that are asked in turn for one connection, and the longest time for all of them.
-MAX_RELAY_TRIES, RELAYS_TIMEOUT_S = 3, 0.35
+# Time that a host is given before the next one is asked as well.
+RELAY_HEAD_START_S = 0.06
+# Hosts that are asked for one connection.
+MAX_RELAY_TRIES = 3
 
 
 class EndpointConnections:
@@ -137,41 +139,56 @@
         self._context.connection_pool.release(connection)
 
     async def _open_through_relays(self, state):
-        """Open a connection through another host; return None if none reaches it."""
+        """Open a connection through another host; return None if none reaches it.
+
+        A host that doesn't answer soon is not waited for: it may have lost its own link
+        to the endpoint.
+        """
+        context, tasks, asked, chosen = self._context, [], set(), None
+        try:
+            for _ in range(MAX_RELAY_TRIES):
+                relay = self._relays.choose(
+                    context.clock(),
+                    state.record.endpoint_id,
+                    [host for host in self._ready_hosts() if host.name not in asked],
+                    context.draw_uniform,
+                )
+                if relay is None:
+                    break
+                asked.add(relay.name)
+                task = asyncio.ensure_future(self._connect_through(state, relay))
+                tasks.append(task)
+                await asyncio.wait((task,), timeout=RELAY_HEAD_START_S)
+                if any(task.done() and task.result() is not None for task in tasks):
+                    break
+            chosen = await _first_connection(tasks)
+            return chosen
+        finally:
+            for task in tasks:
+                _drop(task, chosen)
+
+    async def _connect_through(self, state, relay):
+        """Open a connection through one host; return None if it doesn't reach it."""
         context, record = self._context, state.record
-        ends_s = context.clock() + RELAYS_TIMEOUT_S
-        for _ in range(MAX_RELAY_TRIES):
-            left_s = ends_s - context.clock()
-            if left_s <= 0.0:
-                return None
-            relay = self._relays.choose(
-                context.clock(),
-                record.endpoint_id,
-                self._ready_hosts(),
-                context.draw_uniform,
+        try:
+            connection = await context.connection_pool.connect(
+                connection_key(record, is_relayed=True),
+                record.address,
+                (relay.name, relay.peers_address),
+                RELAY_TIMEOUT_S,
             )
-            if relay is None:
-                return None
-            try:
-                connection = await context.connection_pool.connect(
-                    connection_key(record, is_relayed=True),
-                    record.address,
-                    (relay.name, relay.peers_address),
-                    min(RELAY_TIMEOUT_S, left_s),
-                )
-            except CallError as error:
-                self._relays.on_failed(context.clock(), record.endpoint_id, relay.name)
-                context.log(
-                    "info",
-                    "relay_failed",
-                    endpoint=record.endpoint_id,
-                    relay=relay.name,
-                    error=repr(error.__cause__),
-                )
-                continue
-            self._relays.on_reached(context.clock(), record.endpoint_id, relay.name)
-            return connection
-        return None
+        except CallError as error:
+            self._relays.on_failed(context.clock(), record.endpoint_id, relay.name)
+            context.log(
+                "info",
+                "relay_failed",
+                endpoint=record.endpoint_id,
+                relay=relay.name,
+                error=repr(error.__cause__),
+            )
+            return None
+        self._relays.on_reached(context.clock(), record.endpoint_id, relay.name)
+        return connection
 
     def _ready_hosts(self):
         """Return the other hosts that are live and accept requests."""
--- a/libs/entry/tests/test_endpoint_paths.py
+++ b/libs/entry/tests/test_endpoint_paths.py
@@ -73,6 +73,34 @@
     run(scenario())
 
 
+# Guards against hosts that are asked one after the other although the first, which have
+# lost their own links, take all the time that there is.
+def test_host_that_reaches_an_endpoint_is_found_beside_hosts_that_hang():
+    async def scenario():
+        async with two_hosts(healthy) as system:
+            host = system.hosts[0]
+            cut_links(host, hangs=True)
+            connect = host.context.connection_pool.connect
+            names = ["host-a", "host-b", "host-1"]
+
+            async def connect_or_hang(key, address, relay=None, timeout_s=None):
+                if relay is not None and relay[0] != "host-1":
+                    await asyncio.sleep(timeout_s)
+                    raise CallError("connect", address, "connect", False)
+                return await connect(key, address, relay, timeout_s)
+
+            host.context.connection_pool.connect = connect_or_hang
+            connections = host.context.endpoint_connections
+            (other,) = connections._ready_hosts()
+            hosts = [other._replace(name=name) for name in names]
+            connections._ready_hosts = lambda: hosts
+            host.context.draw_uniform = lambda: 0.0
+            assert (await system.ask(0))[0] == 200
+            assert states_of(host)[0].path.is_down
+
+    run(scenario())
+
+
 # Guards against peers that avoid sound endpoints, as a cut host told them its failures.
 def test_failures_of_own_links_are_not_told_to_other_hosts():
     async def scenario():
