Check a host's own link to an endpoint that is silent

Cause: a host learned that its link to an endpoint is down only when a request opened a further connection. Requests on open connections that hang waited until their callers left, and an endpoint that was avoided for its silence got no new connection, so that its link was never looked at. Until then the prompts sent over dead links counted as queued at their engines, for all hosts, and requests were refused as overloaded.

Change: when a request over the host's own link is overdue and its endpoint silent, the host opens a connection by whatever path reaches the endpoint, once a second at most. If only another host reaches it, the link is down, as before.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -118,7 +118,9 @@
             clock, decode_response_head, CONNECT_TIMEOUT_S
         )
         self.endpoint_connections = EndpointConnections(self)
-        self.stall_monitor = StallMonitor(clock, log, self.wait_for_tick)
+        self.stall_monitor = StallMonitor(
+            clock, log, self.wait_for_tick, self.endpoint_connections.check_link
+        )
         # Stage orders of this host that gossip announces to the other hosts.
         self.ordered_stages = []
         # `StageLease`, or None until the host has started to compete for the lease.
--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import math
 
 from gypsumusher_http import CallError
-from gypsumusher_routing import RelayTable
+from gypsumusher_routing import MAX_FAILED_RELAYS, RelayTable
 
 __all__ = ["EndpointConnections", "connection_key"]
 
@@ -59,7 +60,7 @@
             When the limit is reached, or no path reaches the endpoint.
         """
         pool, path = self._context.connection_pool, state.path
-        if path.take_try(self._context.clock()):
+        if path.is_down and path.take_try(self._context.clock()):
             self._context.spawn(self._try_direct(state))
         key = connection_key(state.record, is_relayed=path.is_down)
         ready = {host.name for host in self._ready_hosts()} if path.is_down else ()
@@ -102,14 +103,26 @@
         """Close idle connections through a host that accepts no more requests."""
         self._context.connection_pool.close_idle(lambda c: c.relay == host)
 
-    async def _open(self, state):
+    def check_link(self, state):
+        """Find out whether this host's own link explains the silence of an endpoint.
+
+        Parameters
+        ----------
+        state : EndpointState
+            An endpoint that this host waits for in vain.
+        """
+        if not state.path.is_down and state.path.take_try(self._context.clock()):
+            self._context.spawn(self._check_link(state))
+
+    async def _open(self, state, max_failed=MAX_FAILED_RELAYS):
         """Open a connection directly, or through another host if that is faster."""
         direct = asyncio.ensure_future(self._connect_directly(state))
         tasks, chosen = [direct], None
         try:
             await asyncio.wait(tasks, timeout=DIRECT_HEAD_START_S)
             if not direct.done() or direct.exception() is not None:
-                tasks.append(asyncio.ensure_future(self._open_through_relays(state)))
+                through_relays = self._open_through_relays(state, max_failed)
+                tasks.append(asyncio.ensure_future(through_relays))
             chosen = await _first_connection(tasks)
             if chosen is None:
                 return direct.result()
@@ -138,7 +151,20 @@
             return
         self._context.connection_pool.release(connection)
 
-    async def _open_through_relays(self, state):
+    async def _check_link(self, state):
+        """Open a connection to a silent endpoint by whatever path reaches it."""
+        try:
+            connection = await self._open(state, math.inf)
+        except CallError:
+            # No host that was asked reaches the endpoint. Others are asked next time.
+            return
+        if connection.relay is None:
+            # An endpoint that is reached and silent needs no more connections.
+            connection.abort()
+            return
+        self._context.connection_pool.release(connection)
+
+    async def _open_through_relays(self, state, max_failed=MAX_FAILED_RELAYS):
         """Open a connection through another host; return None if none reaches it.
 
         A host that doesn't answer soon is not waited for: it may have lost its own link
@@ -152,6 +178,7 @@
                     state.record.endpoint_id,
                     [host for host in self._ready_hosts() if host.name not in asked],
                     context.draw_uniform,
+                    max_failed,
                 )
                 if relay is None:
                     break
--- a/libs/entry/tests/test_endpoint_paths.py
+++ b/libs/entry/tests/test_endpoint_paths.py
@@ -23,10 +23,11 @@
     writer.write(encode_response(request_id_of(head)))
 
 
-def cut_links(host, hangs=False):
+def cut_links(host, hangs=False, keeps_idle=False):
     """Cut a host off from all endpoints; return a function that mends its links.
 
-    New direct connections hang or are refused, and open ones are closed.
+    New direct connections hang or are refused, and idle ones are closed unless they are
+    kept.
     """
     pool = host.context.connection_pool
     connect = pool.connect
@@ -44,7 +45,7 @@
     relay = host._tunnel_relay
     forward = relay.forward
     pool.connect, relay.forward = connect_or_fail, forward_or_fail
-    pool.close_idle(lambda connection: connection.relay is None)
+    pool.close_idle(lambda connection: connection.relay is None and not keeps_idle)
 
     def mend():
         pool.connect, relay.forward = connect, forward
@@ -73,6 +74,33 @@
     run(scenario())
 
 
+# Guards against a host whose requests wait on connections that hang, and that learns
+# only from the next connection that its link is down.
+def test_silence_shows_that_a_link_is_down():
+    async def scenario():
+        async def silent_once(number, head, body, writer):
+            if number == 1:
+                await asyncio.Event().wait()
+            await healthy(number, head, body, writer)
+
+        # The request has to wait for longer than the endpoint may be silent.
+        route = {**AT_MOST_ONCE_ROUTE, "timeout_ms": 25000}
+        async with two_hosts(silent_once, route=route) as system:
+            assert (await system.ask(0, "/0/x", "POST"))[0] == 200
+            cut_links(system.hosts[0], hangs=True, keeps_idle=True)
+            asked = system.ask(
+                0, "/0/y", "POST", **{"X-Gypsumusher-Deadline-Ms": "25000"}
+            )
+            waiting = asyncio.ensure_future(asked)
+            (state,) = states_of(system.hosts[0])
+            await until(lambda: state.path.is_down)
+            assert (await system.ask(0, "/0/z", "POST"))[0] == 200
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+
+    run(scenario())
+
+
 # Guards against hosts that are asked one after the other although the first, which have
 # lost their own links, take all the time that there is.
 def test_host_that_reaches_an_endpoint_is_found_beside_hosts_that_hang():
--- a/libs/entry/tests/test_stall_monitor.py
+++ b/libs/entry/tests/test_stall_monitor.py
@@ -16,7 +16,10 @@
         )
         self.state = EndpointState(record)
         self.monitor = StallMonitor(
-            lambda: 0.0, lambda *args, **fields: None, asyncio.sleep
+            lambda: 0.0,
+            lambda *args, **fields: None,
+            asyncio.sleep,
+            lambda state: None,
         )
         self.monitor.begin("r-1", self.state, 1.0)
 
