--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -118,9 +118,7 @@
             clock, decode_response_head, CONNECT_TIMEOUT_S
         )
         self.endpoint_connections = EndpointConnections(self)
-        self.stall_monitor = StallMonitor(
-            clock, log, self.wait_for_tick, self.endpoint_connections.check_link
-        )
+        self.stall_monitor = StallMonitor(clock, log, self.wait_for_tick)
         # Stage orders of this host that gossip announces to the other hosts.
         self.ordered_stages = []
         # `StageLease`, or None until the host has started to compete for the lease.
--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import contextlib
-import math
 
 from gypsumusher_http import CallError
-from gypsumusher_routing import MAX_FAILED_RELAYS, RelayTable
+from gypsumusher_routing import RelayTable
 
 __all__ = ["EndpointConnections", "connection_key"]
 
@@ -15,10 +14,8 @@
 # Longest time to open a connection through another host. A host that has lost its own
 # link may only learn so from this attempt, and would take longer to say no.
 RELAY_TIMEOUT_S = 0.2
-# Time that a host is given before the next one is asked as well.
-RELAY_HEAD_START_S = 0.06
-# Hosts that are asked for one connection.
-MAX_RELAY_TRIES = 3
+# Hosts that are asked in turn for one connection, and the longest time for all of them.
+MAX_RELAY_TRIES, RELAYS_TIMEOUT_S = 3, 0.35
 
 
 class EndpointConnections:
@@ -60,7 +57,7 @@
             When the limit is reached, or no path reaches the endpoint.
         """
         pool, path = self._context.connection_pool, state.path
-        if path.is_down and path.take_try(self._context.clock()):
+        if path.take_try(self._context.clock()):
             self._context.spawn(self._try_direct(state))
         key = connection_key(state.record, is_relayed=path.is_down)
         ready = {host.name for host in self._ready_hosts()} if path.is_down else ()
@@ -103,26 +100,14 @@
         """Close idle connections through a host that accepts no more requests."""
         self._context.connection_pool.close_idle(lambda c: c.relay == host)
 
-    def check_link(self, state):
-        """Find out whether this host's own link explains the silence of an endpoint.
-
-        Parameters
-        ----------
-        state : EndpointState
-            An endpoint that this host waits for in vain.
-        """
-        if not state.path.is_down and state.path.take_try(self._context.clock()):
-            self._context.spawn(self._check_link(state))
-
-    async def _open(self, state, max_failed=MAX_FAILED_RELAYS):
+    async def _open(self, state):
         """Open a connection directly, or through another host if that is faster."""
         direct = asyncio.ensure_future(self._connect_directly(state))
         tasks, chosen = [direct], None
         try:
             await asyncio.wait(tasks, timeout=DIRECT_HEAD_START_S)
             if not direct.done() or direct.exception() is not None:
-                through_relays = self._open_through_relays(state, max_failed)
-                tasks.append(asyncio.ensure_future(through_relays))
+                tasks.append(asyncio.ensure_future(self._open_through_relays(state)))
             chosen = await _first_connection(tasks)
             if chosen is None:
                 return direct.result()
@@ -151,71 +136,42 @@
             return
         self._context.connection_pool.release(connection)
 
-    async def _check_link(self, state):
-        """Open a connection to a silent endpoint by whatever path reaches it."""
-        try:
-            connection = await self._open(state, math.inf)
-        except CallError:
-            # No host that was asked reaches the endpoint. Others are asked next time.
-            return
-        if connection.relay is None:
-            # An endpoint that is reached and silent needs no more connections.
-            connection.abort()
-            return
-        self._context.connection_pool.release(connection)
-
-    async def _open_through_relays(self, state, max_failed=MAX_FAILED_RELAYS):
-        """Open a connection through another host; return None if none reaches it.
-
-        A host that doesn't answer soon is not waited for: it may have lost its own link
-        to the endpoint.
-        """
-        context, tasks, asked, chosen = self._context, [], set(), None
-        try:
-            for _ in range(MAX_RELAY_TRIES):
-                relay = self._relays.choose(
-                    context.clock(),
-                    state.record.endpoint_id,
-                    [host for host in self._ready_hosts() if host.name not in asked],
-                    context.draw_uniform,
-                    max_failed,
-                )
-                if relay is None:
-                    break
-                asked.add(relay.name)
-                task = asyncio.ensure_future(self._connect_through(state, relay))
-                tasks.append(task)
-                await asyncio.wait((task,), timeout=RELAY_HEAD_START_S)
-                if any(task.done() and task.result() is not None for task in tasks):
-                    break
-            chosen = await _first_connection(tasks)
-            return chosen
-        finally:
-            for task in tasks:
-                _drop(task, chosen)
-
-    async def _connect_through(self, state, relay):
-        """Open a connection through one host; return None if it doesn't reach it."""
+    async def _open_through_relays(self, state):
+        """Open a connection through another host; return None if none reaches it."""
         context, record = self._context, state.record
-        try:
-            connection = await context.connection_pool.connect(
-                connection_key(record, is_relayed=True),
-                record.address,
-                (relay.name, relay.peers_address),
-                RELAY_TIMEOUT_S,
-            )
-        except CallError as error:
-            self._relays.on_failed(context.clock(), record.endpoint_id, relay.name)
-            context.log(
-                "info",
-                "relay_failed",
-                endpoint=record.endpoint_id,
-                relay=relay.name,
-                error=repr(error.__cause__),
+        ends_s = context.clock() + RELAYS_TIMEOUT_S
+        for _ in range(MAX_RELAY_TRIES):
+            left_s = ends_s - context.clock()
+            if left_s <= 0.0:
+                return None
+            relay = self._relays.choose(
+                context.clock(),
+                record.endpoint_id,
+                self._ready_hosts(),
+                context.draw_uniform,
             )
-            return None
-        self._relays.on_reached(context.clock(), record.endpoint_id, relay.name)
-        return connection
+            if relay is None:
+                return None
+            try:
+                connection = await context.connection_pool.connect(
+                    connection_key(record, is_relayed=True),
+                    record.address,
+                    (relay.name, relay.peers_address),
+                    min(RELAY_TIMEOUT_S, left_s),
+                )
+            except CallError as error:
+                self._relays.on_failed(context.clock(), record.endpoint_id, relay.name)
+                context.log(
+                    "info",
+                    "relay_failed",
+                    endpoint=record.endpoint_id,
+                    relay=relay.name,
+                    error=repr(error.__cause__),
+                )
+                continue
+            self._relays.on_reached(context.clock(), record.endpoint_id, relay.name)
+            return connection
+        return None
 
     def _ready_hosts(self):
         """Return the other hosts that are live and accept requests."""
--- a/libs/entry/gypsumusher_entry/stall_monitor.py
+++ b/libs/entry/gypsumusher_entry/stall_monitor.py
@@ -53,16 +53,12 @@
         Monotonic clock in seconds, and structured log.
     wait_for_tick : callable
         Coroutine function ``wait_for_tick(period_s)`` that waits for the next check.
-    on_silent : callable
-        ``on_silent(state)`` is called for an endpoint that is silent over this host's
-        own link.
     """
 
-    def __init__(self, clock, log, wait_for_tick, on_silent):
+    def __init__(self, clock, log, wait_for_tick):
         self._clock = clock
         self._log = log
         self._wait_for_tick = wait_for_tick
-        self._on_silent = on_silent
         self._pending = set()
         self._task = None
 
@@ -115,8 +111,6 @@
                 # The endpoint is busy, not silent: it serves this request after others.
                 continue
             pending.state.health.on_failure(now_s, "silent")
-            if pending.relay is None:
-                self._on_silent(pending.state)
             self._log(
                 "warning",
                 "endpoint_overdue",
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -32,11 +32,7 @@
     LimitReport,
     LimitView,
 )
-from gypsumusher_routing.endpoint_paths import (
-    MAX_FAILED_RELAYS,
-    DirectPath,
-    RelayTable,
-)
+from gypsumusher_routing.endpoint_paths import DirectPath, RelayTable
 from gypsumusher_routing.endpoint_state import EndpointState, Load, OrderedStage
 from gypsumusher_routing.endpoint_table import EndpointTable
 from gypsumusher_routing.engine_choice import (
@@ -216,7 +212,6 @@
     "policy_without",
     "urgency_of",
     "LEFT_FOR_S",
-    "MAX_FAILED_RELAYS",
     "RecordedVersions",
     "VersionPresence",
     "STREAM_KEY_BYTES",
--- a/libs/routing/gypsumusher_routing/endpoint_paths.py
+++ b/libs/routing/gypsumusher_routing/endpoint_paths.py
@@ -6,16 +6,16 @@
 through one that has not.
 """
 
-__all__ = ["MAX_FAILED_RELAYS", "DirectPath", "RelayTable"]
+__all__ = ["DirectPath", "RelayTable"]
 
-# Pause between two attempts over a link that is down, or that may be.
+# Pause between two attempts over a link that is down.
 RETRY_INTERVAL_S = 1.0
 # Time for which a host that didn't reach an endpoint isn't asked for it again.
 FAILED_RELAY_PAUSE_S = 2.0
 # Time for which a host that reached any endpoint is preferred.
 REACHED_FOR_S = 5.0
-# Hosts that didn't reach an endpoint, after which no further one is asked while a
-# request waits: then the endpoint itself is down.
+# Hosts that didn't reach an endpoint, after which no further one is asked: then the
+# endpoint itself is down.
 MAX_FAILED_RELAYS = 3
 
 
@@ -49,8 +49,8 @@
         return True
 
     def take_try(self, now_s: float) -> bool:
-        """Return whether the link may be tried now; count the try."""
-        if now_s - self._tried_s < RETRY_INTERVAL_S:
+        """Return whether a link that is down is to be tried now; count the try."""
+        if not self.is_down or now_s - self._tried_s < RETRY_INTERVAL_S:
             return False
         self._tried_s = now_s
         return True
@@ -64,9 +64,7 @@
         # When a host didn't reach an endpoint, by endpoint and host.
         self._failed_s = {}
 
-    def choose(
-        self, now_s, endpoint_id, hosts, draw_uniform, max_failed=MAX_FAILED_RELAYS
-    ):
+    def choose(self, now_s, endpoint_id, hosts, draw_uniform):
         """Return the host to ask next for an endpoint.
 
         Parameters
@@ -79,9 +77,6 @@
             Hosts that are live and accept requests.
         draw_uniform : callable
             Draws from 0 to 1.
-        max_failed : float
-            Number of hosts that didn't reach the endpoint after which only hosts that
-            have lately reached any are asked.
 
         Returns
         -------
@@ -100,7 +95,7 @@
             for host in candidates
             if now_s - self._reached_s.get(host.name, float("-inf")) < REACHED_FOR_S
         ]
-        if not preferred and len(failed) >= max_failed:
+        if not preferred and len(failed) >= MAX_FAILED_RELAYS:
             return None
         candidates = preferred or candidates
         if not candidates:
