Share the loss of all hosts between two tests of streams

Two tests began streams at two hosts and closed all hosts in the same lines; the harness does it now.

--- a/libs/entry/tests/test_single_version.py
+++ b/libs/entry/tests/test_single_version.py
@@ -12,11 +12,7 @@
 def test_all_streams_go_on_after_the_loss_of_all_hosts():
     async def scenario():
         async with versioned_fleet("v1", "v1") as fleet:
-            begun = []
-            for number in range(STREAMS):
-                begun.append((await fleet.begin(fleet.hosts[number % 2]))[0])
-            for host in list(fleet.hosts):
-                await fleet.close_host(host)
+            begun = await fleet.begin_and_lose_hosts(STREAMS)
             host = await fleet.start_host()
             for first in begun:
                 assert (await fleet.take_up(host, first)).is_complete
--- a/libs/entry/tests/test_stream_versions.py
+++ b/libs/entry/tests/test_stream_versions.py
@@ -101,11 +101,7 @@
 def test_stream_goes_on_at_its_version_after_the_loss_of_all_hosts():
     async def scenario():
         async with versioned_fleet(*TWO_VERSIONS * 2) as fleet:
-            begun = []
-            for number in range(STREAMS):
-                begun.append((await fleet.begin(fleet.hosts[number % 2]))[0])
-            for host in list(fleet.hosts):
-                await fleet.close_host(host)
+            begun = await fleet.begin_and_lose_hosts(STREAMS)
             host = await fleet.start_host()
             results = [(first, await fleet.take_up(host, first)) for first in begun]
             check_streams(results, 0.0)
--- a/libs/entry/tests/version_harness.py
+++ b/libs/entry/tests/version_harness.py
@@ -234,6 +234,15 @@
         result = StreamResult(request_id, 200, _versions_in(raw), False)
         return result, response
 
+    async def begin_and_lose_hosts(self, count):
+        """Begin streams at two hosts, and lose all hosts; return the first events."""
+        begun = []
+        for number in range(count):
+            begun.append((await self.begin(self.hosts[number % 2]))[0])
+        for host in list(self.hosts):
+            await self.close_host(host)
+        return begun
+
     async def ask(self, host, **headers):
         """Send one attempt and read what comes of it."""
         request_id, response = await self._post(host, headers)
