Log the parts of prompts, and the events of runs that are lost

Lost runs could be related only by the fingerprint of the whole content, which is new with each prompt, and answers not at all. parts (the ids of the first twelve, without the prompt's own last one) stands in send_failed and request_ended now, events in send_failed.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -39,6 +39,8 @@
 MIN_RETRY_AFTER_S = 0.3
 # Least time limit sent to an endpoint: no work fits into less.
 MIN_ENDPOINT_TIME_S = 0.005
+# Most parts of a prompt that a log line names.
+LOGGED_PARTS_MAX = 12
 # Network overhead of a response on its way to the caller. An endpoint must not go on
 # with a response that would arrive too late.
 RESPONSE_OVERHEAD_S = 0.01
@@ -115,6 +117,15 @@
             self._fingerprint = content_fingerprint(self.request, self.account_name)
         return self._fingerprint
 
+    @property
+    def logged_parts(self):
+        """Ids of the prompt's first parts, without its own last one, for the log."""
+        generation = self.request.generation
+        if generation is None:
+            return None
+        ids = [f"{part.part_id:x}" for part in generation.parts[:-1]]
+        return ",".join(ids[:LOGGED_PARTS_MAX]) or None
+
     @property
     def remaining_s(self):
         """Time until the caller's or the route's time limit ends, in seconds."""
@@ -448,6 +459,7 @@
         # Set only when the request ended while its prompt was waiting for prefill.
         waited_at=exchange.prefill_endpoint_id,
         events=exchange.event_count or None,
+        parts=exchange.logged_parts,
         objective_ms=None if route is None else round(route.objective_s * 1000),
         pause_ms=round(exchange.longest_pause_s * 1000) or None,
         pause_limit_ms=_pause_limit_ms(exchange),
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -236,6 +236,8 @@
         own_penalty=round(state.health.own_penalty(now_s), 2),
         since_send_ms=_since_send_ms(exchange, error, now_s),
         content=exchange.fingerprint.hex() if error.may_have_run else None,
+        parts=exchange.logged_parts if error.may_have_run else None,
+        events=exchange.event_count or None,
         **fields,
     )
 
