--- a/libs/entry/tests/version_harness.py
+++ b/libs/entry/tests/version_harness.py
@@ -268,7 +268,7 @@
         names = {"Last-Event-Id": "1", "Resumes": begun.request_id, **headers}
         return await self.ask(host, **names)
 
-    async def _post(self, host, headers):
+    async def _post(self, host, headers, body=b"q"):
         self._attempt_count += 1
         request_id = f"r-{self._attempt_count}"
         headers = {
@@ -281,7 +281,7 @@
         headers = {name: value for name, value in headers.items() if value is not None}
         address = self._addresses[self.hosts.index(host)]
         url = f"http://{address}/0/x"
-        return request_id, await self._session.post(url, data=b"q", headers=headers)
+        return request_id, await self._session.post(url, data=body, headers=headers)
 
     def _all_hosts_hear_each_other(self):
         names = {host.context.settings.name for host in self.hosts}
