Refuse a part of prompts that crashes engines

Callers saw: contract-insert and all that ran beside it failed for as long as prompts with one part came, since each crashed an engine with its runs.

Cause: losses were collected by the fingerprint of the whole content only, so that those of prompts that share a part never added up.

CrashingContent counts losses by the whole content and by each part but the last. A part with five losses, three of them not simultaneous, that no host has answered lately is refused, together with the parts that all lost runs with it have in common and no answered prompt has. All hosts are asked for answers from the third loss on. Answers count once events have come for 0.5 s; prefills, rejections and 4xx don't. An endpoint's end under refused content speaks against nothing else it ran. Requests that haven't begun end when their parts are refused. Refusals are recorded in the store for hosts that start later, and tried again by one request at a time.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -109,6 +109,8 @@
         self.datagram_handlers = {}
         self.endpoints = EndpointTable()
         self.hosts = HostTable(settings.name)
+        # The requests of callers that are being served.
+        self.exchanges = set()
         self.crash_reports = CrashReports(self)
         self.version_records = VersionRecords(self)
         self.begun_streams = BegunStreams(self)
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -20,7 +20,7 @@
     SendCounter,
     SendFate,
     abandoned_after_s,
-    content_fingerprint,
+    content_keys,
     first_event_limit_s,
     pick_service,
 )
@@ -83,8 +83,16 @@
         self.prefill_endpoint_id = None
         # Engine at which room to decode the prompt is reserved; see `prefill_prompt`.
         self.reserved_state = None
+        # Whether the run under way has brought an event, and whether it has gone on
+        # for so long that its prompt didn't crash the engine.
+        self.has_run_events = False
+        self.has_run_survived = False
+        # Keys of the refusal that this request is a trial of, if it is one.
+        self.trial_keys = None
         self._is_usage_counted = False
-        self._fingerprint = None
+        self._content_keys = None
+        self._time_limit = None
+        self._refused_for_s = None
         self.outcome = None
 
     @property
@@ -110,12 +118,17 @@
         """Name of the client account, or None."""
         return None if self.account is None else self.account.name
 
+    @property
+    def content_keys(self):
+        """Fingerprints of the request's content; see `ContentKeys`."""
+        if self._content_keys is None:
+            self._content_keys = content_keys(self.request, self.account_name)
+        return self._content_keys
+
     @property
     def fingerprint(self):
-        """Fingerprint of the request's content; see `content_fingerprint`."""
-        if self._fingerprint is None:
-            self._fingerprint = content_fingerprint(self.request, self.account_name)
-        return self._fingerprint
+        """Fingerprint of the request's whole content."""
+        return self.content_keys.whole
 
     @property
     def logged_parts(self):
@@ -251,6 +264,52 @@
         if state is not None:
             self.context.endpoint_limits.release(state)
 
+    async def run_within_time_limit(self, serve):
+        """Serve the request; refuse it when its time or its content forbids to go on.
+
+        Parameters
+        ----------
+        serve : callable
+            Coroutine function that serves an exchange.
+        """
+        try:
+            async with asyncio.timeout(self.remaining_s) as self._time_limit:
+                await serve(self)
+        except TimeoutError:
+            if self._refused_for_s is not None:
+                self.refuse(503, CrashingContentError.reason, self._refused_for_s)
+                return
+            # The time limit is over: the final response goes out now, whatever an
+            # endpoint is still doing.
+            status = 504 if self.may_have_run else 503
+            self.refuse(status, "timeout", NO_ENDPOINT_RETRY_AFTER_S)
+        finally:
+            self._time_limit = None
+
+    def is_held_by(self, refused_keys):
+        """Return whether a refusal of parts ends this request.
+
+        One whose prompt hasn't crashed the engine that runs it goes on, and so does
+        one whose whole content is refused: not all hosts have been asked for that.
+        """
+        if self._time_limit is None or self.has_run_events:
+            return False
+        keys = self.content_keys
+        return refused_keys <= keys.parts and refused_keys != self.trial_keys
+
+    def end_as_refused(self, for_s):
+        """End the request: from now on its content is refused.
+
+        Parameters
+        ----------
+        for_s : float
+            How long, in seconds.
+        """
+        if self._time_limit is None or self._time_limit.expired():
+            return
+        self._refused_for_s = for_s
+        self._time_limit.reschedule(asyncio.get_running_loop().time())
+
     def record_usage(self, began_s):
         """Count the request for its account, once.
 
@@ -340,6 +399,7 @@
 
     async def handle(request, reply):
         exchange = Exchange(context, request, reply)
+        context.exchanges.add(exchange)
         context.metrics.on_request_start()
         try:
             await _serve(exchange)
@@ -347,6 +407,7 @@
             exchange.outcome = "caller_left"
             raise
         finally:
+            context.exchanges.discard(exchange)
             exchange.send_counter.has_ended = True
             _record_end(exchange)
 
@@ -376,13 +437,14 @@
         exchange.refuse(*access.refusal)
         return
     exchange.account = access.account
-    refused_for_s = context.crash_reports.refused_for_s(exchange)
+    refused_for_s = context.crash_reports.refused_for_s(exchange, may_try=True)
     if refused_for_s:
         exchange.log(
             "info",
             "request_refused",
             reason=CrashingContentError.reason,
             content=exchange.fingerprint.hex(),
+            parts=exchange.logged_parts,
             left_s=round(refused_for_s, 1),
         )
         exchange.refuse(503, CrashingContentError.reason, refused_for_s)
@@ -394,13 +456,7 @@
     exchange.deadline_at_s = exchange.arrived_s + time_limit_s
     serve = serve_stream if route.kind == STREAM else serve_from_service
     try:
-        async with asyncio.timeout(exchange.remaining_s):
-            await serve(exchange)
-    except TimeoutError:
-        # The time limit is over: the final response goes out now, whatever an endpoint
-        # is still doing.
-        status = 504 if exchange.may_have_run else 503
-        exchange.refuse(status, "timeout", NO_ENDPOINT_RETRY_AFTER_S)
+        await exchange.run_within_time_limit(serve)
     except OverloadedError as error:
         exchange.log("info", "request_refused", reason="overloaded", detail=error)
         # By then the queue is short enough for the request to start within its limit.
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -11,6 +11,7 @@
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.peer_sync import PeerSync
 from gypsumusher_entry.prefix_cache_recovery import PrefixCacheRecovery
+from gypsumusher_entry.refusal_records import RefusalRecords
 from gypsumusher_entry.registration import Registration
 from gypsumusher_entry.store_watcher import StoreWatcher
 from gypsumusher_entry.usage_reports import UsageReports
@@ -70,6 +71,7 @@
         self._registration = Registration(self.context, self._store)
         self._peer_sync = PeerSync(self.context)
         self._gossip = Gossip(self.context)
+        self._refusal_records = RefusalRecords(self.context)
         self._confirmation = ConfigurationConfirmation(
             self.context, self._store, self._gossip
         )
@@ -104,6 +106,7 @@
         await self._gossip.start()
         send_datagram = self._gossip.send_datagram
         self.context.crash_reports.start(send_datagram)
+        self._refusal_records.start(self._store)
         self.context.version_records.start(self._store, send_datagram)
         self.context.begun_streams.start(send_datagram)
         self.context.endpoint_limits.start(self._gossip)
--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -146,7 +146,8 @@
             return False
         result.state.on_answer_bytes(now_s)
         result.state.health.on_success(now_s)
-        exchange.context.crash_reports.on_answered(exchange)
+        if 200 <= result.head.status < 300:
+            exchange.context.crash_reports.on_answered(exchange)
         if result.head.status < 500:
             self._penalize_slow()
             exchange.forward_response(result.head, result.body)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -42,6 +42,9 @@
 # that long; a busy one stays within twice the expectation.
 SILENCE_FACTOR = 4.0
 MIN_SILENCE_S = 0.8
+# Time after its first event from which on a run shows that its prompt doesn't crash
+# engines.
+SURVIVED_S = 0.5
 
 
 async def serve_stream(exchange):
@@ -233,6 +236,7 @@
             FIRST_EVENT_SLACK_S + 2.0 * expected_s,
         )
         response = None
+        exchange.has_run_events = exchange.has_run_survived = False
         run.begin()
         if prefill is not None:
             context.notify_prefill_start()
@@ -255,7 +259,8 @@
             if response is not None:
                 response.close()
         state.health.on_success(context.clock())
-        context.crash_reports.on_answered(exchange)
+        if run.has_started:
+            context.crash_reports.on_answered(exchange)
         return None
 
     async def _forward_events(self, response, run, pending):
@@ -350,7 +355,11 @@
             run.on_first_event(self._context, self._generation)
             exchange.record_usage(now_s)
             self._record_first_event(run, now_s)
+            run.first_event_s = now_s
+            exchange.has_run_events = True
         else:
+            if not exchange.has_run_survived:
+                self._check_survival(run, now_s)
             pause_s = now_s - run.last_event_s
             exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
             if self._generation is not None:
@@ -364,6 +373,13 @@
         if event.event_id is not None:
             self._last_event_id = str(event.event_id)
 
+    def _check_survival(self, run, now_s):
+        """Record that a run has gone on for a while after its first event."""
+        if now_s - run.first_event_s < SURVIVED_S:
+            return
+        self._exchange.has_run_survived = True
+        self._context.crash_reports.on_parts_answered(self._exchange)
+
     def _check_run_version(self, run):
         """Record which software version begins the stream, before its first event.
 
@@ -426,7 +442,7 @@
         self.possible_run = possible_run
         self.software_version = state.record.software_version
         self.has_started = False
-        self.last_event_s = 0.0
+        self.first_event_s = self.last_event_s = 0.0
         self._is_prefilling = False
 
     def begin(self):
--- a/libs/entry/tests/test_crashing_content.py
+++ b/libs/entry/tests/test_crashing_content.py
@@ -8,7 +8,7 @@
 
 from gypsumusher_entry.context import Context
 from gypsumusher_entry.metrics import Metrics
-from gypsumusher_routing import HostStatus
+from gypsumusher_routing import ContentKeys, HostStatus
 
 CRASHING_PATH = "/0/crashing"
 # Endpoints that may end under one content, and sends allowed after that.
@@ -72,7 +72,11 @@
             context.hosts.on_status(clock(), status)
         sent = []
         context.crash_reports.start(lambda kind, fields, ip: sent.append(ip))
-        exchange = SimpleNamespace(fingerprint=b"content")
+        exchange = SimpleNamespace(
+            content_keys=ContentKeys(b"content"),
+            has_run_survived=False,
+            trial_keys=None,
+        )
         record = SimpleNamespace(incarnation=("e-0", 1))
         context.crash_reports.on_lost(exchange, SimpleNamespace(record=record))
         await until(lambda: sent)
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -16,9 +16,15 @@
     ConfirmationRole,
     key_lease_s,
 )
-from gypsumusher_routing.content_fingerprint import content_fingerprint
+from gypsumusher_routing.content_fingerprint import (
+    FINGERPRINT_BYTES,
+    ContentKeys,
+    content_fingerprint,
+    content_keys,
+)
 from gypsumusher_routing.cost_model import CostModel, PrefillObservation
 from gypsumusher_routing.crashing_content import (
+    REFUSED_MAX_S,
     REPORTED_FOR_S,
     CrashedRun,
     CrashingContent,
@@ -123,10 +129,12 @@
     "CONFIRM_FROM_PEER",
     "CONFIRM_FROM_STORE",
     "DONE",
+    "FINGERPRINT_BYTES",
     "GIVEN_UP",
     "HOPELESS",
     "LANES",
     "LATE",
+    "REFUSED_MAX_S",
     "REPORTED_FOR_S",
     "SEND",
     "TIMELY",
@@ -138,6 +146,7 @@
     "ConfigurationAge",
     "ConfirmationPlan",
     "ConfirmationRole",
+    "ContentKeys",
     "CostModel",
     "CrashReport",
     "CrashedRun",
@@ -204,6 +213,7 @@
     "choose_prefill",
     "choose_watchers",
     "content_fingerprint",
+    "content_keys",
     "first_event_limit_s",
     "host_capacity",
     "key_lease_s",
--- a/libs/routing/gypsumusher_routing/crashing_content.py
+++ b/libs/routing/gypsumusher_routing/crashing_content.py
@@ -1,15 +1,18 @@
 """Recognition of content under which endpoints end, from the losses of all hosts.
 
 A run that is lost with its connection says little: the endpoint may have crashed for
-another reason, or only the connection broke. So a loss counts against the content
-unless any endpoint has answered the same content shortly before or does so after it,
-or the endpoint answers a later request. Content with `CRASHES_MAX` such losses, each at
-another endpoint, is refused for a time.
+another reason, or only the connection broke. So a loss counts against what the run
+consists of, its whole content and each part of its prompt, unless any endpoint has
+answered the same shortly before or does so after it, or the endpoint answers a later
+request. What has too many such losses is refused for a time.
 """
 
 from typing import NamedTuple
 
+from gypsumusher_routing.content_fingerprint import ContentKeys
+
 __all__ = [
+    "REFUSED_MAX_S",
     "REPORTED_FOR_S",
     "CrashReport",
     "CrashedRun",
@@ -17,27 +20,60 @@
     "RefusedContent",
 ]
 
-# Endpoints that may end under one content before it is refused.
-CRASHES_MAX = 3
+
+class Evidence(NamedTuple):
+    """Losses from which on something is refused.
+
+    Attributes
+    ----------
+    crashes : int
+        Losses, each at another start of an endpoint.
+    moments : int
+        Of these, losses that aren't simultaneous. Endpoints that end together, as those
+        of a rack do, have a common cause.
+    asked_s : float
+        Time for which all hosts have been asked before whether they know of an answer,
+        in seconds.
+    """
+
+    crashes: int
+    moments: int
+    asked_s: float
+
+
+# Only attempts at one request have the same content; many requests share a part, so
+# that a wrong refusal of it costs more.
+WHOLE_EVIDENCE = Evidence(3, 1, 0.0)
+PART_EVIDENCE = Evidence(5, 3, 0.5)
+# Losses of a part from which on all hosts are asked for answers.
+ASKED_FROM_CRASHES = 3
+# Losses within this time are simultaneous.
+SIMULTANEOUS_S = 0.1
 # Time for which a loss counts.
 CRASH_COUNTS_FOR_S = 120.0
-# An answer speaks for the content also in losses up to this long after it: content that
+# An answer speaks for content also in losses up to this long after it: content that
 # many requests share is lost with each endpoint that ends.
 ANSWER_COUNTS_FOR_S = 10.0
-# Time for which content is refused; doubled each time that it crashes an endpoint after
-# that.
+# Time for which content is refused; doubled at each trial that follows.
 REFUSED_FOR_S = 300.0
 REFUSED_MAX_S = 3600.0
 # Time for which a loss, an answer or a refusal is reported to the other hosts, so that
 # a lost message doesn't matter.
 REPORTED_FOR_S = 2.5
-# Largest number of contents with losses, and with answers. When many endpoints crash at
-# once, each of their requests has one.
+# Time for which hosts tell of answers to what they were asked for.
+ASKED_FOR_S = 30.0
+# Largest number of keys with losses and of refusals, and with answers. When many
+# endpoints crash at once, each of their requests has some.
 CONTENTS_MAX = 4096
+ANSWERS_MAX = 16_384
+# Most losses of one key that are kept.
+LOSSES_MAX = 16
 # Pause between two searches for what no longer counts.
 PRUNE_INTERVAL_S = 1.0
-# Largest number of losses in one report; those of the most suspected contents go first.
-REPORTED_MAX = 8
+# Largest number of refusals, answers and questions in one report, and of keys of its
+# losses; those of the most suspected contents go first.
+REPORTED_MAX = 16
+REPORTED_KEYS_MAX = 2048
 
 
 class CrashedRun(NamedTuple):
@@ -45,8 +81,8 @@
 
     Attributes
     ----------
-    fingerprint : bytes
-        See `content_fingerprint`.
+    keys : ContentKeys
+        What it consisted of.
     endpoint_id : str
         The endpoint.
     started_ms : int
@@ -55,26 +91,32 @@
         When the run was lost, in seconds on the clock of this host.
     """
 
-    fingerprint: bytes
+    keys: ContentKeys
     endpoint_id: str
     started_ms: int
     lost_s: float
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Id and start of the endpoint."""
+        return self.endpoint_id, self.started_ms
+
 
 class RefusedContent(NamedTuple):
-    """Content that is refused.
+    """A refusal of all requests that have some fingerprints together.
 
     Attributes
     ----------
-    fingerprint : bytes
-        See `content_fingerprint`.
+    keys : frozenset of bytes
+        The fingerprints; see `ContentKeys`. Several where all lost runs with a part had
+        further parts in common that no answered request has.
     from_s : float
         When the refusal began, in seconds on the clock of this host.
     for_s : float
         How long it lasts, in seconds.
     """
 
-    fingerprint: bytes
+    keys: frozenset[bytes]
     from_s: float
     for_s: float
 
@@ -92,18 +134,37 @@
     crashes : tuple of CrashedRun
         Recent losses of this host's runs.
     answered : tuple of (bytes, float)
-        Fingerprints of contents that have losses and were answered, and when, in
-        seconds.
+        Fingerprints that have losses, or that hosts were asked for, and were answered,
+        and when, in seconds.
     cleared : tuple of (bytes, float)
-        The same for contents that hosts may refuse.
+        The same for fingerprints that hosts may refuse.
     refused : tuple of RefusedContent
-        Contents that are refused.
+        What is refused.
+    asked : tuple of bytes
+        Fingerprints of parts of which this host wants to know whether they were
+        answered.
     """
 
     crashes: tuple[CrashedRun, ...] = ()
     answered: tuple[tuple[bytes, float], ...] = ()
     cleared: tuple[tuple[bytes, float], ...] = ()
     refused: tuple[RefusedContent, ...] = ()
+    asked: tuple[bytes, ...] = ()
+
+
+class _Loss(NamedTuple):
+    """A loss of one key at one incarnation.
+
+    Attributes
+    ----------
+    crash : CrashedRun
+        The first run with the key that was lost there.
+    companions : frozenset of bytes
+        Parts of all runs with the key that were lost there.
+    """
+
+    crash: CrashedRun
+    companions: frozenset[bytes]
 
 
 class CrashingContent:
@@ -118,64 +179,103 @@
 
     def __init__(self, has_survived):
         self._has_survived = has_survived
-        # Losses by fingerprint and incarnation.
-        self._crashes = {}
+        # Losses by key and incarnation, and the keys that are parts.
+        self._losses = {}
+        self._part_keys = set()
+        # When an incarnation ended under refused content, and the keys of those runs.
+        self._explained = {}
+        # Refusals by their keys, and the sets of keys by each of their members.
         self._refused = {}
+        self._refused_by_member = {}
+        # The key whose losses led to a refusal.
+        self._accused = {}
         # When a refusal ended early; reports of it that come later are ignored.
         self._lifted_s = {}
-        # When content was last answered, in the order of the answers.
+        # When a key was last answered, in the order of the answers.
         self._answered_s = {}
         self._pruned_s = float("-inf")
+        # When this host first asked for a part, and was last asked.
+        self._asking_s = {}
+        self._asked_s = {}
         # Own losses, and since when this host reports that it knows of an answer, to
-        # content with losses and to content that hosts may refuse.
+        # what has losses and to what hosts may refuse.
         self._own_crashes = []
         self._own_answers_s = {}
         self._own_cleared_s = {}
 
     @property
     def has_suspects(self) -> bool:
-        """Whether any content has losses or is refused."""
-        return bool(self._crashes or self._refused)
+        """Whether anything has losses or is refused."""
+        return bool(self._losses or self._refused)
 
     @property
     def has_refused(self) -> bool:
-        """Whether any content is refused, or was until a while ago."""
+        """Whether anything is refused, or was until a while ago."""
         return bool(self._refused)
 
-    def on_lost(self, now_s: float, crash: CrashedRun) -> RefusedContent | None:
-        """Record a lost run of this host; return the refusal that follows, if any."""
+    def is_asking(self, now_s: float) -> bool:
+        """Return whether this host has just asked for answers to parts."""
+        answered_s = 2.0 * PART_EVIDENCE.asked_s
+        return any(now_s < at_s + answered_s for at_s in self._asking_s.values())
+
+    def refusals(self, now_s: float) -> list[RefusedContent]:
+        """Return the refusals in force."""
+        return [r for r in self._refused.values() if now_s < r.until_s]
+
+    def on_lost(self, now_s: float, crash: CrashedRun) -> list[RefusedContent]:
+        """Record a lost run of this host; return the refusals that follow."""
         self._prune(now_s)
-        if not self._is_cleared(crash.fingerprint, crash.lost_s):
-            self._own_crashes.append(crash)
+        keys = self._without_cleared(crash.keys, crash.lost_s)
+        if keys.all_keys:
+            self._own_crashes.append(crash._replace(keys=keys))
         return self._add_crash(now_s, crash)
 
-    def on_answered(self, now_s: float, fingerprint: bytes) -> bool:
-        """Record that content was answered; return whether it was suspected."""
-        is_refused = fingerprint in self._refused
-        is_suspected = is_refused or fingerprint in self._crashes
-        if is_suspected:
-            known = self._own_cleared_s if is_refused else self._own_answers_s
-            known[fingerprint] = now_s
-        self._clear(fingerprint, now_s)
-        return is_suspected
-
-    def refused_for_s(self, now_s: float, fingerprint: bytes) -> float:
-        """Return how long content is refused from now on, in seconds; 0 if it isn't.
-
-        A refusal ends early if too few of the losses still count, since some of the
-        endpoints have answered later requests.
+    def on_answered(self, now_s: float, keys: frozenset[bytes]) -> list[bytes]:
+        """Record that content was answered; return its keys that were suspected."""
+        suspected = []
+        for key in keys:
+            is_refused = key in self._refused_by_member
+            if is_refused or key in self._losses or key in self._asked_s:
+                suspected.append(key)
+                known = self._own_cleared_s if is_refused else self._own_answers_s
+                known[key] = now_s
+            self._clear(key, now_s)
+        return suspected
+
+    def find_refusal(
+        self, now_s: float, keys: frozenset[bytes]
+    ) -> RefusedContent | None:
+        """Return the refusal that applies to a request, or None.
+
+        A refusal whose time is over still applies until a trial has shown that the
+        content doesn't crash endpoints any more, or no request has come for as long
+        again. A refusal ends early if too few of the losses still count, since some of
+        the endpoints have answered later requests.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        keys : frozenset of bytes
+            Fingerprints of the request.
         """
-        refused = self._refused.get(fingerprint)
-        if refused is None or now_s >= refused.until_s:
-            return 0.0
-        crashes = self._crashes.get(fingerprint, {})
-        counting = self._drop_survived(crashes)
-        if len(crashes) < CRASHES_MAX or len(counting) >= CRASHES_MAX:
-            return refused.until_s - now_s
-        self._crashes[fingerprint] = counting
-        self._lifted_s[fingerprint] = now_s
-        del self._refused[fingerprint]
-        return 0.0
+        for key in keys:
+            for refused_keys in tuple(self._refused_by_member.get(key, ())):
+                if not refused_keys <= keys:
+                    continue
+                refused = self._refused[refused_keys]
+                if now_s <= refused.until_s + refused.for_s and not self._lift(
+                    now_s, refused
+                ):
+                    return refused
+        return None
+
+    def begin_trial(self, now_s: float, refused: RefusedContent) -> RefusedContent:
+        """Refuse content for twice as long again, while one request is tried."""
+        for_s = min(REFUSED_MAX_S, 2.0 * refused.for_s)
+        renewed = RefusedContent(refused.keys, now_s, for_s)
+        self._refused[refused.keys] = renewed
+        return renewed
 
     def report(self, now_s: float, repeats_refusals: bool) -> CrashReport:
         """Return what the other hosts are to be told now.
@@ -195,21 +295,18 @@
             for crash in self._own_crashes
             if crash.lost_s >= since_s and not self._has_survived(crash)
         ]
-        most_suspected = sorted(
-            self._own_crashes,
-            key=lambda crash: -len(self._crashes.get(crash.fingerprint, ())),
-        )
         refused = [
             content
-            for content in self._refused.values()
-            if now_s < content.until_s
-            and (repeats_refusals or content.from_s >= since_s)
+            for content in self.refusals(now_s)
+            if repeats_refusals or content.from_s >= since_s
         ]
+        asked = [key for key, at_s in self._asking_s.items() if at_s >= since_s]
         return CrashReport(
-            tuple(most_suspected[:REPORTED_MAX]),
+            self._reported_crashes(),
             self._recent_answers(self._own_answers_s, since_s),
             self._recent_answers(self._own_cleared_s, since_s),
             tuple(refused[-REPORTED_MAX:]),
+            tuple(asked[-REPORTED_MAX:]),
         )
 
     def on_report(self, now_s: float, report: CrashReport) -> list[RefusedContent]:
@@ -223,88 +320,223 @@
             The report, with its times on the clock of this host.
         """
         self._prune(now_s)
-        for fingerprint, answered_s in (*report.answered, *report.cleared):
-            self._clear(fingerprint, answered_s)
+        for key, answered_s in (*report.answered, *report.cleared):
+            self._clear(key, answered_s)
+        for key in report.asked:
+            self._asked_s[key] = now_s
+            if self._is_cleared(key, now_s):
+                self._own_answers_s[key] = now_s
         added = []
         for content in report.refused:
-            known = self._refused.get(content.fingerprint)
-            if content.from_s <= self._lifted_s.get(content.fingerprint, float("-inf")):
-                continue
-            if self._is_cleared(content.fingerprint, content.from_s):
-                self._own_cleared_s.setdefault(content.fingerprint, now_s)
-                continue
-            if known is None or known.until_s < now_s:
-                self._refused[content.fingerprint] = content
-                added.append(content)
+            added += self.on_refused(now_s, content)
         for crash in report.crashes:
-            if self._is_cleared(crash.fingerprint, crash.lost_s):
-                self._own_answers_s.setdefault(crash.fingerprint, now_s)
-                continue
-            refused = self._add_crash(now_s, crash)
-            if refused is not None:
-                added.append(refused)
+            keys = crash.keys.all_keys
+            for key in keys:
+                if self._is_cleared(key, crash.lost_s):
+                    self._own_answers_s.setdefault(key, now_s)
+            added += self._add_crash(now_s, crash)
         return added
 
+    def on_refused(self, now_s: float, content: RefusedContent) -> list[RefusedContent]:
+        """Apply a refusal by another host; return it unless it changes nothing."""
+        if content.from_s <= self._lifted_s.get(content.keys, float("-inf")):
+            return []
+        cleared = {k for k in content.keys if self._is_cleared(k, content.from_s)}
+        for key in cleared:
+            self._own_cleared_s.setdefault(key, now_s)
+        content = content._replace(keys=content.keys - cleared)
+        known = self._refused.get(content.keys)
+        if not content.keys or now_s >= content.until_s:
+            return []
+        if known is not None and content.until_s <= known.until_s + SIMULTANEOUS_S:
+            return []
+        if known is None and self._is_refused(now_s, content.keys):
+            return []
+        self._set_refused(content)
+        return [content] if known is None or known.until_s < now_s else []
+
+    def due_refusals(self, now_s: float) -> list[RefusedContent]:
+        """Return the refusals of parts for which hosts have been asked long enough."""
+        added = []
+        for key in list(self._asking_s):
+            added += self._refuse_if_proven(now_s, key)
+        return added
+
+    def _reported_crashes(self):
+        """Return own losses, those of the most suspected contents first."""
+        suspicion = {}
+        for crash in self._own_crashes:
+            crash = crash._replace(keys=self._without_cleared(crash.keys, crash.lost_s))
+            counts = [len(self._losses.get(key, ())) for key in crash.keys.all_keys]
+            if counts:
+                suspicion[crash] = max(counts)
+        reported, key_count = [], 0
+        for crash in sorted(suspicion, key=lambda crash: -suspicion[crash]):
+            key_count += len(crash.keys.all_keys)
+            if key_count > REPORTED_KEYS_MAX:
+                break
+            reported.append(crash)
+        return tuple(reported)
+
     def _recent_answers(self, known, since_s):
         """Return the answers that are still reported; forget the others."""
-        for fingerprint, from_s in list(known.items()):
-            if from_s < since_s or fingerprint not in self._answered_s:
-                del known[fingerprint]
+        for key, from_s in list(known.items()):
+            if from_s < since_s or key not in self._answered_s:
+                del known[key]
         newest = list(known)[-REPORTED_MAX:]
-        return tuple((name, self._answered_s[name]) for name in newest)
+        return tuple((key, self._answered_s[key]) for key in newest)
 
     def _add_crash(self, now_s, crash):
-        """Count a loss; return the refusal that follows, or None."""
-        fingerprint = crash.fingerprint
-        if self._is_cleared(fingerprint, crash.lost_s):
-            return None
-        incarnation = (crash.endpoint_id, crash.started_ms)
-        crashes = self._crashes.get(fingerprint, {})
-        if incarnation in crashes or self._has_survived(crash):
-            return None
-        crashes = self._drop_survived(crashes)
-        crashes[incarnation] = crash
-        self._crashes[fingerprint] = crashes
-        refused = self._refused.get(fingerprint)
-        if refused is not None and now_s < refused.until_s:
-            return None
-        if refused is None and len(crashes) < CRASHES_MAX:
-            return None
-        for_s = REFUSED_FOR_S
-        if refused is not None:
-            for_s = min(REFUSED_MAX_S, 2.0 * refused.for_s)
-        self._refused[fingerprint] = RefusedContent(fingerprint, now_s, for_s)
-        return self._refused[fingerprint]
-
-    def _drop_survived(self, crashes):
+        """Count a loss; return the refusals that follow."""
+        incarnation = crash.incarnation
+        keys = self._without_cleared(crash.keys, crash.lost_s)
+        if self._has_survived(crash):
+            return []
+        refusal = self.find_refusal(now_s, crash.keys.all_keys)
+        if refusal is not None:
+            self._explain(incarnation, crash)
+        explained = self._explained.get(incarnation)
+        added = []
+        for key in keys.all_keys:
+            if explained is not None and key not in explained[1]:
+                continue
+            losses = self._losses.setdefault(key, {})
+            known = losses.get(incarnation)
+            if known is not None:
+                companions = known.companions | keys.parts
+                losses[incarnation] = known._replace(companions=companions)
+                continue
+            losses[incarnation] = _Loss(crash, keys.parts)
+            if len(losses) > LOSSES_MAX:
+                del losses[next(iter(losses))]
+            if key in keys.parts:
+                self._part_keys.add(key)
+                if len(losses) >= ASKED_FROM_CRASHES:
+                    self._asking_s.setdefault(key, now_s)
+            added += self._refuse_if_proven(now_s, key)
+        return added
+
+    def _refuse_if_proven(self, now_s, key):
+        """Refuse what a key stands for if its losses suffice; return the refusals."""
+        is_part = key in self._part_keys
+        evidence = PART_EVIDENCE if is_part else WHOLE_EVIDENCE
+        losses = self._losses.get(key, {})
+        if len(losses) < evidence.crashes:
+            return []
+        losses = self._losses[key] = self._drop_survived(losses)
+        if len(losses) < evidence.crashes or _moments(losses) < evidence.moments:
+            return []
+        if now_s < self._asking_s.get(key, now_s) + evidence.asked_s:
+            return []
+        keys = frozenset((key,))
+        if is_part:
+            keys = frozenset.intersection(
+                *(loss.companions for loss in losses.values())
+            )
+            keys = frozenset(k for k in keys if not self._is_cleared(k, now_s))
+        if not keys or self._is_refused(now_s, keys):
+            return []
+        refused = RefusedContent(keys, now_s, REFUSED_FOR_S)
+        self._set_refused(refused)
+        self._accused[keys] = key
+        for incarnation, loss in losses.items():
+            self._explain(incarnation, loss.crash)
+        return [refused]
+
+    def _explain(self, incarnation, crash):
+        """Count an endpoint's end against what the run had that it ended under only."""
+        keys = self._explained.get(incarnation, (0.0, frozenset()))[1]
+        keys |= crash.keys.all_keys
+        self._explained[incarnation] = (crash.lost_s, keys)
+        for key, losses in list(self._losses.items()):
+            if key in keys or incarnation not in losses:
+                continue
+            del losses[incarnation]
+            if not losses:
+                del self._losses[key]
+
+    def _is_refused(self, now_s, keys):
+        """Return whether all requests with these keys are refused already."""
+        return any(
+            refused_keys <= keys and now_s < self._refused[refused_keys].until_s
+            for key in keys
+            for refused_keys in self._refused_by_member.get(key, ())
+        )
+
+    def _set_refused(self, refused):
+        """Refuse content, in place of what is part of it."""
+        self._refused[refused.keys] = refused
+        for key in refused.keys:
+            self._refused_by_member.setdefault(key, set()).add(refused.keys)
+
+    def _drop_refused(self, keys):
+        """Forget a refusal."""
+        refused = self._refused.pop(keys)
+        self._accused.pop(keys, None)
+        for key in keys:
+            members = self._refused_by_member[key]
+            members.discard(keys)
+            if not members:
+                del self._refused_by_member[key]
+        return refused
+
+    def _lift(self, now_s, refused):
+        """End a refusal if too few losses still count; return whether it ended."""
+        key = self._accused.get(refused.keys)
+        losses = self._losses.get(key, {})
+        is_part = key in self._part_keys
+        needed = (PART_EVIDENCE if is_part else WHOLE_EVIDENCE).crashes
+        if len(losses) < needed:
+            return False
+        counting = self._drop_survived(losses)
+        if len(counting) >= needed:
+            return False
+        self._losses[key] = counting
+        self._lifted_s[refused.keys] = now_s
+        self._drop_refused(refused.keys)
+        return True
+
+    def _drop_survived(self, losses):
         """Return the losses whose endpoints aren't known to have survived them."""
-        return {key: c for key, c in crashes.items() if not self._has_survived(c)}
-
-    def _clear(self, fingerprint, answered_s):
-        """Forget what an answer to content speaks against."""
-        self._set_answered(fingerprint, answered_s)
-        crashes = self._crashes.pop(fingerprint, {})
-        later = {
-            key: crash
-            for key, crash in crashes.items()
-            if not self._is_cleared(fingerprint, crash.lost_s)
-        }
-        if later:
-            self._crashes[fingerprint] = later
-        refused = self._refused.get(fingerprint)
-        if refused is not None and self._is_cleared(fingerprint, refused.from_s):
-            del self._refused[fingerprint]
-
-    def _set_answered(self, fingerprint, answered_s):
-        """Record an answer to content; forget the oldest of too many."""
-        known_s = self._answered_s.pop(fingerprint, answered_s)
-        self._answered_s[fingerprint] = max(known_s, answered_s)
-        if len(self._answered_s) > CONTENTS_MAX:
+        return {i: x for i, x in losses.items() if not self._has_survived(x.crash)}
+
+    def _without_cleared(self, keys, at_s):
+        """Return keys without those that an answer speaks for at a time."""
+        whole = b"" if self._is_cleared(keys.whole, at_s) else keys.whole
+        parts = frozenset(k for k in keys.parts if not self._is_cleared(k, at_s))
+        return ContentKeys(whole, parts)
+
+    def _clear(self, key, answered_s):
+        """Forget what an answer to a key speaks against."""
+        self._set_answered(key, answered_s)
+        losses = self._losses.pop(key, None)
+        if losses is not None:
+            later = {
+                incarnation: loss
+                for incarnation, loss in losses.items()
+                if not self._is_cleared(key, loss.crash.lost_s)
+            }
+            if later:
+                self._losses[key] = later
+            self._asking_s.pop(key, None)
+        for keys in tuple(self._refused_by_member.get(key, ())):
+            if not self._is_cleared(key, self._refused[keys].from_s):
+                continue
+            refused = self._drop_refused(keys)
+            left = keys - {key}
+            if left and not self._is_refused(refused.from_s, left):
+                self._set_refused(refused._replace(keys=left))
+
+    def _set_answered(self, key, answered_s):
+        """Record an answer to a key; forget the oldest of too many."""
+        known_s = self._answered_s.pop(key, answered_s)
+        self._answered_s[key] = max(known_s, answered_s)
+        if len(self._answered_s) > ANSWERS_MAX:
             del self._answered_s[next(iter(self._answered_s))]
 
-    def _is_cleared(self, fingerprint, at_s):
-        """Return whether an answer speaks for content in what happened at a time."""
-        answered_s = self._answered_s.get(fingerprint)
+    def _is_cleared(self, key, at_s):
+        """Return whether an answer speaks for a key in what happened at a time."""
+        answered_s = self._answered_s.get(key)
         return answered_s is not None and answered_s + ANSWER_COUNTS_FOR_S >= at_s
 
     def _prune(self, now_s):
@@ -313,22 +545,43 @@
             return
         self._pruned_s = now_s
         since_s = now_s - CRASH_COUNTS_FOR_S
-        for fingerprint, refused in list(self._refused.items()):
-            # After its refusal, content is on trial for as long again.
+        for keys, refused in list(self._refused.items()):
             if now_s > refused.until_s + refused.for_s:
-                del self._refused[fingerprint]
-        for fingerprint, crashes in list(self._crashes.items()):
-            if fingerprint in self._refused:
-                continue
-            recent = {k: c for k, c in crashes.items() if c.lost_s >= since_s}
+                self._drop_refused(keys)
+        while len(self._refused) > CONTENTS_MAX:
+            self._drop_refused(next(iter(self._refused)))
+        for key, losses in list(self._losses.items()):
+            recent = {i: x for i, x in losses.items() if x.crash.lost_s >= since_s}
             if recent:
-                self._crashes[fingerprint] = recent
+                self._losses[key] = recent
             else:
-                del self._crashes[fingerprint]
-        for table in (self._answered_s, self._lifted_s):
-            for fingerprint, at_s in list(table.items()):
-                if at_s < since_s:
-                    del table[fingerprint]
-        for table in (self._crashes, self._refused):
-            while len(table) > CONTENTS_MAX:
-                del table[next(iter(table))]
+                del self._losses[key]
+        while len(self._losses) > CONTENTS_MAX:
+            del self._losses[next(iter(self._losses))]
+        while len(self._explained) > CONTENTS_MAX:
+            del self._explained[next(iter(self._explained))]
+        for incarnation, (lost_s, _) in list(self._explained.items()):
+            if lost_s < since_s:
+                del self._explained[incarnation]
+        _forget_before(self._answered_s, since_s)
+        _forget_before(self._lifted_s, since_s)
+        _forget_before(self._asked_s, now_s - ASKED_FOR_S)
+        self._part_keys &= self._losses.keys()
+        for key in self._asking_s.keys() - self._losses.keys():
+            del self._asking_s[key]
+
+
+def _moments(losses):
+    """Return the number of losses that aren't simultaneous."""
+    count, counted_s = 0, float("-inf")
+    for lost_s in sorted(loss.crash.lost_s for loss in losses.values()):
+        if lost_s >= counted_s + SIMULTANEOUS_S:
+            count, counted_s = count + 1, lost_s
+    return count
+
+
+def _forget_before(table, since_s):
+    """Remove the entries of a table whose time is too long ago."""
+    for key, at_s in list(table.items()):
+        if at_s < since_s:
+            del table[key]
