Play prompts with parts that crash engines in the soak

A deployment parts: four hosts, engines with prefill apart, prompts that share parts, and a fault that sends prompts with a crashing part to all hosts, beside kills of one and all hosts, cuts and store outages. Checks: at most three more sends once hosts have to know the part, and sound prompts with the same first part served half as often as without faults.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import zlib
 
 import aiohttp
 from records import (
@@ -18,7 +19,7 @@
 
 from gypsumusher_objects import disable_retries
 
-__all__ = ["Caller", "Demand"]
+__all__ = ["TOKEN_COUNTS", "Caller", "Demand", "draw_parts", "encode_parts"]
 
 # Kinds of requests whose responses are streams of events.
 STREAMED = (STREAM, PROMPT)
@@ -43,6 +44,21 @@
 STREAM_TRIES, STREAM_PAUSE_S, STREAM_LEFT_SHARE = 4, 0.3, 0.3
 
 
+# Parts that prompts share, by their place.
+SHARED_PARTS = (("a1", "a2", "a3"), ("b1", "b2", "b3", "b4"))
+PART_TOKENS = 200
+
+
+def draw_parts(rng, own_part):
+    """Return the ids of a prompt's parts: shared ones, then its own."""
+    return [*(rng.choice(parts) for parts in SHARED_PARTS), own_part]
+
+
+def encode_parts(parts):
+    """Return the header that names the parts of a prompt."""
+    return ",".join(f"{part}:{PART_TOKENS}" for part in parts)
+
+
 class Demand:
     """What all callers ask for at the moment; faults change it.
 
@@ -201,6 +217,10 @@
                 return
             host = self._rng.choice(self._hosts)
 
+    def _own_part(self, request_id):
+        """Return the last part of a prompt, which only this request has."""
+        return f"f{zlib.crc32(request_id.encode()):x}"
+
     async def _abandon(self, call):
         """Cancel a request after a random time, which closes its connection."""
         try:
@@ -263,6 +283,10 @@
             headers["Last-Event-Id"] = str(had_events - 1)
         if kind in TOKEN_COUNTS and self._deployment.has_engines:
             headers["X-Gypsumusher-Token-Count"] = TOKEN_COUNTS[kind]
+            if self._deployment.has_parts:
+                parts = draw_parts(self._rng, self._own_part(request_id))
+                self._records.first_parts[request_id] = parts[0]
+                headers["X-Gypsumusher-Prompt-Prefix"] = encode_parts(parts)
         timeout = aiohttp.ClientTimeout(
             total=deadline_s(kind) + TIMEOUT_MARGIN_S, sock_connect=CONNECT_TIMEOUT_S
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -26,6 +26,13 @@
 # Endpoints that a request's content may crash before hosts have to know it, how long
 # they may take to tell each other, and how often it may reach endpoints after that.
 CRASHES_MAX, CRASH_KNOWN_S, CRASHING_SENDS_MAX = 3, 3.0, 3
+# The same for a part of prompts, where each arrival at an endpoint counts.
+PART_CRASHES_MAX = 5
+# From twice the time above on, sound prompts with the same first part are served at
+# least this share as often as without faults, if there are enough of both.
+SOUND_SERVED_SHARE, SOUND_COUNTED_MIN = 0.5, 20
+# Time after a fault in which requests don't count as undisturbed.
+CALM_S = 3.0
 # The bound on what a limited endpoint gets: window, factor, slack, the time from which
 # a host counts that was told of the limit, and the time until the bound holds.
 LIMIT_WINDOW_S, LIMIT_FACTOR, LIMIT_SLACK = 4.0, 1.5, 5
@@ -92,6 +99,8 @@
     found += _check_versions(records)
     found += _check_recovery(records, ends_s)
     found += _check_crashing(records)
+    found += _check_crashing_parts(records)
+    found += _check_sound_prompts(records)
     found += _check_limits(records)
     found += _check_link_cuts(records)
     found += find_stream_violations(records, _is_disturbed)
@@ -310,6 +319,102 @@
     return found
 
 
+def _check_crashing_parts(records):
+    """Return the parts that went on to reach endpoints after crashing five.
+
+    Sends don't count of hosts that were disturbed shortly before, or while the store
+    was: hosts that start while it is can't read what is refused.
+    """
+    found = []
+    for part, crashes_s in _crashes_by_part(records).items():
+        if len(crashes_s) < PART_CRASHES_MAX:
+            continue
+        known_s = crashes_s[PART_CRASHES_MAX - 1] + CRASH_KNOWN_S
+        late = [
+            sent.at_s
+            for sent in records.part_sends
+            if sent.part == part
+            and sent.at_s > known_s
+            and not _is_out_of_touch(records, records.hosts[sent.request_id], sent.at_s)
+        ]
+        if len(late) > CRASHING_SENDS_MAX:
+            found.append(
+                f"prompts with {part} reached endpoints {len(late)} times from"
+                f" {late[0]:.2f} s, though hosts had to know it from {known_s:.2f} s"
+            )
+    return found
+
+
+def _crashes_by_part(records):
+    """Return when each part crashed engines, in order, in seconds."""
+    crashes_s = {}
+    for crash in sorted(records.part_crashes, key=lambda crash: crash.at_s):
+        crashes_s.setdefault(crash.part, []).append(crash.at_s)
+    return crashes_s
+
+
+def _is_out_of_touch(records, host, at_s):
+    """Return whether a host, its links or the store were disturbed shortly before."""
+    if _is_disturbed(records, host, at_s - CALM_S, at_s, _PARTING_FAULTS):
+        return True
+    return any(
+        kind.startswith("store_") or kind in ("host_store_cut", "config_large")
+        for kind, _, from_s, to_s in records.spans
+        if from_s <= at_s and to_s + CALM_S >= at_s
+    )
+
+
+def _check_sound_prompts(records):
+    """Return the first parts whose sound prompts are refused for another part.
+
+    Prompts that are sent while a part that hosts have to know still comes are compared
+    with those outside of all faults; other faults disturb neither.
+    """
+    others = [span for span in records.spans if span[0] != "crashing_part"]
+    crashing = [span for span in records.spans if span[0] == "crashing_part"]
+    counts = {}
+    for outcome in records.outcomes:
+        first_part = records.first_parts.get(outcome.request_id)
+        if first_part is None or _is_within(others, outcome):
+            continue
+        is_beside = _is_within(crashing, outcome)
+        if is_beside and not _must_know_parts(records, outcome.sent_s):
+            continue
+        served, asked = counts.get((first_part, is_beside), (0, 0))
+        is_served = outcome.status == 200 and not outcome.problem
+        counts[first_part, is_beside] = (served + is_served, asked + 1)
+    found = []
+    for first_part in sorted({part for part, _ in counts}):
+        served, asked = counts.get((first_part, True), (0, 0))
+        usual_served, usual = counts.get((first_part, False), (0, 0))
+        if min(asked, usual) < SOUND_COUNTED_MIN:
+            continue
+        if served * usual < SOUND_SERVED_SHARE * usual_served * asked:
+            found.append(
+                f"{served} of {asked} sound prompts with {first_part} were served, and"
+                f" {usual_served} of {usual} without faults"
+            )
+    return found
+
+
+def _is_within(spans, outcome):
+    """Return whether a request overlaps with any span, or the time after it."""
+    return any(
+        from_s <= outcome.ended_s and to_s + CALM_S >= outcome.sent_s
+        for _, _, from_s, to_s in spans
+    )
+
+
+def _must_know_parts(records, at_s):
+    """Return whether hosts have to know all parts that have crashed engines."""
+    crashes = _crashes_by_part(records).values()
+    begun = [times_s for times_s in crashes if times_s[0] < at_s]
+    return all(
+        times_s[min(PART_CRASHES_MAX, len(times_s)) - 1] + 2.0 * CRASH_KNOWN_S < at_s
+        for times_s in begun
+    )
+
+
 def _check_limits(records):
     """Return the endpoints that got more than they had stated.
 
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -57,6 +57,8 @@
         Number of software versions of endpoints that serve side by side at first.
     event_interval_s : float
         Delay between two events of a stream, in seconds.
+    has_parts : bool
+        Whether prompts have parts, some of which other prompts share.
     callers_take_up_streams : bool
         Whether callers take streams up again that have broken off, or that they left.
     callers_wait : bool
@@ -88,6 +90,7 @@
     versions: int = 1
     event_interval_s: float = 0.02
     callers_take_up_streams: bool = False
+    has_parts: bool = False
 
     @property
     def has_engines(self):
@@ -279,10 +282,45 @@
     event_interval_s=0.1,
     callers_take_up_streams=True,
 )
+# Prompts with a part that crashes engines, beside engines that crash for other reasons,
+# and hosts that are lost, stopped and cut off.
+PART_KINDS = {
+    "crashing_part": (6.0, 10.0),
+    "host_kill": (0.1, 2.0),
+    "host_pause": (0.3, 3.0),
+    "host_stop": (0.0, 1.0),
+    "all_hosts_kill": (0.0, 0.5),
+    "hosts_apart": (1.0, 4.0),
+    "endpoint_restart": (0.1, 2.0),
+    "endpoint_break": (0.5, 3.0),
+    "endpoint_errors": (0.5, 3.0),
+    "link_reset": (0.0, 0.0),
+    "link_silent": (0.3, 3.0),
+    "store_refuse": (0.5, 4.0),
+    "store_silent": (0.5, 4.0),
+    "store_lost": (0.5, 2.0),
+    "host_store_cut": (0.5, 4.0),
+    "config_change": (0.0, 0.0),
+}
+PARTS = SMALL._replace(
+    hosts=4,
+    endpoints=2,
+    prefill_engines=3,
+    decode_engines=9,
+    callers=16,
+    request_kinds=(IDEMPOTENT, STREAM, PROMPT, PROMPT),
+    request_interval_s=(0.05, 0.3),
+    retry_limit=RetryLimit(0.2, 54.0, 10.0),
+    fault_kinds=PART_KINDS,
+    fault_rate=FaultRate(per_s=0.8, kinds=6, always=("crashing_part",)),
+    shares_content=False,
+    has_parts=True,
+)
 DEPLOYMENTS = {
     "small": SMALL,
     "versions": VERSIONS,
     "accounts": ACCOUNTS,
+    "parts": PARTS,
     "seven-hosts": SEVEN_HOSTS,
     "eight-hosts": EIGHT_HOSTS,
     "sixty-nine-hosts": SIXTY_NINE_HOSTS,
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -173,6 +173,10 @@
     await system.send_crashing_content(target, duration_s)
 
 
+async def _crashing_part(system, target, duration_s):
+    await system.send_crashing_part(target, duration_s)
+
+
 def _choose(components, share, target):
     """Return a share of some components, at least one; the target seeds the draw."""
     count = max(1, round(share * len(components)))
@@ -447,6 +451,7 @@
     "hosts_apart": ("hosts", _hosts_apart),
     "endpoint_limit": ("backends", _endpoint_limit),
     "crashing_content": (None, _crashing_content),
+    "crashing_part": (None, _crashing_part),
     "records_lost": (None, _records_lost),
     "traffic_burst": (None, _demand("rate", BURST_RATE, 1.0)),
     "traffic_shift": (None, _traffic_shift),
--- a/soak/records.py
+++ b/soak/records.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 __all__ = [
+    "CRASHING_PART",
     "CRASHING_PREFIX",
     "EVENTS",
     "IDEMPOTENT",
@@ -15,6 +16,7 @@
     "Arrival",
     "LinkCut",
     "Outcome",
+    "PartArrival",
     "Records",
     "RetryLimit",
     "ServingSpan",
@@ -38,6 +40,9 @@
 EVENTS = 6
 # Prefix of the paths whose requests end the endpoint that runs them.
 CRASHING_PREFIX = f"/{IDEMPOTENT}/crash-"
+# Begin of the ids of parts that end each engine that writes an answer to a prompt with
+# them.
+CRASHING_PART = "bad"
 # Lengths of response bodies, in repeats of the request id; the longest body exceeds a
 # socket buffer.
 BODY_REPEATS = (1, 40, 4000)
@@ -102,6 +107,22 @@
     at_s: float
 
 
+class PartArrival(NamedTuple):
+    """A prompt with a part that crashes engines.
+
+    Attributes
+    ----------
+    request_id, part : str
+        Id of the request, and of the part.
+    at_s : float
+        When it reached an endpoint, in seconds since the run began.
+    """
+
+    request_id: str
+    part: str
+    at_s: float
+
+
 class StatedLimit(NamedTuple):
     """A limit that an endpoint stated in its responses.
 
@@ -251,6 +272,11 @@
         Path and host of each request whose content crashes endpoints, by request id.
     crashes : list of Arrival
         Those of them that ended the endpoint that ran them.
+    part_sends, part_crashes : list of PartArrival
+        Prompts with parts that crash engines that reached endpoints, rejected ones
+        included, and those that ended one.
+    first_parts : dict of str to str
+        First part of each prompt, by request id.
     hosts : dict of str to str
         Host that each request was sent to, by request id.
     limits : list of StatedLimit
@@ -289,6 +315,9 @@
         self.hosts = {}
         self.limits = []
         self.crashes = []
+        self.part_sends = []
+        self.part_crashes = []
+        self.first_parts = {}
         self.link_cuts = []
         self.account_runs = []
         self.usage_reports = []
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -6,12 +6,14 @@
 
 from proxies import reset_connection
 from records import (
+    CRASHING_PART,
     CRASHING_PREFIX,
     EVENTS,
     PROMPT,
     STREAM,
     AccountRun,
     Arrival,
+    PartArrival,
     expected_body,
     expected_event,
 )
@@ -165,6 +167,10 @@
             await self._respond_to_call(method, path, body, writer)
             return
         arrival = Arrival(request_id, self.name, self._clock())
+        crashing_part = _find_crashing_part(headers)
+        if crashing_part is not None:
+            sent = PartArrival(request_id, crashing_part, self._clock())
+            self._records.part_sends.append(sent)
         is_prefill = headers.get("x-gypsumusher-stage") == "prefill"
         expected = headers.get("x-gypsumusher-expect-instance", self.instance_id)
         is_wrong_stage = self.stage and is_prefill != (self.stage == "prefill")
@@ -193,6 +199,11 @@
             # An engine begins to run a request with its first token.
             began = arrival._replace(at_s=self._clock())
             self._record_account(began, headers)
+        if crashing_part is not None:
+            crash = PartArrival(request_id, crashing_part, self._clock())
+            self._records.part_crashes.append(crash)
+            self.on_crash(self)
+            await asyncio.Event().wait()
         if path.startswith(CRASHING_PREFIX):
             self._records.crashes.append(arrival)
             self.on_crash(self)
@@ -372,6 +383,19 @@
     reset_connection(writer)
 
 
+def _find_crashing_part(headers):
+    """Return the part of a prompt that crashes engines, or None.
+
+    The last part, which only one request has, never does.
+    """
+    prefix = headers.get("x-gypsumusher-prompt-prefix", "")
+    for entry in prefix.split(",")[:-1]:
+        part = entry.partition(":")[0]
+        if part.startswith(CRASHING_PART):
+            return part
+    return None
+
+
 def _parse_headers(head):
     """Return the headers of a request head by lower-case name."""
     lines = head.decode("latin-1").split("\r\n")[1:]
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import pathlib
+import random
 import shutil
 import tempfile
 import time
 
 import aiohttp
-from callers import Caller, Demand
+from callers import TOKEN_COUNTS, Caller, Demand, draw_parts, encode_parts
 from deployments import ENGINES, PLAIN, SMALL
 from entry_process import START_FILE, EntryProcess
 from platform_samples import sample_configuration, sample_endpoint_entry, sample_routes
 from processes import free_ports
 from proxies import Proxy
 from records import (
+    CRASHING_PART,
     CRASHING_PREFIX,
     IDEMPOTENT,
     NON_IDEMPOTENT,
@@ -58,6 +60,8 @@
 # How long an endpoint is down after a request's content has crashed it, and the pause
 # between two attempts at that request.
 CRASHED_FOR_S, CRASHING_INTERVAL_S = 0.5, 0.15
+# Pause between two prompts with a part that crashes engines.
+CRASHING_PART_INTERVAL_S = 0.25
 
 
 class SoakSystem:
@@ -103,6 +107,7 @@
         self._lapsed = False
         self._callers = []
         self._crashing_count = 0
+        self._crashing_rng = random.Random(f"{seed}/crashing")
         self._software_count = deployment.versions
         # Names of the endpoints that are restarting after a crash.
         self._restarting = set()
@@ -443,21 +448,50 @@
         request_id = f"crash-{self.seed}-{count}"
         self.records.sent[request_id] = (PLAIN, self.clock())
         self.records.crashing_sent[request_id] = (path, host.callers)
+        await self._post(host, path, request_id, {}, b"bad")
+
+    async def _post(self, host, path, request_id, headers, body=None):
+        """Send one attempt whose response doesn't matter; each has its own body."""
         headers = {
             "Host": "shop.example",
             "X-Gypsumusher-Request-Id": request_id,
             "X-Gypsumusher-Deadline-Ms": "1500",
+            **headers,
         }
+        data = request_id.encode() if body is None else body
         timeout = aiohttp.ClientTimeout(total=3.0)
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
                 url = f"http://{host.callers}{path}"
-                async with session.post(url, data=b"bad", headers=headers) as response:
+                async with session.post(url, data=data, headers=headers) as response:
                     await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             # What becomes of the attempt is seen at the endpoints.
             return
 
+    async def send_crashing_part(self, number, duration_s):
+        """Send prompts that share a part that crashes engines, to hosts in turn."""
+        part = f"{CRASHING_PART}{number:x}"
+        until_s = self.clock() + duration_s
+        while self.clock() < until_s:
+            self._crashing_count += 1
+            host = self.hosts[self._crashing_count % len(self.hosts)]
+            self.spawn(self._send_prompt(part, host, self._crashing_count))
+            await asyncio.sleep(CRASHING_PART_INTERVAL_S)
+
+    async def _send_prompt(self, part, host, count):
+        request_id = f"part-{self.seed}-{count}"
+        parts = draw_parts(self._crashing_rng, f"f{count:x}")
+        parts.insert(self._crashing_rng.randrange(len(parts)), part)
+        kind = self._crashing_rng.choice((STREAM, PROMPT))
+        self.records.sent[request_id] = (ENGINES, self.clock())
+        self.records.hosts[request_id] = host.callers
+        headers = {
+            "X-Gypsumusher-Token-Count": TOKEN_COUNTS[kind],
+            "X-Gypsumusher-Prompt-Prefix": encode_parts(parts),
+        }
+        await self._post(host, f"/{kind}/x", request_id, headers)
+
     async def limit_endpoint(self, endpoint, limit_per_s, duration_s):
         """Have an endpoint state a limit, until it is restarted at the latest."""
         if endpoint.limit_per_s is not None:
