Keep the first reason for which a response fails

Bytes within a body that are no HTTP failed the response as garbled, and the abort of its connection then as broken: a loss that counts as a crash of the content. test_body_that_is_not_http_fails_as_garbled failed before with broken.

--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -140,7 +140,9 @@
         self._wake()
 
     def on_failed(self, error):
-        """Fail all current and later waits with an error."""
+        """Fail all current and later waits with the first error."""
+        if self._error is not None:
+            return
         self._error = error
         if not self._head.done():
             self._head.set_exception(error)
--- a/libs/http/tests/test_connections.py
+++ b/libs/http/tests/test_connections.py
@@ -276,3 +276,21 @@
             assert calls == [("answered", True), ("reset", False)]
 
     run(scenario())
+
+
+# Guards against an endpoint that sends no HTTP within a body and counts as crashed.
+def test_body_that_is_not_http_fails_as_garbled():
+    async def scenario():
+        async def respond(number, head, body, writer):
+            framing = "Transfer-Encoding: chunked"
+            writer.write(encode_response(request_id_of(head), b"", framing=framing))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(b"not the size of a chunk")
+
+        async with PoolFixture(respond) as fixture:
+            with pytest.raises(CallError) as caught:
+                await exchange(fixture.pool, fixture.process, "r-1")
+            assert caught.value.reason == "garbled"
+
+    run(scenario())
