End responses without end at once

Cause: the client side of libs/http had no bound where the listener has one. Endless heads, interim responses, sizes of chunks and trailers were read until the request's deadline, endless bodies for ever, and headers and bodies kept in memory.

A response has at most 8 MB of body, 64 kB of head, and of framing 64 kB and 16 bytes for each byte of the body; what is beyond fails it as garbled and closes the connection. A body that isn't read stops to be received at 256 kB.

--- a/libs/http/gypsumusher_http/calls.py
+++ b/libs/http/gypsumusher_http/calls.py
@@ -104,7 +104,7 @@
         try:
             async with asyncio.timeout(limits.head_timeout_s) as timeout:
                 connection = await self._pool.acquire(address, address, MAX_CONNECTIONS)
-                response = connection.send(request, None)
+                response = connection.send(request, None, limits.max_body_bytes)
                 head = await response.head()
                 chunks = await self._read(response, f"{address}{path}", limits, timeout)
                 return head.status, b"".join(chunks)
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -18,7 +18,7 @@
     open_tunnel,
 )
 
-__all__ = ["ConnectionPool", "Response"]
+__all__ = ["HEAD_MAX_BYTES", "RESPONSE_MAX_BYTES", "ConnectionPool", "Response"]
 
 # Time for which an idle connection is reused when the endpoint announces no time-out.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -32,6 +32,14 @@
 # process's limit is lower.
 MIN_CONNECTIONS = 4
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Largest body of one response. A host has 128 MB for all requests together.
+RESPONSE_MAX_BYTES = 8 * 1024 * 1024
+# Largest head of a response, and limit on all bytes beside its body: interim responses,
+# sizes of chunks and trailers. Each byte of the body allows for some more, since it may
+# come in a chunk of its own.
+HEAD_MAX_BYTES, FRAMING_BYTES_PER_BODY_BYTE = 64 * 1024, 16
+# Bytes of a body that wait to be read above which the connection isn't read.
+UNREAD_MAX_BYTES = 256 * 1024
 
 
 class Response:
@@ -43,6 +51,8 @@
         Connection on which the request was sent.
     request_id : str or None
         Id that the response must carry; with None, any response fits.
+    max_body_bytes : int
+        Largest body, in bytes; a longer one fails the response as garbled.
 
     Attributes
     ----------
@@ -51,8 +61,9 @@
         connection ends it.
     """
 
-    def __init__(self, connection, request_id):
+    def __init__(self, connection, request_id, max_body_bytes):
         self.request_id = request_id
+        self.max_body_bytes = max_body_bytes
         self.is_complete = False
         self.ends_with_connection = False
         self._connection = connection
@@ -63,6 +74,7 @@
         # fails; asyncio would log it as never retrieved.
         self._head.add_done_callback(lambda future: future.exception())
         self._chunks = deque()
+        self._unread_bytes = 0
         self._error = None
         self._waiter = None
 
@@ -109,6 +121,9 @@
                 self._waiter = None
         data = b"".join(self._chunks)
         self._chunks.clear()
+        if self._unread_bytes > UNREAD_MAX_BYTES:
+            self._connection.resume_reading()
+        self._unread_bytes = 0
         return data
 
     async def body(self):
@@ -132,6 +147,9 @@
     def on_data(self, data):
         """Append a chunk of the body."""
         self._chunks.append(data)
+        self._unread_bytes += len(data)
+        if self._unread_bytes > UNREAD_MAX_BYTES:
+            self._connection.pause_reading()
         self._wake()
 
     def on_complete(self):
@@ -169,6 +187,9 @@
         self._parser = None
         self._response = None
         self._headers = []
+        self._header_bytes = 0
+        # Bytes received since the request was sent, and those of bodies among them.
+        self._received_bytes = self._body_bytes = 0
         self._skipped_responses = 0
         self._is_skipping_response = False
         self._ends_at_eof = False
@@ -184,7 +205,7 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, data, request_id):
+    def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES):
         """Write a request; return the `Response` to it.
 
         Raises
@@ -194,7 +215,8 @@
         """
         if self._transport is None:
             raise CallError("connect", self.address, "connect", False)
-        self._response = Response(self, request_id)
+        self._response = Response(self, request_id, max_body_bytes)
+        self._received_bytes = self._body_bytes = 0
         self._skipped_responses = 0
         self._is_skipping_response = False
         self._transport.write(data)
@@ -209,6 +231,7 @@
             self._transport.get_write_buffer_size() == 0
         )
         if response.is_complete and is_sent and self.is_open:
+            self.resume_reading()
             self._pool.release(self)
             return
         self.abort()
@@ -219,6 +242,16 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def pause_reading(self):
+        """Stop to read until the response's body has been taken."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self):
+        """Read on."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     # Called by the transport
 
     def connection_made(self, transport):
@@ -233,13 +266,14 @@
             # Data after a complete response belongs to no request.
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
-            self._is_unusable = True
-            if self._response is not None and not self._response.is_complete:
-                self._fail("garbled")
-            self.abort()
+            self._fail_as_garbled()
+            return
+        if self._is_over_limits():
+            self._fail_as_garbled()
 
     def eof_received(self):
         """Distinguish a reset from a regular end of the connection.
@@ -268,10 +302,14 @@
 
     def on_message_begin(self):
         self._headers = []
+        self._header_bytes = 0
         if self._response is not None and self._response.is_complete:
             self._is_unusable = True
 
     def on_header(self, name, value):
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > HEAD_MAX_BYTES:
+            raise ValueError("head of a response is too large")
         self._headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
@@ -293,6 +331,7 @@
         self._response.on_head(head)
 
     def on_body(self, data):
+        self._body_bytes += len(data)
         if self._is_skipping_response or self._is_unusable:
             return
         self._response.on_data(data)
@@ -315,6 +354,22 @@
             return False
         return head.request_id != expected
 
+    def _is_over_limits(self):
+        """Return whether the endpoint has sent more than a response may have."""
+        framing_bytes = self._received_bytes - self._body_bytes
+        allowed_bytes = HEAD_MAX_BYTES + FRAMING_BYTES_PER_BODY_BYTE * self._body_bytes
+        max_body_bytes = RESPONSE_MAX_BYTES
+        if self._response is not None:
+            max_body_bytes = self._response.max_body_bytes
+        return framing_bytes > allowed_bytes or self._body_bytes > max_body_bytes
+
+    def _fail_as_garbled(self):
+        """Close the connection, since what comes on it is no response."""
+        self._is_unusable = True
+        if self._response is not None and not self._response.is_complete:
+            self._fail("garbled")
+        self.abort()
+
     def _read_framing(self, status):
         """Read from the headers how the body ends, and the announced idle time-out."""
         has_length = status in _STATUSES_WITHOUT_BODY
--- a/libs/http/gypsumusher_http/tunnels.py
+++ b/libs/http/gypsumusher_http/tunnels.py
@@ -29,6 +29,8 @@
 # SO_LINGER values: closing the socket sends a reset, or delivers what was written.
 _CLOSE_BY_RESET, _CLOSE_REGULARLY = struct.pack("ii", 1, 0), struct.pack("ii", 0, 0)
 _ESTABLISHED = 200
+# Largest response to a request for a tunnel.
+HANDSHAKE_MAX_BYTES = 16 * 1024
 
 
 async def open_tunnel(protocol, relay_address, address):
@@ -68,6 +70,7 @@
         self._relay_address = relay_address
         self._address = address
         self._transport = None
+        self._received_bytes = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def connection_made(self, transport):
@@ -78,6 +81,10 @@
     def data_received(self, data):
         if self.opened.done():
             return
+        self._received_bytes += len(data)
+        if self._received_bytes > HANDSHAKE_MAX_BYTES:
+            self._fail(0)
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
