--- a/libs/routing/gypsumusher_routing/crashing_content.py
+++ b/libs/routing/gypsumusher_routing/crashing_content.py
@@ -414,6 +414,8 @@
                 if len(losses) >= ASKED_FROM_CRASHES:
                     self._asking_s.setdefault(key, now_s)
             added += self._refuse_if_proven(now_s, key)
+        if len(self._losses) > 2 * CONTENTS_MAX:
+            self._limit_losses()
         return added
 
     def _refuse_if_proven(self, now_s, key):
@@ -539,6 +541,15 @@
         answered_s = self._answered_s.get(key)
         return answered_s is not None and answered_s + ANSWER_COUNTS_FOR_S >= at_s
 
+    def _limit_losses(self):
+        """Forget keys with few losses, the oldest first, if there are too many."""
+        excess = len(self._losses) - CONTENTS_MAX
+        if excess > 0:
+            for key in sorted(self._losses, key=lambda k: len(self._losses[k]))[
+                :excess
+            ]:
+                del self._losses[key]
+
     def _prune(self, now_s):
         """Forget what no longer counts, and the oldest of too many contents."""
         if now_s < self._pruned_s + PRUNE_INTERVAL_S:
@@ -556,8 +567,7 @@
                 self._losses[key] = recent
             else:
                 del self._losses[key]
-        while len(self._losses) > CONTENTS_MAX:
-            del self._losses[next(iter(self._losses))]
+        self._limit_losses()
         while len(self._explained) > CONTENTS_MAX:
             del self._explained[next(iter(self._explained))]
         for incarnation, (lost_s, _) in list(self._explained.items()):
--- a/libs/routing/tests/test_crashing_parts_machine.py
+++ b/libs/routing/tests/test_crashing_parts_machine.py
@@ -153,14 +153,19 @@
 def test_memory_of_many_parts_is_limited():
     """A wave of crashes under prompts of hundreds of parts filled the memory."""
     content = CrashingContent(no_survivors)
+    lose(content, CRASHES - 1, BAD, from_s=-2.0)
     for number in range(300):
         parts = [b"%d %d" % (number, part) for part in range(256)]
-        at_s = 0.01 * number
-        content.on_lost(at_s, crash_of(number, at_s, *parts, BAD))
-    content.report(4.2, repeats_refusals=False)
+        at_s = 0.001 * number
+        content.on_lost(at_s, crash_of(100 + number, at_s, *parts))
+        assert len(content._losses) <= 2 * 4096 + 257
+    # What has most losses is forgotten last.
+    (refused,) = lose(content, 1, BAD, from_s=2.4, first=500)
+    assert refused.keys == {BAD}
+    report = content.report(2.6, repeats_refusals=False)
+    assert 0 < sum(len(crash.keys.all_keys) for crash in report.crashes) <= 2048
+    content.report(3.6, repeats_refusals=False)
     assert len(content._losses) <= 4096
-    report = content.report(4.3, repeats_refusals=False)
-    assert sum(len(crash.keys.all_keys) for crash in report.crashes) <= 2048
 
 
 class CrashingPartsMachine(RuleBasedStateMachine):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,10 +1,12 @@
 """The store's client when the store refuses calls, hangs or discards history."""
 
 import asyncio
+import json
 import time
 
 from platform_samples import sample_configuration, sample_routes
 from proxies import Proxy
+from scripted_endpoint import ScriptedEndpoint, encode_response
 
 from gypsumusher_platform import StoreClient
 from gypsumusher_standins.object_store_server import ObjectStoreServer
@@ -118,3 +120,22 @@
             await resource.close()
 
     run(scenario())
+
+
+# Guards against a store whose listing never ends, and fills the memory.
+def test_listing_without_end_fails():
+    async def respond(number, head, body, writer):
+        names = [f"{number}-{n}" for n in range(2000)]
+        items = [{"metadata": {"name": name, "rev": 1}, "spec": {}} for name in names]
+        page = json.dumps({"items": items, "has_more": True, "as_of": 1})
+        writer.write(encode_response("", page.encode()))
+
+    async def scenario():
+        server = ScriptedEndpoint(respond)
+        client = StoreClient(await server.start(), 2.0, time.monotonic)
+        error = (await client.list("servers")).failure()
+        assert (error.step, error.code) == ("list", "unknown")
+        await client.close()
+        await server.close()
+
+    run(scenario())
