Tell a refusal at once, and only from the hosts that began it

A refusal waited up to a second for the next report; and each host that was told of it told all others again, 330 times 330 datagrams each interval. Now the hosts that counted it tell it at once, and those that watch the store repeat it. The new test fails before.

--- a/libs/entry/gypsumusher_entry/crash_reports.py
+++ b/libs/entry/gypsumusher_entry/crash_reports.py
@@ -1,6 +1,7 @@
 """Reports between hosts of content that crashes endpoints."""
 
 import asyncio
+import contextlib
 
 from gypsumusher_routing import (
     REPORTED_FOR_S,
@@ -49,6 +50,8 @@
         self._context = context
         self._send_datagram = None
         self._task = None
+        # Set when the next report shouldn't wait.
+        self._has_news = asyncio.Event()
         # Called when content is refused from now on, or not any more.
         self.listeners = []
 
@@ -125,7 +128,7 @@
             content=_describe(renewed.keys),
             for_s=round(renewed.for_s),
         )
-        self._report_soon()
+        self._report_at_once()
 
     def _rank(self):
         """Return the place of this host among those that may try refused content."""
@@ -139,7 +142,7 @@
         if not suspected:
             return
         exchange.log("info", "content_cleared", content=_describe(suspected))
-        self._report_soon()
+        self._report_at_once()
         for listener in self.listeners:
             listener()
 
@@ -158,6 +161,18 @@
         if self._send_datagram is not None and self._task is None:
             self._task = self._context.spawn(self._run())
 
+    def _report_at_once(self):
+        """Send a report without waiting for the next one that is due."""
+        self._has_news.set()
+        self._report_soon()
+
+    async def _wait(self, pause_s):
+        """Wait until the next report is due."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s):
+                await self._has_news.wait()
+        self._has_news.clear()
+
     async def _run(self):
         """Send reports until there is nothing left to tell."""
         context = self._context
@@ -171,7 +186,7 @@
                     return
                 self._send(now_s, report)
                 is_new = any(report._replace(refused=())) or is_asking
-                await asyncio.sleep(REPORT_INTERVAL_S if is_new else REPEAT_INTERVAL_S)
+                await self._wait(REPORT_INTERVAL_S if is_new else REPEAT_INTERVAL_S)
         finally:
             self._task = None
 
@@ -215,6 +230,7 @@
                 if exchange.is_held_by(refused.keys):
                     exchange.end_as_refused(refused.for_s)
         if added:
+            self._report_at_once()
             for listener in self.listeners:
                 listener()
 
--- a/libs/routing/gypsumusher_routing/crashing_content.py
+++ b/libs/routing/gypsumusher_routing/crashing_content.py
@@ -187,8 +187,9 @@
         # Refusals by their keys, and the sets of keys by each of their members.
         self._refused = {}
         self._refused_by_member = {}
-        # The key whose losses led to a refusal.
+        # The key whose losses led to a refusal, and the refusals that this host began.
         self._accused = {}
+        self._own_refused = set()
         # When a refusal ended early; reports of it that come later are ignored.
         self._lifted_s = {}
         # When a key was last answered, in the order of the answers.
@@ -275,6 +276,7 @@
         for_s = min(REFUSED_MAX_S, 2.0 * refused.for_s)
         renewed = RefusedContent(refused.keys, now_s, for_s)
         self._refused[refused.keys] = renewed
+        self._own_refused.add(refused.keys)
         return renewed
 
     def report(self, now_s: float, repeats_refusals: bool) -> CrashReport:
@@ -285,8 +287,8 @@
         now_s : float
             Current time, in seconds.
         repeats_refusals : bool
-            Whether refusals are reported for as long as they last, for hosts that
-            start later, and not only when they begin.
+            Whether all refusals are reported for as long as they last, for hosts that
+            start later, and not only those that this host begins.
         """
         since_s = now_s - REPORTED_FOR_S
         self._prune(now_s)
@@ -298,7 +300,8 @@
         refused = [
             content
             for content in self.refusals(now_s)
-            if repeats_refusals or content.from_s >= since_s
+            if repeats_refusals
+            or (content.keys in self._own_refused and content.from_s >= since_s)
         ]
         asked = [key for key, at_s in self._asking_s.items() if at_s >= since_s]
         return CrashReport(
@@ -441,6 +444,7 @@
         refused = RefusedContent(keys, now_s, REFUSED_FOR_S)
         self._set_refused(refused)
         self._accused[keys] = key
+        self._own_refused.add(keys)
         for incarnation, loss in losses.items():
             self._explain(incarnation, loss.crash)
         return [refused]
@@ -475,6 +479,7 @@
         """Forget a refusal."""
         refused = self._refused.pop(keys)
         self._accused.pop(keys, None)
+        self._own_refused.discard(keys)
         for key in keys:
             members = self._refused_by_member[key]
             members.discard(keys)
--- a/libs/routing/tests/test_crashing_content_machine.py
+++ b/libs/routing/tests/test_crashing_content_machine.py
@@ -116,6 +116,16 @@
     assert not started.on_report(61.0, report)
 
 
+def test_refusal_is_told_by_hosts_that_began_it():
+    """Each of hundreds of hosts told all others what one of them had told it."""
+    content, other = CrashingContent(no_survivors), CrashingContent(no_survivors)
+    lose(content, CRASHES_MAX)
+    report = content.report(1.1, False)
+    assert other.on_report(1.2, report)
+    assert report.refused and not other.report(1.2, False).refused
+    assert other.report(1.2, repeats_refusals=True).refused
+
+
 def test_memory_of_losses_is_limited():
     """The loss of many endpoints filled the memory with the contents of their runs."""
     content = CrashingContent(no_survivors)
