--- a/libs/entry/tests/crash_harness.py
+++ b/libs/entry/tests/crash_harness.py
@@ -199,9 +199,10 @@
         status, data = 0, b""
         try:
             _, response = await self._post(host, headers, body)
-            status = response.status
-            async for chunk in response.content.iter_any():
-                data += chunk
+            async with response:
+                status = response.status
+                async for chunk in response.content.iter_any():
+                    data += chunk
         except (aiohttp.ClientError, ValueError):
             # Its host or engine has ended; the result shows how far it came.
             pass
