--- a/libs/entry/gypsumusher_entry/crash_reports.py
+++ b/libs/entry/gypsumusher_entry/crash_reports.py
@@ -227,7 +227,7 @@
                 source=source,
             )
             for exchange in list(self._context.exchanges):
-                if exchange.is_held_by(refused.keys):
+                if exchange.should_end_for(refused.keys):
                     exchange.end_as_refused(refused.for_s)
         if added:
             self._report_at_once()
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -286,7 +286,7 @@
         finally:
             self._time_limit = None
 
-    def is_held_by(self, refused_keys):
+    def should_end_for(self, refused_keys):
         """Return whether a refusal of parts ends this request.
 
         One whose prompt hasn't crashed the engine that runs it goes on, and so does
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -18,7 +18,7 @@
     open_tunnel,
 )
 
-__all__ = ["HEAD_MAX_BYTES", "RESPONSE_MAX_BYTES", "ConnectionPool", "Response"]
+__all__ = ["ConnectionPool", "Response"]
 
 # Time for which an idle connection is reused when the endpoint announces no time-out.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -208,6 +208,15 @@
     def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES):
         """Write a request; return the `Response` to it.
 
+        Parameters
+        ----------
+        data : bytes
+            The encoded request.
+        request_id : str or None
+            Id that the response must carry; with None, any response fits.
+        max_body_bytes : int
+            Largest body of the response, in bytes.
+
         Raises
         ------
         CallError
@@ -244,12 +253,12 @@
 
     def pause_reading(self):
         """Stop to read until the response's body has been taken."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.pause_reading()
 
     def resume_reading(self):
         """Read on."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
     # Called by the transport
