Compare only losses whose other runs have been reported

A sound part that all crashing prompts had could be refused alone: its own run was the first of the fifth crash to be counted, before the one that had the guilty part too. Found by a mutation that no test noticed; the new test fails before. Two more tests for mutations that survived: hosts that are asked tell of answers, and end another host's refusal.

--- a/libs/routing/gypsumusher_routing/crashing_content.py
+++ b/libs/routing/gypsumusher_routing/crashing_content.py
@@ -435,10 +435,7 @@
             return []
         keys = frozenset((key,))
         if is_part:
-            keys = frozenset.intersection(
-                *(loss.companions for loss in losses.values())
-            )
-            keys = frozenset(k for k in keys if not self._is_cleared(k, now_s))
+            keys = self._common_parts(now_s, losses)
         if not keys or self._is_refused(now_s, keys):
             return []
         refused = RefusedContent(keys, now_s, REFUSED_FOR_S)
@@ -449,6 +446,23 @@
             self._explain(incarnation, loss.crash)
         return [refused]
 
+    def _common_parts(self, now_s, losses):
+        """Return what all lost runs with a part have in common and no answer has.
+
+        Losses of the last moment don't count: other runs that were lost with the same
+        endpoint may not have been reported yet.
+        """
+        reported_s = now_s - PART_EVIDENCE.asked_s
+        companions = [
+            loss.companions
+            for loss in losses.values()
+            if loss.crash.lost_s <= reported_s
+        ]
+        if not companions:
+            return frozenset()
+        common = frozenset.intersection(*companions)
+        return frozenset(key for key in common if not self._is_cleared(key, now_s))
+
     def _explain(self, incarnation, crash):
         """Count an endpoint's end against what the run had that it ended under only."""
         keys = self._explained.get(incarnation, (0.0, frozenset()))[1]
--- a/libs/routing/tests/test_crashing_parts_machine.py
+++ b/libs/routing/tests/test_crashing_parts_machine.py
@@ -115,6 +115,45 @@
     assert not is_refused(content, 2.6, SHARED[0])
 
 
+def test_runs_of_one_crash_that_are_reported_later_count_as_well():
+    """A sound part was refused alone, as its own run was the first to be reported."""
+    content = CrashingContent(no_survivors)
+    refused = []
+    for number in range(CRASHES):
+        at_s = 1.0 + 0.6 * number
+        for run, parts in enumerate(((SHARED[0],), (SHARED[0], BAD))):
+            keys = ContentKeys(b"%d %d" % (run, number), frozenset(parts))
+            crash = CrashedRun(keys, f"e-{number}", 1, at_s)
+            refused += content.on_lost(at_s, crash)
+    assert [r.keys for r in refused] == [{SHARED[0], BAD}]
+    assert not is_refused(content, 4.0, SHARED[0])
+
+
+def test_hosts_that_are_asked_tell_of_their_answers():
+    """Hosts without a loss of a part kept to themselves that they had answered it."""
+    counting, serving = CrashingContent(no_survivors), CrashingContent(no_survivors)
+    serving.on_answered(0.5, frozenset((SHARED[0],)))
+    lose(counting, CRASHES - 1, SHARED[0])
+    report = counting.report(2.0, False)
+    assert report.asked == (SHARED[0],)
+    serving.on_report(2.1, report._replace(crashes=()))
+    counting.on_report(2.2, serving.report(2.1, False))
+    assert not lose(counting, 2, SHARED[0], from_s=2.3, first=10)
+
+
+def test_host_that_knows_an_answer_ends_another_hosts_refusal():
+    """A host that had answered a refused part ignored the refusal, and said nothing."""
+    refusing, serving = CrashingContent(no_survivors), CrashingContent(no_survivors)
+    serving.on_answered(0.5, frozenset((SHARED[0],)))
+    lose(refusing, CRASHES, SHARED[0])
+    assert is_refused(refusing, 2.4, SHARED[0])
+    report = refusing.report(2.4, False)
+    serving.on_report(2.5, report._replace(crashes=(), asked=()))
+    assert not is_refused(serving, 2.5, SHARED[0])
+    refusing.on_report(2.6, serving.report(2.5, False))
+    assert not is_refused(refusing, 2.6, SHARED[0])
+
+
 def test_losses_that_refused_content_explains_blame_nothing_else():
     """Runs that ended with an engine under refused content were blamed for it too."""
     content = CrashingContent(no_survivors)
