--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -409,3 +409,25 @@
     violations, counts = run_seed(1, RELEASES_PLAN, DEPLOYMENTS["versions"])
     assert not violations, violations
     assert counts["served"] > 0.5 * counts["requests"] > 100
+
+
+# Prompts with a part that crashes engines come at all hosts while one host is killed,
+# another one is stopped, and then all are killed.
+CRASHING_PART_PLAN = Plan(
+    (
+        Fault(0.7, 11.0, "crashing_part", 0),
+        Fault(1.5, 0.5, "host_kill", 0),
+        Fault(3.0, 0.5, "host_stop", 1),
+        Fault(6.5, 0.3, "all_hosts_kill", 0),
+    ),
+    11.8 + CALM_AFTER_S,
+)
+
+
+# Guards against a part of prompts that crashes one engine after the other, and sound
+# prompts that are refused for what they share with it.
+@pytest.mark.processes
+def test_part_that_crashes_engines_is_refused_on_all_hosts():
+    violations, counts = run_seed(1, CRASHING_PART_PLAN, DEPLOYMENTS["parts"])
+    assert not violations, violations
+    assert counts["served"] > 0.5 * counts["requests"] > 100
