--- a/libs/entry/tests/test_crashing_parts.py
+++ b/libs/entry/tests/test_crashing_parts.py
@@ -41,6 +41,12 @@
     return "a1", "a2", f"f{number:x}"
 
 
+def send_both(fleet, make_sound, make_crashing):
+    """Send sound prompts, and prompts with the part that crashes engines."""
+    fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, make_sound))
+    fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, make_crashing))
+
+
 def check(fleet):
     """Assert both rules: few more sends, and sound prompts served."""
     loop_s = asyncio.get_running_loop().time()
@@ -63,8 +69,7 @@
 def test_part_in_any_place_is_refused(make_parts):
     async def scenario():
         async with crashing_fleet(8) as fleet:
-            fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, sound))
-            fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, make_parts))
+            send_both(fleet, sound, make_parts)
             await asyncio.sleep(SENT_FOR_S)
             check(fleet)
 
@@ -75,8 +80,7 @@
 def test_part_in_streams_that_are_resumed_is_refused():
     async def scenario():
         async with crashing_fleet(8, route=RESUMABLE_ROUTE) as fleet:
-            fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, sound_shared))
-            fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, in_the_middle))
+            send_both(fleet, sound_shared, in_the_middle)
             await asyncio.sleep(SENT_FOR_S)
             check(fleet)
 
@@ -88,8 +92,7 @@
     async def scenario():
         stages = ("prefill", "decode")
         async with crashing_fleet(6, stages=stages) as fleet:
-            fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, sound_shared))
-            fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, in_the_middle))
+            send_both(fleet, sound_shared, in_the_middle)
             await asyncio.sleep(SENT_FOR_S)
             check(fleet)
 
@@ -100,8 +103,7 @@
 def test_part_is_refused_beside_other_crashes():
     async def scenario():
         async with crashing_fleet(8) as fleet:
-            fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, sound))
-            fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, in_the_middle))
+            send_both(fleet, sound, in_the_middle)
             fleet.spawn(fleet.crash_engines(2.0))
             await asyncio.sleep(SENT_FOR_S)
             check(fleet)
@@ -113,8 +115,7 @@
 def test_part_is_refused_after_the_loss_of_one_host():
     async def scenario():
         async with crashing_fleet(8, host_count=3) as fleet:
-            fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, sound_shared))
-            fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, in_the_middle))
+            send_both(fleet, sound_shared, in_the_middle)
             while len(fleet.crashes_s) < CRASHES - 2:
                 await asyncio.sleep(0.01)
             await fleet.close_host(fleet.hosts[0])
@@ -129,8 +130,7 @@
 def test_part_is_refused_after_the_loss_of_all_hosts():
     async def scenario():
         async with crashing_fleet(8) as fleet:
-            fleet.spawn(fleet.send_prompts(SOUND_INTERVAL_S, sound_shared))
-            fleet.spawn(fleet.send_prompts(CRASHING_INTERVAL_S, in_the_middle))
+            send_both(fleet, sound_shared, in_the_middle)
             while len(fleet.crashes_s) < CRASHES:
                 await asyncio.sleep(0.01)
             await asyncio.sleep(KNOWN_S)
--- a/libs/routing/gypsumusher_routing/crashing_content.py
+++ b/libs/routing/gypsumusher_routing/crashing_content.py
@@ -484,7 +484,7 @@
         )
 
     def _set_refused(self, refused):
-        """Refuse content, in place of what is part of it."""
+        """Refuse content; a refusal with the same keys is replaced."""
         self._refused[refused.keys] = refused
         for key in refused.keys:
             self._refused_by_member.setdefault(key, set()).add(refused.keys)
