--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -308,6 +308,8 @@
     if version != MESSAGE_VERSION:
         raise ValueError(f"unsupported message version {version}")
     status, stages, loads, placements, lease = fields
+    if not isinstance(loads, dict):
+        raise ValueError(f"loads are of type {type(loads).__name__}")
     decoded = {}
     for endpoint_id, (running, prefills, lane_ms, penalty) in loads.items():
         if len(lane_ms) != len(LANES):
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -42,6 +42,8 @@
 PEERS_KNOWN_AFTER_S = 0.5
 # How often endpoints with missing entries are dropped.
 DROP_INTERVAL_S = 0.2
+# Unreadable entries that are remembered so as not to be logged again.
+MAX_UNREADABLE_ENTRIES = 256
 
 
 class StoreWatcher:
@@ -61,6 +63,8 @@
         self._lost_kinds = set()
         self._answered_kinds = set()
         self._listed_kinds = set()
+        # Revisions of the unreadable entries that have been logged, oldest first.
+        self._unreadable_revisions = {}
         self._last_failure_s = self._failing_since_s = context.clock()
         bounds = context.settings.bounds
         least_s = min(bounds.drain_s, bounds.configuration_s)
@@ -171,7 +175,7 @@
     def _on_endpoints(self, found, is_listing):
         """Apply the endpoints from a list or from changes of the store."""
         if is_listing:
-            _apply_endpoint_list(self._context, found)
+            self._apply_endpoint_list(found)
             return
         context = self._context
         for change in found.changes:
@@ -182,12 +186,48 @@
                 )
                 context.log("info", "endpoint_deleted", endpoint=stored.name)
                 continue
-            record = _decode_entry(context, stored)
+            record = self._decode_entry(stored)
             if record is not None:
                 if context.endpoints.on_record(record, found.revision):
                     _log_endpoint(context, record)
         context.endpoints.revision = max(context.endpoints.revision, found.revision)
 
+    def _apply_endpoint_list(self, listing):
+        """Replace all known endpoints by a complete list of the store."""
+        context = self._context
+        records = []
+        for stored in listing.objects:
+            record = self._decode_entry(stored)
+            if record is not None:
+                records.append(record)
+        changed = context.endpoints.on_full_list(
+            context.clock(), records, listing.revision
+        )
+        for record in records:
+            if record.endpoint_id in changed:
+                changed.remove(record.endpoint_id)
+                _log_endpoint(context, record)
+        for endpoint_id in changed:
+            context.log(
+                "info", "endpoint_missing", endpoint=endpoint_id, source="store"
+            )
+
+    def _decode_entry(self, stored):
+        """Return the record of an endpoint's entry, or None when it can't be decoded.
+
+        An unreadable entry is logged once for each of its revisions: it is in every
+        list of the store.
+        """
+        try:
+            return decode_endpoint(stored)
+        except DecodeError as error:
+            if self._unreadable_revisions.pop(stored.name, None) != stored.revision:
+                self._context.log("warning", "endpoint_entry_unreadable", error=error)
+        self._unreadable_revisions[stored.name] = stored.revision
+        if len(self._unreadable_revisions) > MAX_UNREADABLE_ENTRIES:
+            del self._unreadable_revisions[next(iter(self._unreadable_revisions))]
+        return None
+
     def _on_failure(self, kind, error):
         """Record a failed call to the store; log the first one of an outage."""
         now_s = self._context.clock()
@@ -286,31 +326,6 @@
     return configuration.version
 
 
-def _apply_endpoint_list(context, listing):
-    """Replace all known endpoints by a complete list of the store."""
-    records = []
-    for stored in listing.objects:
-        record = _decode_entry(context, stored)
-        if record is not None:
-            records.append(record)
-    changed = context.endpoints.on_full_list(context.clock(), records, listing.revision)
-    for record in records:
-        if record.endpoint_id in changed:
-            changed.remove(record.endpoint_id)
-            _log_endpoint(context, record)
-    for endpoint_id in changed:
-        context.log("info", "endpoint_missing", endpoint=endpoint_id, source="store")
-
-
-def _decode_entry(context, stored):
-    """Return the record of an endpoint's entry, or None when it can't be decoded."""
-    try:
-        return decode_endpoint(stored)
-    except DecodeError as error:
-        context.log("warning", "endpoint_entry_unreadable", error=error)
-        return None
-
-
 def _log_endpoint(context, record):
     """Log a new or changed endpoint."""
     context.log(
