Play uneven engines, a flooding account and odd entries in the soak

New deployment: engines of three speeds that keep shared parts, callers with the keys of 8 accounts, and the faults account_flood, engines_slow and odd_entries besides the loss of all hosts and of a zone's engines. New check: an account with 30 requests or more is served at least a quarter as often as all.

--- a/soak/account_checks.py
+++ b/soak/account_checks.py
@@ -12,6 +12,9 @@
 # Time before a run within which the soak's process may have delayed it by a standstill:
 # the host counts when it sends, and the endpoint is in the soak's process.
 STALL_SPAN_S = 3.0
+# Least share of an account's requests that has to be served, relative to all accounts,
+# and the number of requests from which it is judged.
+SERVED_SHARE_MIN, COUNTED_MIN = 0.25, 30
 
 
 def find_account_violations(records, ends_s):
@@ -31,6 +34,32 @@
         found += _check_refusal(records, outcome)
     found += _check_reports(records)
     found += _check_counts(records, ends_s)
+    found += _check_shares(records)
+    return found
+
+
+def _check_shares(records):
+    """Return the accounts that are served far less often than all together."""
+    counts = {}
+    for outcome in records.outcomes:
+        key, _ = records.keys_sent.get(outcome.request_id, (None, 0.0))
+        if key is None or records.keys[key].withdrawn_s is not None:
+            continue
+        account = records.keys[key].account
+        is_served = outcome.status == 200 and not outcome.problem
+        served, asked = counts.get(account, (0, 0))
+        counts[account] = (served + is_served, asked + 1)
+    all_served = sum(served for served, _ in counts.values())
+    all_asked = sum(asked for _, asked in counts.values())
+    found = []
+    for account, (served, asked) in sorted(counts.items()):
+        if asked < COUNTED_MIN:
+            continue
+        if served * all_asked < SERVED_SHARE_MIN * all_served * asked:
+            found.append(
+                f"{served} of {asked} requests of {account} were served, and"
+                f" {all_served} of {all_asked} of all accounts"
+            )
     return found
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -72,6 +72,9 @@
         Share of failed requests that are sent again at once, as new requests.
     leaving_share : float
         Share of the requests that callers abandon, besides the usual one.
+    flooding_share : float
+        Share of the requests that the first client account sends, besides its usual
+        one.
     """
 
     def __init__(self):
@@ -79,6 +82,7 @@
         self.favoured_kind = None
         self.repeating_share = 0.0
         self.leaving_share = 0.0
+        self.flooding_share = 0.0
 
 
 class Caller:
@@ -275,7 +279,10 @@
         }
         if self._records.keys:
             # Also keys that were taken away: their callers don't know it.
-            key = self._rng.choice(sorted(self._records.keys))
+            keys = sorted(self._records.keys)
+            share = self._demand.flooding_share
+            is_flood = share > 0.0 and self._rng.random() < share
+            key = keys[0] if is_flood else self._rng.choice(keys)
             headers["X-Gypsumusher-Key"] = key
             self._records.keys_sent[request_id] = (key, sent_s)
         if began_id is not None:
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -61,6 +61,9 @@
         Whether prompts have parts, some of which other prompts share.
     callers_take_up_streams : bool
         Whether callers take streams up again that have broken off, or that they left.
+    duration_factors : tuple of float
+        Duration of the work at the endpoints relative to the usual one, repeated over
+        all endpoints.
     callers_wait : bool
         Whether a caller waits for each response before its next request. Otherwise
         requests come at the same rate while responses are late.
@@ -91,6 +94,7 @@
     event_interval_s: float = 0.02
     callers_take_up_streams: bool = False
     has_parts: bool = False
+    duration_factors: tuple[float, ...] = (1.0,)
 
     @property
     def has_engines(self):
@@ -316,11 +320,38 @@
     shares_content=False,
     has_parts=True,
 )
+# Engines of which some take over twice as long as others, slow down for a while or
+# leave with their zone, a client account that asks for most, entries of another writer,
+# and the loss of all hosts, after which the engines still have their prefix caches.
+UNEVEN_KINDS = {
+    "account_flood": (4.0, 8.0),
+    "all_hosts_kill": (0.0, 0.5),
+    "engines_slow": (0.6, 3.0),
+    "odd_entries": (2.0, 5.0),
+    "zone_reclaimed": (2.0, 4.0),
+    "traffic_burst": (2.0, 5.0),
+    "host_kill": (0.1, 2.0),
+    "host_pause": (0.3, 3.0),
+    "hosts_apart": (1.0, 4.0),
+    "endpoint_restart": (0.1, 2.0),
+    "store_refuse": (0.5, 4.0),
+    "store_silent": (0.5, 4.0),
+    "store_lost": (0.5, 2.0),
+    "host_store_cut": (0.5, 4.0),
+    "config_change": (0.0, 0.0),
+}
+UNEVEN = PARTS._replace(
+    accounts=8,
+    fault_kinds=UNEVEN_KINDS,
+    fault_rate=FaultRate(per_s=0.8, kinds=7, always=("account_flood", "engines_slow")),
+    duration_factors=(0.7, 0.7, 1.7),
+)
 DEPLOYMENTS = {
     "small": SMALL,
     "versions": VERSIONS,
     "accounts": ACCOUNTS,
     "parts": PARTS,
+    "uneven": UNEVEN,
     "seven-hosts": SEVEN_HOSTS,
     "eight-hosts": EIGHT_HOSTS,
     "sixty-nine-hosts": SIXTY_NINE_HOSTS,
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -24,6 +24,9 @@
 # Shares of the callers that repeat at once what has failed, and of the requests that
 # callers leave early.
 REPEATING_SHARE, LEAVING_SHARE = 0.3, 0.3
+# Share of the requests that one client account sends during a flood, and the factor on
+# the work of engines that slow down for a while.
+FLOODING_SHARE, SLOWDOWN = 0.7, 2.5
 # Shares of the hosts and of the endpoints that a fault of many strikes at once.
 HOSTS_KILLED_SHARE, HOSTS_CUT_SHARE, ENDPOINTS_SHARE = 0.55, 0.17, 0.17
 RELEASED_SHARE, TRANSFERS_SHARE = 0.4, 0.35
@@ -327,6 +330,10 @@
     await _demand("favoured_kind", kind, None)(system, target, duration_s)
 
 
+async def _odd_entries(system, _, duration_s):
+    await system.write_odd_entries(duration_s)
+
+
 async def _records_lost(system, _, duration_s):
     system.remove_host_records()
 
@@ -456,6 +463,9 @@
     "traffic_burst": (None, _demand("rate", BURST_RATE, 1.0)),
     "traffic_shift": (None, _traffic_shift),
     "callers_repeat": (None, _demand("repeating_share", REPEATING_SHARE, 0.0)),
+    "account_flood": (None, _demand("flooding_share", FLOODING_SHARE, 0.0)),
+    "engines_slow": (None, _endpoint_attribute("slowdown", SLOWDOWN, 1.0)),
+    "odd_entries": (None, _odd_entries),
     "callers_leave": (None, _demand("leaving_share", LEAVING_SHARE, 0.0)),
     "endpoint_flap": ("backends", _endpoint_flap),
     "endpoint_dark": ("backends", _endpoint_dark),
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -41,11 +41,6 @@
 # Share of the requests that a busy endpoint rejects, that fail at a grey one, and whose
 # answers one loses.
 BUSY_SHARE, GREY_SHARE, LOST_SHARE = 0.9, 0.45, 0.3
-# Responses of an engine to what isn't a caller's request, by path: its prefix cache is
-# empty.
-ENGINE_RESPONSES = {
-    "/v1/kv-list": ("200 OK", {"epoch": 1, "next": 0, "held": []}),
-}
 # How responses without length end: complete, early by a regular end, early by a reset.
 UNFRAMED_ENDS = COMPLETE, CUT, RESET = ("complete", "cut", "reset")
 
@@ -74,6 +69,8 @@
         Whether the engine changes its stage when it is ordered to.
     event_interval_s : float
         Delay between two events of a stream, in seconds.
+    duration_factor : float
+        Duration of its work relative to that of other endpoints.
 
     Attributes
     ----------
@@ -94,6 +91,8 @@
         Whether the engine is slow to fetch the KV cache of a prompt.
     is_order_late : bool
         Whether the engine leaves orders unanswered and carries them out later.
+    slowdown : float
+        Factor on the duration of its work for a while.
     """
 
     def __init__(
@@ -107,11 +106,15 @@
         handles=None,
         takes_orders=False,
         event_interval_s=0.02,
+        duration_factor=1.0,
     ):
         self.name = name
         self._start_count = 0
         self.version, self.next_version = "v1", None
         self._event_interval_s = event_interval_s
+        self._duration_factor, self.slowdown = duration_factor, 1.0
+        # Tokens of the shared parts that it has prefilled since its start, by id.
+        self._cached_parts = {}
         self.service = service
         self.stage = stage
         self.handle_ttl_s = HANDLE_TTL_S
@@ -142,6 +145,7 @@
     async def start(self):
         """Start listening and return the address."""
         self._start_count += 1
+        self._cached_parts = {}
         self._endpoint = ScriptedEndpoint(self._respond)
         return await self._endpoint.start()
 
@@ -186,7 +190,8 @@
             return
         if is_prefill:
             self._records.prefills.append(arrival)
-            await asyncio.sleep(PREFILL_S)
+            await asyncio.sleep(self._slowed_s(PREFILL_S))
+            self._cache_parts(headers)
             prefilled = {"handle": self._hold(), "tokens": 30000, "version": 1}
             body = json.dumps(prefilled).encode()
             writer.write(self._encode(request_id, body))
@@ -256,6 +261,17 @@
         self._handles[handle] = (self, self._clock() + self.handle_ttl_s)
         return handle
 
+    def _slowed_s(self, usual_s):
+        """Return how long work takes here that usually takes some seconds."""
+        return usual_s * self._duration_factor * self.slowdown
+
+    def _cache_parts(self, headers):
+        """Keep the parts of a prompt that others may share."""
+        prefix = headers.get("x-gypsumusher-prompt-prefix", "")
+        for entry in prefix.split(",")[:-1]:
+            part_id, _, tokens = entry.partition(":")
+            self._cached_parts[part_id] = int(tokens)
+
     def _has_kv_cache(self, headers):
         """Return whether the KV cache that a request names can be fetched; take it."""
         source = headers.get("x-gypsumusher-kv-source")
@@ -277,13 +293,17 @@
                 work_s += SLOW_TRANSFER_S * self.is_transfer_slow
             elif "x-gypsumusher-token-count" in headers and self._takes_orders:
                 work_s += PREFILL_AT_DECODE_S
-            await asyncio.sleep(work_s)
+                self._cache_parts(headers)
+            await asyncio.sleep(self._slowed_s(work_s))
         finally:
             self._running -= 1
 
     async def _respond_to_call(self, method, path, body, writer):
         """Respond to a call that isn't a caller's request."""
-        status, content = ENGINE_RESPONSES.get(path, ("200 OK", {}))
+        status, content = "200 OK", {}
+        if path == "/v1/kv-list":
+            held = [["", part, n, "m"] for part, n in self._cached_parts.items()]
+            content = {"epoch": 1, "next": 0, "held": held}
         if method == "DELETE":
             self._handles.pop(path.rpartition("/")[2], None)
         if path == "/v1/report" and self.stage is not None:
@@ -371,7 +391,7 @@
                 return
             writer.write(encode_chunk(event))
             await writer.drain()
-            await asyncio.sleep(self._event_interval_s)
+            await asyncio.sleep(self._slowed_s(self._event_interval_s))
         writer.write(b"0\r\n\r\n")
 
 
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -62,6 +62,17 @@
 CRASHED_FOR_S, CRASHING_INTERVAL_S = 0.5, 0.15
 # Pause between two prompts with a part that crashes engines.
 CRASHING_PART_INTERVAL_S = 0.25
+# Entries that another writer may leave, as changes of a valid one.
+ODD_ENTRIES = (
+    {"warmup_left_ms": 10**400},
+    {"seq": 2**80},
+    {"slots": "64"},
+    {"zone": "\ud800"},
+    {"state": "asleep"},
+    {"addr": "255.255.255.255:80"},
+    [["not", ["an", "entry"]]],
+    None,
+)
 
 
 class SoakSystem:
@@ -219,6 +230,7 @@
                 self._handles,
                 deployment.takes_stage_orders,
                 deployment.event_interval_s,
+                deployment.duration_factors[number % len(deployment.duration_factors)],
             )
             endpoint.version = f"v{1 + number % deployment.versions}"
             endpoints.append(endpoint)
@@ -600,6 +612,16 @@
         if self.store.has("servers", instance_id):
             self.store.remove("servers", instance_id)
 
+    async def write_odd_entries(self, duration_s):
+        """Write entries of another writer, which name no endpoint, for a while."""
+        valid = sample_endpoint_entry(self.links[0].address)
+        for number, fields in enumerate(ODD_ENTRIES):
+            content = {**valid, **fields} if isinstance(fields, dict) else fields
+            self.store.put("servers", f"a-odd-{number}", content)
+        await asyncio.sleep(duration_s)
+        for number in range(len(ODD_ENTRIES)):
+            self._remove_entry(f"a-odd-{number}")
+
     async def _expire_entry(self, instance_id):
         """Remove the entry of an endpoint that has ended once its heartbeats lack."""
         await asyncio.sleep(MISSED_HEARTBEATS * self.deployment.heartbeat_s)
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -6,6 +6,7 @@
     NON_IDEMPOTENT,
     PROMPT,
     STREAM,
+    AccountKey,
     Arrival,
     LinkCut,
     Outcome,
@@ -272,6 +273,21 @@
     assert violations(records) == []
 
 
+def test_account_that_is_hardly_served_is_reported():
+    """Guards against a check that overlooks small accounts beside a large one."""
+    refused = {"status": 503, "retry_after": "1"}
+    large = [outcome(f"l-{number}") for number in range(100)]
+    small = [outcome(f"s-{number}", **refused) for number in range(40)]
+    records = records_of(*large, *small)
+    records.keys = {name: AccountKey(name, 0.0, None) for name in "ls"}
+    for item in records.outcomes:
+        records.keys_sent[item.request_id] = (item.request_id[0], item.sent_s)
+    expected = "0 of 40 requests of s were served, and 101 of 141 of all accounts"
+    assert expected in violations(records)
+    records.outcomes[100:120] = [outcome(f"s-{number}") for number in range(20)]
+    assert not [line for line in violations(records) if "of all accounts" in line]
+
+
 def test_missing_recovery_is_reported():
     records = records_of(outcome())
     records.outcomes[-1] = outcome("last", sent_s=ENDS_S - 1.0, status=502)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -392,6 +392,30 @@
     assert counts["served"] > 100
 
 
+# All hosts are lost while one account floods uneven engines of which some slow down, a
+# zone's engines leave, and entries of another writer lie in the store.
+UNEVEN_PLAN = Plan(
+    (
+        Fault(0.7, 7.0, "account_flood", 0),
+        Fault(1.0, 8.0, "odd_entries", 0),
+        Fault(1.5, 2.0, "engines_slow", 1),
+        Fault(3.0, 0.4, "all_hosts_kill", 0),
+        Fault(4.5, 2.0, "engines_slow", 0),
+        Fault(6.0, 3.0, "zone_reclaimed", 1),
+        Fault(8.0, 0.5, "host_kill", 1),
+    ),
+    9.5 + CALM_AFTER_S,
+)
+
+
+@pytest.mark.processes
+def test_uneven_engines_are_shared_over_the_loss_of_all_hosts():
+    """Guards against accounts that are pushed out, and hosts that return blind."""
+    violations, counts = run_seed(1, UNEVEN_PLAN, DEPLOYMENTS["uneven"])
+    assert not violations, violations
+    assert counts["served"] > 0.5 * counts["requests"] > 100
+
+
 @pytest.mark.processes
 def test_sixty_nine_hosts_with_all_kinds_of_trouble_cause_no_violation():
     """Guards against bounds over all hosts that hold only where hosts are few."""
