--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -63,6 +63,18 @@
     HostTable,
     host_capacity,
 )
+from gypsumusher_routing.learned_state import (
+    LearnedHost,
+    LearnedState,
+    decode_learned_state,
+    encode_learned_state,
+    has_changed,
+    is_restart_alone,
+    learned_speeds,
+    lists_cache,
+    merge_learned_states,
+    restore_speed,
+)
 from gypsumusher_routing.membership import (
     ABSENT_FOR_S,
     Acknowledgement,
@@ -169,6 +181,8 @@
     "HostCounts",
     "HostStatus",
     "HostTable",
+    "LearnedHost",
+    "LearnedState",
     "LentPart",
     "LimitChange",
     "LimitReport",
@@ -229,4 +243,12 @@
     "BegunStream",
     "StreamVersions",
     "stream_key",
+    "decode_learned_state",
+    "encode_learned_state",
+    "has_changed",
+    "is_restart_alone",
+    "learned_speeds",
+    "lists_cache",
+    "merge_learned_states",
+    "restore_speed",
 ]
--- a/libs/routing/gypsumusher_routing/cost_model.py
+++ b/libs/routing/gypsumusher_routing/cost_model.py
@@ -10,7 +10,16 @@
 from gypsumusher_routing.policy import ALL_ON, Policy
 from gypsumusher_routing.urgency import TIMELY
 
-__all__ = ["CostModel", "PrefillObservation"]
+__all__ = [
+    "INITIAL_HANDOVER_S",
+    "MAX_HANDOVER_S",
+    "MAX_MARGIN",
+    "MIN_HANDOVER_S",
+    "MIN_MARGIN",
+    "CostEstimates",
+    "CostModel",
+    "PrefillObservation",
+]
 
 # Longest queue, relative to a prompt's own cost, at which the prompt updates the cost
 # estimate. Behind a longer queue, slowness can't be told from load that other hosts
@@ -68,6 +77,27 @@
     took_s: float
 
 
+class CostEstimates(NamedTuple):
+    """What a cost model has learned.
+
+    Attributes
+    ----------
+    costs_s : dict of str to tuple of float
+        Costs per prompt, thousand tokens and million token pairs, by stage, in seconds.
+    margins : dict of str to float
+        Safety factors for expected prefill times, by stage.
+    handover_s : float
+        Overhead of a KV handover besides the transfer, in seconds.
+    tokens_per_event : dict of str to float
+        Tokens per stream event, by route.
+    """
+
+    costs_s: dict[str, tuple[float, ...]]
+    margins: dict[str, float]
+    handover_s: float
+    tokens_per_event: dict[str, float]
+
+
 class CostModel:
     """Estimated prefill costs, their margins and the handover time of one service.
 
@@ -149,6 +179,31 @@
         """
         self._handover.learn(max(MIN_HANDOVER_S, took_s - transfer_s))
 
+    def snapshot(self) -> CostEstimates:
+        """Return what answers have told, without initial values."""
+        known = [stage for stage, cost in self._prefill_costs.items() if cost.is_known]
+        return CostEstimates(
+            {stage: self._prefill_costs[stage].costs_s for stage in known},
+            {stage: self.margin(stage) for stage in known},
+            self.handover_s(),
+            {
+                route: ratio.value
+                for route, ratio in self._tokens_per_event.items()
+                if ratio.value is not None
+            },
+        )
+
+    def restore(self, estimates: CostEstimates) -> None:
+        """Start from earlier estimates, except where answers have told others."""
+        if self._policy.learnt_costs:
+            for stage, costs_s in estimates.costs_s.items():
+                self.prefill_cost(stage).restore(costs_s)
+        for stage, margin in estimates.margins.items():
+            self._margin(stage).restore(margin)
+        self._handover.restore(estimates.handover_s)
+        for route, ratio in estimates.tokens_per_event.items():
+            self.tokens_per_event(route).restore(ratio)
+
     def _margin(self, stage):
         """Return the running quantile behind the margin of a stage."""
         if stage not in self._margins:
--- a/libs/routing/gypsumusher_routing/estimates.py
+++ b/libs/routing/gypsumusher_routing/estimates.py
@@ -7,7 +7,13 @@
 
 import math
 
-__all__ = ["PrefillCostModel", "RunningQuantile", "Slowdown", "TokensPerEvent"]
+__all__ = [
+    "PrefillCostModel",
+    "RunningQuantile",
+    "Slowdown",
+    "TokensPerEvent",
+    "prefill_duration_s",
+]
 
 # Initial costs per prompt, per thousand tokens and per million token pairs. They are
 # those of a slow machine, so that a new deployment starts conservatively; about ten
@@ -29,6 +35,9 @@
 # Consecutive outliers to the same side after which the engines or the model must have
 # changed, and the covariance is reset to its initial value.
 RESET_AFTER_OUTLIERS = 6
+# Standard deviation of costs learned before a restart, relative to their size. The
+# engines are usually the same, and new answers may still correct the costs.
+RESTORED_SHARE = 0.2
 # Lower bound of the expected duration of a prefill.
 MIN_COST_S = 0.001
 
@@ -67,9 +76,32 @@
         new_tokens, cached_tokens : float
             Tokens to be prefilled, and tokens before them that are cached.
         """
-        features = _features(new_tokens, cached_tokens)
-        expected_s = sum(x * c for x, c in zip(features, self._costs_s, strict=True))
-        return max(MIN_COST_S, expected_s)
+        return prefill_duration_s(self._costs_s, new_tokens, cached_tokens)
+
+    @property
+    def costs_s(self) -> tuple[float, ...]:
+        """Current costs per prompt, thousand tokens and million token pairs."""
+        return tuple(self._costs_s)
+
+    def restore(self, costs_s) -> None:
+        """Start from costs learned before a restart, unless an answer has been seen.
+
+        Parameters
+        ----------
+        costs_s : sequence of float
+            The three costs, as returned by `costs_s`.
+        """
+        if self._answers:
+            return
+        self._costs_s = list(costs_s)
+        # The initial covariance would let the first answers move the costs by their
+        # own size.
+        spread_s = [
+            RESTORED_SHARE * max(abs(cost_s), initial_s)
+            for cost_s, initial_s in zip(costs_s, self._initial_s, strict=True)
+        ]
+        self._covariance = _initial_covariance(spread_s)
+        self._answers = MIN_ANSWERS
 
     def learn(self, new_tokens: float, cached_tokens: float, took_s: float) -> None:
         """Update the costs from a prefill at an otherwise idle engine.
@@ -134,6 +166,21 @@
                 self._covariance[other][index] /= math.sqrt(excess)
 
 
+def prefill_duration_s(costs_s, new_tokens: float, cached_tokens: float) -> float:
+    """Return the duration of a prefill from the three costs, in seconds.
+
+    Parameters
+    ----------
+    costs_s : sequence of float
+        Costs per prompt, thousand tokens and million token pairs.
+    new_tokens, cached_tokens : float
+        Tokens to be prefilled, and tokens before them that are cached.
+    """
+    features = _features(new_tokens, cached_tokens)
+    expected_s = sum(x * c for x, c in zip(features, costs_s, strict=True))
+    return max(MIN_COST_S, expected_s)
+
+
 def _initial_covariance(costs_s):
     """Return the covariance of initial costs that may each be off by their own size."""
     covariance = [[0.0] * 3 for _ in range(3)]
@@ -202,18 +249,25 @@
 
     def __init__(self, share: float, initial: float, lower: float, upper: float):
         self.value = initial
+        self.has_learned = False
         self._share = share
         self._lower = lower
         self._upper = upper
 
     def learn(self, value: float) -> None:
         """Update the estimate with a value."""
+        self.has_learned = True
         if value > self.value:
             moved = self.value * math.exp(QUANTILE_STEP * self._share)
         else:
             moved = self.value * math.exp(-QUANTILE_STEP * (1.0 - self._share))
         self.value = min(self._upper, max(self._lower, moved))
 
+    def restore(self, value: float) -> None:
+        """Start from an earlier estimate, unless a value has been seen."""
+        if not self.has_learned:
+            self.value = min(self._upper, max(self._lower, value))
+
 
 class TokensPerEvent:
     """Ratio of the output tokens that callers estimate to the events of a stream.
@@ -229,6 +283,16 @@
         """Return the expected number of events for some tokens; None if unknown."""
         return None if self._median is None else tokens / self._median.value
 
+    @property
+    def value(self) -> float | None:
+        """Tokens per event; None if unknown."""
+        return None if self._median is None else self._median.value
+
+    def restore(self, value: float) -> None:
+        """Start from an earlier ratio, unless one is known."""
+        if self._median is None:
+            self._median = RunningQuantile(0.5, value, 1e-3, 1e6)
+
     def learn(self, tokens: float, events: int) -> None:
         """Update the ratio from a complete stream and the caller's token estimate."""
         if self._median is None:
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -50,6 +50,9 @@
         Engines are ordered where the operator allows it.
     limit_loans : bool
         Hosts lend each other the parts of endpoints' limits that they don't use.
+    kept_knowledge : bool
+        Hosts that restart use what was learned before, and share the list calls to the
+        engines' caches.
     """
 
     lanes: bool = True
@@ -70,6 +73,7 @@
     shared_confirmations: bool = True
     fleet: bool = True
     limit_loans: bool = True
+    kept_knowledge: bool = True
 
 
 # Policy of a host in service.
