Share list calls to engines' caches after a restart

After a loss of all hosts, each active host asked each engine for its cache 0.7 s after its listener had opened, when most waiting prompts had been placed. Hosts that return read it beside the configuration, divide the engines, list two hosts an engine at once, and send each other the lists. What is unknown after 0.7 s the active hosts list as before. A host whose peers have been up longer divides nothing.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -8,6 +8,7 @@
 from gypsumusher_entry.fleet_orders import SCALE_DUTY, FleetOrders
 from gypsumusher_entry.gossip import Gossip
 from gypsumusher_entry.host_api import create_api_handler, create_peer_handler
+from gypsumusher_entry.learned_state_records import LearnedStateRecords
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.peer_sync import PeerSync
 from gypsumusher_entry.prefix_cache_recovery import PrefixCacheRecovery
@@ -75,6 +76,7 @@
         self._confirmation = ConfigurationConfirmation(
             self.context, self._store, self._gossip
         )
+        self._learned_state = LearnedStateRecords(self.context, self._store)
         self._prefix_cache_recovery = PrefixCacheRecovery(self.context)
         codecs = decode_request, encode_refusal
         api_handler = create_api_handler(self.context)
@@ -110,7 +112,9 @@
         self.context.version_records.start(self._store, send_datagram)
         self.context.begun_streams.start(send_datagram)
         self.context.endpoint_limits.start(self._gossip)
+        self._learned_state.start()
         await self._store_watcher.start()
+        self._prefix_cache_recovery.prepare(self._learned_state.hosts, send_datagram)
         await self._registration.start()
         await self._peer_sync.start()
         await self._confirmation.start()
