Estimate engine speeds from the observations of all hosts

A host and an engine meet every few seconds only, so the slowdown factor that each host learns alone decays before it tells slow engines from usual ones. EngineSpeed keeps a lasting term over the observations of all hosts, relative to the mean of the stage, and a transient one; GapRatio combines the event gaps of all hosts. Costs are learned at the usual speed, and slow or straggling decode engines get fewer streams and prefills in place.

--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -49,6 +49,13 @@
     choose_decode,
     choose_prefill,
 )
+from gypsumusher_routing.engine_speed import (
+    EngineSpeed,
+    GapReport,
+    SpeedReport,
+    center_speeds,
+    compare_gap_ratios,
+)
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
 from gypsumusher_routing.fleet_plan import (
     FleetOrder,
@@ -157,6 +164,7 @@
     "EndpointState",
     "EndpointTable",
     "EnginePool",
+    "EngineSpeed",
     "EngineView",
     "Event",
     "EventSplitter",
@@ -164,6 +172,7 @@
     "FleetOrder",
     "FleetPlanner",
     "FleetView",
+    "GapReport",
     "GossipRateLimiter",
     "Health",
     "HostCounts",
@@ -193,6 +202,7 @@
     "SendCounter",
     "SendFate",
     "SentRequest",
+    "SpeedReport",
     "StageChange",
     "StageOrder",
     "StagePlanner",
@@ -204,6 +214,7 @@
     "abandoned_after_s",
     "active_host_count",
     "cache_transfer_s",
+    "center_speeds",
     "check_access",
     "choose_active_hosts",
     "choose_decode",
@@ -212,6 +223,7 @@
     "choose_lane",
     "choose_prefill",
     "choose_watchers",
+    "compare_gap_ratios",
     "content_fingerprint",
     "content_keys",
     "first_event_limit_s",
--- a/libs/routing/gypsumusher_routing/cost_model.py
+++ b/libs/routing/gypsumusher_routing/cost_model.py
@@ -16,9 +16,6 @@
 # estimate. Behind a longer queue, slowness can't be told from load that other hosts
 # added and whose state updates came too late.
 MAX_QUEUE_SHARE = 0.25
-# An engine slower than the others by more than this factor updates the cost of its
-# stage by the time that an engine of usual speed would have taken.
-SLOW_FACTOR = 1.5
 # Initial cost of a prefill at a decode engine, relative to a prefill engine.
 DECODE_COST_FACTOR = 2.0
 # Share of the prompts to be prefilled within the expected time multiplied by the
@@ -35,6 +32,8 @@
 # Initial value and bounds of the KV handover's overhead besides the transfer itself:
 # one more call and the setup of the transfer.
 INITIAL_HANDOVER_S, MIN_HANDOVER_S, MAX_HANDOVER_S = 0.03, 0.001, 0.5
+# Initial value and bounds of the time between two events, and of the allowed one.
+INITIAL_GAP_S, INITIAL_ALLOWED_GAP_S, MIN_GAP_S, MAX_GAP_S = 0.05, 1.0, 0.001, 60.0
 
 
 class PrefillObservation(NamedTuple):
@@ -85,6 +84,10 @@
         self._handover = RunningQuantile(
             MARGIN_QUANTILE, INITIAL_HANDOVER_S, MIN_HANDOVER_S, MAX_HANDOVER_S
         )
+        self._event_gap = RunningQuantile(0.5, INITIAL_GAP_S, MIN_GAP_S, MAX_GAP_S)
+        self._allowed_gap = RunningQuantile(
+            0.5, INITIAL_ALLOWED_GAP_S, MIN_GAP_S, MAX_GAP_S
+        )
 
     def prefill_cost(self, stage: str) -> PrefillCostModel:
         """Return the prefill cost at engines of a stage."""
@@ -124,18 +127,46 @@
         timely ones that arrive after them, so their duration says little about either.
         """
         factor = slowdown.factor(now_s)
+        cost = self.prefill_cost(seen.stage)
+        # Initial costs are those of a slow machine. Compared with them, every engine
+        # would count as fast, for as long as it lives.
+        has_costs = cost.is_known or not self._policy.learnt_costs
         prefill_s = max(0.0, seen.took_s - seen.fetch_s)
         had_short_queue = seen.queue_s <= MAX_QUEUE_SHARE * seen.cost_s
         if had_short_queue and self._policy.learnt_costs:
-            usual_s = prefill_s / factor if factor > SLOW_FACTOR else prefill_s
-            self.prefill_cost(seen.stage).learn(
-                seen.new_tokens, seen.cached_tokens, usual_s
-            )
+            usual_s = slowdown.at_usual_speed(now_s, prefill_s)
+            cost.learn(seen.new_tokens, seen.cached_tokens, usual_s)
         if seen.lane != TIMELY:
             return
         expected_s = seen.cost_s + seen.queue_s
         self._margin(seen.stage).learn(prefill_s / max(1e-3, expected_s * factor))
-        slowdown.learn(now_s, prefill_s, expected_s)
+        if had_short_queue and has_costs:
+            slowdown.learn(now_s, prefill_s, expected_s)
+        else:
+            slowdown.learn_transient(now_s, prefill_s, expected_s)
+
+    def on_event_gap(self, gap_s: float, allowed_s: float, factor: float) -> None:
+        """Update the usual time between two events of a stream.
+
+        Parameters
+        ----------
+        gap_s, allowed_s : float
+            Measured and allowed time between the events, in seconds.
+        factor : float
+            Duration at the engine relative to the usual one.
+        """
+        self._event_gap.learn(gap_s / factor)
+        self._allowed_gap.learn(allowed_s)
+
+    @property
+    def event_gap_s(self) -> float:
+        """Usual time between two events of a stream, in seconds."""
+        return self._event_gap.value
+
+    @property
+    def allowed_gap_s(self) -> float:
+        """Usual time that may pass between two events, in seconds."""
+        return self._allowed_gap.value
 
     def on_handover(self, took_s: float, transfer_s: float) -> None:
         """Update the handover overhead.
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -4,7 +4,8 @@
 
 from gypsumusher_ports import EndpointRecord
 from gypsumusher_routing.endpoint_paths import DirectPath
-from gypsumusher_routing.estimates import RunningQuantile, Slowdown
+from gypsumusher_routing.engine_speed import EngineSpeed, GapRatio
+from gypsumusher_routing.estimates import Slowdown
 from gypsumusher_routing.health import Health
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
 from gypsumusher_routing.send_counter import DeliveryRecord
@@ -15,11 +16,6 @@
 # Age up to which a peer's load is used, in seconds. By then the peer has sent a newer
 # one, or it has failed and its requests with it.
 PEER_LOAD_TTL_S = 2.0
-# Share of the events whose gap ratio is below the engine's: long streams are the ones
-# that end late, and their gaps are longer than the average.
-GAP_RATIO_QUANTILE = 0.8
-# Initial value and bounds of the gap ratio.
-INITIAL_GAP_RATIO, MIN_GAP_RATIO, MAX_GAP_RATIO = 0.2, 0.05, 3.0
 # No pending prefill in any priority class.
 NO_PREFILL_S = (0.0,) * len(LANES)
 # KV memory of an engine whose service does not configure it.
@@ -81,6 +77,8 @@
         Number of tokens that fit into its KV memory.
     delivery : DeliveryRecord or None
         What is known of earlier sends to this incarnation; by default nothing.
+    shares_speed : bool
+        Whether its speed is estimated from the observations of all hosts.
     """
 
     def __init__(
@@ -88,6 +86,7 @@
         record: EndpointRecord,
         kv_tokens: int = DEFAULT_KV_TOKENS,
         delivery: DeliveryRecord | None = None,
+        shares_speed: bool = True,
     ):
         self.record = record
         self.delivery = DeliveryRecord() if delivery is None else delivery
@@ -102,13 +101,12 @@
         # Set while another endpoint answers at this one's address.
         self.is_address_taken = False
         self._peers = {}
-        self.slowdown = Slowdown()
+        self._shares_speed = shares_speed
+        self._start_speed()
+        self.gap_ratio = GapRatio()
         self._answered_s = float("-inf")
         # Set once the entry is gone, or is that of another incarnation.
         self.is_gone = False
-        self._event_gap_ratio = RunningQuantile(
-            GAP_RATIO_QUANTILE, INITIAL_GAP_RATIO, MIN_GAP_RATIO, MAX_GAP_RATIO
-        )
 
     @property
     def is_usable(self) -> bool:
@@ -147,15 +145,15 @@
         for_s : float
             Time for which the order is valid unless it is reported again, in seconds.
         """
-        if ordered.stage != self.stage:
-            self.slowdown = Slowdown()
         self._ordered_stage = ordered
         self._ordered_stage_until_s = now_s + for_s
+        self._on_stage()
 
     def expire_ordered_stage(self, now_s: float) -> None:
         """Return to the stage in the entry if the order is no longer valid."""
         if now_s >= self._ordered_stage_until_s:
             self._ordered_stage = None
+            self._on_stage()
 
     def on_record(self, record: EndpointRecord) -> None:
         """Replace the entry by a newer one of the same incarnation."""
@@ -163,6 +161,18 @@
             # The endpoint renewed its entry, so it is alive at this address.
             self.is_address_taken = False
         self.record = record
+        self._on_stage()
+
+    def _on_stage(self):
+        """Forget the speed of the previous stage once the stage has changed."""
+        if self.stage != self._speed_stage:
+            self._start_speed()
+            self.gap_ratio.drop_reports()
+
+    def _start_speed(self):
+        """Start to learn the speed at the present stage."""
+        self._speed_stage = self.stage
+        self.slowdown = EngineSpeed() if self._shares_speed else Slowdown()
 
     def on_answer_bytes(self, now_s: float) -> None:
         """Record that the endpoint sent bytes of an answer to any request."""
@@ -177,7 +187,7 @@
         """
         return self._answered_s > since_s
 
-    def on_event_gap(self, gap_s: float, allowed_s: float) -> None:
+    def on_event_gap(self, gap_s: float, allowed_s: float, now_s: float = 0.0) -> None:
         """Update the gap ratio from the time between two events of a stream.
 
         Parameters
@@ -186,6 +196,8 @@
             Time between the events, in seconds.
         allowed_s : float
             Longest gap with which the stream still ends in time, in seconds.
+        now_s : float
+            Current time, in seconds.
 
         Notes
         -----
@@ -193,12 +205,12 @@
         in between. How much of that its streams tolerate depends on the model, the
         machine and the routes, and only the gaps show it.
         """
-        self._event_gap_ratio.learn(gap_s / max(0.001, allowed_s))
+        self.gap_ratio.learn(now_s, gap_s / max(0.001, allowed_s))
 
     @property
     def event_gap_ratio(self) -> float:
         """Gap between stream events, as a fraction of the allowed gap."""
-        return self._event_gap_ratio.value
+        return self.gap_ratio.value
 
     def on_peer_load(self, now_s: float, peer: str, load: Load) -> None:
         """Store the load that a peer has at this endpoint."""
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -25,10 +25,17 @@
 
 
 class EndpointTable:
-    """Endpoints by id, each with its state."""
+    """Endpoints by id, each with its state.
 
-    def __init__(self):
+    Parameters
+    ----------
+    shares_speeds : bool
+        Whether engines' speeds are estimated from the observations of all hosts.
+    """
+
+    def __init__(self, shares_speeds: bool = True):
         self.states = {}
+        self._shares_speeds = shares_speeds
         self.versions = VersionPresence()
         self.revision = 0
         self._partial_revision = 0
@@ -262,7 +269,7 @@
             self.versions.add(record)
             kv_tokens = self._kv_tokens.get(record.service, DEFAULT_KV_TOKENS)
             self.states[record.endpoint_id] = EndpointState(
-                record, kv_tokens, self._delivery_to(record)
+                record, kv_tokens, self._delivery_to(record), self._shares_speeds
             )
             return True
         known = state.record
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -55,6 +55,24 @@
 # It directs long answers to engines that prefill little, and prefills to engines with
 # few streams, so that engines specialize.
 EVENT_COST_S = 0.003
+# Engines slower than the usual one by up to this factor count as usual: estimates from
+# a few observations differ by as much, and must not unbalance engines of equal speed.
+USUAL_FACTOR = 1.15
+# Cost of a stream that ends late because of a gap, as waiting time: half of what the
+# answer is worth, at a hundredth for 15 ms.
+LATE_STREAM_COST_S = 0.75
+# Expected gap, as a fraction of the allowed one, from which a stream may be late, and
+# from which it is.
+POSSIBLY_LATE_RATIO, LATE_RATIO = 0.8, 1.2
+# Longest gap of a stream of some ten events, relative to the gap ratio of its engine,
+# which is a quantile of 0.8. For an exponential distribution it is 1.7; the gaps of
+# engines are assumed to vary less.
+LONGEST_GAP_FACTOR = 1.4
+# Gap ratio, relative to the median over the engines, from which an engine straggles.
+STRAGGLER_FACTOR = 1.25
+# Chunks into which an engine divides the prefill of a prompt in place. One of them is
+# run between two tokens.
+PREFILL_CHUNKS = 4
 # Share of a prompt's shared tokens that is assumed to be cached at its home engine when
 # this host has no information: other hosts that saw the tokens have sent them there.
 HOME_CACHED_SHARE = 0.5
@@ -189,7 +207,10 @@
     decode_states = [state for state in states if state.stage != "prefill"]
     if not decode_states:
         return None
-    min_stream_cost_s = min(_stream_cost_s(state, request) for state in decode_states)
+    stream_costs_s = {
+        state: _stream_cost_s(now_s, pool, state, request) for state in decode_states
+    }
+    min_stream_cost_s = min(stream_costs_s.values())
     home = _home_engine(states, request.generation.parts)
     # A fetch from an engine that has gone silent would stall the prefill.
     healthy = _healthy(now_s, states)
@@ -208,9 +229,7 @@
         cost_s = _total_cost_s(now_s, choice, load, pool, request)
         if pool.policy.strain:
             cost_s += (
-                min_stream_cost_s
-                if choice.is_disaggregated
-                else _stream_cost_s(state, request)
+                min_stream_cost_s if choice.is_disaggregated else stream_costs_s[state]
             )
         key = (round(cost_s / TIE_S), draw())
         if best_key is None or key < best_key:
@@ -307,6 +326,11 @@
         blocking_s = choice.cost_s - pool.cost_model.prefill_cost(
             state.stage
         ).expected_s(0, 0)
+        slowness = _slowness(now_s, pool, state)
+        if slowness > 1.0:
+            streams = max(0, load.running - load.prefills)
+            cost_s += streams * _slow_gap_cost_s(pool, request, slowness, blocking_s)
+            blocking_s *= slowness
         interference_s = 0.0
         if pool.policy.harm:
             harmless_s = HARMLESS_SHARE * request.objective_s
@@ -323,9 +347,76 @@
     return cost_s
 
 
-def _stream_cost_s(state, request):
+def _stream_cost_s(now_s, pool, state, request, load=None):
     """Return the cost of decoding a request at an engine, as waiting time."""
-    return EVENT_COST_S * _excess_gap_ratio(state) * request.expected_events
+    strain_s = EVENT_COST_S * _excess_gap_ratio(state)
+    slowness = _slowness(now_s, pool, state)
+    # What decoding takes longer there than at an engine of usual speed.
+    longer_s = (slowness - 1.0) * pool.cost_model.event_gap_s
+    cost_s = (strain_s + longer_s) * request.expected_events
+    if slowness > 1.0:
+        prefill_s = (load or state.load(now_s)).pending_prefill_s
+        cost_s += _slow_gap_cost_s(pool, request, slowness, prefill_s)
+    if pool.policy.shared_speeds:
+        cost_s += _straggler_cost_s(state)
+    return cost_s
+
+
+def _slowness(now_s, pool, state):
+    """Return the factor by which an engine is notably slower than usual, at least 1.
+
+    Only hosts that share their observations know an engine well enough for it.
+    """
+    if not pool.policy.shared_speeds or not pool.policy.pace:
+        return 1.0
+    return 1.0 + max(0.0, state.slowdown.factor(now_s) - USUAL_FACTOR)
+
+
+def _slow_gap_cost_s(pool, request, slowness, prefill_s):
+    """Return the cost for one stream of gaps at a slow engine, as waiting time.
+
+    A prefill in place runs in chunks between the tokens of the running streams, and an
+    event holds several tokens. An engine of usual speed stays below the allowed gap,
+    and one that takes twice as long exceeds it. What the gaps cost at the usual speed
+    is part of the other costs.
+
+    Parameters
+    ----------
+    pool, request
+        See `choose_prefill`.
+    slowness : float
+        See `_slowness`.
+    prefill_s : float
+        Duration of the prefills in place at the usual speed, in seconds.
+    """
+    generation, cost_model = request.generation, pool.cost_model
+    tokens = generation.expected_output_tokens or generation.max_output_tokens
+    # Streams of the same service hold about as many tokens in an event.
+    tokens_per_event = max(1.0, tokens / max(1.0, request.expected_events))
+    blocking_s = prefill_s * min(1.0, tokens_per_event / PREFILL_CHUNKS)
+    gap_ratio = (cost_model.event_gap_s + blocking_s) / cost_model.allowed_gap_s
+    late_share = _late_share(slowness * gap_ratio) - _late_share(gap_ratio)
+    return LATE_STREAM_COST_S * late_share
+
+
+def _straggler_cost_s(state):
+    """Return the cost for one stream of an engine's longer gaps, as waiting time.
+
+    The gaps show a straggling decode engine also where it prefills nothing in place, so
+    that its speed is not known. One such engine had a third of its streams late, and
+    still got as many as the others.
+    """
+    ratio, usual = state.event_gap_ratio, STRAGGLER_FACTOR * state.gap_ratio.usual
+    if ratio <= usual:
+        return 0.0
+    late_share = _late_share(LONGEST_GAP_FACTOR * ratio)
+    return LATE_STREAM_COST_S * (late_share - _late_share(LONGEST_GAP_FACTOR * usual))
+
+
+def _late_share(gap_ratio):
+    """Return the share of streams that end late at a ratio to the allowed gap."""
+    share = (gap_ratio - POSSIBLY_LATE_RATIO) / (LATE_RATIO - POSSIBLY_LATE_RATIO)
+    return min(1.0, max(0.0, share))
 
 
 def _excess_gap_ratio(state):
@@ -353,8 +444,9 @@
         expected_s = load.pending_prefill_s
         # With all slots in use, a token takes several times as long as with one.
         expected_s += FULL_BATCH_COST_S * load.running / max(1, state.record.slots)
+        expected_s *= _slowness(now_s, pool, state)
         if pool.policy.strain:
-            expected_s += _stream_cost_s(state, request)
+            expected_s += _stream_cost_s(now_s, pool, state, request, load)
         if state.record.zone != source_zone:
             expected_s += transfer_s * (OTHER_ZONE_FACTOR - 1.0)
         if state.record.zone != pool.own_zone:
--- a/libs/routing/gypsumusher_routing/estimates.py
+++ b/libs/routing/gypsumusher_routing/estimates.py
@@ -155,6 +155,9 @@
 # Half-life of a slowdown without answers. A slow engine gets no work, so without decay
 # it would count as slow for ever.
 SLOWDOWN_HALF_LIFE_S = 4.0
+# An engine slower than the others by more than this factor updates the cost of its
+# stage by the time that an engine of usual speed would have taken.
+SLOW_FACTOR = 1.5
 
 
 class Slowdown:
@@ -168,6 +171,15 @@
         """Return the current factor; 1 for an engine of usual speed."""
         return math.exp(self._decayed(now_s))
 
+    def at_usual_speed(self, now_s: float, took_s: float) -> float:
+        """Return how long an engine of usual speed would have taken, in seconds."""
+        factor = self.factor(now_s)
+        return took_s / factor if factor > SLOW_FACTOR else took_s
+
+    def learn_transient(self, now_s: float, took_s: float, expected_s: float) -> None:
+        """Update the factor as `learn` does: all of it is transient."""
+        self.learn(now_s, took_s, expected_s)
+
     def learn(self, now_s: float, took_s: float, expected_s: float) -> None:
         """Update the factor from a measured and an expected duration, in seconds."""
         ratio = took_s / max(MIN_COST_S, expected_s)
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -50,6 +50,9 @@
         Engines are ordered where the operator allows it.
     limit_loans : bool
         Hosts lend each other the parts of endpoints' limits that they don't use.
+    shared_speeds : bool
+        Hosts share what they observe of each engine's speed and event gaps, and avoid
+        slow engines by it.
     """
 
     lanes: bool = True
@@ -70,6 +73,7 @@
     shared_confirmations: bool = True
     fleet: bool = True
     limit_loans: bool = True
+    shared_speeds: bool = True
 
 
 # Policy of a host in service.
