Exchange engine speeds and gap ratios between hosts

Each host knows an engine only from its own rare prompts. Active hosts send their own observations in the datagram engine_estimates when they change, at most every 0.5 s, and drop those of a host after 60 s of silence. Notable changes are logged; a metric shows the range of the factors by stage.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -9,6 +9,7 @@
 from gypsumusher_entry.crash_reports import CrashReports
 from gypsumusher_entry.endpoint_connections import EndpointConnections, connection_key
 from gypsumusher_entry.endpoint_limit_sync import EndpointLimitSync
+from gypsumusher_entry.engine_estimates import EngineEstimates
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
 from gypsumusher_entry.stall_monitor import StallMonitor
 from gypsumusher_entry.version_records import VersionRecords
@@ -107,7 +108,7 @@
         self._begun_requests = []
         # Handlers of datagrams other than the state updates, by kind.
         self.datagram_handlers = {}
-        self.endpoints = EndpointTable()
+        self.endpoints = EndpointTable(policy.shared_speeds)
         self.hosts = HostTable(settings.name)
         # The requests of callers that are being served.
         self.exchanges = set()
@@ -115,6 +116,7 @@
         self.version_records = VersionRecords(self)
         self.begun_streams = BegunStreams(self)
         self.endpoint_limits = EndpointLimitSync(self)
+        self.engine_estimates = EngineEstimates(self)
         self.staleness = StalenessMonitor(self)
         self.connection_pool = ConnectionPool(
             clock, decode_response_head, CONNECT_TIMEOUT_S
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -21,6 +21,7 @@
     streams_resumed: Any
     version: Any
     lag: Any
+    engine_speed: Any
 
 
 class Metrics:
@@ -35,6 +36,7 @@
         self._running_count = 0
         self._configuration_version = 0
         self._lags_s = {}
+        self._speed_ranges = {}
         # Counted here, since the first requests after a start may be resumed streams.
         self._streams_resumed = {}
 
@@ -108,6 +110,16 @@
         """Set the time for which peers have had newer state of a kind, in seconds."""
         self._lags_s[kind] = lag_s
 
+    def set_engine_speeds(self, ranges):
+        """Set the range of the engines' speed factors.
+
+        Parameters
+        ----------
+        ranges : dict of (str, str) to (float, float)
+            Least and greatest lasting factor, by service and stage.
+        """
+        self._speed_ranges = ranges
+
     def render(self):
         """Return the body and the headers of the metrics page."""
         from aioprometheus.renderer import render
@@ -119,6 +131,10 @@
             collectors.streams_resumed.set({"source": source}, count)
         for kind, lag_s in self._lags_s.items():
             collectors.lag.set({"kind": kind}, lag_s)
+        for (service, stage), factors in self._speed_ranges.items():
+            for bound, factor in zip(("min", "max"), factors, strict=True):
+                labels = {"service": service, "stage": stage, "bound": bound}
+                collectors.engine_speed.set(labels, factor)
         return render(collectors.registry, [])
 
     def _load(self):
@@ -182,4 +198,9 @@
             "Time for which peers have known more, by kind of news",
             registry=registry,
         ),
+        engine_speed=Gauge(
+            "gypsumusher_engine_speed_factor",
+            "Least and greatest duration relative to the usual one, over the engines",
+            registry=registry,
+        ),
     )
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -363,7 +363,7 @@
             pause_s = now_s - run.last_event_s
             exchange.longest_pause_s = max(exchange.longest_pause_s, pause_s)
             if self._generation is not None:
-                run.state.on_event_gap(pause_s, self._allowed_gap_s())
+                self._record_gap(run.state, now_s, pause_s)
         run.last_event_s = now_s
         if not exchange.reply.is_started:
             exchange.first_output_at_s = now_s
@@ -420,6 +420,14 @@
         elif run.prefill is not None:
             record_prefill(self._exchange, run.prefill, took_s)
 
+    def _record_gap(self, state, now_s, gap_s):
+        """Record the time between two events, in seconds."""
+        allowed_s = self._allowed_gap_s()
+        state.on_event_gap(gap_s, allowed_s, now_s)
+        self._context.cost_model(self._exchange.service).on_event_gap(
+            gap_s, allowed_s, state.slowdown.factor(now_s)
+        )
+
     def _allowed_gap_s(self):
         """Return the longest gap between events with which the stream ends in time."""
         exchange = self._exchange
