--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -53,6 +53,9 @@
     kept_knowledge : bool
         Hosts that restart use what was learned before, and share the list calls to the
         engines' caches.
+    shared_speeds : bool
+        Hosts share what they observe of each engine's speed and event gaps, and avoid
+        slow engines by it.
     """
 
     lanes: bool = True
@@ -74,6 +77,7 @@
     fleet: bool = True
     limit_loans: bool = True
     kept_knowledge: bool = True
+    shared_speeds: bool = True
 
 
 # Policy of a host in service.
