Decide the wanted number of engines from the hosts' work

The planner follows a lower number by steps of a tenth and keeps enough engines for the loss of one zone.

--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -49,6 +49,16 @@
     choose_decode,
     choose_prefill,
 )
+from gypsumusher_routing.engine_demand import (
+    WORK_REPORT_S,
+    EngineDemand,
+    EngineNeeds,
+    EngineWork,
+    EngineWorkWindow,
+    WantedEngines,
+    WorkMeter,
+    engines_needed,
+)
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
 from gypsumusher_routing.fleet_plan import (
     FleetOrder,
@@ -229,4 +239,12 @@
     "BegunStream",
     "StreamVersions",
     "stream_key",
+    "WORK_REPORT_S",
+    "EngineDemand",
+    "EngineNeeds",
+    "EngineWork",
+    "EngineWorkWindow",
+    "WantedEngines",
+    "WorkMeter",
+    "engines_needed",
 ]
--- a/libs/routing/gypsumusher_routing/fleet_plan.py
+++ b/libs/routing/gypsumusher_routing/fleet_plan.py
@@ -23,8 +23,9 @@
 STEP_SHARE = 0.1
 STEP_PAUSE_S = 2.0
 # Time for which there have to be more reclaimable engines than wanted before some are
-# given up. They are cheap, and the zone that lost its own may lose them again.
-SURPLUS_S = 30.0
+# given up. They are cheap, and the zone that lost its own may lose them again. It is
+# shorter where the load decides the number, which falls only after a wait of its own.
+SURPLUS_S, LOAD_SURPLUS_S = 30.0, 10.0
 
 
 class FleetView(NamedTuple):
@@ -42,6 +43,8 @@
         Whether the entries of all engines are known and recent.
     is_idle : bool
         Whether no request runs.
+    is_by_load : bool
+        Whether the needed number follows the load.
     """
 
     counts: dict[tuple[str, bool], int]
@@ -49,6 +52,7 @@
     wanted_count: int
     is_sight_complete: bool
     is_idle: bool
+    is_by_load: bool = False
 
 
 class FleetOrder(NamedTuple):
@@ -115,6 +119,13 @@
         self._set_dry(now_s, key, pause_s)
         self._dry_pause_s[key] = min(MAX_DRY_S, 2.0 * pause_s)
 
+    def is_short(self, now_s: float, view: FleetView) -> bool:
+        """Return whether reclaimable engines can't be had or are taken in a zone."""
+        return bool(view.reclaimed_zones) or any(
+            is_reclaimable and now_s < until_s
+            for (_, is_reclaimable), until_s in self._dry_until_s.items()
+        )
+
     def _set_dry(self, now_s, key, pause_s):
         self._dry_until_s[key] = max(now_s + pause_s, self._dry_until_s.get(key, 0.0))
 
@@ -181,7 +192,9 @@
 
         No more than the ready engines exceed the need.
         """
-        surplus = sum(view.counts.values()) - view.wanted_count
+        counts = dict(view.counts)
+        surplus = sum(counts.values()) - view.wanted_count
+        surplus_s = LOAD_SURPLUS_S if view.is_by_load else SURPLUS_S
         if surplus <= 0:
             self._surplus_since_s = None
             return []
@@ -190,20 +203,39 @@
         if now_s < self._step_at_s:
             return []
         if not view.is_idle:
-            surplus = min(surplus, max(1, int(STEP_SHARE * view.wanted_count)))
+            step_of = sum(counts.values()) if view.is_by_load else view.wanted_count
+            surplus = min(surplus, max(1, int(STEP_SHARE * step_of)))
         orders = []
         prices = self._limits.zone_prices
         for key in sorted(wanted, key=lambda key: (key[1], -prices[key[0]], key[0])):
             zone, is_reclaimable = key
-            there, other = view.counts.get(key, 0), (zone, not is_reclaimable)
-            least = max(wanted[key], self._limits.min_count - view.counts.get(other, 0))
+            there, other = counts.get(key, 0), (zone, not is_reclaimable)
+            least = max(wanted[key], self._limits.min_count - counts.get(other, 0))
             removed = min(surplus, there - least)
+            if is_reclaimable and view.is_by_load:
+                removed = min(removed, self._spare(now_s, view, counts, key))
             if removed <= 0:
                 continue
-            if is_reclaimable and now_s - self._surplus_since_s < SURPLUS_S:
+            if is_reclaimable and now_s - self._surplus_since_s < surplus_s:
                 continue
             surplus -= removed
-            orders.append(FleetOrder(zone, is_reclaimable, there - removed))
+            counts[key] = there - removed
+            orders.append(FleetOrder(zone, is_reclaimable, counts[key]))
         if orders:
             self._step_at_s = now_s + STEP_PAUSE_S
         return orders
+
+    def _spare(self, now_s, view, counts, key):
+        """Return how many reclaimable engines of a zone the load doesn't need.
+
+        The ready ones have to be enough without those of any one zone.
+        """
+        if self.is_short(now_s, view):
+            return 0
+        total = sum(counts.values())
+        losses = [
+            total - count
+            for other, count in counts.items()
+            if other[1] and other != key
+        ]
+        return min(losses, default=total) - view.wanted_count
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -48,6 +48,8 @@
         Hosts confirm their configuration from peers, and not each from the store.
     fleet : bool
         Engines are ordered where the operator allows it.
+    engines_by_load : bool
+        The number of engines that are ordered follows the load.
     limit_loans : bool
         Hosts lend each other the parts of endpoints' limits that they don't use.
     """
@@ -69,6 +71,7 @@
     hedges: bool = True
     shared_confirmations: bool = True
     fleet: bool = True
+    engines_by_load: bool = True
     limit_loans: bool = True
 
 
