Order engines by the load that the hosts report

The number of ordered engines was the provisioned one, whatever the load. Hosts send their work to the holder of the lease and the hosts that may follow it (datagram engine_work), and the holder plans with the number that it needs.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -133,6 +133,12 @@
         self.configuration_listeners = []
         # Called right before a prompt is sent to an engine for prefill.
         self.prefill_listeners = []
+        # Called with the service, the `PrefillChoice`, the time until the first event
+        # is late and whether the prompt is sent, for prompts that are sent or refused.
+        self.prompt_listeners = []
+        # Called with the service and the shared parts of a prompt, whichever host
+        # serves it.
+        self.shared_part_listeners = []
         # Random offset: hosts that start together must not wake at the same moments.
         self._tick_offset_s = self.draw_uniform()
         self._retry_budgets = {}
@@ -488,6 +494,25 @@
         for listener in self.prefill_listeners:
             listener()
 
+    def notify_prompt(self, exchange, choice, is_begun):
+        """Call the listeners: a prompt is sent to an engine for prefill, or refused."""
+        for listener in self.prompt_listeners:
+            left_s = exchange.objective_remaining_s
+            listener(exchange.service, choice, left_s, is_begun)
+
+    def notify_shared_parts(self, state, chain):
+        """Call the listeners: an engine has or will have the shared parts of a prompt.
+
+        Parameters
+        ----------
+        state : EndpointState
+            The engine.
+        chain : list
+            Pairs of part id and tokens.
+        """
+        for listener in self.shared_part_listeners:
+            listener(state.record.service, chain)
+
     def record_prefix_placement(self, state, parts, wait_s=0.0):
         """Record that an engine caches parts of a prompt, and queue that for gossip.
 
@@ -511,6 +536,7 @@
         if shared:
             placement = [state.record.endpoint_id, shared, round(wait_s, 2)]
             self._unsent_placements.append(placement)
+            self.notify_shared_parts(state, shared)
 
     def record_usage(self, account, began_s):
         """Record that an endpoint began to run a request of an account.
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -275,6 +275,7 @@
                 state.prefixes.add_pending(chain, now_s + wait_s)
             else:
                 state.prefixes.add_chain(chain)
+            context.notify_shared_parts(state, chain)
 
 
 class _Message(NamedTuple):
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -15,6 +15,7 @@
 from gypsumusher_entry.registration import Registration
 from gypsumusher_entry.store_watcher import StoreWatcher
 from gypsumusher_entry.usage_reports import UsageReports
+from gypsumusher_entry.work_reports import WorkReports
 from gypsumusher_http import Listener, TunnelRelay
 from gypsumusher_platform import (
     CloudClient,
@@ -149,7 +150,9 @@
         if USAGE_DUTY in settings.duties:
             await UsageReports(context, store, self._gossip, lease, cloud).start()
         if SCALE_DUTY in settings.duties:
-            await FleetOrders(context, store, lease, cloud).start()
+            work_reports = WorkReports(context, self._gossip, lease)
+            await work_reports.start()
+            await FleetOrders(context, store, lease, cloud, work_reports).start()
 
     async def _start_api(self):
         """Start the other listeners; return their addresses by name."""
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -18,6 +18,8 @@
     first_output_time: Any
     stage_orders: Any
     fleet_orders: Any
+    engines_wanted: Any
+    engines_needed: Any
     streams_resumed: Any
     version: Any
     lag: Any
@@ -35,6 +37,9 @@
         self._running_count = 0
         self._configuration_version = 0
         self._lags_s = {}
+        # Set before the library is imported.
+        self._engines_wanted = {}
+        self._engines_needed = {}
         # Counted here, since the first requests after a start may be resumed streams.
         self._streams_resumed = {}
 
@@ -89,6 +94,22 @@
         labels = {"service": service, "outcome": outcome}
         self._load().fleet_orders.inc(labels)
 
+    def set_wanted_engines(self, service, wanted, needs):
+        """Set the wanted number of engines, and what each part of the work needs.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        wanted : int
+            Wanted number.
+        needs : EngineNeeds
+            Number that each part of the work needs.
+        """
+        self._engines_wanted[service] = wanted
+        for name, count in needs._asdict().items():
+            self._engines_needed[service, name] = count
+
     def on_stream_resumed(self, source):
         """Count a stream that a caller takes up.
 
@@ -117,6 +138,10 @@
         collectors.version.set({}, self._configuration_version)
         for source, count in self._streams_resumed.items():
             collectors.streams_resumed.set({"source": source}, count)
+        for service, count in self._engines_wanted.items():
+            collectors.engines_wanted.set({"service": service}, count)
+        for (service, work), count in self._engines_needed.items():
+            collectors.engines_needed.set({"service": service, "work": work}, count)
         for kind, lag_s in self._lags_s.items():
             collectors.lag.set({"kind": kind}, lag_s)
         return render(collectors.registry, [])
@@ -167,6 +192,16 @@
             "Orders for engines, by service and outcome",
             registry=registry,
         ),
+        engines_wanted=Gauge(
+            "gypsumusher_engines_wanted",
+            "Wanted engines by service, at the host that orders them",
+            registry=registry,
+        ),
+        engines_needed=Gauge(
+            "gypsumusher_engines_needed",
+            "Engines that the load needs, by service and part of the work",
+            registry=registry,
+        ),
         streams_resumed=Counter(
             "gypsumusher_streams_resumed_total",
             "Streams that callers take up, by what tells their software version",
--- a/libs/entry/gypsumusher_entry/prefill.py
+++ b/libs/entry/gypsumusher_entry/prefill.py
@@ -98,6 +98,7 @@
         if prefill is None:
             return None
         if prefill.lane == HOPELESS:
+            context.notify_prompt(exchange, prefill, is_begun=False)
             raise OverloadedError(
                 prefill.expected_s, exchange.first_event_limits.abandoned_s
             )
@@ -169,6 +170,7 @@
     parts = exchange.request.generation.parts
     context.record_prefix_placement(state, parts, wait_s=prefill.expected_s)
     context.notify_prefill_start()
+    context.notify_prompt(exchange, prefill, is_begun=True)
     cost_model = context.cost_model(exchange.service)
     limit_s = cost_model.prefill_timeout_s(state.stage, prefill.expected_s)
     longest_s = exchange.first_event_limits.abandoned_s
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -204,6 +204,7 @@
             return None, None
         if prefill.lane == HOPELESS:
             if not exchange.may_have_run:
+                context.notify_prompt(exchange, prefill, is_begun=False)
                 raise OverloadedError(
                     prefill.expected_s, exchange.first_event_limits.abandoned_s
                 )
@@ -240,6 +241,7 @@
         run.begin()
         if prefill is not None:
             context.notify_prefill_start()
+            context.notify_prompt(exchange, prefill, is_begun=True)
         try:
             response = await start_send(exchange, state, send, possible_run)
             pending.relay = response.relay
