--- a/libs/routing/tests/test_fleet_plan.py
+++ b/libs/routing/tests/test_fleet_plan.py
@@ -27,6 +27,7 @@
         self.reclaimed = set()
         self.is_idle = False
         self.is_sight_complete = True
+        self.wanted, self.is_by_load = WANTED, False
         self.orders = []
         self.least = sum(counts.values())
 
@@ -38,9 +39,10 @@
             view = FleetView(
                 {key: count for key, count in self.counts.items() if count},
                 frozenset(self.reclaimed),
-                WANTED,
+                self.wanted,
                 self.is_sight_complete,
                 self.is_idle,
+                self.is_by_load,
             )
             for order in self.planner.next_orders(self.now_s, view):
                 self.give(order)
@@ -156,6 +158,46 @@
     assert min(b - a for a, b in zip(times, times[1:])) >= 6.0
 
 
+def left_after_loss(counts):
+    """Return the engines that are left when one zone loses its reclaimable ones."""
+    return sum(counts.values()) - max(counts.get((zone, True), 0) for zone in ZONES)
+
+
+def test_lower_number_is_followed_in_steps_and_a_higher_one_at_once():
+    """Guards against half of the cached prompts lost at once, and against none."""
+    fleet = Fleet(ALL_RECLAIMABLE)
+    fleet.is_by_load = True
+    fleet.run(12.0)
+    fleet.wanted = 20
+    ready = [fleet.ready()]
+    while fleet.ready() > 30 and fleet.now_s < 60.0:
+        fleet.run(2.0)
+        assert left_after_loss(fleet.counts) >= 20
+        ready.append(fleet.ready())
+    assert all(b >= 0.9 * a - 1 for a, b in zip(ready, ready[1:]))
+    assert fleet.now_s < 40.0
+    fleet.wanted = 40
+    fleet.run(5.0)
+    assert fleet.ready() == 60
+
+
+def test_load_falls_after_a_zone_was_reclaimed():
+    """Guards against 30 s of waiting for each zone that is reclaimed."""
+    fleet = Fleet(ALL_RECLAIMABLE)
+    fleet.is_by_load = True
+    fleet.dry_kinds = {True}
+    fleet.reclaim("c")
+    fleet.run(5.0)
+    before = fleet.of_kind(True)
+    fleet.wanted = 20
+    fleet.run(20.0)
+    assert fleet.of_kind(True) == before
+    fleet.dry_kinds, fleet.reclaimed = set(), set()
+    fleet.run(20.0)
+    assert fleet.of_kind(True) < before
+    assert left_after_loss(fleet.counts) >= 20
+
+
 @settings(max_examples=200, deadline=None)
 @given(
     counts=st.dictionaries(
@@ -165,18 +207,26 @@
     reclaimed=st.frozensets(st.sampled_from(ZONES)),
     is_idle=st.booleans(),
     price=st.floats(0.1, 3.0),
+    is_by_load=st.booleans(),
 )
 def test_orders_keep_to_the_limits_and_never_give_up_what_is_needed(
-    counts, wanted, reclaimed, is_idle, price
+    counts, wanted, reclaimed, is_idle, price, is_by_load
 ):
     limits = LIMITS._replace(zone_prices={**LIMITS.zone_prices, "a": price})
     planner = FleetPlanner(limits)
-    view = FleetView(counts, reclaimed, wanted, True, is_idle)
+    view = FleetView(counts, reclaimed, wanted, True, is_idle, is_by_load)
+    planner.next_orders(0.0, view)
     after = dict(counts)
     for order in planner.next_orders(100.0, view):
         after[order.zone, order.is_reclaimable] = order.count
     removed = sum(max(0, counts[key] - after[key]) for key in counts)
     assert removed <= max(0, sum(counts.values()) - wanted)
+    if is_by_load:
+        # The others are given up as soon as enough engines are ready.
+        kept = {key: min(count, counts.get(key, 0)) for key, count in after.items()}
+        usual = {(zone, False): kept.get((zone, False), 0) for zone in ZONES}
+        least = min(wanted, left_after_loss({**counts, **usual}))
+        assert left_after_loss(kept) >= least
     for zone in ZONES:
         before, in_zone = (
             found.get((zone, True), 0) + found.get((zone, False), 0)
