--- a/libs/entry/gypsumusher_entry/work_reports.py
+++ b/libs/entry/gypsumusher_entry/work_reports.py
@@ -71,11 +71,14 @@
         context = self._context
         while True:
             await context.wait_for_tick(WORK_REPORT_S)
-            if context.configuration is None:
-                continue
-            for service in list(context.configuration.services.values()):
-                if follows_load(service):
-                    self._report(service.name)
+            if context.configuration is not None:
+                self._report_all()
+
+    def _report_all(self):
+        """Measure and send the work of each service whose engines follow the load."""
+        for service in self._context.configuration.services.values():
+            if follows_load(service):
+                self._report(service.name)
 
     def _report(self, service):
         """Measure the work of one service, and send it to the hosts that may plan."""
--- a/libs/routing/gypsumusher_routing/engine_demand.py
+++ b/libs/routing/gypsumusher_routing/engine_demand.py
@@ -89,7 +89,7 @@
     is_complete : bool
         Whether all active hosts have reported recently.
     has_reports : bool
-        Whether at least half of the active hosts have.
+        Whether more than half of the active hosts have.
     has_seen_work : bool
         Whether any work has been reported since the start.
     """
@@ -241,7 +241,7 @@
             _weighted_mean(late),
         )
         is_complete = bool(heard) and heard == len(active_hosts)
-        has_reports = bool(heard) and 2 * heard >= len(active_hosts)
+        has_reports = 2 * heard > len(active_hosts)
         return EngineDemand(work, is_complete, has_reports, self._has_seen_work)
 
 
