--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -148,6 +148,7 @@
         # Imported here for the same reason as the lease.
         from gypsumusher_entry.fleet_orders import SCALE_DUTY, FleetOrders
         from gypsumusher_entry.usage_reports import UsageReports
+        from gypsumusher_entry.work_reports import WorkReports
 
         self._cloud = CloudClient(
             settings.cloud_address, settings.name, CLOUD_TIMEOUT_S, self.context.clock
@@ -156,7 +157,9 @@
         if USAGE_DUTY in settings.duties:
             await UsageReports(context, store, self._gossip, lease, cloud).start()
         if SCALE_DUTY in settings.duties:
-            await FleetOrders(context, store, lease, cloud).start()
+            work_reports = WorkReports(context, self._gossip, lease)
+            await work_reports.start()
+            await FleetOrders(context, store, lease, cloud, work_reports).start()
 
     async def _start_api(self):
         """Start the other listeners; return their addresses by name."""
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -49,6 +49,16 @@
     choose_decode,
     choose_prefill,
 )
+from gypsumusher_routing.engine_demand import (
+    WORK_REPORT_S,
+    EngineDemand,
+    EngineNeeds,
+    EngineWork,
+    EngineWorkWindow,
+    WantedEngines,
+    WorkMeter,
+    engines_needed,
+)
 from gypsumusher_routing.engine_speed import (
     EngineSpeed,
     GapReport,
@@ -263,4 +273,12 @@
     "lists_cache",
     "merge_learned_states",
     "restore_speed",
+    "WORK_REPORT_S",
+    "EngineDemand",
+    "EngineNeeds",
+    "EngineWork",
+    "EngineWorkWindow",
+    "WantedEngines",
+    "WorkMeter",
+    "engines_needed",
 ]
