Send only changed loads between whole status messages

Most bytes between active hosts were loads that the receiver knew already: each status message lists all engines that its sender uses, and goes out at each prefill and up to 20 times a second.

Between two whole messages an active host now sends the loads that differ (datagram load_changes, switch compact_updates). Whole messages announce support under an empty endpoint id, since earlier releases reject a message with a further field. Changes count as a sign of life; loans, limits, membership and the store's reachability count from whole messages only, as before. Bytes sent are a metric by kind.

--- a/libs/entry/gypsumusher_entry/endpoint_limit_sync.py
+++ b/libs/entry/gypsumusher_entry/endpoint_limit_sync.py
@@ -179,7 +179,8 @@
         if now_s - self._viewed_s <= VIEW_CACHE_S:
             return self._view
         self._viewed_s = now_s
-        live = frozenset(status.name for status in context.hosts.live(now_s))
+        heard = context.hosts.with_recent_status(now_s)
+        live = frozenset(status.name for status in heard)
         active = {status.name for status in context.active_hosts()}
         candidates = tuple(sorted(active | context.hosts.unheard(now_s)))
         count = context.count_hosts()
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -10,13 +10,22 @@
 
 import msgpack
 
-from gypsumusher_routing import LANES, GossipRateLimiter, HostStatus, Load, OrderedStage
+from gypsumusher_entry.load_changes import LOAD_CHANGES, LoadChangeSync
+from gypsumusher_routing import (
+    GossipRateLimiter,
+    HostStatus,
+    Load,
+    OrderedStage,
+    decode_loads,
+)
 
 __all__ = ["Gossip"]
 
 # Version of the message format. Messages of other versions are ignored, so that hosts
 # of two releases can serve side by side.
 MESSAGE_VERSION = 5
+# Name of whole messages in the metrics.
+STATUS = "status"
 # Least time between two messages while the load changes. A prefill takes 0.1 s or more,
 # so counts of this age are still useful. Four hosts lost 0.02 to 0.04 of their score at
 # 0.2 s, 0.01 to 0.02 at 0.1 s, and gained nothing at 0.02 s.
@@ -27,9 +36,9 @@
 MIN_PREFILL_INTERVAL_S = 0.01
 # The same for hosts that aren't active; they have little to send.
 INACTIVE_MIN_INTERVAL_S = 0.2
-# Longest time between two messages: among active hosts, and from and to all others.
-# Sixty hosts that sent each other everything twice a second would use 0.01 of a core
-# and ten times the traffic that control messages are allowed.
+# Longest time between two whole messages: among active hosts, and from and to all
+# others. Sixty hosts that sent each other everything twice a second would use 0.01 of a
+# core and ten times the traffic that control messages are allowed.
 ACTIVE_MAX_INTERVAL_S = 0.45
 MAX_INTERVAL_S = 1.0
 # Time for which a peer's announcement of an engine's stage is valid. Each message
@@ -57,12 +66,15 @@
         self._transport = None
         self._task = None
         self._sequence = 0
-        # When each of the newest messages was sent, by its number.
+        # When each of the newest whole messages was sent, by its number.
         self._sent_s = {}
         self._last_state = None
+        # When the active hosts were last sent anything, and a whole message.
         self._sent_to_active_s = 0.0
+        self._sent_whole_s = 0.0
         self._sent_to_all_s = 0.0
         self._rate_limiter = GossipRateLimiter(context.settings.link_mbps)
+        self._load_changes = LoadChangeSync(context, self._apply_placements)
 
     async def start(self):
         """Open the socket and start to send."""
@@ -116,9 +128,15 @@
 
     def send_datagram(self, kind, fields, ip):
         """Send a datagram to the handler for its kind at one host."""
-        data = msgpack.packb([kind, *fields])
-        self._transport.sendto(data, (ip, self._context.settings.datagram_port))
-        self._rate_limiter.on_sent(self._context.clock(), len(data))
+        self._send_data(kind, msgpack.packb([kind, *fields]), (ip,))
+
+    def _send_data(self, kind, data, ips):
+        """Send an encoded datagram to some hosts, and count its bytes by kind."""
+        for ip in ips:
+            self._transport.sendto(data, (ip, self._context.settings.datagram_port))
+        size_bytes = len(ips) * len(data)
+        self._rate_limiter.on_sent(self._context.clock(), size_bytes)
+        self._context.metrics.on_datagrams_sent(kind, size_bytes)
 
     def sent_s(self, sequence):
         """Return when a status message was sent; None if that was too long ago.
@@ -148,14 +166,17 @@
             await context.wait_for_tick(
                 MIN_INTERVAL_S if context.is_active() else INACTIVE_MIN_INTERVAL_S
             )
-            now_s = context.clock()
-            state = self._state(now_s)
-            if now_s - self._sent_to_all_s >= MAX_INTERVAL_S or self._is_urgent(state):
-                self._broadcast(now_s, state, is_for_all=True)
-            elif now_s - self._sent_to_active_s >= ACTIVE_MAX_INTERVAL_S:
-                self._broadcast(now_s, state, is_for_all=False)
-            elif state != self._last_state and self._rate_limiter.may_send(now_s):
-                self._broadcast(now_s, state, is_for_all=False)
+            self._on_tick(context.clock())
+
+    def _on_tick(self, now_s):
+        """Send what is due."""
+        state = self._state(now_s)
+        if now_s - self._sent_to_all_s >= MAX_INTERVAL_S or self._is_urgent(state):
+            self._broadcast(now_s, state, is_for_all=True)
+        elif now_s - self._sent_whole_s >= ACTIVE_MAX_INTERVAL_S:
+            self._broadcast(now_s, state, is_for_all=False)
+        elif state != self._last_state and self._rate_limiter.may_send(now_s):
+            self._send_update(now_s, state)
 
     def _lease_state(self):
         """Return the last known state of the stage-order lease, or None."""
@@ -171,7 +192,7 @@
         ):
             return
         if self._rate_limiter.may_send(now_s):
-            self._broadcast(now_s, self._state(now_s), is_for_all=False)
+            self._send_update(now_s, self._state(now_s))
 
     def _is_urgent(self, state):
         """Return whether a change in the state has to reach all hosts at once."""
@@ -197,21 +218,67 @@
             loads,
         )
 
-    def _broadcast(self, now_s, state, is_for_all):
-        """Send the state to the active hosts, and if wanted to the others."""
+    def _send_update(self, now_s, state):
+        """Send the active hosts a changed state, as changes where these suffice."""
         context = self._context
-        active, others = self._targets()
+        active, _ = self._targets()
+        loads = state[-1]
+        changes = self._load_changes.changes(loads, active)
+        if changes is None or self._is_urgent(state):
+            self._broadcast(now_s, state, is_for_all=False)
+            return
+        placements = context.pop_placements(MAX_PLACEMENTS)
+        if not placements and loads == self._last_state[-1]:
+            # Endpoints renewed their entries; the next whole message has the revision.
+            self._last_state = state
+            return
+        fields = self._load_changes.fields(self._sequence + 1, changes, placements)
+        data = msgpack.packb([LOAD_CHANGES, *fields])
+        if not self._load_changes.is_compact(len(data)):
+            self._broadcast(now_s, state, is_for_all=False, placements=placements)
+            return
+        self._on_message(now_s, state)
+        self._send_data(LOAD_CHANGES, data, active)
+
+    def _on_message(self, now_s, state):
+        """Record that a message with the next number goes to the active hosts."""
         self._last_state = state
         self._sent_to_active_s = now_s
         self._sequence += 1
-        self._sent_s[self._sequence] = context.boottime_s()
         self._sent_s.pop(self._sequence - REMEMBERED_MESSAGES, None)
+
+    def _broadcast(self, now_s, state, is_for_all, placements=None):
+        """Send the state to the active hosts, and if wanted to the others.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        state : tuple
+            The state.
+        is_for_all : bool
+            Whether the other hosts are to have it, too.
+        placements : list or None
+            Placements that were taken from the unsent ones; by default the oldest.
+        """
+        context = self._context
+        active, others = self._targets()
+        self._on_message(now_s, state)
+        self._sent_whole_s = now_s
+        # Loans count from whole messages, which only these numbers may refer to.
+        self._sent_s[self._sequence] = context.boottime_s()
         is_active = context.is_active()
         period_s = ACTIVE_MAX_INTERVAL_S if is_active else MAX_INTERVAL_S
         if is_active or is_for_all:
-            placements = context.pop_placements(MAX_PLACEMENTS)
+            if placements is None:
+                placements = context.pop_placements(MAX_PLACEMENTS)
             lease = self._lease_state() if is_for_all else None
-            self._send(active, period_s, state, (placements, lease))
+            loads = self._load_changes.with_announcement(state[-1])
+            whole = (*state[:-1], loads)
+            size_bytes = self._send(active, period_s, whole, (placements, lease))
+            self._load_changes.on_whole_message_sent(
+                self._sequence, state[-1], active, size_bytes
+            )
         if is_for_all:
             self._sent_to_all_s = now_s
             # Loads of the engines are of use to active hosts only.
@@ -221,9 +288,9 @@
             )
 
     def _send(self, ips, period_s, state, other_fields):
-        """Send one message to some hosts."""
+        """Send one message to some hosts; return its size, 0 if it wasn't sent."""
         if not ips:
-            return
+            return 0
         context = self._context
         status = context.own_status(self._sequence, period_s)
         *_, stages, _, loads = state
@@ -231,10 +298,9 @@
         data = msgpack.packb(fields)
         if len(data) > MAX_DATAGRAM_BYTES:
             context.log("error", "gossip_too_large", bytes=len(data))
-            return
-        for ip in ips:
-            self._transport.sendto(data, (ip, context.settings.datagram_port))
-        self._rate_limiter.on_sent(context.clock(), len(ips) * len(data))
+            return 0
+        self._send_data(STATUS, data, ips)
+        return len(data)
 
     def _targets(self):
         """Return the IP addresses of the active hosts, and of the others."""
@@ -261,14 +327,19 @@
             context.endpoint_connections.close_idle_through(peer)
         if message.lease is not None and context.stage_lease is not None:
             context.stage_lease.on_peer_state(message.lease)
+        self._load_changes.on_status(message.status, message.loads)
         context.endpoints.on_peer_loads(now_s, peer, message.loads)
         for endpoint_id, started_ms, stage, is_switching in message.stages:
             state = context.endpoints.states.get(endpoint_id)
             if state is not None and state.record.started_ms == started_ms:
                 ordered = OrderedStage(stage, is_switching)
                 state.on_stage_ordered(now_s, ordered, ORDERED_STAGE_TTL_S)
-        for endpoint_id, chain, wait_s in message.placements:
-            state = context.endpoints.states.get(endpoint_id)
+        self._apply_placements(now_s, message.placements)
+
+    def _apply_placements(self, now_s, placements):
+        """Record the prompt parts that engines cache or will cache."""
+        for endpoint_id, chain, wait_s in placements:
+            state = self._context.endpoints.states.get(endpoint_id)
             if state is None:
                 continue
             if wait_s:
@@ -308,12 +379,5 @@
     if version != MESSAGE_VERSION:
         raise ValueError(f"unsupported message version {version}")
     status, stages, loads, placements, lease = fields
-    decoded = {}
-    for endpoint_id, (running, prefills, lane_ms, penalty) in loads.items():
-        if len(lane_ms) != len(LANES):
-            raise ValueError(f"wrong number of priority classes: {len(lane_ms)}")
-        lane_s = tuple(work_ms / 1000.0 for work_ms in lane_ms)
-        load = Load(running, prefills, lane_s)
-        decoded[endpoint_id] = (load, penalty)
     status = HostStatus(*status)
-    return _Message(status, stages, decoded, placements, lease)
+    return _Message(status, stages, decode_loads(loads), placements, lease)
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -19,6 +19,7 @@
     stage_orders: Any
     fleet_orders: Any
     streams_resumed: Any
+    peer_bytes: Any
     version: Any
     lag: Any
 
@@ -37,6 +38,7 @@
         self._lags_s = {}
         # Counted here, since the first requests after a start may be resumed streams.
         self._streams_resumed = {}
+        self._peer_bytes = {}
 
     def on_request_start(self):
         """Count a request that starts."""
@@ -100,6 +102,18 @@
         """
         self._streams_resumed[source] = self._streams_resumed.get(source, 0) + 1
 
+    def on_datagrams_sent(self, kind, size_bytes):
+        """Count bytes sent to other hosts.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the message: ``status``, or that of the datagram.
+        size_bytes : int
+            Total size of the payloads.
+        """
+        self._peer_bytes[kind] = self._peer_bytes.get(kind, 0) + size_bytes
+
     def set_configuration_version(self, version):
         """Set the version of the configuration in force."""
         self._configuration_version = version
@@ -117,6 +131,8 @@
         collectors.version.set({}, self._configuration_version)
         for source, count in self._streams_resumed.items():
             collectors.streams_resumed.set({"source": source}, count)
+        for kind, size_bytes in self._peer_bytes.items():
+            collectors.peer_bytes.set({"kind": kind}, size_bytes)
         for kind, lag_s in self._lags_s.items():
             collectors.lag.set({"kind": kind}, lag_s)
         return render(collectors.registry, [])
@@ -172,6 +188,11 @@
             "Streams that callers take up, by what tells their software version",
             registry=registry,
         ),
+        peer_bytes=Counter(
+            "gypsumusher_peer_sent_bytes_total",
+            "Bytes of datagrams sent to other hosts, by kind of message",
+            registry=registry,
+        ),
         version=Gauge(
             "gypsumusher_configuration_version",
             "Version of the configuration in force",
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -63,6 +63,15 @@
     HostTable,
     host_capacity,
 )
+from gypsumusher_routing.load_changes import (
+    NO_LOAD,
+    ChangeUse,
+    LoadChanges,
+    SentLoads,
+    apply_load_changes,
+    decode_load_changes,
+    decode_loads,
+)
 from gypsumusher_routing.membership import (
     ABSENT_FOR_S,
     Acknowledgement,
@@ -221,6 +230,13 @@
     "pick_service",
     "policy_without",
     "urgency_of",
+    "NO_LOAD",
+    "ChangeUse",
+    "LoadChanges",
+    "SentLoads",
+    "apply_load_changes",
+    "decode_load_changes",
+    "decode_loads",
     "LEFT_FOR_S",
     "RecordedVersions",
     "VersionPresence",
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -31,6 +31,8 @@
         self.states = {}
         self.versions = VersionPresence()
         self.revision = 0
+        # Number of updates that changed more than heartbeats.
+        self.change_count = 0
         self._partial_revision = 0
         self._missing_since_s = {}
         self._grace_until_s = 0.0
@@ -128,6 +130,7 @@
             if endpoint_id not in self._missing_since_s:
                 changed.append(endpoint_id)
             self._mark_missing(now_s, endpoint_id)
+        self.change_count += bool(changed)
         return changed
 
     def on_partial_list(self, records, revision: int) -> list[str]:
@@ -172,6 +175,7 @@
         if is_changed or record.endpoint_id in self._removed_at:
             self._removed_at.pop(record.endpoint_id, None)
             self._changed_at[record.endpoint_id] = revision
+            self.change_count += 1
         return is_changed
 
     def on_deleted(self, now_s: float, endpoint_id: str, revision: int) -> None:
@@ -180,6 +184,7 @@
         self._changed_at.pop(endpoint_id, None)
         self._removed_at.pop(endpoint_id, None)
         self._removed_at[endpoint_id] = revision
+        self.change_count += 1
         if len(self._removed_at) > REMOVED_MAX:
             forgotten_at = self._removed_at.pop(next(iter(self._removed_at)))
             if self._base_revision is not None:
@@ -213,6 +218,40 @@
                 state.health.on_peer_penalty(now_s, peer, penalty)
         self._endpoints_by_peer[peer] = tuple(loads)
 
+    def on_peer_load_changes(self, now_s: float, peer: str, loads) -> None:
+        """Replace some of the loads and penalties that a peer reports.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        peer : str
+            Name of the peer.
+        loads : dict of (int or str) to (Load, float)
+            Load and penalty of each endpoint that has changed, by its position in the
+            last call of `on_peer_loads`, or by its id; both are zero where the peer has
+            nothing any more. Other endpoints are as reported before.
+        """
+        # The endpoints of the last call of `on_peer_loads` remain the first ones.
+        reported = dict.fromkeys(self._endpoints_by_peer.get(peer, ()))
+        ids = list(reported)
+        for key, (load, penalty) in loads.items():
+            if isinstance(key, int):
+                if not 0 <= key < len(ids):
+                    continue
+                key = ids[key]
+            endpoint_id = key
+            reported[endpoint_id] = None
+            state = self.states.get(endpoint_id)
+            if state is None:
+                continue
+            if not load.running and not penalty:
+                state.drop_peer(peer)
+                continue
+            state.on_peer_load(now_s, peer, load)
+            state.health.on_peer_penalty(now_s, peer, penalty)
+        self._endpoints_by_peer[peer] = tuple(reported)
+
     def on_wrong_endpoint(self, endpoint_id: str) -> None:
         """Record that another endpoint answers at the address of this one."""
         state = self.states.get(endpoint_id)
--- a/libs/routing/gypsumusher_routing/host_table.py
+++ b/libs/routing/gypsumusher_routing/host_table.py
@@ -1,5 +1,8 @@
 """Liveness of the entry hosts, from the status messages that they send.
 
+Other datagrams of the same process show as well that a host lives. What follows from
+the content of a status message or from its arrival counts from that message alone.
+
 Callers must not be directed to a dead host: a connection to a host without power hangs
 for a second before the caller tries the next one.
 """
@@ -141,6 +144,9 @@
         self._own_name = own_name
         self._statuses = {}
         self._last_seen_s = {}
+        # Newest datagram after the last status message: start of the process, sequence
+        # number and arrival.
+        self._signs_of_life = {}
         self._ips = {}
         # Since when a host that counts has had no record while it was silent; None if
         # it had one, or was heard, the last time.
@@ -191,7 +197,8 @@
             Whether this host's record is the only one.
         """
         count = self.existing_count()
-        found = [s for s in self.live(now_s) if s.hosts_counted >= count]
+        reported = self.with_recent_status(now_s)
+        found = [s for s in reported if s.hosts_counted >= count]
         has_member = any(status.is_member for status in found)
         return Acknowledgement(count, len(found), has_member, is_alone)
 
@@ -231,7 +238,7 @@
             # If a host's clock was set back before its restart, its messages look older
             # than those of its previous process. They are accepted once that process
             # has been silent for a while.
-            if is_older and now_s - self._last_seen_s[status.name] < SILENT_AFTER_S:
+            if is_older and now_s - self._heard_s(known) < SILENT_AFTER_S:
                 return False
         if known is not None and status.endpoints_revision > known.endpoints_revision:
             self._revision_increased_s[status.name] = now_s
@@ -242,6 +249,55 @@
         self._update_reported(now_s, status.hosts_recorded)
         return True
 
+    def on_sign_of_life(
+        self, now_s: float, name: str, started_ms: int, sequence: int
+    ) -> bool:
+        """Record a datagram that a host sent between two status messages.
+
+        A datagram of the previous process must not keep a host alive, so only the
+        process that sent the last status message counts.
+
+        Parameters
+        ----------
+        now_s : float
+            Current time, in seconds.
+        name : str
+            Name of the host.
+        started_ms : int
+            Start of the sending process.
+        sequence : int
+            Number of the datagram, counted together with the status messages.
+
+        Returns
+        -------
+        bool
+            Whether it is newer than all others of that process.
+        """
+        known = self._statuses.get(name)
+        if known is None or started_ms != known.started_ms:
+            return False
+        newest = known.sequence
+        sign = self._signs_of_life.get(name)
+        if sign is not None and sign[0] == started_ms:
+            newest = max(newest, sign[1])
+        if sequence <= newest:
+            return False
+        self._signs_of_life[name] = (started_ms, sequence, now_s)
+        return True
+
+    def last_sequence(self, name: str) -> int | None:
+        """Return the number of a host's last status message; None without one."""
+        status = self._statuses.get(name)
+        return None if status is None else status.sequence
+
+    def _heard_s(self, status):
+        """Return when a host's process sent its last datagram, in seconds."""
+        heard_s = self._last_seen_s[status.name]
+        sign = self._signs_of_life.get(status.name)
+        if sign is not None and sign[0] == status.started_ms:
+            heard_s = max(heard_s, sign[2])
+        return heard_s
+
     def _update_reported(self, now_s, count):
         """Update the largest reported number; a smaller one replaces it only later.
 
@@ -270,6 +326,8 @@
         """
         dropped = []
         for name, seen_s in list(self._last_seen_s.items()):
+            if name in self._statuses:
+                seen_s = self._heard_s(self._statuses[name])
             if now_s - max(seen_s, listening_since_s) > FORGET_AFTER_S:
                 self._drop(name)
                 dropped.append(name)
@@ -307,6 +365,7 @@
         """Remove a host from the tables of those that get messages."""
         for table in (
             self._last_seen_s,
+            self._signs_of_life,
             self._statuses,
             self._ips,
             self._revision_increased_s,
@@ -318,20 +377,28 @@
         return dict(self._ips)
 
     def live(self, now_s: float) -> list[HostStatus]:
-        """Return the statuses of hosts that have sent a message recently."""
+        """Return the statuses of hosts that have sent any datagram recently."""
+        found = []
+        for status in self._statuses.values():
+            if now_s - self._heard_s(status) <= _silent_after_s(status):
+                found.append(status)
+        return found
+
+    def with_recent_status(self, now_s: float) -> list[HostStatus]:
+        """Return the statuses of hosts that have sent a status message recently."""
         found = []
         for name, status in self._statuses.items():
-            silent_after_s = max(SILENT_AFTER_S, SILENT_PERIODS * status.period_s)
-            if now_s - self._last_seen_s[name] <= silent_after_s:
+            if now_s - self._last_seen_s[name] <= _silent_after_s(status):
                 found.append(status)
         return found
 
     def unheard(self, now_s: float) -> set[str]:
-        """Return the names of hosts that may exist and have sent no recent message."""
-        return set(self._absent_since_s) - {status.name for status in self.live(now_s)}
+        """Return the names of hosts that may exist and have sent no recent status."""
+        heard = {status.name for status in self.with_recent_status(now_s)}
+        return set(self._absent_since_s) - heard
 
     def last_messages(self, now_s: float) -> dict[str, LastMessage]:
-        """Return the newest status message of each live host, by name."""
+        """Return the newest status message of each host that sent one recently."""
         return {
             status.name: LastMessage(
                 status.ip,
@@ -339,7 +406,7 @@
                 status.sequence,
                 self._last_seen_s[status.name],
             )
-            for status in self.live(now_s)
+            for status in self.with_recent_status(now_s)
         }
 
     def peer_saw_store_since(self, now_s: float, since_s: float) -> bool:
@@ -348,7 +415,7 @@
         A host whose call hangs reports the store as reachable until the call fails. So
         the revision that the host reports must have increased since then as well.
         """
-        for status in self.live(now_s):
+        for status in self.with_recent_status(now_s):
             if not status.sees_store:
                 continue
             if self._last_seen_s[status.name] - status.store_reachable_s > since_s:
@@ -383,3 +450,8 @@
             ):
                 found.append(status)
         return found
+
+
+def _silent_after_s(status):
+    """Return after how much silence, in seconds, a host counts as silent."""
+    return max(SILENT_AFTER_S, SILENT_PERIODS * status.period_s)
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -50,6 +50,8 @@
         Engines are ordered where the operator allows it.
     limit_loans : bool
         Hosts lend each other the parts of endpoints' limits that they don't use.
+    compact_updates : bool
+        Between two whole status messages, hosts send only the loads that have changed.
     """
 
     lanes: bool = True
@@ -70,6 +72,7 @@
     shared_confirmations: bool = True
     fleet: bool = True
     limit_loans: bool = True
+    compact_updates: bool = True
 
 
 # Policy of a host in service.
