Send changes only to processes that were sent their base

A host that was alone in being active counted hosts that it had never heard as readers of changes, and a peer's new process waited up to 0.45 s for its first whole message. The support of each receiver and its start are now checked.

--- a/libs/entry/gypsumusher_entry/load_changes.py
+++ b/libs/entry/gypsumusher_entry/load_changes.py
@@ -65,7 +65,9 @@
         size_bytes : int
             Its size; 0 if it wasn't sent.
         """
-        receivers = ips if size_bytes else ()
+        receivers = [(h.ip, h.started_ms) for h in self._active_peers(ips)]
+        if not size_bytes:
+            receivers = []
         self._sent.on_whole_message(sequence, loads, receivers, size_bytes)
         self._sent_change_count = self._context.endpoints.change_count
 
@@ -91,12 +93,19 @@
             return None
         if self._sent_change_count != context.endpoints.change_count:
             return None
-        for host in context.active_hosts():
-            if host.name == context.settings.name:
-                continue
+        receivers = []
+        for host in self._active_peers(ips):
             if self._supporting.get(host.name) != host.started_ms:
                 return None
-        return self._sent.changes(loads, ips)
+            receivers.append((host.ip, host.started_ms))
+        if len(receivers) != len(ips):
+            # Some haven't been heard, as when no other host is active.
+            return None
+        return self._sent.changes(loads, receivers)
+
+    def _active_peers(self, ips):
+        """Return the statuses of the active hosts with these IPs."""
+        return [host for host in self._context.active_hosts() if host.ip in ips]
 
     def fields(self, sequence, changes, placements):
         """Return the fields of the datagram with this number."""
--- a/libs/routing/gypsumusher_routing/load_changes.py
+++ b/libs/routing/gypsumusher_routing/load_changes.py
@@ -103,8 +103,8 @@
             Number of the message.
         loads : dict of str to tuple
             Its loads by endpoint id, in the form of `NO_LOAD`.
-        receivers : collection of str
-            IPs of the hosts that it was sent to.
+        receivers : collection of tuple
+            IP and start of each process that it was sent to.
         size_bytes : int
             Its size.
         """
@@ -122,8 +122,8 @@
         ----------
         loads : dict of str to tuple
             The loads now.
-        receivers : collection of str
-            IPs of the hosts that are to know them.
+        receivers : collection of tuple
+            IP and start of each process that is to know them.
 
         Returns
         -------
