--- a/libs/entry/tests/test_load_changes.py
+++ b/libs/entry/tests/test_load_changes.py
@@ -151,6 +151,15 @@
     assert messages >= messages_before
 
 
+def test_bytes_are_on_the_metrics_page():
+    """Nobody saw that status messages were most of the bytes between zones."""
+    metrics = Metrics()
+    for size_bytes in (3, 4):
+        metrics.on_datagrams_sent(LOAD_CHANGES, size_bytes)
+    body, _ = metrics.render()
+    assert b'gypsumusher_peer_sent_bytes_total{kind="load_changes"} 7' in body
+
+
 def peer_load(hosts, reader, endpoint_id):
     """Return the load at an endpoint as one host believes it."""
     return hosts.contexts[reader].endpoints.states[endpoint_id].load(hosts.now_s)
