--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -92,6 +92,15 @@
     merge_learned_states,
     restore_speed,
 )
+from gypsumusher_routing.load_changes import (
+    NO_LOAD,
+    ChangeUse,
+    LoadChanges,
+    SentLoads,
+    apply_load_changes,
+    decode_load_changes,
+    decode_loads,
+)
 from gypsumusher_routing.membership import (
     ABSENT_FOR_S,
     Acknowledgement,
@@ -257,6 +266,13 @@
     "pick_service",
     "policy_without",
     "urgency_of",
+    "NO_LOAD",
+    "ChangeUse",
+    "LoadChanges",
+    "SentLoads",
+    "apply_load_changes",
+    "decode_load_changes",
+    "decode_loads",
     "LEFT_FOR_S",
     "RecordedVersions",
     "VersionPresence",
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -58,6 +58,8 @@
     shared_speeds : bool
         Hosts share what they observe of each engine's speed and event gaps, and avoid
         slow engines by it.
+    compact_updates : bool
+        Between two whole status messages, hosts send only the loads that have changed.
     """
 
     lanes: bool = True
@@ -81,6 +83,7 @@
     limit_loans: bool = True
     kept_knowledge: bool = True
     shared_speeds: bool = True
+    compact_updates: bool = True
 
 
 # Policy of a host in service.
