Divide prefill capacity between client accounts under contention

With demand above what the engines prefill in time, the prompts of a few large accounts fill the queues and make those of small accounts late as well. Hosts now exchange the demand of their accounts, and each treats prompts of accounts above the level of water filling as late ones. Deployments without client accounts send and change nothing.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 
+from gypsumusher_entry.account_demand import AccountDemand
 from gypsumusher_entry.begun_streams import BegunStreams
 from gypsumusher_entry.crash_reports import CrashReports
 from gypsumusher_entry.endpoint_connections import EndpointConnections, connection_key
@@ -116,6 +117,7 @@
         self.begun_streams = BegunStreams(self)
         self.endpoint_limits = EndpointLimitSync(self)
         self.staleness = StalenessMonitor(self)
+        self.account_demand = AccountDemand(self)
         self.connection_pool = ConnectionPool(
             clock, decode_response_head, CONNECT_TIMEOUT_S
         )
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -14,6 +14,7 @@
 from gypsumusher_platform import encode_refusal
 from gypsumusher_ports import STREAM, Refusal
 from gypsumusher_routing import (
+    UNLIMITED,
     FirstEventLimits,
     RoutingRequest,
     RunAccount,
@@ -23,6 +24,7 @@
     content_keys,
     first_event_limit_s,
     pick_service,
+    spread_retry_after_s,
 )
 
 __all__ = ["Exchange", "create_handler"]
@@ -66,6 +68,8 @@
         self.arrived_s = context.clock()
         self.route = None
         self.account = None
+        # Share of its account and class, determined once for all sends.
+        self.share = UNLIMITED
         self.service = None
         self.deadline_at_s = self.arrived_s
         self.first_output_at_s = None
@@ -113,6 +117,11 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def sent_rank(self):
+        """Rank that engines are told: the first for a class that would starve."""
+        return 0 if self.share.is_protected else self.priority
+
     @property
     def account_name(self):
         """Name of the client account, or None."""
@@ -170,6 +179,7 @@
             self.objective_remaining_s,
             self.first_event_limits,
             self.expected_event_count or 1.0,
+            self.share,
         )
 
     @property
@@ -461,7 +471,11 @@
         exchange.log("info", "request_refused", reason="overloaded", detail=error)
         # By then the queue is short enough for the request to start within its limit.
         wait_s = error.expected_s - OVERLOAD_START_FRACTION * error.limit_s
-        exchange.refuse(503, "overloaded", max(MIN_RETRY_AFTER_S, wait_s))
+        wait_s = max(MIN_RETRY_AFTER_S, wait_s)
+        retry_after_s = spread_retry_after_s(
+            wait_s, exchange.share, context.draw_uniform()
+        )
+        exchange.refuse(503, "overloaded", retry_after_s)
     except CallError as error:
         exchange.refuse(503, error.reason, NO_ENDPOINT_RETRY_AFTER_S)
 
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -110,6 +110,7 @@
         self.context.version_records.start(self._store, send_datagram)
         self.context.begun_streams.start(send_datagram)
         self.context.endpoint_limits.start(self._gossip)
+        self.context.account_demand.start(send_datagram)
         await self._store_watcher.start()
         await self._registration.start()
         await self._peer_sync.start()
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -19,6 +19,10 @@
     stage_orders: Any
     fleet_orders: Any
     streams_resumed: Any
+    prompts_demoted: Any
+    prompts_protected: Any
+    contention: Any
+    demand: Any
     version: Any
     lag: Any
 
@@ -37,6 +41,11 @@
         self._lags_s = {}
         # Counted here, since the first requests after a start may be resumed streams.
         self._streams_resumed = {}
+        # By route, for the shares of client accounts.
+        self._prompts_demoted = {}
+        self._prompts_protected = {}
+        # Set once there are client accounts.
+        self._contention = None
 
     def on_request_start(self):
         """Count a request that starts."""
@@ -100,6 +109,18 @@
         """
         self._streams_resumed[source] = self._streams_resumed.get(source, 0) + 1
 
+    def on_prompt_demoted(self, route):
+        """Count a prompt that is treated as late, as its account asks for too much."""
+        self._prompts_demoted[route] = self._prompts_demoted.get(route, 0) + 1
+
+    def on_prompt_protected(self, route):
+        """Count a prompt that has the first rank, as its route would starve."""
+        self._prompts_protected[route] = self._prompts_protected.get(route, 0) + 1
+
+    def set_contention(self, contention):
+        """Set the demand of all accounts compared with the capacity; a `Contention`."""
+        self._contention = contention
+
     def set_configuration_version(self, version):
         """Set the version of the configuration in force."""
         self._configuration_version = version
@@ -117,6 +138,15 @@
         collectors.version.set({}, self._configuration_version)
         for source, count in self._streams_resumed.items():
             collectors.streams_resumed.set({"source": source}, count)
+        for route, count in self._prompts_demoted.items():
+            collectors.prompts_demoted.set({"route": route}, count)
+        for route, count in self._prompts_protected.items():
+            collectors.prompts_protected.set({"route": route}, count)
+        if self._contention is not None:
+            contention = self._contention
+            collectors.contention.set({}, int(contention.is_contended))
+            collectors.demand.set({"of": "accounts"}, contention.demand)
+            collectors.demand.set({"of": "engines"}, contention.capacity)
         for kind, lag_s in self._lags_s.items():
             collectors.lag.set({"kind": kind}, lag_s)
         return render(collectors.registry, [])
@@ -172,6 +202,26 @@
             "Streams that callers take up, by what tells their software version",
             registry=registry,
         ),
+        prompts_demoted=Counter(
+            "gypsumusher_prompts_demoted_total",
+            "Prompts treated as late for the share of their account, by route",
+            registry=registry,
+        ),
+        prompts_protected=Counter(
+            "gypsumusher_prompts_protected_total",
+            "Prompts of routes that would starve, sent with the first rank, by route",
+            registry=registry,
+        ),
+        contention=Gauge(
+            "gypsumusher_account_contention",
+            "1 while client accounts ask for more prefill than engines can do in time",
+            registry=registry,
+        ),
+        demand=Gauge(
+            "gypsumusher_prefill_demand",
+            "Engine seconds per second that accounts ask for, and engines can do",
+            registry=registry,
+        ),
         version=Gauge(
             "gypsumusher_configuration_version",
             "Version of the configuration in force",
--- a/libs/entry/gypsumusher_entry/prefill.py
+++ b/libs/entry/gypsumusher_entry/prefill.py
@@ -88,7 +88,7 @@
     """
     context = exchange.context
     tried_ids = set()
-    for _ in range(MAX_PREFILL_ENGINES):
+    for number in range(MAX_PREFILL_ENGINES):
         states = exchange.stream_endpoints()
         states = [s for s in states if s.record.endpoint_id not in tried_ids]
         engine_pool = context.engine_pool(exchange.service, limits, states)
@@ -97,6 +97,8 @@
         )
         if prefill is None:
             return None
+        if number == 0:
+            context.account_demand.on_placed(exchange, prefill)
         if prefill.lane == HOPELESS:
             raise OverloadedError(
                 prefill.expected_s, exchange.first_event_limits.abandoned_s
@@ -158,7 +160,7 @@
     send = SendOptions(
         state.record.endpoint_id,
         exchange.endpoint_time_limit_s,
-        urgency=urgency_of(exchange.priority, prefill.lane),
+        urgency=urgency_of(exchange.sent_rank, prefill.lane),
         is_prefill=True,
         kv_fetch=prefill.fetch_address,
         account=exchange.account_name,
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -13,6 +13,7 @@
 from gypsumusher_ports import SendOptions
 from gypsumusher_routing import (
     HOPELESS,
+    LATE,
     TIMELY,
     EventSplitter,
     cache_transfer_s,
@@ -94,6 +95,9 @@
             return
         try:
             if self._is_generation():
+                exchange.share = context.account_demand.on_request(
+                    exchange, self._limits
+                )
                 self._prefilled_prompt = await prefill_prompt(exchange, self._limits)
             is_complete, error = await self._send_until_complete()
         except NoRetryError as withheld:
@@ -209,7 +213,8 @@
                 )
             # After a failed run the request goes on all the same: nothing else would
             # resume it.
-            prefill = prefill._replace(lane=TIMELY)
+            lane = LATE if exchange.share.is_limited else TIMELY
+            prefill = prefill._replace(lane=lane)
         return prefill.state, prefill
 
     async def _run_at(self, state, prefill):
@@ -220,7 +225,7 @@
             state.record.endpoint_id,
             exchange.endpoint_time_limit_s,
             urgency=urgency_of(
-                exchange.priority, TIMELY if prefill is None else prefill.lane
+                exchange.sent_rank, TIMELY if prefill is None else prefill.lane
             ),
             kv_source=None if prompt is None else prompt.source,
             kv_fetch=None if prefill is None else prefill.fetch_address,
@@ -328,6 +333,10 @@
             return await response.head()
         expected_s = 0.0 if run.prefill is None else run.prefill.expected_s
         limit_s = max(MIN_SILENCE_S, SILENCE_FACTOR * expected_s)
+        if self._exchange.share.is_limited and run.prefill is not None:
+            # Prompts that arrive later are prefilled first, and a second engine would
+            # do the same work again.
+            limit_s = max(limit_s, self._exchange.first_event_limits.abandoned_s)
         try:
             async with silence_timeout(
                 self._exchange, limit_s, self._exchange.remaining_s
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -48,8 +48,17 @@
     cache_transfer_s,
     choose_decode,
     choose_prefill,
+    prefill_demand_s,
 )
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
+from gypsumusher_routing.fair_share import (
+    UNLIMITED,
+    DemandReport,
+    FairShares,
+    Share,
+    prefill_capacity,
+    spread_retry_after_s,
+)
 from gypsumusher_routing.fleet_plan import (
     FleetOrder,
     FleetPlanner,
@@ -229,4 +238,11 @@
     "BegunStream",
     "StreamVersions",
     "stream_key",
+    "UNLIMITED",
+    "DemandReport",
+    "FairShares",
+    "Share",
+    "prefill_capacity",
+    "prefill_demand_s",
+    "spread_retry_after_s",
 ]
--- a/libs/routing/gypsumusher_routing/accounts.py
+++ b/libs/routing/gypsumusher_routing/accounts.py
@@ -38,6 +38,7 @@
     def __init__(self, configuration: Configuration):
         self._by_key = {}
         self.has_accounts = configuration.accounts is not None
+        self.count = len(configuration.accounts or ())
         for account in configuration.accounts or ():
             for key in account.keys:
                 self._by_key[key] = account
--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -11,6 +11,7 @@
 from gypsumusher_ports import EngineLimits, Generation
 from gypsumusher_routing.cost_model import CostModel
 from gypsumusher_routing.endpoint_state import EndpointState
+from gypsumusher_routing.fair_share import UNLIMITED, Share
 from gypsumusher_routing.policy import ALL_ON, Policy
 from gypsumusher_routing.rendezvous import rendezvous_weight
 from gypsumusher_routing.urgency import (
@@ -28,6 +29,7 @@
     "cache_transfer_s",
     "choose_decode",
     "choose_prefill",
+    "prefill_demand_s",
 ]
 
 # Part of the objective that is spent on the caller's connection and the network.
@@ -117,6 +119,8 @@
         Time limits for the first event.
     expected_events : float
         Number of events that its answer is expected to have.
+    share : Share
+        Its share of the capacity, which depends on its account and its class.
     """
 
     generation: Generation
@@ -124,6 +128,7 @@
     objective_left_s: float
     first_event_limits: FirstEventLimits
     expected_events: float = 1.0
+    share: Share = UNLIMITED
 
 
 class PrefillChoice(NamedTuple):
@@ -150,6 +155,8 @@
         Expected duration of the fetch, in seconds.
     lane : {"timely", "late", "hopeless"}
         Priority class of the prompt at the engine.
+    is_delayed : bool
+        Whether the timely prompts ahead alone make it late.
     """
 
     state: EndpointState
@@ -162,6 +169,7 @@
     fetch_from: EndpointState | None
     fetch_s: float
     lane: str
+    is_delayed: bool = False
 
     @property
     def fetch_address(self):
@@ -218,6 +226,25 @@
     return best
 
 
+def prefill_demand_s(pool: EnginePool, generation: Generation) -> float:
+    """Return the expected duration of a prefill at a prefill engine of usual speed.
+
+    It doesn't depend on queues, so that a request counts for the same under any load.
+
+    Parameters
+    ----------
+    pool : EnginePool
+        Engines of the request's service.
+    generation : Generation
+        The request's prompt.
+    """
+    _, cached_tokens = _best_holder(pool.states, generation.parts)
+    if not cached_tokens:
+        cached_tokens = int(_shared_tokens(generation) * HOME_CACHED_SHARE)
+    new_tokens = max(1, generation.prompt_tokens - cached_tokens)
+    return pool.cost_model.prefill_cost("prefill").expected_s(new_tokens, cached_tokens)
+
+
 def _cached_tokens(pending_after_s, state, home, generation):
     """Return how many tokens of a prompt are assumed to be cached at an engine.
 
@@ -251,13 +278,16 @@
     # idle engines.
     timely_s = (cost_s + load.prefill_ahead_s(TIMELY)) * margin + transfers_s
     late_s = (cost_s + load.prefill_ahead_s(LATE)) * slowdown + transfers_s
+    idle_s = cost_s * margin + transfers_s
+    objective_left_s = request.objective_left_s - NETWORK_OVERHEAD_S
     lane = choose_lane(
         (timely_s, late_s),
-        cost_s * margin + transfers_s,
-        request.objective_left_s - NETWORK_OVERHEAD_S,
+        idle_s,
+        objective_left_s,
         request.first_event_limits,
         _chance_of(request.generation.parts),
         pool.policy,
+        request.share,
     )
     if lane == LATE and not _has_room_for_late(state, load, pool):
         lane = HOPELESS
@@ -280,6 +310,7 @@
         fetch_from,
         fetch_s,
         lane,
+        idle_s <= objective_left_s < timely_s,
     )
 
 
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -50,6 +50,8 @@
         Engines are ordered where the operator allows it.
     limit_loans : bool
         Hosts lend each other the parts of endpoints' limits that they don't use.
+    fair_shares : bool
+        Prompts of client accounts above their fair share are sent as late ones.
     """
 
     lanes: bool = True
@@ -70,6 +72,7 @@
     shared_confirmations: bool = True
     fleet: bool = True
     limit_loans: bool = True
+    fair_shares: bool = True
 
 
 # Policy of a host in service.
--- a/libs/routing/gypsumusher_routing/urgency.py
+++ b/libs/routing/gypsumusher_routing/urgency.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from gypsumusher_routing.fair_share import UNLIMITED
 from gypsumusher_routing.policy import ALL_ON
 
 __all__ = [
@@ -115,7 +116,15 @@
     return min(USED_SHARE * abandoned_s, left_s - TOKEN_S * output_tokens)
 
 
-def choose_lane(lanes_s, idle_s, objective_left_s, limits, chance, policy=ALL_ON):
+def choose_lane(
+    lanes_s,
+    idle_s,
+    objective_left_s,
+    limits,
+    chance,
+    policy=ALL_ON,
+    share=UNLIMITED,
+):
     """Return the priority class of a prompt at one engine.
 
     Parameters
@@ -133,6 +142,8 @@
         Number in [0, 1) that stays the same for a request.
     policy : Policy
         Switches of the routing mechanisms.
+    share : Share
+        Share of the request; see `FairShares`.
 
     Notes
     -----
@@ -142,13 +153,23 @@
     a prompt is timely if it would be on time behind the timely ones alone, and late
     prompts are prefilled in the gaps between these. A late prompt that would not be
     prefilled before its caller gives up is hopeless.
+
+    A prompt of an account above its share is never timely: it uses the gaps that other
+    prompts leave. A prompt of a class that would starve is timely if it would be so at
+    an idle engine, as it is prefilled before prompts of other classes.
     """
     timely_s = lanes_s[0]
-    if timely_s <= objective_left_s or not policy.lanes:
-        return TIMELY
-    is_too_large = idle_s > objective_left_s and timely_s <= limits.target_s
-    if policy.fair_part and is_too_large and chance < FAIR_SHARE:
+    if not policy.lanes:
         return TIMELY
+    if not share.is_limited:
+        if timely_s <= objective_left_s:
+            return TIMELY
+        is_too_large = idle_s > objective_left_s
+        is_in_limit = timely_s <= limits.target_s
+        if share.is_protected and is_in_limit and not is_too_large:
+            return TIMELY
+        if policy.fair_part and is_too_large and is_in_limit and chance < FAIR_SHARE:
+            return TIMELY
     is_hopeless = lanes_s[-1] > HOPELESS_SHARE * limits.abandoned_s
     if policy.early_refusal and is_hopeless:
         return HOPELESS
