--- a/libs/entry/gypsumusher_entry/account_demand.py
+++ b/libs/entry/gypsumusher_entry/account_demand.py
@@ -102,7 +102,7 @@
                 route=exchange.route.name,
                 cost_ms=round(cost_s * 1000),
                 demand_ratio=round(share.demand_ratio, 2),
-                level=round(self._shares.contention.level, 3),
+                account_level=round(self._shares.contention.level, 3),
             )
         return share
 
@@ -128,7 +128,7 @@
         )
 
     def _on_configuration(self, _):
-        """Start to send if a configuration has client accounts and the last had none."""
+        """Start to send once a configuration has client accounts."""
         if self.is_on and not self._is_running:
             self._is_running = True
             self._shares = FairShares(self._context.clock())
@@ -208,7 +208,7 @@
             "contention_began" if self._is_contended else "contention_ended",
             demand=round(contention.demand, 2),
             capacity=round(contention.capacity, 2),
-            level=round(contention.level, 3),
+            account_level=round(contention.level, 3),
             delayed=round(contention.delayed_share, 2),
             reports=contention.reports,
             hosts=self._context.expected_host_count(),
