--- a/libs/routing/gypsumusher_routing/fair_share.py
+++ b/libs/routing/gypsumusher_routing/fair_share.py
@@ -322,7 +322,8 @@
         delayed_share = self._delayed_share()
         self._adapt_utilization(now_s, delayed_share)
         capacity *= self._utilization
-        if delayed_share > DELAYED_SHARE:
+        is_delayed = delayed_share > DELAYED_SHARE
+        if is_delayed:
             self._measured_capacity = max(
                 (1.0 - delayed_share) * total,
                 MIN_CAPACITY_SHARE * min(capacity, total),
@@ -332,7 +333,7 @@
             self._measured_capacity = math.inf
         used_capacity = min(capacity, self._measured_capacity)
         # Without any engine there is nothing to divide.
-        if total > used_capacity and capacity > 0.0:
+        if (total > capacity or is_delayed) and capacity > 0.0:
             self._contended_until_s = now_s + CONTENTION_HOLD_S
         is_contended = now_s < self._contended_until_s and capacity > 0.0
         level = math.inf
