--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -101,9 +101,9 @@
         return sum(len(endpoint.requests) for endpoint in self.endpoints)
 
 
-async def make_engines(harness, *stages, route=STREAM_ROUTE):
-    """Turn the endpoints into engines with these stages."""
-    content = sample_configuration(2, route)
+async def make_engines(harness, *stages, route=STREAM_ROUTE, **fields):
+    """Turn the endpoints into engines; other fields are the configuration's."""
+    content = {**sample_configuration(2, route), **fields}
     content["services"][0]["engine"] = {"slots": 8}
     harness.store.put("config", "main", content)
     states = harness.host.context.endpoints.states
--- a/libs/entry/tests/test_account_demand.py
+++ b/libs/entry/tests/test_account_demand.py
@@ -11,7 +11,6 @@
     make_engines,
     not_run,
     run,
-    sample_configuration,
     until,
 )
 from scripted_endpoint import encode_response, request_id_of
@@ -21,6 +20,8 @@
 ACCOUNTS = [{"name": "shop", "api_keys": ["key-1"], "priority": 3}]
 PROMPT = {"X-Gypsumusher-Key": "key-1", "X-Gypsumusher-Token-Count": "900,4"}
 LIMITED = Share(is_limited=True, demand_ratio=4.0)
+SHARES = [LIMITED, Share(is_protected=True), UNLIMITED]
+STAGES = ["prefill", "prefill", "decode"]
 SHOP = ["account_demand", 9000, [["shop", 9000]]]
 
 
@@ -28,19 +29,15 @@
     """A host with engines, an account, and shares that the test determines."""
 
     def __init__(self, scripts, shares=(), route=STREAM_ROUTE, stages=None):
-        super().__init__(*scripts, routes=({**route, "goal_ms": 1000},))
-        self.shares = list(shares)
+        super().__init__(*scripts)
+        self.shares, self.sent = list(shares), []
         self.stages = stages or ["decode"] * len(scripts)
-        self.sent = []
+        self.route = {**route, "goal_ms": 1000}
 
     async def __aenter__(self):
         await super().__aenter__()
-        await make_engines(self, *self.stages)
-        content = {**sample_configuration(3, *self.routes), "tenants": ACCOUNTS}
-        content["services"][0]["engine"] = {"slots": 8}
-        self.store.put("config", "main", content)
+        await make_engines(self, *self.stages, route=self.route, tenants=ACCOUNTS)
         self.context = self.host.context
-        await until(lambda: self.context.configuration_version == 3)
         self.context.started_s -= 100.0
         self.demand = self.context.account_demand
         self.demand._send_datagram = lambda *sent: self.sent.append(sent)
@@ -53,16 +50,18 @@
         """Send prompts one after the other; return the statuses and retry times."""
         ended = []
         for number in range(count):
-            request_id = f"r-{number}"
-            status, headers, _ = await self.ask("/0/x", "POST", request_id, **PROMPT)
+            status, headers, _ = await self.ask("/0/x", "POST", f"r-{number}", **PROMPT)
             ended.append((status, float(headers.get("Retry-After", 0.0))))
         return ended
 
     def urgencies(self):
-        """Return the urgencies of the prompts that engines have received."""
-        heads = [head for e in self.endpoints for head, _ in e.requests]
-        parts = [head.partition(b"X-Gypsumusher-Urgency: ")[2] for head in heads]
-        return [int(part[:1]) for part in parts if part]
+        """Return the urgencies that engines have received, by request."""
+        found = {}
+        for head in [head for e in self.endpoints for head, _ in e.requests]:
+            urgency = head.partition(b"X-Gypsumusher-Urgency: ")[2][:1]
+            if urgency:
+                found.setdefault(request_id_of(head), []).append(int(urgency))
+        return found
 
     def receive(self, datagram):
         """Receive a datagram of another host."""
@@ -74,15 +73,11 @@
     """Return a decorator that runs a test with a `Sharing` of its own."""
 
     def decorate(test):
-        async def with_harness():
+        async def start():
             async with Sharing(scripts, **options) as harness:
                 await test(harness)
 
-        def test_with_harness():
-            run(with_harness())
-
-        test_with_harness.__doc__ = test.__doc__
-        return test_with_harness
+        return lambda: run(start())
 
     return decorate
 
@@ -100,16 +95,17 @@
     writer.write(encode_response(request_id_of(head), b"data: x\n\n"))
 
 
-@scenario(
-    not_run, not_run, not_run, shares=[LIMITED], stages=["prefill"] * 2 + ["decode"]
-)
-async def test_demoted_prompt_stays_demoted_at_all_engines(harness):
-    """Guards against a draw and a count for each send of a request."""
-    await harness.ask_all()
+@scenario(not_run, not_run, not_run, shares=SHARES, stages=STAGES)
+async def test_urgency_is_the_same_for_all_sends_of_a_request(harness):
+    """Guards against a draw for each send, and ranks that fair shares change."""
+    await harness.ask_all(3)
     assert all(endpoint.requests for endpoint in harness.endpoints)
-    assert set(harness.urgencies()) == {8}
-    assert len(harness.known._prompts) == 1
+    sent = {name: set(found) for name, found in harness.urgencies().items()}
+    assert sent == {"r-0": {8}, "r-1": {2}, "r-2": {5}}
+    assert len(harness.known._prompts) == 3
     assert dict(harness.log_lines)["prompt_demoted"]["account"] == "shop"
+    page, _ = harness.context.metrics.render()
+    assert b'gypsumusher_prompts_protected_total{route="r-0"} 1' in page
 
 
 @scenario(breaks_off, breaks_off, shares=[LIMITED], route=RESUMABLE_ROUTE)
@@ -121,23 +117,14 @@
     for state in harness.context.endpoints.states.values():
         state.begin_prefill(60.0, "timely")
     assert await asked == [(502, 0.0)]
-    assert harness.urgencies() == [8, 8]
+    assert harness.urgencies() == {"r-0": [8, 8]}
 
 
 @scenario(is_slow, is_slow, shares=[LIMITED], route=RESUMABLE_ROUTE)
 async def test_demoted_prompt_waits_for_an_engine_that_serves_others_first(harness):
     """Guards against a second engine that repeats the work of a busy one."""
     assert await harness.ask_all() == [(200, 0.0)]
-    assert harness.urgencies() == [8]
-
-
-@scenario(healthy, shares=[Share(is_protected=True), UNLIMITED])
-async def test_only_a_class_that_would_starve_has_the_first_rank(harness):
-    """Guards against ranks of accounts that change beside those of starving classes."""
-    await harness.ask_all(2)
-    assert harness.urgencies() == [2, 5]
-    page, _ = harness.context.metrics.render()
-    assert b'gypsumusher_prompts_protected_total{route="r-0"} 1' in page
+    assert harness.urgencies() == {"r-0": [8]}
 
 
 @scenario(healthy, shares=[UNLIMITED, LIMITED])
--- a/libs/routing/tests/test_fair_share.py
+++ b/libs/routing/tests/test_fair_share.py
@@ -9,23 +9,8 @@
 from hypothesis import strategies as st
 from samples import LIMITS, engine, prompt
 
-from gypsumusher_routing import (
-    HOPELESS,
-    LATE,
-    TIMELY,
-    UNLIMITED,
-    CostModel,
-    DemandReport,
-    EnginePool,
-    FairShares,
-    FirstEventLimits,
-    RoutingRequest,
-    Share,
-    choose_prefill,
-    prefill_capacity,
-    prefill_demand_s,
-    spread_retry_after_s,
-)
+import gypsumusher_routing as routing
+from gypsumusher_routing import UNLIMITED, FairShares, Share
 from gypsumusher_routing.fair_share import MIN_UTILIZATION, water_level
 
 CAPACITY, COST_S, ACCOUNTS = 7.5, 0.05, 81
@@ -113,7 +98,7 @@
     """Guards against a level of 0 when accounts beyond the largest fill the engines."""
     load = Load()
     load.now_s = 2.0
-    load.shares.on_report(2.0, "other", DemandReport(19.0, {"large": 7.0}))
+    load.shares.on_report(2.0, "other", routing.DemandReport(19.0, {"large": 7.0}))
     load.ask("small-1")
     assert load.refresh().level == pytest.approx(0.8 * CAPACITY / ACCOUNTS, rel=0.2)
     load.ask("large", count=50)
@@ -155,23 +140,25 @@
 def choice_at(waiting_s, share, objective_s=0.8):
     """Return the choice for a prompt at an engine with timely prompts waiting."""
     state, decode = engine("p"), engine("d", "decode")
-    state.begin_prefill(waiting_s, TIMELY)
-    decode.begin_prefill(60.0, TIMELY)
-    pool = EnginePool([state, decode], LIMITS, CostModel(), "a", 50)
+    state.begin_prefill(waiting_s, "timely")
+    decode.begin_prefill(60.0, "timely")
+    pool = routing.EnginePool([state, decode], LIMITS, routing.CostModel(), "a", 50)
     for _ in range(20):
         pool.cost_model.prefill_cost("prefill").learn(1100, 0, 0.05)
-    timing = (objective_s, objective_s, FirstEventLimits(2.5, 3.2), 1.0)
-    request = RoutingRequest(prompt(1, 100, 1000), *timing, share)
-    return choose_prefill(0.0, pool, request, lambda: 0.0)
+    timing = (objective_s, objective_s, routing.FirstEventLimits(2.5, 3.2), 1.0)
+    request = routing.RoutingRequest(prompt(1, 100, 1000), *timing, share)
+    return routing.choose_prefill(0.0, pool, request, lambda: 0.0)
 
 
 def test_prompt_above_the_share_uses_idle_engines_and_displaces_nobody():
     """Guards against refusals at idle engines, and against demotion that hides load."""
     lanes = [choice_at(0.0, share).lane for share in (UNLIMITED, LIMITED)]
-    assert lanes == [TIMELY, LATE]
+    assert lanes == ["timely", "late"]
     lanes = [choice_at(1.0, share).lane for share in (UNLIMITED, LIMITED, PROTECTED)]
-    assert lanes == [LATE, LATE, TIMELY]
-    assert {choice_at(8.0, share).lane for share in (LIMITED, PROTECTED)} == {HOPELESS}
+    assert lanes == ["late", "late", "timely"]
+    assert {choice_at(8.0, share).lane for share in (LIMITED, PROTECTED)} == {
+        "hopeless"
+    }
     # A prompt too large to be on time anywhere says nothing about the queues.
     delayed = [choice_at(1.0, LIMITED), choice_at(0.0, LIMITED)]
     delayed.append(choice_at(1.0, UNLIMITED, objective_s=0.03))
@@ -181,22 +168,22 @@
 def test_slow_and_failing_engines_are_less_capacity():
     """Guards against contention that goes unnoticed as engines slow down or fail."""
     states = [engine("p1"), engine("p2"), engine("p3"), engine("d", "decode")]
-    pool = EnginePool(states, LIMITS, CostModel(), "a", 50)
+    pool = routing.EnginePool(states, LIMITS, routing.CostModel(), "a", 50)
     # A decode engine prefills at half the speed until its costs are known.
-    assert prefill_capacity(0.0, pool) == pytest.approx(3.5)
+    assert routing.prefill_capacity(0.0, pool) == pytest.approx(3.5)
     for _ in range(60):
         states[0].slowdown.learn(0.0, 2.0, 1.0)
         states[1].health.on_failure(0.0, "broken")
-    assert prefill_capacity(0.0, pool) == pytest.approx(2.0, rel=0.01)
+    assert routing.prefill_capacity(0.0, pool) == pytest.approx(2.0, rel=0.01)
     generation = prompt(1, 6000, 2000)
-    before_s = prefill_demand_s(pool, generation)
+    before_s = routing.prefill_demand_s(pool, generation)
     states[2].prefixes.add_parts(generation.parts[:1])
-    assert prefill_demand_s(pool, generation) < before_s
+    assert routing.prefill_demand_s(pool, generation) < before_s
 
 
 def test_retries_of_a_large_account_are_spread_by_its_excess():
     """Guards against callers of one account that all come back at the same time."""
     excess = [(UNLIMITED, 0.9), (LIMITED, 0.0), (LIMITED, 1.0)]
     excess.append((LIMITED._replace(demand_ratio=1e4), 1.0))
-    waits_s = [spread_retry_after_s(0.5, *spread) for spread in excess]
+    waits_s = [routing.spread_retry_after_s(0.5, *spread) for spread in excess]
     assert waits_s == [0.5, 0.5, 2.5, 5.5]
