Leave the request itself out when a class is compared with its demand

A class with a request every few seconds always looked starved at its own arrivals, because the request was counted in the demand and not yet as placed. It was sent with the first rank although all of its earlier work was in time.

--- a/libs/routing/gypsumusher_routing/fair_share.py
+++ b/libs/routing/gypsumusher_routing/fair_share.py
@@ -369,7 +369,7 @@
         is_observed = now_s - self._started_s >= MIN_OBSERVED_S
         if not self.contention.is_contended or not is_observed:
             return share
-        if self._is_starved(now_s, class_name):
+        if self._is_starved(now_s, class_name, cost_s):
             return share._replace(is_protected=True)
         demand, level = self._merged.get(account, 0.0), self.contention.level
         if demand <= level:
@@ -394,15 +394,18 @@
         utilization = self._utilization + change
         self._utilization = min(MAX_UTILIZATION, max(MIN_UTILIZATION, utilization))
 
-    def _is_starved(self, now_s, class_name):
+    def _is_starved(self, now_s, class_name, cost_s):
         """Return whether a class has less than its least share of the work in time."""
         demands = {name: rate.value(now_s) for name, rate in self._classes.items()}
         least = MIN_CLASS_DEMAND * sum(demands.values())
         wanting = sum(demand > least for demand in demands.values())
         in_time = {name: rate.value(now_s) for name, rate in self._in_time.items()}
+        # The request itself has been counted and isn't placed yet. For a class with a
+        # request every few seconds that would look like a demand that isn't served.
+        earlier = demands.get(class_name, 0.0) - cost_s / DEMAND_TIME_CONSTANT_S
         bound = min(
             CLASS_SHARE * sum(in_time.values()) / max(1, wanting),
-            SERVED_SHARE * demands.get(class_name, 0.0),
+            SERVED_SHARE * earlier,
         )
         return in_time.get(class_name, 0.0) < bound
 
