--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -112,6 +112,7 @@
         self.context.endpoint_limits.start(self._gossip)
         self._learned_state.start()
         self.context.engine_estimates.start(send_datagram)
+        self.context.account_demand.start(send_datagram)
         await self._store_watcher.start()
         self._prefix_cache_recovery.prepare(self._learned_state.hosts, send_datagram)
         await self._registration.start()
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -48,6 +48,7 @@
     cache_transfer_s,
     choose_decode,
     choose_prefill,
+    prefill_demand_s,
 )
 from gypsumusher_routing.engine_demand import (
     WORK_REPORT_S,
@@ -67,6 +68,14 @@
     compare_gap_ratios,
 )
 from gypsumusher_routing.events import Event, EventSplitter, OversizedEvent
+from gypsumusher_routing.fair_share import (
+    UNLIMITED,
+    DemandReport,
+    FairShares,
+    Share,
+    prefill_capacity,
+    spread_retry_after_s,
+)
 from gypsumusher_routing.fleet_plan import (
     FleetOrder,
     FleetPlanner,
@@ -297,4 +306,11 @@
     "WantedEngines",
     "WorkMeter",
     "engines_needed",
+    "UNLIMITED",
+    "DemandReport",
+    "FairShares",
+    "Share",
+    "prefill_capacity",
+    "prefill_demand_s",
+    "spread_retry_after_s",
 ]
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -60,6 +60,8 @@
         slow engines by it.
     compact_updates : bool
         Between two whole status messages, hosts send only the loads that have changed.
+    fair_shares : bool
+        Prompts of client accounts above their fair share are sent as late ones.
     """
 
     lanes: bool = True
@@ -84,6 +86,7 @@
     kept_knowledge: bool = True
     shared_speeds: bool = True
     compact_updates: bool = True
+    fair_shares: bool = True
 
 
 # Policy of a host in service.
