--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -16,7 +16,7 @@
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_platform import load_settings
 from gypsumusher_ports import GypsumusherError, StartError
-from gypsumusher_routing import policy_with, policy_without
+from gypsumusher_routing import ALL_ON, policy_without
 
 __all__ = ["main"]
 
@@ -43,28 +43,18 @@
     parser.add_argument(
         "--check", action="store_true", help="check the settings and exit"
     )
-    parser.add_argument(
-        "--with",
-        dest="switched_on",
-        default="",
-        metavar="NAME,...",
-        help="routing mechanisms to switch on that are off in service",
-    )
     parser.add_argument(
         "--without",
-        default="",
+        type=policy_without,
+        default=ALL_ON,
         metavar="NAME,...",
         help="routing mechanisms to switch off, to measure their effect",
     )
     options = parser.parse_args(arguments)
-    try:
-        policy = policy_without(options.without, policy_with(options.switched_on))
-    except ValueError as error:
-        parser.error(f"arguments --with and --without: {error}")
     return run_program(
         "gypsumusher_entry",
         load_settings,
-        functools.partial(_serve, options.metrics_port, policy),
+        functools.partial(_serve, options.metrics_port, options.without),
         _describe if options.check else None,
     )
 
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -116,13 +116,7 @@
     Membership,
     RecordState,
 )
-from gypsumusher_routing.policy import (
-    ALL_ON,
-    IN_SERVICE,
-    Policy,
-    policy_with,
-    policy_without,
-)
+from gypsumusher_routing.policy import ALL_ON, Policy, policy_without
 from gypsumusher_routing.prefix_cache import PrefixCacheEstimate
 from gypsumusher_routing.rendezvous import choose_hosts
 from gypsumusher_routing.retry_budget import RetryBudget, RetryDecision
@@ -178,7 +172,6 @@
 __all__ = [
     "ABSENT_FOR_S",
     "ALL_ON",
-    "IN_SERVICE",
     "ASK",
     "CONFIRM_FROM_PEER",
     "CONFIRM_FROM_STORE",
@@ -280,7 +273,6 @@
     "key_lease_s",
     "max_store_pause_s",
     "pick_service",
-    "policy_with",
     "policy_without",
     "urgency_of",
     "NO_LOAD",
--- a/libs/routing/gypsumusher_routing/policy.py
+++ b/libs/routing/gypsumusher_routing/policy.py
@@ -1,12 +1,12 @@
-"""Switches of the routing mechanisms, most of which are on in service.
+"""Switches of the routing mechanisms, all of which are on in service.
 
-A mechanism can be turned on or off to measure its effect without a change of the code:
-``gypsumusher_entry --with shared_speeds --without fetches,margin``.
+A mechanism can be turned off to measure its effect without a change of the code:
+``gypsumusher_entry --without fetches,margin``.
 """
 
 from typing import NamedTuple
 
-__all__ = ["ALL_ON", "IN_SERVICE", "Policy", "policy_with", "policy_without"]
+__all__ = ["ALL_ON", "Policy", "policy_without"]
 
 
 class Policy(NamedTuple):
@@ -89,42 +89,26 @@
     fair_shares: bool = True
 
 
-# Policy with every mechanism.
+# Policy of a host in service.
 ALL_ON = Policy()
-# Policy of a host in service. Shared speeds direct prompts to few engines, whose caches
-# don't hold all shared prefixes: of two days with uneven engines each was worth 0.01 to
-# 0.02 less with them.
-IN_SERVICE = ALL_ON._replace(shared_speeds=False)
 
 
-def policy_without(names: str, policy: Policy = ALL_ON) -> Policy:
-    """Return a policy with some mechanisms turned off.
+def policy_without(names: str) -> Policy:
+    """Return the policy with some mechanisms turned off.
 
     Parameters
     ----------
     names : str
         Comma-separated names of the mechanisms; may be empty.
-    policy : Policy
-        Policy to start from.
 
     Raises
     ------
     ValueError
         If a name is unknown; the message lists the known ones.
     """
-    return policy._replace(**dict.fromkeys(_split_names(names), False))
-
-
-def policy_with(names: str, policy: Policy = IN_SERVICE) -> Policy:
-    """Return a policy with some mechanisms turned on; see `policy_without`."""
-    return policy._replace(**dict.fromkeys(_split_names(names), True))
-
-
-def _split_names(names):
-    """Return the names in a comma-separated list, after a check that they are known."""
-    found = [name.strip() for name in names.split(",") if name.strip()]
-    unknown = [name for name in found if name not in Policy._fields]
+    off = [name.strip() for name in names.split(",") if name.strip()]
+    unknown = [name for name in off if name not in Policy._fields]
     if unknown:
         known = ", ".join(Policy._fields)
         raise ValueError(f"unknown mechanism {unknown[0]!r}; known are {known}")
-    return found
+    return Policy(**dict.fromkeys(off, False))
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -17,7 +17,6 @@
 from gypsumusher_routing import (
     ALL_ON,
     HOPELESS,
-    IN_SERVICE,
     LATE,
     TIMELY,
     FirstEventLimits,
@@ -35,7 +34,6 @@
     choose_watchers,
     first_event_limit_s,
     pick_service,
-    policy_with,
     policy_without,
     urgency_of,
 )
@@ -307,8 +305,6 @@
 
 def test_mechanisms_are_turned_off_by_name_and_unknown_names_are_rejected():
     assert policy_without("") == ALL_ON
-    assert policy_with("") == IN_SERVICE == policy_without("shared_speeds")
-    assert policy_without("lanes", policy_with("shared_speeds")).shared_speeds
     policy = policy_without("lanes, margin")
     assert (policy.lanes, policy.margin, policy.pace) == (False, False, True)
     with pytest.raises(ValueError, match="lanes"):
