--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -88,6 +88,11 @@
 # Cost of a full batch relative to an empty one when a decode engine is chosen. It
 # balances the load where nothing else decides.
 FULL_BATCH_COST_S = 0.05
+# Exponent of an engine's speed in the comparison of engines. With the whole factor, all
+# hosts prefer the same few fast engines, whose queues and caches overflow: shared parts
+# are evicted there and prefilled again. From the second value on, an engine is a
+# straggler and the whole factor counts.
+SPEED_EXPONENT, STRAGGLER_SLOWDOWN = 0.5, 2.0
 # Share of an engine's slots, and of a host's connections to it, above which it gets no
 # late prompts. The rest is reserved for timely ones.
 LATE_SHARE = 0.5
@@ -350,6 +355,11 @@
     """Return the cost of a prefill for its caller and for others, as waiting time."""
     state = choice.state
     cost_s = choice.expected_s + PENALTY_COST_S * state.health.penalty(now_s)
+    if pool.policy.shared_speeds and pool.policy.pace:
+        factor = state.slowdown.factor(now_s)
+        if factor < STRAGGLER_SLOWDOWN:
+            busy_s = choice.cost_s + choice.queue_s
+            cost_s -= busy_s * (factor - factor**SPEED_EXPONENT)
     if pool.policy.own_zone and state.record.zone != pool.own_zone:
         cost_s += OTHER_ZONE_COST_S
     if not choice.is_disaggregated:
--- a/libs/routing/tests/test_engine_speeds.py
+++ b/libs/routing/tests/test_engine_speeds.py
@@ -184,3 +184,15 @@
     pool.states[1].begin_prefill(3.5 * cost_s, TIMELY)
     choice = choose_prefill(9.0, pool, request, constant_draw)
     assert (choice.state is pool.states[0]) == is_chosen
+
+
+@pytest.mark.parametrize("queue_share, is_chosen", [(0.0, True), (0.6, False)])
+def test_fast_engine_is_not_preferred_behind_a_queue(queue_share, is_chosen):
+    """Guards against hosts that all send to the few fastest engines at once."""
+    pool, request = decode_pool(0.6, 1.0)
+    for state in pool.states:
+        state.own_running = 0
+    cost_s = pool.cost_model.prefill_cost("decode").expected_s(1460, 0)
+    pool.states[0].begin_prefill(queue_share * cost_s, TIMELY)
+    choice = choose_prefill(9.0, pool, request, constant_draw)
+    assert (choice.state is pool.states[0]) == is_chosen
