--- a/libs/entry/gypsumusher_entry/load_changes.py
+++ b/libs/entry/gypsumusher_entry/load_changes.py
@@ -1,8 +1,8 @@
 """Load updates between active hosts that hold only what has changed.
 
-Status messages made up most of the bytes between zones: six active hosts sent one of
-1.2 kB to all others up to 20 times a second. Between two whole ones a host now sends
-the loads that differ; see `gypsumusher_routing.load_changes`.
+Six active hosts send a status message of 1.2 kB to all others up to 20 times a second.
+Between two whole ones a host sends the loads that differ; see
+`gypsumusher_routing.load_changes`.
 """
 
 from gypsumusher_routing import (
