--- a/libs/routing/gypsumusher_routing/engine_demand.py
+++ b/libs/routing/gypsumusher_routing/engine_demand.py
@@ -42,10 +42,10 @@
 # Share of an engine's time that prefills take, and share of its slots that streams
 # take, with queues that stay short.
 PREFILL_SHARE, SLOTS_SHARE = 0.4, 0.3
-# Bounds of the wanted number relative to the provisioned one. The upper bound applies
-# while prompts are late: after a loss of all hosts the backlog is gone before many more
-# engines have started.
-MIN_SHARE, MAX_SHARE = 1 / 3, 1.5
+# Least wanted number relative to the provisioned one, which is the greatest. While
+# prompts were late for reclaimed engines, half as many more cost as much as all
+# reclaimable ones and served nobody better.
+MIN_SHARE = 1 / 3
 # Time for which fewer engines have to be needed before the number is lowered, and time
 # from the start of a term within which it isn't lowered.
 LOWER_AFTER_S = 10.0
@@ -328,12 +328,12 @@
         provisioned = self._provisioned
         shared = min(needs.shared_prefixes, provisioned)
         needed = max(needs.prefill, needs.streams, shared)
-        least, most = math.ceil(MIN_SHARE * provisioned), provisioned
+        least = math.ceil(MIN_SHARE * provisioned)
         if demand.work.late_share > MAX_LATE_SHARE:
             # Work that is refused or waits isn't counted as begun, so the formula alone
             # would stay below what a burst needs.
-            least, most = provisioned, math.ceil(MAX_SHARE * provisioned)
-        return min(most, max(least, needed))
+            least = provisioned
+        return min(provisioned, max(least, needed))
 
 
 def engines_needed(work: EngineWork, slots: int, kv_tokens: int) -> EngineNeeds:
