--- a/libs/routing/gypsumusher_routing/engine_choice.py
+++ b/libs/routing/gypsumusher_routing/engine_choice.py
@@ -220,8 +220,10 @@
     decode_states = [state for state in states if state.stage != "prefill"]
     if not decode_states:
         return None
+    loads = {state: state.load(now_s) for state in states}
     stream_costs_s = {
-        state: _stream_cost_s(now_s, pool, state, request) for state in decode_states
+        state: _stream_cost_s(now_s, pool, state, request, loads[state])
+        for state in decode_states
     }
     min_stream_cost_s = min(stream_costs_s.values())
     home = _home_engine(states, request.generation.parts)
@@ -235,7 +237,7 @@
                 continue
         pending_after_s = now_s if pool.policy.coming_parts else None
         cached_tokens = _cached_tokens(pending_after_s, state, home, request.generation)
-        load = state.load(now_s)
+        load = loads[state]
         choice = _prefill_at(
             now_s, state, load, pool, request, cached_tokens, holder, held_tokens
         )
@@ -388,7 +390,7 @@
     return cost_s
 
 
-def _stream_cost_s(now_s, pool, state, request, load=None):
+def _stream_cost_s(now_s, pool, state, request, load):
     """Return the cost of decoding a request at an engine, as waiting time."""
     strain_s = EVENT_COST_S * _excess_gap_ratio(state)
     slowness = _slowness(now_s, pool, state)
@@ -396,8 +398,7 @@
     longer_s = (slowness - 1.0) * pool.cost_model.event_gap_s
     cost_s = (strain_s + longer_s) * request.expected_events
     if slowness > 1.0:
-        prefill_s = (load or state.load(now_s)).pending_prefill_s
-        cost_s += _slow_gap_cost_s(pool, request, slowness, prefill_s)
+        cost_s += _slow_gap_cost_s(pool, request, slowness, load.pending_prefill_s)
     if pool.policy.shared_speeds:
         cost_s += _straggler_cost_s(state)
     return cost_s
--- a/libs/routing/gypsumusher_routing/engine_demand.py
+++ b/libs/routing/gypsumusher_routing/engine_demand.py
@@ -326,14 +326,11 @@
     def _bounded(self, demand, needs):
         """Return the needed number within its bounds."""
         provisioned = self._provisioned
-        shared = min(needs.shared_prefixes, provisioned)
-        needed = max(needs.prefill, needs.streams, shared)
-        least = math.ceil(MIN_SHARE * provisioned)
         if demand.work.late_share > MAX_LATE_SHARE:
             # Work that is refused or waits isn't counted as begun, so the formula alone
             # would stay below what a burst needs.
-            least = provisioned
-        return min(provisioned, max(least, needed))
+            return provisioned
+        return min(provisioned, max(math.ceil(MIN_SHARE * provisioned), *needs))
 
 
 def engines_needed(work: EngineWork, slots: int, kv_tokens: int) -> EngineNeeds:
--- a/libs/routing/gypsumusher_routing/learned_state.py
+++ b/libs/routing/gypsumusher_routing/learned_state.py
@@ -16,6 +16,7 @@
     MIN_MARGIN,
     CostEstimates,
 )
+from gypsumusher_routing.engine_speed import EngineSpeed
 from gypsumusher_routing.estimates import prefill_duration_s
 from gypsumusher_routing.rendezvous import choose_hosts
 
@@ -215,10 +216,9 @@
     """Return the speeds of the engines about which something is known, by id."""
     speeds = {}
     for state in states:
-        read = getattr(state.slowdown, "snapshot", None)
-        if read is None or state.stage is None:
+        if not isinstance(state.slowdown, EngineSpeed) or state.stage is None:
             continue
-        log_factor, observations = read()
+        log_factor, observations = state.slowdown.snapshot()
         if not observations:
             continue
         log_permille = round(1000.0 * log_factor)
@@ -235,13 +235,12 @@
     An engine with another start or stage, or one that this host has observed itself,
     keeps its speed.
     """
-    restore = getattr(state.slowdown, "restore", None)
-    if restore is None or not _is_of(speed, state):
+    if not isinstance(state.slowdown, EngineSpeed) or not _is_of(speed, state):
         return False
     _, observations = state.slowdown.snapshot()
     if observations:
         return False
-    restore(speed.log_permille / 1000.0, speed.observations)
+    state.slowdown.restore(speed.log_permille / 1000.0, speed.observations)
     return True
 
 
--- a/libs/routing/tests/test_learned_state.py
+++ b/libs/routing/tests/test_learned_state.py
@@ -15,19 +15,6 @@
 HOSTS = tuple(LearnedHost(f"host-{n}", f"10.0.0.{n}") for n in range(6))
 
 
-class KeptSpeed:
-    """A speed estimate that can be taken over from before a restart."""
-
-    def __init__(self, log_factor=0.0, observations=0):
-        self.kept = log_factor, observations
-
-    def snapshot(self):
-        return self.kept
-
-    def restore(self, log_factor, observations):
-        self.kept = log_factor, observations
-
-
 def learned_model(s_per_thousand_tokens=0.008, model=None):
     """Return a model that has seen many answers of one stage and one stream."""
     model = CostModel() if model is None else model
@@ -50,7 +37,7 @@
 
 def observed_engine(name, log_factor=0.5, observations=9):
     state = engine(name)
-    state.slowdown = KeptSpeed(log_factor, observations)
+    state.slowdown.restore(log_factor, observations)
     return state
 
 
@@ -88,17 +75,16 @@
     speeds = routing.learned_speeds([observed_engine("e-1"), engine("e-2")])
     assert list(speeds) == ["e-1"]
     same, other_start = (observed_engine("e-1", 0.0, 0) for _ in range(2))
-    observed, other_stage = observed_engine("e-1", 0.1, 3), engine("e-1", "decode")
+    observed, other_stage = observed_engine("e-1", 0.25, 3), engine("e-1", "decode")
     other_start.record = other_start.record._replace(started_ms=2)
-    other_stage.slowdown = KeptSpeed()
     # Without shared speeds there is nothing to restore.
     unshared = engine("e-1")
     unshared.slowdown = Slowdown()
     states = [same, observed, other_start, other_stage, unshared]
     applied = [routing.restore_speed(state, speeds["e-1"]) for state in states]
     assert applied == [True, False, False, False, False]
-    assert same.slowdown.kept == (0.5, 9)
-    assert observed.slowdown.kept == (0.1, 3)
+    assert same.slowdown.snapshot() == (0.5, 9)
+    assert observed.slowdown.snapshot() == (0.25, 3)
 
 
 def test_snapshot_is_written_for_changes_that_matter_only():
