Decode Server-Leaving and Retry-After of endpoints, and log them

The heads of all responses on endpoints' connections are observed now, also of calls that aren't callers' requests and of responses that nobody waits for. Nothing is decided by them yet.

The check that a response without a limit states none named the last two fields of the head by position; it names them by name now, as others come after them.

Tests of the adapter, libs/http, endpoint limits, hosts, layout and docs: passed.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -10,6 +10,7 @@
 from gypsumusher_entry.crash_reports import CrashReports
 from gypsumusher_entry.endpoint_connections import EndpointConnections, connection_key
 from gypsumusher_entry.endpoint_limit_sync import EndpointLimitSync
+from gypsumusher_entry.endpoint_notices import EndpointNotices
 from gypsumusher_entry.engine_estimates import EngineEstimates
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
 from gypsumusher_entry.stall_monitor import StallMonitor
@@ -117,11 +118,15 @@
         self.version_records = VersionRecords(self)
         self.begun_streams = BegunStreams(self)
         self.endpoint_limits = EndpointLimitSync(self)
+        self.endpoint_notices = EndpointNotices(self)
         self.engine_estimates = EngineEstimates(self)
         self.staleness = StalenessMonitor(self)
         self.account_demand = AccountDemand(self)
         self.connection_pool = ConnectionPool(
-            clock, decode_response_head, CONNECT_TIMEOUT_S
+            clock,
+            decode_response_head,
+            CONNECT_TIMEOUT_S,
+            self.endpoint_notices.on_head,
         )
         self.endpoint_connections = EndpointConnections(self)
         self.stall_monitor = StallMonitor(clock, log, self.wait_for_tick)
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -329,6 +329,8 @@
             self._is_skipping_response = True
             return
         head = self._pool.decode_head(status, self._headers)
+        if self._pool.on_head is not None:
+            self._pool.on_head(self, head)
         self._is_skipping_response = self._is_for_other_request(head)
         if self._is_skipping_response:
             self._skipped_responses += 1
@@ -411,11 +413,15 @@
         head has an attribute ``request_id``, which is None for a response without id.
     connect_timeout_s : float
         Longest time to open a connection, in seconds.
+    on_head : callable or None
+        ``on_head(connection, head)`` is called with the head of each response, also of
+        those to requests that nobody waits for any more.
     """
 
-    def __init__(self, clock, decode_head, connect_timeout_s):
+    def __init__(self, clock, decode_head, connect_timeout_s, on_head=None):
         self._clock = clock
         self.decode_head = decode_head
+        self.on_head = on_head
         self._connect_timeout_s = connect_timeout_s
         self._idle = {}
         self._open = {}
--- a/libs/ports/gypsumusher_ports/answers.py
+++ b/libs/ports/gypsumusher_ports/answers.py
@@ -30,6 +30,13 @@
         it states no limit.
     has_unreadable_limit : bool
         Whether it states a limit that can't be decoded.
+    is_leaving : bool
+        Whether the endpoint states that it is shutting down.
+    retry_after_s : float or None
+        Time after which a request may be sent again, in seconds; None when the response
+        states none.
+    has_unreadable_retry_after : bool
+        Whether it states such a time that can't be decoded.
     """
 
     status: int
@@ -41,6 +48,9 @@
     headers: tuple[tuple[str, str], ...]
     limit_per_s: float | None = None
     has_unreadable_limit: bool = False
+    is_leaving: bool = False
+    retry_after_s: float | None = None
+    has_unreadable_retry_after: bool = False
 
 
 class PrefillResult(NamedTuple):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -267,7 +267,35 @@
     head = decode_response_head(200, [("Server-Limit", text)])
     assert head.limit_per_s == limit_per_s
     assert head.has_unreadable_limit == (limit_per_s is None)
-    assert decode_response_head(200, [])[-2:] == (None, False)
+    without = decode_response_head(200, [])
+    assert (without.limit_per_s, without.has_unreadable_limit) == (None, False)
+
+
+DATE = ("Date", "Fri, 04 Dec 2026 10:00:00 GMT")
+
+
+@pytest.mark.parametrize(
+    ("text", "retry_after_s"),
+    [("3", 3.0), ("0.25", 0.25), ("0", 0.0), ("Fri, 04 Dec 2026 10:00:07 GMT", 7.0),
+     ("Fri, 04 Dec 2026 09:00:00 GMT", 0.0), ("04 Dec 2026 10:00:07 -0000", 7.0),
+     ("-1", None), ("soon", None), ("", None), ("nan", None), ("9" * 40, None),
+     ("Fri, 04 Dec 99999999999 10:00:07 GMT", None)],
+)  # fmt: skip
+def test_retry_after_of_an_endpoint_is_decoded_or_unreadable(text, retry_after_s):
+    head = decode_response_head(503, [("Retry-After", text), DATE])
+    assert head.retry_after_s == retry_after_s
+    assert head.has_unreadable_retry_after == (retry_after_s is None)
+    without = decode_response_head(503, [DATE])
+    assert (without.retry_after_s, without.has_unreadable_retry_after) == (None, False)
+
+
+@pytest.mark.parametrize(
+    ("text", "is_leaving"), [("1", True), (" 1 ", True), ("0", False), ("", False)]
+)
+def test_response_head_tells_whether_the_endpoint_leaves(text, is_leaving):
+    head = decode_response_head(404, [("Server-Leaving", text)])
+    assert head.is_leaving == is_leaving
+    assert ("Server-Leaving", text) in head.headers
 
 
 @given(st.binary(max_size=40) | JSON.map(lambda item: json.dumps(item).encode()))
