Send nothing more to endpoints that say in their responses that they leave

Cause: that an endpoint drains was known from its entry in the store alone, and no code read Server-Leaving.

The endpoint table takes either source now, for good for one start of an endpoint: an entry that is ready again, or lapses and returns, doesn't take it back. As the entry itself is changed, all that asks for it follows: the choice of endpoints, the check right before a send, tunnels of other hosts, stage orders, orders for engines, and the lists that hosts send each other.

--- a/libs/entry/tests/test_leaving_endpoints.py
+++ b/libs/entry/tests/test_leaving_endpoints.py
@@ -13,6 +13,10 @@
     slow,
 )
 
+from gypsumusher_entry.sending_to_endpoints import call_engine
+from gypsumusher_http import CallError
+from gypsumusher_platform import encode_report_request
+
 REQUESTS = 20
 
 
@@ -80,6 +84,55 @@
     run(scenario())
 
 
+# Guards against requests that are sent late to an endpoint that was chosen before it
+# said that it leaves.
+def test_request_that_waits_for_a_connection_leaves_an_endpoint_that_leaves():
+    async def scenario():
+        async with HostHarness(healthy()) as harness:
+            context = harness.host.context
+            state = context.endpoints.states["e-0"]
+            pool = context.connection_pool
+            connect = pool.connect
+
+            async def connect_late(*args, **kwargs):
+                connection = await connect(*args, **kwargs)
+                context.endpoints.on_draining(
+                    state.record.incarnation, state.record.address
+                )
+                return connection
+
+            pool.connect = connect_late
+            status, _, _ = await harness.ask()
+            assert (status, harness.arrivals()) == (503, 0)
+
+    run(scenario())
+
+
+# Guards against what engines say in responses to calls that aren't callers' requests.
+def test_engine_that_says_it_leaves_in_its_report_gets_no_more_requests():
+    async def scenario():
+        async with HostHarness(NoticeEndpoint(extra=(LEAVING,))) as harness:
+            context = harness.host.context
+            record = context.endpoints.states["e-0"].record
+            await call_engine(context, record, encode_report_request(record.address), 1)
+            assert (await harness.ask())[0] == 503
+            assert harness.arrivals() == 1
+
+    run(scenario())
+
+
+# Guards against what another process at the same address says of itself.
+def test_wrong_endpoint_that_leaves_says_nothing_of_the_right_one():
+    async def scenario():
+        other = NoticeEndpoint("421 Misdirected Request", (LEAVING,))
+        async with HostHarness(other) as harness:
+            await harness.ask()
+            state = harness.host.context.endpoints.states["e-0"]
+            assert state.is_address_taken and not state.record.is_draining
+
+    run(scenario())
+
+
 # Guards against other hosts, and paths through them, that go on to use the endpoint.
 def test_other_hosts_are_told_of_an_endpoint_that_leaves():
     async def scenario():
@@ -98,5 +151,10 @@
             for _ in range(REQUESTS):
                 assert (await system.ask(1))[0] == 200
             assert len(system.endpoints[0].requests) == arrived
+            tunnel = system.hosts[1].context.settings.peers_address
+            pool = system.hosts[0].context.connection_pool
+            address = states["e-0"].record.address
+            with pytest.raises(CallError):
+                await pool.connect(("e-0", 0, address), address, ("host-1", tunnel))
 
     run(scenario())
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -1,9 +1,10 @@
 """Endpoints known to a host, from the lists and changes of the store or of peers.
 
-Three faults are handled here. A store that was unavailable may lose the entries of live
+Four faults are handled here. A store that was unavailable may lose the entries of live
 endpoints; they return within seconds, so a missing endpoint is kept for that long. A
 restarted endpoint returns under the same id; its counts start anew. A delayed write may
-restore an older entry, in which a draining endpoint is still ready.
+restore an older entry, in which a draining endpoint is still ready. An endpoint that
+drains may be unable to write that into the store, and says so in its responses only.
 """
 
 from weakref import WeakValueDictionary
@@ -22,6 +23,8 @@
 # Maximum number of ids of removed endpoints kept for peers. Endpoints come and go for
 # days without a full list; a peer whose revision is older gets the full list.
 REMOVED_MAX = 1000
+# Maximum number of incarnations that are remembered as draining.
+DRAINING_MAX = 2000
 
 
 class EndpointTable:
@@ -45,6 +48,9 @@
         self._grace_until_s = 0.0
         self._kv_tokens = {}
         self._endpoints_by_peer = {}
+        # Incarnations and addresses that drain, the oldest first. They are remembered
+        # without an entry too, since an entry that lapsed may return as a ready one.
+        self._draining = {}
         # By incarnation and address, for as long as sends may be under way there.
         self._deliveries = WeakValueDictionary()
         # Revision of each change after a base revision, for peers. The base is that of
@@ -259,6 +265,25 @@
             state.health.on_peer_penalty(now_s, peer, penalty)
         self._endpoints_by_peer[peer] = tuple(reported)
 
+    def on_draining(self, incarnation, address: str) -> bool:
+        """Record that an endpoint drains, as it says itself; return whether it is new.
+
+        Parameters
+        ----------
+        incarnation : tuple of (str, int)
+            Id and start time of the endpoint.
+        address : str
+            ``ip:port`` of the endpoint.
+        """
+        if (incarnation, address) in self._draining:
+            return False
+        self._remember_draining((incarnation, address))
+        state = self.states.get(incarnation[0])
+        if state is not None and _key(state.record) == (incarnation, address):
+            state.on_record(state.record._replace(is_draining=True))
+            self.change_count += 1
+        return True
+
     def on_wrong_endpoint(self, endpoint_id: str) -> None:
         """Record that another endpoint answers at the address of this one."""
         state = self.states.get(endpoint_id)
@@ -298,9 +323,14 @@
 
     def _apply(self, record):
         """Apply one entry; return whether it changed anything but the heartbeat."""
+        # An incarnation that has begun to drain never becomes ready again.
+        if record.is_draining:
+            self._remember_draining(_key(record))
+        elif _key(record) in self._draining:
+            record = record._replace(is_draining=True)
         self._missing_since_s.pop(record.endpoint_id, None)
         state = self.states.get(record.endpoint_id)
-        if state is None or not _is_same_incarnation(state.record, record):
+        if state is None or _key(state.record) != _key(record):
             if state is not None:
                 state.is_gone = True
                 state.delivery.has_ended = True
@@ -314,8 +344,6 @@
         known = state.record
         if record.heartbeat_count < known.heartbeat_count:
             return False
-        # An incarnation that has begun to drain never becomes ready again.
-        record = record._replace(is_draining=record.is_draining or known.is_draining)
         if (record.service, record.software_version) != (
             known.service,
             known.software_version,
@@ -327,19 +355,27 @@
 
     def _delivery_to(self, record):
         """Return the delivery record of an incarnation, also after its entry lapsed."""
-        key = (record.incarnation, record.address)
+        key = _key(record)
         delivery = self._deliveries.get(key)
         if delivery is None:
             delivery = self._deliveries[key] = DeliveryRecord()
         delivery.is_listed = True
         return delivery
 
+    def _remember_draining(self, key):
+        """Remember that an incarnation drains, and forget the oldest of too many."""
+        # Each entry that says so makes it the newest again.
+        self._draining.pop(key, None)
+        self._draining[key] = None
+        if len(self._draining) > DRAINING_MAX:
+            del self._draining[next(iter(self._draining))]
+
     def _mark_missing(self, now_s, endpoint_id):
         """Mark an endpoint as missing, and drop it unless a grace period runs."""
         self._missing_since_s.setdefault(endpoint_id, now_s)
         self.drop_missing(now_s)
 
 
-def _is_same_incarnation(old, new):
-    """Return whether two entries are of the same incarnation at the same address."""
-    return old.incarnation == new.incarnation and old.address == new.address
+def _key(record):
+    """Return the incarnation and the address of an endpoint."""
+    return (record.incarnation, record.address)
--- a/libs/routing/tests/test_endpoint_table.py
+++ b/libs/routing/tests/test_endpoint_table.py
@@ -2,6 +2,7 @@
 
 from gypsumusher_ports import EndpointRecord
 from gypsumusher_routing import EndpointTable
+from gypsumusher_routing.endpoint_table import DRAINING_MAX
 
 
 def record(
@@ -28,6 +29,47 @@
     assert usable_ids(table) == []
 
 
+# Guards against an endpoint that says itself that it drains, and whose entry, as the
+# store is late, makes it ready again.
+def test_entries_do_not_make_an_endpoint_ready_that_says_it_drains():
+    table, peer = EndpointTable(), EndpointTable()
+    table.on_record(record(heartbeat_count=5), 10)
+    assert table.on_draining(("e-1", 1), "10.0.0.1:80")
+    assert not table.on_draining(("e-1", 1), "10.0.0.1:80")
+    table.on_record(record(heartbeat_count=6), 11)
+    assert usable_ids(table) == []
+    peer.on_full_list(0.0, table.listed_records(), 11)
+    assert usable_ids(peer) == []
+    table.on_deleted(0.0, "e-1", 12)
+    assert table.states == {}
+    table.on_record(record(heartbeat_count=7), 13)
+    assert usable_ids(table) == []
+
+
+def test_next_incarnation_of_a_draining_endpoint_is_ready():
+    table = EndpointTable()
+    table.on_draining(("e-1", 1), "10.0.0.1:80")
+    table.on_record(record(), 10)
+    assert usable_ids(table) == []
+    table.on_record(record(started_ms=2), 11)
+    assert usable_ids(table) == ["e-1"]
+    table.on_draining(("e-1", 1), "10.0.0.1:80")
+    assert usable_ids(table) == ["e-1"]
+
+
+def test_memory_of_draining_endpoints_is_bounded():
+    table = EndpointTable()
+    table.on_record(record(), 10)
+    table.on_draining(("e-1", 1), "10.0.0.1:80")
+    for number in range(2 * DRAINING_MAX):
+        table.on_draining((f"gone-{number}", 1), "10.0.0.2:80")
+        if not number % 1000:
+            table.on_record(record(heartbeat_count=2 + number, draining=True), 11)
+    assert len(table._draining) == DRAINING_MAX
+    table.on_record(record(heartbeat_count=99_999), 12)
+    assert usable_ids(table) == []
+
+
 def test_restarted_endpoint_gets_a_new_state():
     table = EndpointTable()
     table.on_record(record(heartbeat_count=50), 10)
