List no cache of an engine that drains

A host that has started asked engines for their caches, also those that drain. The call delays an engine's work, and nothing is sent to such an engine afterwards.

--- a/libs/entry/gypsumusher_entry/prefix_cache_recovery.py
+++ b/libs/entry/gypsumusher_entry/prefix_cache_recovery.py
@@ -110,7 +110,12 @@
             await asyncio.sleep(POLL_S)
 
     def _is_unknown(self, state):
-        """Return whether an engine's cache has neither been asked for nor received."""
+        """Return whether an engine's cache has neither been asked for nor received.
+
+        That of an engine that drains is of no use.
+        """
+        if state.record.is_draining:
+            return False
         incarnation = state.record.incarnation
         return incarnation not in self._asked and incarnation not in self._received
 
