Keep requests through another host from endpoints that pause for it

A request through another host comes from that host for the endpoint. One that had been turned away with Retry-After was sent further requests by the other's tunnels, and the other's own requests when the sender had been told: the rule of two requests holds for the machine that they come from.

The host that is turned away tells the one in between, which tells all hosts of its pauses while it has tunnels to that endpoint, and refuses new ones (paused). Which host is to be told of which pause can't be left to the tunnel, which knows no requests. Datagrams are repeated, as they may be lost.

test_endpoint_gets_nothing_through_a_host_that_it_wants_none_from, both directions; without either message it fails.

--- a/libs/entry/gypsumusher_entry/endpoint_connections.py
+++ b/libs/entry/gypsumusher_entry/endpoint_connections.py
@@ -60,7 +60,9 @@
         if path.take_try(self._context.clock()):
             self._context.spawn(self._try_direct(state))
         key = connection_key(state.record, is_relayed=path.is_down)
-        ready = {host.name for host in self._ready_hosts()} if path.is_down else ()
+        ready = ()
+        if path.is_down:
+            ready = {host.name for host in self._ready_hosts(state.record)}
 
         def may_reuse(connection):
             is_usable = connection.relay is None or connection.relay in ready
@@ -147,7 +149,7 @@
             relay = self._relays.choose(
                 context.clock(),
                 record.endpoint_id,
-                self._ready_hosts(),
+                self._ready_hosts(record),
                 context.draw_uniform,
             )
             if relay is None:
@@ -173,10 +175,15 @@
             return connection
         return None
 
-    def _ready_hosts(self):
-        """Return the other hosts that are live and accept requests."""
-        hosts = self._context.hosts.live(self._context.clock())
-        return [host for host in hosts if host.is_ready]
+    def _ready_hosts(self, record):
+        """Return the other hosts through which requests may go to an endpoint."""
+        context = self._context
+        pause_left_s = context.endpoint_notices.pause_left_s
+        return [
+            host
+            for host in context.hosts.live(context.clock())
+            if host.is_ready and not pause_left_s(record, host.name)
+        ]
 
     def _on_bypassed(self, state, relay):
         """Record that another host reaches an endpoint that this one doesn't."""
--- a/libs/entry/gypsumusher_entry/endpoint_notices.py
+++ b/libs/entry/gypsumusher_entry/endpoint_notices.py
@@ -1,15 +1,17 @@
 """What endpoints state of themselves in the heads of their responses."""
 
+import asyncio
+
 from gypsumusher_routing import EndpointPauses
 
 __all__ = ["EndpointNotices"]
 
-# Kind of the datagrams, and how often a notice is sent to each host, since datagrams
-# may be lost.
-DRAINING, ANNOUNCEMENTS = "endpoints_draining", 3
-ANNOUNCEMENT_INTERVAL_S = 1.0
-# Endpoints that one datagram may name.
-MAX_ENTRIES = 64
+# Kinds of the datagrams: an endpoint drains; it wants nothing from the receiver,
+# through which the sender was turned away; it wants nothing from the sender.
+DRAINING = "endpoint_draining"
+PAUSED_FOR_RECEIVER, PAUSED_FOR_SENDER = "endpoint_paused_you", "endpoint_paused_me"
+# How often each is sent, since datagrams may be lost, and the pause between two.
+ANNOUNCEMENTS, ANNOUNCEMENT_INTERVAL_S = 3, 0.2
 # Only with this status does Retry-After speak for the endpoint. With 429, it concerns
 # the client account or the kind of call.
 UNAVAILABLE_STATUS = 503
@@ -36,18 +38,28 @@
     def __init__(self, context):
         self._context = context
         self._send_datagram = None
+        self._has_tunnel_to = None
         self._pauses = EndpointPauses(context.draw_uniform)
+        # Pauses towards other hosts, by the host's name and the endpoint.
+        self._relay_pauses = EndpointPauses(context.draw_uniform)
 
-    def start(self, send_datagram):
+    def start(self, send_datagram, has_tunnel_to):
         """Start to exchange notices with the other hosts.
 
         Parameters
         ----------
         send_datagram : callable
             ``send_datagram(kind, fields, ip)``.
+        has_tunnel_to : callable
+            ``has_tunnel_to(address)`` returns whether another host has a connection to
+            an endpoint through this one.
         """
         self._send_datagram = send_datagram
-        self._context.datagram_handlers[DRAINING] = self._on_draining
+        self._has_tunnel_to = has_tunnel_to
+        handlers = self._context.datagram_handlers
+        handlers[DRAINING] = self._on_draining
+        handlers[PAUSED_FOR_RECEIVER] = self._on_paused_for_receiver
+        handlers[PAUSED_FOR_SENDER] = self._on_paused_for_sender
 
     def on_head(self, connection, head):
         """Apply what the head of a response says of its endpoint.
@@ -62,31 +74,35 @@
         if head.is_wrong_endpoint:
             # The process that responded isn't the one that the request named.
             return
-        incarnation, address = connection.key[:2], connection.address
-        if head.is_leaving and self._context.endpoints.on_draining(
-            incarnation, address
-        ):
+        key = (connection.key[:2], connection.address)
+        if head.is_leaving and self._context.endpoints.on_draining(*key):
             self._log("endpoint_leaving", connection, head)
-            if self._send_datagram is not None:
-                self._context.spawn(self._announce([*incarnation, address]))
-        self._apply_retry_after(connection, (incarnation, address), head)
+            self._announce(DRAINING, _encode(key), self._other_hosts())
+        self._apply_retry_after(connection, key, head)
 
-    def pause_left_s(self, record):
+    def pause_left_s(self, record, relay=None):
         """Return for how long an endpoint wants no requests from this host.
 
         Parameters
         ----------
         record : EndpointRecord
             The endpoint.
+        relay : str or None
+            Name of the host through which requests would go. They come from that host
+            for the endpoint, which may want none from it.
 
         Returns
         -------
         float
             Time in seconds; 0 if requests may be sent.
         """
-        if not self._pauses.has_pauses:
-            return 0.0
-        return self._pauses.left_s(self._context.boottime_s(), _key(record))
+        left_s = 0.0
+        if self._pauses.has_pauses:
+            left_s = self._pauses.left_s(self._context.boottime_s(), _key(record))
+        if relay is not None and self._relay_pauses.has_pauses:
+            now_s, key = self._context.boottime_s(), (relay, _key(record))
+            left_s = max(left_s, self._relay_pauses.left_s(now_s, key))
+        return left_s
 
     def usable(self, states):
         """Return the endpoints that this host may send a request to now.
@@ -143,6 +159,7 @@
             self._log("retry_after_unreadable", connection, head)
         elif head.retry_after_s is not None:
             self._pauses.on_turned_away(now_s, key, head.retry_after_s)
+            self._tell_pause(key, head.retry_after_s, connection.relay)
             self._log(
                 "endpoint_paused",
                 connection,
@@ -151,27 +168,70 @@
                 left_s=round(self._pauses.left_s(now_s, key), 2),
             )
 
-    async def _announce(self, entry):
-        """Tell all other hosts several times that an endpoint drains."""
-        context = self._context
+    def _tell_pause(self, key, for_s, relay=None):
+        """Tell the hosts that a pause concerns besides this one.
+
+        Parameters
+        ----------
+        key : tuple
+            The endpoint.
+        for_s : float
+            How long it wants nothing from this host, or from the one in between.
+        relay : str or None
+            Host through which the request went that was turned away.
+        """
+        if relay is not None:
+            now_s = self._context.boottime_s()
+            self._relay_pauses.on_turned_away(now_s, (relay, key), for_s)
+            ip = self._context.hosts.addresses().get(relay)
+            if ip is not None:
+                fields = [*_encode(key), for_s]
+                self._announce(PAUSED_FOR_RECEIVER, fields, [ip])
+        if self._has_tunnel_to is not None and self._has_tunnel_to(key[1]):
+            fields = [self._context.settings.name, *_encode(key), for_s]
+            self._announce(PAUSED_FOR_SENDER, fields, self._other_hosts())
+
+    def _other_hosts(self):
+        """Return the IP addresses of the other hosts."""
+        return set(self._context.hosts.addresses().values())
+
+    def _announce(self, kind, fields, ips):
+        """Send a datagram to some hosts, and repeat it."""
+        if self._send_datagram is not None and ips:
+            self._context.spawn(self._send_repeatedly(kind, fields, ips))
+
+    async def _send_repeatedly(self, kind, fields, ips):
         for _ in range(ANNOUNCEMENTS):
-            for ip in set(context.hosts.addresses().values()):
-                self._send_datagram(DRAINING, [[entry]], ip)
-            await context.wait_for_tick(ANNOUNCEMENT_INTERVAL_S)
+            for ip in ips:
+                self._send_datagram(kind, fields, ip)
+            await asyncio.sleep(ANNOUNCEMENT_INTERVAL_S)
 
     def _on_draining(self, fields, ip):
         """Apply what an endpoint has told another host."""
-        (entries,) = fields
-        if not isinstance(entries, list) or len(entries) > MAX_ENTRIES:
-            raise ValueError("not a list of endpoints")
-        for endpoint_id, started_ms, address in entries:
-            if not isinstance(endpoint_id, str) or type(started_ms) is not int:
-                raise ValueError(f"no endpoint: {endpoint_id!r}, {started_ms!r}"[:100])
-            incarnation = (endpoint_id, started_ms)
-            if self._context.endpoints.on_draining(incarnation, str(address)):
-                self._context.log(
-                    "info", "endpoint_leaving", endpoint=endpoint_id, source=ip
-                )
+        key = _decode(*fields)
+        if self._context.endpoints.on_draining(*key):
+            self._log_from_host("endpoint_leaving", key, ip)
+
+    def _on_paused_for_receiver(self, fields, ip):
+        """Apply what an endpoint has told another host that sent through this one."""
+        *key, for_s = fields
+        key, for_s = _decode(*key), float(for_s)
+        now_s = self._context.boottime_s()
+        was_left_s = self._pauses.left_s(now_s, key)
+        self._pauses.on_turned_away(now_s, key, for_s)
+        if was_left_s < for_s / 2.0:
+            # Not a repetition.
+            self._log_from_host("endpoint_paused", key, ip, for_s=for_s)
+            self._tell_pause(key, for_s)
+
+    def _on_paused_for_sender(self, fields, ip):
+        """Apply that an endpoint wants nothing through another host."""
+        name, *key, for_s = fields
+        now_s, key = self._context.boottime_s(), (str(name), _decode(*key))
+        self._relay_pauses.on_turned_away(now_s, key, float(for_s))
+
+    def _log_from_host(self, event, key, ip, **fields):
+        self._context.log("info", event, endpoint=key[0][0], source=ip, **fields)
 
     def _log(self, event, connection, head, **fields):
         self._context.log(
@@ -188,3 +248,24 @@
 def _key(record):
     """Return the incarnation and the address of an endpoint."""
     return (record.incarnation, record.address)
+
+
+def _encode(key):
+    """Return an endpoint's id, start time and address for a datagram."""
+    (endpoint_id, started_ms), address = key
+    return [endpoint_id, started_ms, address]
+
+
+def _decode(endpoint_id, started_ms, address):
+    """Return the incarnation and the address in a datagram.
+
+    Raises
+    ------
+    ValueError
+        When one of them has a wrong type.
+    """
+    if not isinstance(endpoint_id, str) or not isinstance(address, str):
+        raise ValueError("notice without an endpoint's id or address")
+    if type(started_ms) is not int:
+        raise ValueError("notice without an endpoint's start time")
+    return (endpoint_id, started_ms), address
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -110,7 +110,9 @@
         self.context.version_records.start(self._store, send_datagram)
         self.context.begun_streams.start(send_datagram)
         self.context.endpoint_limits.start(self._gossip)
-        self.context.endpoint_notices.start(send_datagram)
+        self.context.endpoint_notices.start(
+            send_datagram, self._tunnel_relay.has_tunnel_to
+        )
         self._learned_state.start()
         self.context.engine_estimates.start(send_datagram)
         self.context.account_demand.start(send_datagram)
--- a/libs/entry/gypsumusher_entry/host_api.py
+++ b/libs/entry/gypsumusher_entry/host_api.py
@@ -2,6 +2,7 @@
 
 import json
 
+from gypsumusher_entry.errors import PAUSED
 from gypsumusher_entry.peer_sync import PEER_SYNC_PATH
 from gypsumusher_entry.sync_messages import SyncResponse, SyncResponseEncoder
 from gypsumusher_platform import READY_PATH, RESOLVE_PATH, encode_host_list
@@ -111,6 +112,9 @@
             return "no_endpoint"
         if any(state.path.is_down for state in states):
             return "link_down"
+        pause_left_s = context.endpoint_notices.pause_left_s
+        if any(pause_left_s(state.record) for state in states):
+            return PAUSED
         if tunnel_relay.tunnel_count >= MAX_TUNNELS:
             return "tunnels"
         return None
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -140,7 +140,7 @@
         # It was lost between its opening and now.
         raise CallError("connect", record.address, "connect", False)
     try:
-        _check_pause(context, record)
+        _check_pause(context, record, connection.relay)
         if not context.endpoints.is_current(state):
             raise CallError("connect", record.address, "left", False)
     except CallError:
@@ -149,9 +149,12 @@
     return connection
 
 
-def _check_pause(context, record):
-    """Raise CallError while an endpoint wants no requests from this host."""
-    if context.endpoint_notices.pause_left_s(record):
+def _check_pause(context, record, relay=None):
+    """Raise CallError while an endpoint wants no requests from this host.
+
+    Nor may they go through another host that it wants none from.
+    """
+    if context.endpoint_notices.pause_left_s(record, relay):
         raise CallError("connect", record.address, PAUSED, False)
 
 
--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -223,6 +223,11 @@
         heads = [head for endpoint in self.endpoints for head, _ in endpoint.requests]
         return sum(path.encode() in head for head in heads)
 
+    def address(self, number):
+        """Return the address of an endpoint."""
+        states = self.hosts[0].context.endpoints.states
+        return states[f"e-{number}"].record.address
+
     async def ask(self, number, path="/0/x", method="GET"):
         """Send one attempt, with an id of its own, to a host."""
         self._count += 1
--- a/libs/entry/tests/test_retry_after.py
+++ b/libs/entry/tests/test_retry_after.py
@@ -21,6 +21,7 @@
     healthy,
     slow,
 )
+from test_endpoint_paths import cut_links
 
 from gypsumusher_entry.prefill import PrefilledPrompt
 from gypsumusher_entry.sending_to_endpoints import call_engine
@@ -165,6 +166,33 @@
     run(scenario())
 
 
+# Guards against requests that reach a paused endpoint from another host in between: the
+# one that sends is told for both, and either may be told first.
+@pytest.mark.parametrize("told_through_relay", [True, False])
+def test_endpoint_gets_nothing_through_a_host_that_it_wants_none_from(
+    told_through_relay,
+):
+    async def scenario():
+        script = healthy()
+        async with two_hosts(script, route=AT_MOST_ONCE_ROUTE) as system:
+            cut_links(system.hosts[0])
+            assert (await system.ask(0, method="POST"))[0] == 200
+            assert system.hosts[1]._tunnel_relay.has_tunnel_to(system.address(0))
+            script.status, script.extra = UNAVAILABLE, ("Retry-After: 3", NOT_RUN)
+            teller = 0 if told_through_relay else 1
+            assert (await system.ask(teller, method="POST"))[0] == 503
+            notices = system.hosts[teller ^ 1].context.endpoint_notices
+            record = system.hosts[0].context.endpoints.states["e-0"].record
+            relay = None if told_through_relay else "host-1"
+            await until(lambda: notices.pause_left_s(record, relay) > 2.0)
+            arrived = len(system.endpoints[0].requests)
+            for number in (0, 1, 0, 1):
+                assert (await system.ask(number, method="POST"))[0] == 503
+            assert len(system.endpoints[0].requests) == arrived
+
+    run(scenario())
+
+
 # Guards against prompts that are prefilled although no engine may decode them.
 def test_prompt_is_not_prefilled_while_no_engine_that_decodes_wants_requests():
     async def scenario():
--- a/libs/http/gypsumusher_http/tunnels.py
+++ b/libs/http/gypsumusher_http/tunnels.py
@@ -129,6 +129,10 @@
         """Number of open tunnels."""
         return len(self._sides) // 2
 
+    def has_tunnel_to(self, address):
+        """Return whether a tunnel to an address is open."""
+        return any(side.address == address for side in self._sides)
+
     async def forward(self, reply, address):
         """Open a connection to an address and join it with a caller's connection.
 
@@ -146,7 +150,7 @@
         """
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        far, near = _Side(self._sides), _Side(self._sides)
+        far, near = _Side(self._sides, address), _Side(self._sides)
         async with asyncio.timeout(self._connect_timeout_s):
             await loop.create_connection(lambda: far, ip, int(port))
         transport = reply.hand_over()
@@ -170,10 +174,17 @@
 
 
 class _Side(asyncio.Protocol):
-    """One of the two connections of a tunnel."""
+    """One of the two connections of a tunnel.
+
+    Attributes
+    ----------
+    address : str or None
+        Address of the endpoint on the side of it.
+    """
 
-    def __init__(self, sides):
+    def __init__(self, sides, address=None):
         self.transport = None
+        self.address = address
         self._other = None
         self._sides = sides
 
