Soak endpoints that leave or pause by their responses

No test or soak said Server-Leaving or Retry-After, so that neither rule could fail. The new deployment 'notices' has endpoints that leave while their entries are ready, and half of the endpoints that turn requests away for some seconds; two checks hold what each process of an endpoint gets from each host against what it has said.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from account_checks import find_account_violations
+from notice_checks import find_notice_violations
 from plan import RECOVERED_S
 from records import IDEMPOTENT, NON_IDEMPOTENT, PROMPT, STREAM, deadline_s
 from stream_checks import find_stream_violations
@@ -104,6 +105,7 @@
     found += _check_limits(records)
     found += _check_link_cuts(records)
     found += find_stream_violations(records, _is_disturbed)
+    found += find_notice_violations(records, _is_disturbed)
     if records.keys:
         found += find_account_violations(records, ends_s)
     return found
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -320,6 +320,44 @@
     shares_content=False,
     has_parts=True,
 )
+# Endpoints that say in their responses that they leave, or want no requests for a
+# while, beside a store that is away, and hosts that are lost, stopped and cut off.
+NOTICE_KINDS = {
+    "endpoint_leave_unlisted": (0.0, 0.0),
+    "endpoints_pause": (1.0, 5.0),
+    "all_endpoints_pause": (0.5, 2.0),
+    "endpoint_leave": (0.0, 0.0),
+    "endpoint_full": (0.5, 3.0),
+    "endpoint_errors": (0.5, 3.0),
+    "endpoint_restart": (0.1, 2.0),
+    "host_kill": (0.1, 2.0),
+    "host_pause": (0.3, 3.0),
+    "host_stop": (0.0, 1.0),
+    "all_hosts_kill": (0.0, 0.5),
+    "hosts_apart": (1.0, 4.0),
+    "host_links_cut": (4.0, 8.0),
+    "host_links_partly_cut": (1.0, 6.0),
+    "link_reset": (0.0, 0.0),
+    "link_silent": (0.3, 3.0),
+    "store_refuse": (0.5, 4.0),
+    "store_silent": (0.5, 4.0),
+    "store_lost": (0.5, 2.0),
+    "store_lapse": (0.5, 3.0),
+    "host_store_cut": (0.5, 4.0),
+    "config_change": (0.0, 0.0),
+}
+NOTICES = PARTS._replace(
+    endpoints=4,
+    prefill_engines=2,
+    decode_engines=4,
+    request_kinds=(IDEMPOTENT, NON_IDEMPOTENT, STREAM, PROMPT),
+    request_interval_s=(0.02, 0.1),
+    fault_kinds=NOTICE_KINDS,
+    fault_rate=FaultRate(
+        per_s=1.0, kinds=6, always=("endpoint_leave_unlisted", "endpoints_pause")
+    ),
+    has_parts=False,
+)
 # Engines of which some take over twice as long as others, slow down for a while or
 # leave with their zone, a client account that asks for most, entries of another writer,
 # and the loss of all hosts, after which the engines still have their prefix caches.
@@ -352,6 +390,7 @@
     "accounts": ACCOUNTS,
     "parts": PARTS,
     "uneven": UNEVEN,
+    "notices": NOTICES,
     "seven-hosts": SEVEN_HOSTS,
     "eight-hosts": EIGHT_HOSTS,
     "sixty-nine-hosts": SIXTY_NINE_HOSTS,
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -19,6 +19,8 @@
 LIMITED_BYTES_PER_S = 1_250_000.0
 # A twentieth of what an endpoint gets of the callers' requests.
 ENDPOINT_LIMIT_PER_S = 5.0
+# How long an endpoint wants no requests from a host that it turns away.
+PAUSE_S = 3
 # How many more requests come in a burst.
 BURST_RATE = 1.8
 # Shares of the callers that repeat at once what has failed, and of the requests that
@@ -29,6 +31,7 @@
 FLOODING_SHARE, SLOWDOWN = 0.7, 2.5
 # Shares of the hosts and of the endpoints that a fault of many strikes at once.
 HOSTS_KILLED_SHARE, HOSTS_CUT_SHARE, ENDPOINTS_SHARE = 0.55, 0.17, 0.17
+PAUSING_SHARE = 0.5
 RELEASED_SHARE, TRANSFERS_SHARE = 0.4, 0.35
 # Pause between the steps of planned work, and of an endpoint that crashes repeatedly.
 STEP_S, FLAP_S = 1.3, 1.4
@@ -111,6 +114,14 @@
     await system.drain_endpoint(endpoint)
 
 
+async def _endpoint_leave_unlisted(system, endpoint, duration_s):
+    await system.drain_endpoint(endpoint, is_listed=False)
+
+
+async def _endpoint_pause(system, endpoint, duration_s):
+    await _set_for(duration_s, [endpoint], "pause_s", PAUSE_S, None)
+
+
 def _endpoint_mode(mode):
     """Return a fault that puts an endpoint into a failure mode."""
 
@@ -447,6 +458,10 @@
     "all_hosts_kill": (None, _for_all("hosts", _host_kill)),
     "endpoint_restart": ("backends", _endpoint_restart),
     "endpoint_leave": ("backends", _endpoint_leave),
+    "endpoint_leave_unlisted": ("backends", _endpoint_leave_unlisted),
+    "endpoint_pause": ("backends", _endpoint_pause),
+    "endpoints_pause": (None, _for_share("endpoint_pause", "backends", PAUSING_SHARE)),
+    "all_endpoints_pause": (None, _for_all("backends", _endpoint_pause)),
     "endpoint_errors": ("backends", _endpoint_mode("errors")),
     "endpoint_hang": ("backends", _endpoint_mode("hang")),
     "endpoint_break": ("backends", _endpoint_mode("break")),
--- a/soak/records.py
+++ b/soak/records.py
@@ -15,6 +15,7 @@
     "AccountRun",
     "Arrival",
     "LinkCut",
+    "Notice",
     "Outcome",
     "PartArrival",
     "Records",
@@ -142,6 +143,25 @@
     ended_s: float
 
 
+class Notice(NamedTuple):
+    """A response in which an endpoint said that it leaves or wants no requests.
+
+    Attributes
+    ----------
+    request_id, instance : str
+        The request, and the id of the endpoint's process.
+    at_s : float
+        When it responded, in seconds since the run began.
+    pause_s : float or None
+        How long it wants no requests from the host; None if it leaves.
+    """
+
+    request_id: str
+    instance: str
+    at_s: float
+    pause_s: float | None
+
+
 class LinkCut(NamedTuple):
     """Hosts that had lost their links to all endpoints.
 
@@ -256,6 +276,10 @@
         Prefill calls that engines accepted.
     retry_limit : RetryLimit
         The operator's limit on repeats.
+    instance_arrivals : list of Arrival
+        All of these, with the id of the endpoint's process instead of its name.
+    notices : list of Notice
+        Responses in which endpoints said that they leave or want no requests.
     spans : list of (str, str, float, float)
         Kind, target, begin and end of each fault, in seconds since the run began.
     leaves : list of (str, float, float)
@@ -305,6 +329,8 @@
         self.outcomes = []
         self.arrivals = []
         self.rejections = []
+        self.instance_arrivals = []
+        self.notices = []
         self.spans = []
         self.leaves = []
         self.versions = []
--- a/soak/soak_endpoint.py
+++ b/soak/soak_endpoint.py
@@ -13,6 +13,7 @@
     STREAM,
     AccountRun,
     Arrival,
+    Notice,
     PartArrival,
     expected_body,
     expected_event,
@@ -41,6 +42,9 @@
 # Share of the requests that a busy endpoint rejects, that fail at a grey one, and whose
 # answers one loses.
 BUSY_SHARE, GREY_SHARE, LOST_SHARE = 0.9, 0.45, 0.3
+# Share of the requests that one turns away which wants none for a while, and of these
+# responses that say that the request hasn't run.
+PAUSING_SHARE, NOT_RUN_SHARE = 0.8, 0.7
 # How responses without length end: complete, early by a regular end, early by a reset.
 UNFRAMED_ENDS = COMPLETE, CUT, RESET = ("complete", "cut", "reset")
 
@@ -85,6 +89,11 @@
         connection without a response), ``unframed`` (responses have no length, and most
         end early, see `UNFRAMED_ENDS`), ``full`` (rejects every request with status 503
         and ``X-Gypsumusher-Not-Run``) or ``busy`` (rejects `BUSY_SHARE` of them).
+    pause_s : float or None
+        While set, the endpoint turns `PAUSING_SHARE` of the requests away, and wants no
+        more from the host for as long.
+    is_leaving : bool
+        Whether it says in its responses that it leaves.
     handle_ttl_s : float
         How long the engine keeps the KV cache of a prompt.
     is_transfer_slow : bool
@@ -131,6 +140,7 @@
         self.mode = "well"
         # Requests per second that the endpoint states in its responses; None for none.
         self.limit_per_s = None
+        self.pause_s, self.is_leaving = None, False
         self._clock = clock
         self._records = records
         self._endpoint = None
@@ -146,6 +156,7 @@
         """Start listening and return the address."""
         self._start_count += 1
         self._cached_parts = {}
+        self.pause_s, self.is_leaving = None, False
         self._endpoint = ScriptedEndpoint(self._respond)
         return await self._endpoint.start()
 
@@ -157,9 +168,12 @@
                 del self._handles[handle]
 
     def _encode(self, request_id, body=b"", status="200 OK", extra=(), framing=None):
-        """Return a response, with the limit if there is one."""
+        """Return a response, with what the endpoint says of itself."""
         if self.limit_per_s is not None:
             extra = (*extra, f"Server-Limit: {self.limit_per_s}")
+        if self.is_leaving:
+            extra = (*extra, "Server-Leaving: 1")
+            self._record_notice(request_id, None)
         return encode_response(request_id, body, status, extra, framing)
 
     async def _respond(self, number, head, body, writer):
@@ -182,6 +196,12 @@
             self._records.rejections.append(arrival)
             writer.write(self._encode(request_id, b"", "421 Misdirected Request"))
             return
+        arrived = Arrival(request_id, self.instance_id, self._clock())
+        self._records.instance_arrivals.append(arrived)
+        if self.pause_s is not None and self._rng.random() < PAUSING_SHARE:
+            self._records.rejections.append(arrival)
+            writer.write(self._encode_pause(request_id))
+            return
         mode = self._draw_mode()
         if mode == "full" or not self._has_kv_cache(headers):
             self._records.rejections.append(arrival)
@@ -235,6 +255,19 @@
         writer.write(response)
         await writer.drain()
 
+    def _encode_pause(self, request_id):
+        """Return the response to a request that is turned away for a while."""
+        extra = [f"Retry-After: {self.pause_s}"]
+        if self._rng.random() < NOT_RUN_SHARE:
+            extra.append("X-Gypsumusher-Not-Run: 1")
+        self._record_notice(request_id, self.pause_s)
+        return self._encode(request_id, b"", "503 Service Unavailable", tuple(extra))
+
+    def _record_notice(self, request_id, pause_s):
+        """Record what a response to a caller's request says."""
+        notice = Notice(request_id, self.instance_id, self._clock(), pause_s)
+        self._records.notices.append(notice)
+
     def _record_account(self, began, headers):
         """Record whose request begins to run, where callers have accounts."""
         if self._records.keys:
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -564,20 +564,32 @@
             if self.store.has(HOSTS_KIND, host.name):
                 self.store.remove(HOSTS_KIND, host.name)
 
-    async def drain_endpoint(self, endpoint):
-        """Drain an endpoint, remove its entry, and restart it."""
+    async def drain_endpoint(self, endpoint, is_listed=True):
+        """Drain an endpoint, remove its entry, and restart it.
+
+        Parameters
+        ----------
+        endpoint : SoakEndpoint
+            The endpoint, which says in its responses that it leaves.
+        is_listed : bool
+            Whether its entry says so, too.
+        """
         draining_s = self.clock()
         generation = self._heartbeats[endpoint.name][0]
-        self.set_state(endpoint, "draining")
+        endpoint.is_leaving = True
+        if is_listed:
+            self.set_state(endpoint, "draining")
         self._end_serving(endpoint)
         while self.clock() < draining_s + DRAINING_S:
             await asyncio.sleep(POLL_S)
             if self._heartbeats[endpoint.name][0] != generation:
                 # It crashed while draining, and the restarted endpoint isn't draining.
-                stopped_s = self._crashed_s[endpoint.name]
-                self.records.leaves.append((endpoint.name, draining_s, stopped_s))
+                if is_listed:
+                    stopped_s = self._crashed_s[endpoint.name]
+                    self.records.leaves.append((endpoint.name, draining_s, stopped_s))
                 return
-        self.records.leaves.append((endpoint.name, draining_s, self.clock()))
+        if is_listed:
+            self.records.leaves.append((endpoint.name, draining_s, self.clock()))
         self.set_state(endpoint, "")
         if endpoint.next_version is not None:
             endpoint.version, endpoint.next_version = endpoint.next_version, None
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -435,6 +435,32 @@
     assert counts["served"] > 0.5 * counts["requests"] > 100
 
 
+# Endpoints leave without an entry that says so, and half of them, then all, want no
+# requests for a while, beside hosts that are cut off, killed and stopped.
+NOTICES_PLAN = Plan(
+    (
+        Fault(0.7, 0.0, "endpoint_leave_unlisted", 5),
+        Fault(0.8, 4.0, "endpoints_pause", 3),
+        Fault(1.0, 3.0, "store_silent", 0),
+        Fault(2.0, 0.5, "host_kill", 1),
+        Fault(3.0, 0.0, "endpoint_leave_unlisted", 0),
+        Fault(6.0, 1.0, "all_endpoints_pause", 0),
+        Fault(8.0, 0.3, "host_stop", 2),
+        Fault(8.5, 3.0, "endpoints_pause", 8),
+    ),
+    11.5 + CALM_AFTER_S,
+)
+
+
+# Guards against endpoints that go on to get requests after they have said that they
+# leave, or want none for a while.
+@pytest.mark.processes
+def test_endpoints_get_nothing_that_they_say_they_do_not_want():
+    violations, counts = run_seed(1, NOTICES_PLAN, DEPLOYMENTS["notices"])
+    assert not violations, violations
+    assert counts["served"] > 0.5 * counts["requests"] > 100
+
+
 # Prompts with a part that crashes engines come at all hosts while one host is killed,
 # another one is stopped, and then all are killed.
 CRASHING_PART_PLAN = Plan(
