Count endpoints' notices, and name their datagrams by what they concern

gypsumusher_endpoint_notices_total counts endpoints that leave or pause, by the event of the log.

Tests of pauses, leaving endpoints, host API and docs: passed.

--- a/libs/entry/gypsumusher_entry/endpoint_notices.py
+++ b/libs/entry/gypsumusher_entry/endpoint_notices.py
@@ -9,7 +9,7 @@
 # Kinds of the datagrams: an endpoint drains; it wants nothing from the receiver,
 # through which the sender was turned away; it wants nothing from the sender.
 DRAINING = "endpoint_draining"
-PAUSED_FOR_RECEIVER, PAUSED_FOR_SENDER = "endpoint_paused_you", "endpoint_paused_me"
+PAUSED_FOR_RECEIVER, PAUSED_FOR_SENDER = "paused_for_receiver", "paused_for_sender"
 # How often each is sent, since datagrams may be lost, and the pause between two.
 ANNOUNCEMENTS, ANNOUNCEMENT_INTERVAL_S = 3, 0.2
 # Only with this status does Retry-After speak for the endpoint. With 429, it concerns
@@ -231,9 +231,11 @@
         self._relay_pauses.on_turned_away(now_s, key, float(for_s))
 
     def _log_from_host(self, event, key, ip, **fields):
+        self._context.metrics.on_endpoint_notice(event)
         self._context.log("info", event, endpoint=key[0][0], source=ip, **fields)
 
     def _log(self, event, connection, head, **fields):
+        self._context.metrics.on_endpoint_notice(event)
         self._context.log(
             "info",
             event,
--- a/libs/entry/gypsumusher_entry/metrics.py
+++ b/libs/entry/gypsumusher_entry/metrics.py
@@ -21,6 +21,7 @@
     engines_wanted: Any
     engines_needed: Any
     streams_resumed: Any
+    endpoint_notices: Any
     peer_bytes: Any
     prompts_demoted: Any
     prompts_protected: Any
@@ -49,6 +50,7 @@
         self._engines_needed = {}
         # Counted here, since the first requests after a start may be resumed streams.
         self._streams_resumed = {}
+        self._endpoint_notices = {}
         self._peer_bytes = {}
         # By route, for the shares of client accounts.
         self._prompts_demoted = {}
@@ -134,6 +136,11 @@
         """
         self._streams_resumed[source] = self._streams_resumed.get(source, 0) + 1
 
+    def on_endpoint_notice(self, event):
+        """Count what an endpoint has said of itself; `event` is that of the log."""
+        count = self._endpoint_notices.get(event, 0)
+        self._endpoint_notices[event] = count + 1
+
     def on_datagrams_sent(self, kind, size_bytes):
         """Count bytes sent to other hosts.
 
@@ -185,6 +192,8 @@
         collectors.version.set({}, self._configuration_version)
         for source, count in self._streams_resumed.items():
             collectors.streams_resumed.set({"source": source}, count)
+        for event, count in self._endpoint_notices.items():
+            collectors.endpoint_notices.set({"event": event}, count)
         for service, count in self._engines_wanted.items():
             collectors.engines_wanted.set({"service": service}, count)
         for (service, work), count in self._engines_needed.items():
@@ -269,6 +278,11 @@
             "Streams that callers take up, by what tells their software version",
             registry=registry,
         ),
+        endpoint_notices=Counter(
+            "gypsumusher_endpoint_notices_total",
+            "Endpoints that leave or pause by their responses, or another host's word",
+            registry=registry,
+        ),
         peer_bytes=Counter(
             "gypsumusher_peer_sent_bytes_total",
             "Bytes of datagrams sent to other hosts, by kind of message",
--- a/libs/entry/tests/test_retry_after.py
+++ b/libs/entry/tests/test_retry_after.py
@@ -219,6 +219,9 @@
             assert notices.pause_left_s(record) == 0.0
             events = [event for event, _ in harness.log_lines]
             assert "retry_after_unreadable" in events
+            page = harness.host.context.metrics.render()[0].decode()
+            counter = "gypsumusher_endpoint_notices_total"
+            assert f'{counter}{{event="retry_after_unreadable"}} 1' in page
 
     run(scenario())
 
