Test pauses that begin while a connection opens, and orders during one

Two mutations had survived: without the check right before the first byte, and with stage orders planned for engines that want nothing.

--- a/libs/entry/tests/test_retry_after.py
+++ b/libs/entry/tests/test_retry_after.py
@@ -25,8 +25,9 @@
 
 from gypsumusher_entry.prefill import PrefilledPrompt
 from gypsumusher_entry.sending_to_endpoints import call_engine
+from gypsumusher_entry.stage_orders import StageOrders
 from gypsumusher_http import CallError
-from gypsumusher_platform import encode_report_request
+from gypsumusher_platform import decode_response_head, encode_report_request
 from gypsumusher_ports import PrefillResult
 
 UNAVAILABLE = "503 Service Unavailable"
@@ -128,6 +129,46 @@
     run(scenario())
 
 
+# Guards against requests that are sent late to an endpoint that was chosen before it
+# asked for none.
+def test_request_that_waits_for_a_connection_is_not_sent_during_a_pause():
+    async def scenario():
+        async with HostHarness(healthy()) as harness:
+            context = harness.host.context
+            pool = context.connection_pool
+            connect = pool.connect
+
+            async def connect_late(*args, **kwargs):
+                connection = await connect(*args, **kwargs)
+                head = decode_response_head(503, [("Retry-After", "3")])
+                context.endpoint_notices.on_head(connection, head)
+                return connection
+
+            pool.connect = connect_late
+            status, headers, _ = await harness.ask()
+            assert (status, harness.arrivals()) == (503, 0)
+            assert float(headers["Retry-After"]) > 2.0
+
+    run(scenario())
+
+
+# Guards against a stage order that waits for an engine that wants nothing, while other
+# engines could carry it out.
+def test_engine_gets_no_stage_order_during_its_pause():
+    async def scenario():
+        async with HostHarness(unavailable(3, NOT_RUN), routes=(PROMPT_ROUTE,)) as h:
+            await make_engines(h, "decode", route=PROMPT_ROUTE)
+            orders = StageOrders(h.host.context, None)
+            (before,) = orders._views("svc")
+            await tell(h, [0], "POST", **LONG_PROMPT)
+            (after,) = orders._views("svc")
+            assert (before.is_switching, after.is_switching) == (False, True)
+            # It is back soon, so that no other engine has to take its stage.
+            assert after.is_healthy
+
+    run(scenario())
+
+
 # Guards against endpoints that stay without requests after their Retry-After, and
 # against all requests at once at one that has accepted none yet.
 def test_endpoint_gets_one_request_and_then_all_after_its_retry_after():
