Add a command that lists endpoints' notices and what was sent in spite of them

On call, nothing told how long after an endpoint's first notice each host knew, or which requests were sent to it afterwards. The command reads both from the hosts' logs. The causes of losses know requests that all endpoints pause for.

--- a/libs/cli/gypsumusher_cli/cmdline.py
+++ b/libs/cli/gypsumusher_cli/cmdline.py
@@ -16,6 +16,7 @@
 from gypsumusher_cli.errors import EXIT_FAILED, EXIT_USAGE
 from gypsumusher_cli.load_commands import LoadCompare, LoadRunCommand
 from gypsumusher_cli.losses_commands import LossesCommand
+from gypsumusher_cli.notices_commands import NoticesCommand
 from gypsumusher_cli.retries_commands import RetriesCommand
 from gypsumusher_cli.status_commands import Explain, Key, Status
 from gypsumusher_cli.trace_commands import TraceCommand
@@ -35,6 +36,7 @@
     TraceCommand,
     LossesCommand,
     RetriesCommand,
+    NoticesCommand,
     LoadRunCommand,
     LoadCompare,
 )
--- a/libs/cli/gypsumusher_cli/command_base.py
+++ b/libs/cli/gypsumusher_cli/command_base.py
@@ -65,6 +65,23 @@
         }
         return resolve_access(typed, os.environ)
 
+    def parse_number(self, name):
+        """Return an option's value as a finite number of at least 0.
+
+        Raises
+        ------
+        InputError
+            When it is none.
+        """
+        value = self.option(name)
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if not 0.0 <= number < float("inf"):
+            raise InputError(f"--{name} is {value!r}", "give a number of at least 0")
+        return number
+
     def print_line(self, text):
         """Print text to the output without interpreting cleo's ``<tag>`` markup."""
         self.io.output.write(text + "\n", type=Type.RAW)
--- a/libs/cli/gypsumusher_cli/losses.py
+++ b/libs/cli/gypsumusher_cli/losses.py
@@ -28,6 +28,7 @@
     "503:timeout": "refused: the time was up before anything was sent",
     "503:full": "refused: the endpoints had no room",
     "503:limited": "refused: the endpoints had no room in their limits",
+    "503:paused": "refused: the endpoints wanted no requests for a while",
     "503:crashing_content": "refused: its content crashes endpoints",
     "503:no_retry": "refused: an endpoint had no room, and no retry was left",
     "503:connect": "refused: no endpoint took a connection",
--- a/libs/cli/gypsumusher_cli/retries_commands.py
+++ b/libs/cli/gypsumusher_cli/retries_commands.py
@@ -5,7 +5,6 @@
 from cleo.helpers import argument, option
 
 from gypsumusher_cli.command_base import JSON_OPTION, ToolCommand, read_lines
-from gypsumusher_cli.errors import InputError
 from gypsumusher_cli.retries import find_retries, format_retries
 
 __all__ = ["RetriesCommand"]
@@ -38,7 +37,7 @@
 
     async def run_command(self):
         """Read the log files and print the worst window of each service."""
-        bounds = [self._parse_number(name) for name in ("ratio", "slack", "window")]
+        bounds = [self.parse_number(name) for name in ("ratio", "slack", "window")]
         found = find_retries(read_lines(self.argument("files")), *bounds)
         if not self.option("json"):
             self.print_line(
@@ -50,14 +49,3 @@
         for item in found:
             hosts = [host._asdict() for host in item.hosts]
             self.print_line(json.dumps({**item._asdict(), "hosts": hosts}))
-
-    def _parse_number(self, name):
-        """Return an option's value as a finite number of at least 0."""
-        value = self.option(name)
-        try:
-            number = float(value)
-        except ValueError:
-            number = -1.0
-        if not 0.0 <= number < float("inf"):
-            raise InputError(f"--{name} is {value!r}", "give a number of at least 0")
-        return number
--- a/tests/test_docs_commands.py
+++ b/tests/test_docs_commands.py
@@ -25,6 +25,7 @@
     "trace",
     "losses",
     "retries",
+    "notices",
     "load-run",
     "load-compare",
     "drain-endpoint",
