Name the key of an endpoint's process once

Incarnation and address were put together in the table and in the notices. No change of behaviour; tests of the table, pauses, leaving endpoints and layout passed.

--- a/libs/entry/gypsumusher_entry/endpoint_notices.py
+++ b/libs/entry/gypsumusher_entry/endpoint_notices.py
@@ -98,9 +98,9 @@
         """
         left_s = 0.0
         if self._pauses.has_pauses:
-            left_s = self._pauses.left_s(self._context.boottime_s(), _key(record))
+            left_s = self._pauses.left_s(self._context.boottime_s(), record.process_key)
         if relay is not None and self._relay_pauses.has_pauses:
-            now_s, key = self._context.boottime_s(), (relay, _key(record))
+            now_s, key = self._context.boottime_s(), (relay, record.process_key)
             left_s = max(left_s, self._relay_pauses.left_s(now_s, key))
         return left_s
 
@@ -116,7 +116,7 @@
         now_s = self._context.boottime_s()
         willing, on_trial = [], []
         for state in states:
-            key = _key(state.record)
+            key = state.record.process_key
             if pauses.left_s(now_s, key):
                 continue
             (on_trial if pauses.is_on_trial(now_s, key) else willing).append(state)
@@ -126,7 +126,7 @@
     def on_send(self, record):
         """Record that a request is sent to an endpoint."""
         if self._pauses.has_pauses:
-            self._pauses.on_send(self._context.boottime_s(), _key(record))
+            self._pauses.on_send(self._context.boottime_s(), record.process_key)
 
     def retry_after_s(self, states):
         """Return when a request that all of these endpoints pause for should come back.
@@ -247,11 +247,6 @@
         )
 
 
-def _key(record):
-    """Return the incarnation and the address of an endpoint."""
-    return (record.incarnation, record.address)
-
-
 def _encode(key):
     """Return an endpoint's id, start time and address for a datagram."""
     (endpoint_id, started_ms), address = key
--- a/libs/ports/gypsumusher_ports/endpoints.py
+++ b/libs/ports/gypsumusher_ports/endpoints.py
@@ -54,3 +54,8 @@
     def incarnation(self) -> tuple[str, int]:
         """Id and start time, which together differ after each restart."""
         return (self.endpoint_id, self.started_ms)
+
+    @property
+    def process_key(self) -> tuple[tuple[str, int], str]:
+        """Incarnation and address, for what is known of one process."""
+        return (self.incarnation, self.address)
--- a/libs/routing/gypsumusher_routing/endpoint_table.py
+++ b/libs/routing/gypsumusher_routing/endpoint_table.py
@@ -279,7 +279,7 @@
             return False
         self._remember_draining((incarnation, address))
         state = self.states.get(incarnation[0])
-        if state is not None and _key(state.record) == (incarnation, address):
+        if state is not None and state.record.process_key == (incarnation, address):
             state.on_record(state.record._replace(is_draining=True))
             self.change_count += 1
         return True
@@ -325,12 +325,12 @@
         """Apply one entry; return whether it changed anything but the heartbeat."""
         # An incarnation that has begun to drain never becomes ready again.
         if record.is_draining:
-            self._remember_draining(_key(record))
-        elif _key(record) in self._draining:
+            self._remember_draining(record.process_key)
+        elif record.process_key in self._draining:
             record = record._replace(is_draining=True)
         self._missing_since_s.pop(record.endpoint_id, None)
         state = self.states.get(record.endpoint_id)
-        if state is None or _key(state.record) != _key(record):
+        if state is None or state.record.process_key != record.process_key:
             if state is not None:
                 state.is_gone = True
                 state.delivery.has_ended = True
@@ -355,7 +355,7 @@
 
     def _delivery_to(self, record):
         """Return the delivery record of an incarnation, also after its entry lapsed."""
-        key = _key(record)
+        key = record.process_key
         delivery = self._deliveries.get(key)
         if delivery is None:
             delivery = self._deliveries[key] = DeliveryRecord()
@@ -374,8 +374,3 @@
         """Mark an endpoint as missing, and drop it unless a grace period runs."""
         self._missing_since_s.setdefault(endpoint_id, now_s)
         self.drop_missing(now_s)
-
-
-def _key(record):
-    """Return the incarnation and the address of an endpoint."""
-    return (record.incarnation, record.address)
