Leave requests of no known host out of the check of pauses

The attempts at content that crashes endpoints have no host in the records, so that those of all hosts would have counted together, were such a fault added to the deployment. Read, not seen.

--- a/soak/notice_checks.py
+++ b/soak/notice_checks.py
@@ -81,9 +81,9 @@
     """Return the pauses in which endpoints got too many requests from a host."""
     found = []
     for notice in records.notices:
-        if notice.pause_s is None:
-            continue
         host = records.hosts.get(notice.request_id)
+        if notice.pause_s is None or host is None:
+            continue
         from_s, until_s = notice.at_s + GRACE_S, notice.at_s + notice.pause_s
         arrived = [
             arrival
--- a/soak/records.py
+++ b/soak/records.py
@@ -274,10 +274,11 @@
         Requests that endpoints rejected without running them.
     prefills : list of Arrival
         Prefill calls that engines accepted.
+    instance_arrivals : list of Arrival
+        Requests that reached endpoints, rejected or not, with the id of the endpoint's
+        process instead of its name.
     retry_limit : RetryLimit
         The operator's limit on repeats.
-    instance_arrivals : list of Arrival
-        All of these, with the id of the endpoint's process instead of its name.
     notices : list of Notice
         Responses in which endpoints said that they leave or want no requests.
     spans : list of (str, str, float, float)
