Read the clock for a response only where it decides, and simplify three places

Each response of an endpoint read the clock although no endpoint paused. The two ways of logging a notice share one; the choice between the reasons of a refusal is one assignment; the soak records a leave in one place instead of two.

No change of behaviour.

--- a/libs/entry/gypsumusher_entry/endpoint_notices.py
+++ b/libs/entry/gypsumusher_entry/endpoint_notices.py
@@ -152,12 +152,13 @@
 
     def _apply_retry_after(self, connection, key, head):
         """Apply how long an endpoint wants no requests, if it says so."""
-        now_s = self._context.boottime_s()
         if head.status != UNAVAILABLE_STATUS:
-            self._pauses.on_accepted(now_s, key)
+            if self._pauses.has_pauses:
+                self._pauses.on_accepted(self._context.boottime_s(), key)
         elif head.has_unreadable_retry_after:
             self._log("retry_after_unreadable", connection, head)
         elif head.retry_after_s is not None:
+            now_s = self._context.boottime_s()
             self._pauses.on_turned_away(now_s, key, head.retry_after_s)
             self._tell_pause(key, head.retry_after_s, connection.relay)
             self._log(
@@ -210,7 +211,7 @@
         """Apply what an endpoint has told another host."""
         key = _decode(*fields)
         if self._context.endpoints.on_draining(*key):
-            self._log_from_host("endpoint_leaving", key, ip)
+            self._log_notice("endpoint_leaving", key[0][0], ip)
 
     def _on_paused_for_receiver(self, fields, ip):
         """Apply what an endpoint has told another host that sent through this one."""
@@ -221,7 +222,7 @@
         self._pauses.on_turned_away(now_s, key, for_s)
         if was_left_s < for_s / 2.0:
             # Not a repetition.
-            self._log_from_host("endpoint_paused", key, ip, for_s=for_s)
+            self._log_notice("endpoint_paused", key[0][0], ip, for_s=for_s)
             self._tell_pause(key, for_s)
 
     def _on_paused_for_sender(self, fields, ip):
@@ -230,21 +231,15 @@
         now_s, key = self._context.boottime_s(), (str(name), _decode(*key))
         self._relay_pauses.on_turned_away(now_s, key, float(for_s))
 
-    def _log_from_host(self, event, key, ip, **fields):
-        self._context.metrics.on_endpoint_notice(event)
-        self._context.log("info", event, endpoint=key[0][0], source=ip, **fields)
-
     def _log(self, event, connection, head, **fields):
+        """Log and count a notice in a response to this host."""
+        told = {"status": head.status, "relay": connection.relay, **fields}
+        self._log_notice(event, connection.key[0], "response", **told)
+
+    def _log_notice(self, event, endpoint_id, source, **fields):
+        """Log and count a notice, from a response or from another host's IP."""
         self._context.metrics.on_endpoint_notice(event)
-        self._context.log(
-            "info",
-            event,
-            endpoint=connection.key[0],
-            source="response",
-            status=head.status,
-            relay=connection.relay,
-            **fields,
-        )
+        self._context.log("info", event, endpoint=endpoint_id, source=source, **fields)
 
 
 def _encode(key):
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -384,14 +384,11 @@
         if error is not None and reason not in (LIMITED, PAUSED):
             self.refuse(503, reason, max(retry_after_s, paused_s or 0.0))
             return
-        wait_s = paused_s
-        if paused_s is not None:
-            reason = PAUSED
-        else:
-            wait_s = self._limited_s(states)
-            reason = reason if wait_s is None else LIMITED
+        why, wait_s = PAUSED, paused_s
+        if wait_s is None:
+            why, wait_s = LIMITED, self._limited_s(states)
         if wait_s is not None:
-            retry_after_s = wait_s
+            reason, retry_after_s = why, wait_s
             self.log(
                 "info",
                 "request_refused",
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -580,16 +580,18 @@
         if is_listed:
             self.set_state(endpoint, "draining")
         self._end_serving(endpoint)
+        has_crashed = False
         while self.clock() < draining_s + DRAINING_S:
             await asyncio.sleep(POLL_S)
-            if self._heartbeats[endpoint.name][0] != generation:
-                # It crashed while draining, and the restarted endpoint isn't draining.
-                if is_listed:
-                    stopped_s = self._crashed_s[endpoint.name]
-                    self.records.leaves.append((endpoint.name, draining_s, stopped_s))
-                return
+            has_crashed = self._heartbeats[endpoint.name][0] != generation
+            if has_crashed:
+                break
+        stopped_s = self._crashed_s[endpoint.name] if has_crashed else self.clock()
         if is_listed:
-            self.records.leaves.append((endpoint.name, draining_s, self.clock()))
+            self.records.leaves.append((endpoint.name, draining_s, stopped_s))
+        if has_crashed:
+            # The restarted endpoint isn't draining.
+            return
         self.set_state(endpoint, "")
         if endpoint.next_version is not None:
             endpoint.version, endpoint.next_version = endpoint.next_version, None
