Show that requests that crash nothing are refused for minutes after the loss of all hosts

Three replicas that crash at once, under the first requests of one content after all hosts were lost, make the hosts refuse this content for 300 s.

--- a/review/common/replica.py
+++ b/review/common/replica.py
@@ -1,6 +1,8 @@
 """Stand-in of a replica: registers in the store and passes requests to a handler."""
 
 import asyncio
+import socket
+import struct
 import time
 
 from lab import new_ip
@@ -70,6 +72,19 @@
         for writer in list(self._writers):
             writer.close()
 
+    def crash(self):
+        """End without a word: reset all connections, and stop to listen and to write.
+
+        The entry stays until the replica starts again; in less than three heartbeats.
+        """
+        self._task.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
     async def _beat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
