Handle requests that are sent ahead only as their responses are read

Callers saw a host run out of memory, and with it lost all requests that it held. One client sufficed that sent many requests ahead and read no response.

Cause: all data of one read, up to 256 KB, was decoded at once, although a decoded request takes a hundred times its bytes; the limit of 16 requests paused reading only after that. And the next request was handled whatever was still unsent, so that the responses to unrouted paths piled up without a limit.

A connection keeps undecoded bytes now, decodes 4 KB at a time and only when no earlier request is left, and handles no request while more than 256 KB of responses are unread. Reading pauses above 64 KB of undecoded bytes, so that a disconnect is still noticed for all but such clients. A refused request no longer drops complete ones before it.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -16,9 +16,13 @@
 
 __all__ = ["Listener", "Reply"]
 
-# Pipelined requests on one connection after which reading pauses. While reading is
-# paused, the caller's disconnect isn't noticed, so the limit is above what clients use.
-MAX_PIPELINED_REQUESTS = 16
+# The parser gets a connection's data in pieces of this size, and the next piece only
+# when no earlier request is left. A decoded request takes far more memory than its
+# bytes, so requests that are sent ahead wait undecoded.
+PARSED_AT_ONCE_BYTES = 4096
+# Undecoded bytes of one connection above which reading pauses. While reading is paused,
+# the caller's disconnect isn't noticed, so the limit is above what clients send ahead.
+MAX_UNPARSED_BYTES = 64 * 1024
 # Interval of the check for connections that are idle or stuck within a request.
 CLEANUP_INTERVAL_S = 1.0
 # Idle connections stay open for this much longer than the time-out known to callers. A
@@ -29,7 +33,8 @@
 DEFAULT_MAX_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES = 16 * 1024, 4 * 1024 * 1024
 # Connections that the system queues until the listener accepts them.
 LISTEN_BACKLOG = 1024
-# `Reply.drain` waits while more than this is buffered for one caller.
+# `Reply.drain` waits, and no further request of the connection is handled, while more
+# than this is buffered for one caller.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
 _REASON_PHRASES = {
     200: b"OK",
@@ -171,9 +176,11 @@
         self._has_all_headers = False
         self._header_bytes = 0
         self._body = bytearray()
+        self._unparsed = bytearray()
         self._queued = deque()
         self._task = None
         self._is_reading = False
+        self._is_paused = False
         self._is_rejected = False
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -181,8 +188,9 @@
 
     @property
     def is_idle(self):
-        """Whether no request is being received, queued or handled."""
-        return self._task is None and not self._is_reading and not self._queued
+        """Whether no request is being received, waits or is handled."""
+        has_waiting = self._queued or self._unparsed
+        return self._task is None and not self._is_reading and not has_waiting
 
     @property
     def is_reading(self):
@@ -205,21 +213,14 @@
         self.last_active_s = self._listener.clock()
         if self._is_rejected:
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is complete. Its caller waits for a tunnel, or what follows
-            # is in a protocol that this listener doesn't speak.
-            if not self._accepts_tunnel():
-                self._reject(Refusal(400, "upgrade", None), "")
-        except httptools.HttpParserError as error:
-            # The end of the request is unknown; later data could be part of its body.
-            self._reject(Refusal(400, "malformed_request", None), str(error))
+        self._unparsed += data
+        self._advance()
 
     def connection_lost(self, error):
         self._listener.connections.discard(self)
         self._transport = None
         self._queued.clear()
+        self._unparsed.clear()
         self._can_write.set()
         if self._task is not None:
             # The caller has disconnected: stop working on its request.
@@ -230,6 +231,7 @@
 
     def resume_writing(self):
         self._can_write.set()
+        self._advance()
 
     # Called by the parser
 
@@ -279,10 +281,6 @@
         )
         self._body = bytearray()
         self._queued.append((request, reply))
-        if self._task is None:
-            self._start_next()
-        elif len(self._queued) >= MAX_PIPELINED_REQUESTS:
-            self._transport.pause_reading()
 
     # Called by `Reply`
 
@@ -308,6 +306,8 @@
 
     def hand_over(self):
         """Return the transport, which another protocol uses from now on."""
+        self._unparsed.clear()
+        self._pause_or_resume_reading()
         transport, self._transport = self._transport, None
         self._listener.connections.discard(self)
         return transport
@@ -323,6 +323,47 @@
         if self._header_bytes > self._listener.max_header_bytes:
             self._reject(Refusal(431, "header_too_large", None), "")
 
+    def _advance(self):
+        """Handle the oldest request, or parse on if none is left.
+
+        Nothing is done while a request is handled, or its caller doesn't read what was
+        answered before.
+        """
+        while self._task is None and self._can_write.is_set() and self._transport:
+            if self._queued:
+                self._start_next()
+            elif self._unparsed and not self._is_rejected:
+                self._parse()
+            else:
+                break
+        self._pause_or_resume_reading()
+
+    def _parse(self):
+        """Parse the next piece of the data that has been received."""
+        data = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
+        del self._unparsed[:PARSED_AT_ONCE_BYTES]
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is complete. Its caller waits for a tunnel, or what follows
+            # is in a protocol that this listener doesn't speak.
+            if not self._accepts_tunnel():
+                self._reject(Refusal(400, "upgrade", None), "")
+        except httptools.HttpParserError as error:
+            # The end of the request is unknown; later data could be part of its body.
+            self._reject(Refusal(400, "malformed_request", None), str(error))
+
+    def _pause_or_resume_reading(self):
+        """Read on only while little of what was read is left."""
+        is_paused = len(self._unparsed) > MAX_UNPARSED_BYTES
+        if self._transport is None or is_paused == self._is_paused:
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
     def _start_next(self):
         """Start the handler of the oldest queued request."""
         request, reply = self._queued.popleft()
@@ -343,18 +384,18 @@
         if not reply.is_ended:
             self.abort()
             return
-        if not reply.keeps_alive or self._is_rejected:
+        is_last = self._is_rejected and not self._queued
+        if not reply.keeps_alive or is_last:
             self.close()
             return
-        if self._queued:
-            self._transport.resume_reading()
-            self._start_next()
+        self._advance()
 
     def _reject(self, refusal, detail):
         """Send the error response to a request that can't be parsed, then close."""
         if self._is_rejected:
             return
         self._is_rejected = True
+        self._unparsed.clear()
         self._listener.log(
             "warning",
             "request_unreadable",
@@ -362,9 +403,9 @@
             reason=refusal.reason,
             detail=detail,
         )
-        if self._task is not None:
-            # An earlier request is being handled; `_on_handler_done` closes the
-            # connection after its response.
+        if self._task is not None or self._queued:
+            # Earlier requests are handled first; `_on_handler_done` closes the
+            # connection after the last response.
             return
         headers, body = self._listener.encode_refusal(refusal, "")
         Reply(self, False, False).send(refusal.status, headers, body)
