Count the bytes of a head as they arrive, not as the parser reports them

Callers lost a host to a header line or a trailer that never ends, and connections stayed open for as long as a client sent blank lines, spaces or extensions of chunks.

Cause: `max_header_bytes` was compared with the names and values that the parser has handed over. It hands over none before its end, and collects it until then; blank lines, spaces, separators and the framing of chunks were never counted, and a blank line begins no request for which a time would run.

Bytes are counted now before they reach the parser, since the last complete head or request. Above `max_header_bytes` and one piece of 4 KB the request is refused with 431; between the parts of a body each of its bytes allows for 16 more, as in responses. The limit on names and values stays as it is, so a client within it meets nothing new: a test sends the largest head in lines of four bytes and the largest body.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -23,6 +23,9 @@
 # Undecoded bytes of one connection above which reading pauses. While reading is paused,
 # the caller's disconnect isn't noticed, so the limit is above what clients send ahead.
 MAX_UNPARSED_BYTES = 64 * 1024
+# Bytes between the parts of a body, sizes of chunks above all, that each of its bytes
+# allows for. A chunk may have a single byte.
+FRAMING_BYTES_PER_BODY_BYTE = 16
 # Interval of the check for connections that are idle or stuck within a request.
 CLEANUP_INTERVAL_S = 1.0
 # Idle connections stay open for this much longer than the time-out known to callers. A
@@ -175,6 +178,8 @@
         self._headers = []
         self._has_all_headers = False
         self._header_bytes = 0
+        # Bytes parsed since the last request, of a head or between the parts of a body.
+        self._framing_bytes = 0
         self._body = bytearray()
         self._unparsed = bytearray()
         self._queued = deque()
@@ -256,17 +261,20 @@
 
     def on_headers_complete(self):
         self._has_all_headers = True
+        self._framing_bytes = 0
         for name, value in self._headers:
             if name.lower() == "expect" and value.lower() == "100-continue":
                 self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data):
         self._body += data
+        self._framing_bytes -= (1 + FRAMING_BYTES_PER_BODY_BYTE) * len(data)
         if len(self._body) > self._listener.max_body_bytes:
             self._reject(Refusal(413, "body_too_large", None), "")
 
     def on_message_complete(self):
         self._is_reading = False
+        self._framing_bytes = 0
         if self._is_rejected:
             return
         method = self._parser.get_method().decode("latin-1")
@@ -342,6 +350,7 @@
         """Parse the next piece of the data that has been received."""
         data = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
         del self._unparsed[:PARSED_AT_ONCE_BYTES]
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -352,6 +361,11 @@
         except httptools.HttpParserError as error:
             # The end of the request is unknown; later data could be part of its body.
             self._reject(Refusal(400, "malformed_request", None), str(error))
+        # The parser reports a name or a value only at its end, and skips blank lines,
+        # spaces and extensions of chunks.
+        limit_bytes = self._listener.max_header_bytes + PARSED_AT_ONCE_BYTES
+        if self._framing_bytes > limit_bytes:
+            self._reject(Refusal(431, "header_too_large", None), "")
 
     def _pause_or_resume_reading(self):
         """Read on only while little of what was read is left."""
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -12,6 +12,7 @@
 
 HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
 POST = b"POST /a HTTP/1.1\r\nHost: x\r\n"
+CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 MALFORMED = {
     "space before the colon": POST + b"Content-Length : 33\r\n\r\n" + HIDDEN,
     "length and chunks": b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
@@ -215,6 +216,40 @@
     run(scenario())
 
 
+ENDLESS = {
+    "blank lines": (b"", b"\r\n"),
+    "spaces before a value": (b"GET /a HTTP/1.1\r\nX:", b" "),
+    "extension of a chunk": (CHUNKED + b"1;", b"x"),
+    "zeros before the size of a chunk": (CHUNKED, b"0"),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_bytes_outside_of_a_request_and_its_body_are_limited(name):
+    # Guards against bytes that the parser skips, and that keep a connection for ever.
+    async def scenario():
+        opening, repeated = ENDLESS[name]
+        async with CallerFixture() as caller:
+            caller.writer.write(opening + repeated * 40_000)
+            assert (await caller.reader.read()).startswith(b"HTTP/1.1 4")
+            assert caller.requests == []
+
+    run(scenario())
+
+
+def test_largest_head_in_short_lines_and_largest_body_are_accepted():
+    # Guards against limits that a client within those of the configuration meets.
+    async def scenario():
+        async with CallerFixture() as caller:
+            length = caller.listener.max_body_bytes
+            head = b"POST /a HTTP/1.1\r\nContent-Length: %d\r\n" % length
+            lines = (caller.listener.max_header_bytes - len(head)) // 4
+            caller.writer.write(head + b"a:\r\n" * lines + b"\r\n" + bytes(length))
+            assert (await caller.read_response())[1] == bytes(length)
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -60,6 +60,9 @@
 LEGAL_LINES = HEAD % b"slow" + b"a:\r\n" * 4000 + b"\r\n"
 CROWDS = {
     "short header lines": Crowd(40, b"", LEGAL_LINES, 16),
+    "header without end": Crowd(12, HEAD % b"x" + b"A: ", FLOOD, 256),
+    "header name without end": Crowd(12, HEAD % b"x", FLOOD, 256),
+    "trailer without end": Crowd(12, CHUNKED + b"0\r\nA: ", FLOOD, 256),
     **{
         f"requests sent ahead to {name}": Crowd(
             12, b"", b"GET /none HTTP/1.1\r\n\r\n" * 1024, 32, name
