Limit the memory that all connections take together

Callers saw a host end for its memory when many clients sent bodies that they didn't finish, or didn't read large responses: with each connection within its own limits, and all of them together far beyond the machine's memory.

Cause: every limit held for one connection. Nothing counted the memory of all, of what is received (heads, bodies, requests that wait) as little as of what is held for callers (responses that are read from endpoints, and those that aren't sent yet).

A line of a head counts with the objects that it becomes, and a body that is written whole with all of its bytes until the last is sent, since the transport keeps it so long. A response of an endpoint counts for its caller from its arrival on.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -14,7 +14,7 @@
 from gypsumusher_entry.refusal_records import RefusalRecords
 from gypsumusher_entry.registration import Registration
 from gypsumusher_entry.store_watcher import StoreWatcher
-from gypsumusher_http import Listener, TunnelRelay
+from gypsumusher_http import ConnectionBudget, Listener, TunnelRelay
 from gypsumusher_platform import (
     CloudClient,
     StoreClient,
@@ -42,6 +42,8 @@
 # answer.
 CONFIGURATION_WAIT_S = 3.0
 POLL_S = 0.02
+# Share of the process's memory that all connections of clients and hosts may take.
+CLIENT_MEMORY_SHARE = 0.25
 
 
 class EntryHost:
@@ -78,15 +80,19 @@
         self._prefix_cache_recovery = PrefixCacheRecovery(self.context)
         codecs = decode_request, encode_refusal
         api_handler = create_api_handler(self.context)
-        self._api = Listener(api_handler, *codecs, clock, log)
+        client_bytes = int(CLIENT_MEMORY_SHARE * settings.memory_bytes)
+        budget = ConnectionBudget(log, client_bytes)
+        self._api = Listener(api_handler, *codecs, clock, log, budget=budget)
         self._tunnel_relay = TunnelRelay(CONNECT_TIMEOUT_S)
         peer_handler = create_peer_handler(
             self.context, api_handler, self._tunnel_relay
         )
         self._peer_api = Listener(
-            peer_handler, *codecs, clock, log, accepts_tunnels=True
+            peer_handler, *codecs, clock, log, accepts_tunnels=True, budget=budget
+        )
+        self._listener = Listener(
+            create_handler(self.context), *codecs, clock, log, budget=budget
         )
-        self._listener = Listener(create_handler(self.context), *codecs, clock, log)
 
     async def start(self):
         """Start all components; accept callers as soon as there is a configuration.
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -105,7 +105,8 @@
         exchange.run_endpoint_id = record.endpoint_id
     exchange.used_connections.append(connection)
     data = encode_endpoint_request(exchange.request, send)
-    response = connection.send(data, exchange.request.request_id or None)
+    request_id = exchange.request.request_id or None
+    response = connection.send(data, request_id, hold=exchange.reply.hold)
 
     def on_head_or_lost(head):
         sent.on_head_or_lost(head is not None)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -289,6 +289,7 @@
             data = await response.read()
             if not data:
                 break
+            exchange.reply.hold(-len(data))
             now_s = self._context.clock()
             pending.due_s = now_s + NEXT_EVENT_TIMEOUT_S
             run.state.on_answer_bytes(now_s)
--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from gypsumusher_http.calls import CallLimits, HttpClient
+from gypsumusher_http.connection_budget import ConnectionBudget
 from gypsumusher_http.connections import ConnectionPool, Response
 from gypsumusher_http.errors import CallError, TunnelRefusedError
 from gypsumusher_http.listener import Listener, Reply
@@ -14,6 +15,7 @@
 __all__ = [
     "CallError",
     "CallLimits",
+    "ConnectionBudget",
     "ConnectionPool",
     "HttpClient",
     "Listener",
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -53,6 +53,8 @@
         Id that the response must carry; with None, it must carry none.
     max_body_bytes : int
         Largest body, in bytes; a longer one fails the response as garbled.
+    hold : callable or None
+        ``hold(size_bytes)`` is called with the size of what arrives of the body.
 
     Attributes
     ----------
@@ -61,7 +63,7 @@
         connection ends it.
     """
 
-    def __init__(self, connection, request_id, max_body_bytes):
+    def __init__(self, connection, request_id, max_body_bytes, hold=None):
         self.request_id = request_id
         self.max_body_bytes = max_body_bytes
         self.is_complete = False
@@ -75,6 +77,7 @@
         self._head.add_done_callback(lambda future: future.exception())
         self._chunks = deque()
         self._unread_bytes = 0
+        self._hold = hold
         self._error = None
         self._waiter = None
 
@@ -150,6 +153,8 @@
         self._unread_bytes += len(data)
         if self._unread_bytes > UNREAD_MAX_BYTES:
             self._connection.pause_reading()
+        if self._hold is not None:
+            self._hold(len(data))
         self._wake()
 
     def on_complete(self):
@@ -207,7 +212,7 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES):
+    def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES, hold=None):
         """Write a request; return the `Response` to it.
 
         Parameters
@@ -219,6 +224,8 @@
             response must carry none.
         max_body_bytes : int
             Largest body of the response, in bytes.
+        hold : callable or None
+            See `Response`.
 
         Raises
         ------
@@ -229,7 +236,7 @@
             raise CallError("connect", self.address, "connect", False)
         if request_id is None:
             self._has_sent_without_id = True
-        self._response = Response(self, request_id, max_body_bytes)
+        self._response = Response(self, request_id, max_body_bytes, hold)
         self._received_bytes = self._body_bytes = 0
         self._skipped_responses = 0
         self._is_skipping_response = False
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from gypsumusher_http.connection_budget import ConnectionBudget
 from gypsumusher_http.tunnels import reset_on_close
 from gypsumusher_ports import Refusal
 
@@ -39,6 +40,15 @@
 # `Reply.drain` waits, and no further request of the connection is handled, while more
 # than this is buffered for one caller.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
+# Smallest body that is written apart from its head instead of copied behind it.
+SEPARATE_BODY_BYTES = 64 * 1024
+# Memory of a connection, of a request beside its body, and of a line of its head beside
+# its characters; and copies of a body while the request is handled: the request's own,
+# and the one that is sent on.
+CONNECTION_BYTES, REQUEST_BYTES, HEADER_LINE_BYTES = 8 * 1024, 2 * 1024, 200
+BODY_COPIES = 2
+# ``Retry-After`` of a request that is refused for the memory of all connections.
+OVERLOADED_RETRY_AFTER_S = 1.0
 _REASON_PHRASES = {
     200: b"OK",
     204: b"No Content",
@@ -96,7 +106,13 @@
             Body of the response.
         """
         head = self._head(status, headers, f"Content-Length: {len(body)}")
-        self._connection.write(head if self._is_head else head + body)
+        if self._is_head:
+            self._connection.write(head)
+        elif len(body) < SEPARATE_BODY_BYTES:
+            self._connection.write(head + body)
+        else:
+            self._connection.write(head)
+            self._connection.write(body)
         self.is_started = self.is_ended = True
 
     def start(self, status, headers):
@@ -121,6 +137,17 @@
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._connection.write(data)
 
+    def hold(self, size_bytes):
+        """Count memory that the handler uses for the response until it has ended.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Bytes that come to those counted before, or are freed if below 0. The
+            connection may be closed for them, which cancels the handler.
+        """
+        self._connection.hold(size_bytes)
+
     async def drain(self):
         """Wait until the write buffer has room again."""
         await self._connection.drain()
@@ -182,8 +209,14 @@
         self._framing_bytes = 0
         self._body = bytearray()
         self._unparsed = bytearray()
+        # Requests that wait, each with its reply and the memory that it takes.
         self._queued = deque()
         self._task = None
+        # Memory of the request that is handled, and of its response before it is sent.
+        self._handled_bytes = 0
+        # Size of large bodies that are being sent. The transport frees a body when all
+        # of it has been sent.
+        self._written_whole_bytes = 0
         self._is_reading = False
         self._is_paused = False
         self._is_rejected = False
@@ -207,12 +240,48 @@
         """Whether the connection closes after the current response."""
         return self._listener.is_draining
 
+    # Called by the budget
+
+    def held_bytes(self):
+        """Return the memory that the connection takes, in bytes."""
+        unsent_bytes = 0
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+        if not unsent_bytes:
+            self._written_whole_bytes = 0
+        return (
+            CONNECTION_BYTES
+            + len(self._unparsed)
+            + len(self._body)
+            + self._header_bytes
+            + HEADER_LINE_BYTES * len(self._headers)
+            + sum(size_bytes for _, _, size_bytes in self._queued)
+            + self._handled_bytes
+            + max(unsent_bytes, self._written_whole_bytes)
+        )
+
+    def give_up(self):
+        """Refuse the request that is being received, or abort the connection."""
+        is_alone = self._task is None and not self._queued
+        if self._transport is None:
+            return
+        if (
+            is_alone
+            and self._is_reading
+            and not self._transport.get_write_buffer_size()
+        ):
+            refusal = Refusal(503, "overloaded", OVERLOADED_RETRY_AFTER_S)
+            self._reject(refusal, "memory of all connections")
+            return
+        self.abort()
+
     # Called by the transport
 
     def connection_made(self, transport):
         self._transport = transport
         transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
         self._listener.connections.add(self)
+        self._listener.budget.update(self)
 
     def data_received(self, data):
         self.last_active_s = self._listener.clock()
@@ -220,9 +289,11 @@
             return
         self._unparsed += data
         self._advance()
+        self._update_budget()
 
     def connection_lost(self, error):
         self._listener.connections.discard(self)
+        self._listener.budget.discard(self)
         self._transport = None
         self._queued.clear()
         self._unparsed.clear()
@@ -287,14 +358,28 @@
             method == "HEAD",
             self._parser.get_http_version() != "1.0",
         )
-        self._body = bytearray()
-        self._queued.append((request, reply))
+        size_bytes = (
+            REQUEST_BYTES
+            + BODY_COPIES * len(self._body)
+            + self._header_bytes
+            + HEADER_LINE_BYTES * len(self._headers)
+        )
+        self._drop_received()
+        self._queued.append((request, reply, size_bytes))
 
     # Called by `Reply`
 
     def write(self, data):
-        if self._transport is not None:
-            self._transport.write(data)
+        if not self._is_open:
+            return
+        self._transport.write(data)
+        if len(data) >= SEPARATE_BODY_BYTES:
+            self._written_whole_bytes += len(data)
+        self._update_budget()
+
+    def hold(self, size_bytes):
+        self._handled_bytes += size_bytes
+        self._update_budget()
 
     async def drain(self):
         await self._can_write.wait()
@@ -318,8 +403,24 @@
         self._pause_or_resume_reading()
         transport, self._transport = self._transport, None
         self._listener.connections.discard(self)
+        self._listener.budget.discard(self)
         return transport
 
+    @property
+    def _is_open(self):
+        """Whether the connection still takes requests and responses."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def _update_budget(self):
+        if self._is_open:
+            self._listener.budget.update(self)
+
+    def _drop_received(self):
+        """Free what was received of the current request."""
+        self._headers = []
+        self._header_bytes = 0
+        self._body = bytearray()
+
     def _accepts_tunnel(self):
         """Return whether the current request asks for a tunnel and may get one."""
         is_connect = self._parser.get_method() == b"CONNECT"
@@ -337,7 +438,7 @@
         Nothing is done while a request is handled, or its caller doesn't read what was
         answered before.
         """
-        while self._task is None and self._can_write.is_set() and self._transport:
+        while self._task is None and self._can_write.is_set() and self._is_open:
             if self._queued:
                 self._start_next()
             elif self._unparsed and not self._is_rejected:
@@ -370,7 +471,7 @@
     def _pause_or_resume_reading(self):
         """Read on only while little of what was read is left."""
         is_paused = len(self._unparsed) > MAX_UNPARSED_BYTES
-        if self._transport is None or is_paused == self._is_paused:
+        if not self._is_open or is_paused == self._is_paused:
             return
         self._is_paused = is_paused
         if is_paused:
@@ -380,7 +481,7 @@
 
     def _start_next(self):
         """Start the handler of the oldest queued request."""
-        request, reply = self._queued.popleft()
+        request, reply, self._handled_bytes = self._queued.popleft()
         self._task = asyncio.ensure_future(self._listener.handle(request, reply))
         self._task.add_done_callback(lambda task: self._on_handler_done(task, reply))
 
@@ -390,6 +491,7 @@
         A handler that ended without a complete response aborts the connection.
         """
         self._task = None
+        self._handled_bytes = 0
         self.last_active_s = self._listener.clock()
         if not task.cancelled() and task.exception() is not None:
             self._listener.log("error", "handler_failed", error=repr(task.exception()))
@@ -409,7 +511,9 @@
         if self._is_rejected:
             return
         self._is_rejected = True
+        request_id = self._received_id()
         self._unparsed.clear()
+        self._drop_received()
         self._listener.log(
             "warning",
             "request_unreadable",
@@ -421,10 +525,16 @@
             # Earlier requests are handled first; `_on_handler_done` closes the
             # connection after the last response.
             return
-        headers, body = self._listener.encode_refusal(refusal, "")
+        headers, body = self._listener.encode_refusal(refusal, request_id)
         Reply(self, False, False).send(refusal.status, headers, body)
         self.close()
 
+    def _received_id(self):
+        """Return the id of the request that is being received, if it has come."""
+        if not self._has_all_headers:
+            return ""
+        return self._listener.decode_request("", "", self._headers, b"").request_id
+
 
 class Listener:
     """Accepts connections of callers on one or more addresses.
@@ -444,6 +554,9 @@
     accepts_tunnels : bool
         Whether a CONNECT request may be answered by `Reply.hand_over`. Otherwise the
         connection closes after the response to it.
+    budget : ConnectionBudget or None
+        Limit on the memory of all connections, which listeners of one process share;
+        None creates one for this listener.
     """
 
     def __init__(
@@ -454,8 +567,10 @@
         clock,
         log,
         accepts_tunnels=False,
+        budget=None,
     ):
         self.accepts_tunnels = accepts_tunnels
+        self.budget = budget or ConnectionBudget(log)
         self.handle = handle
         self.decode_request = decode_request
         self.encode_refusal = encode_refusal
--- a/libs/ports/gypsumusher_ports/hosts.py
+++ b/libs/ports/gypsumusher_ports/hosts.py
@@ -86,6 +86,8 @@
         endpoints; None without any duties.
     duties : frozenset of str
         What this system has to call there: ``usage``, ``scale``.
+    memory_bytes : int
+        Memory that the process may use, in bytes.
     """
 
     name: str
@@ -105,3 +107,4 @@
     bounds: Bounds
     cloud_address: str | None = None
     duties: frozenset[str] = frozenset()
+    memory_bytes: int = 300_000_000
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -63,6 +63,13 @@
     "header without end": Crowd(12, HEAD % b"x" + b"A: ", FLOOD, 256),
     "header name without end": Crowd(12, HEAD % b"x", FLOOD, 256),
     "trailer without end": Crowd(12, CHUNKED + b"0\r\nA: ", FLOOD, 256),
+    "bodies without end": Crowd(
+        40, HEAD % b"x" + b"Content-Length: 4000001\r\n\r\n", b"x" * 40_000, 100
+    ),
+    "unread answers": Crowd(40, HEAD % b"large" + b"\r\n"),
+    "unread answers on kept connections": Crowd(
+        20, HEAD % b"large" + b"\r\n", LEGAL_LINES, 1
+    ),
     **{
         f"requests sent ahead to {name}": Crowd(
             12, b"", b"GET /none HTTP/1.1\r\n\r\n" * 1024, 32, name
