Leave descriptors for endpoints, hosts and the store

Clients that opened connections and sent nothing, blank lines or half a head took all descriptors of a host; it could open no connection to an endpoint or the store any more, and callers that came later weren't accepted.

Cause: nothing limited the connections of clients. Time-outs close them after seconds at the earliest, and faster clients open more meanwhile.

Beyond that it closes the connections that have been unused for longest, a thirty-second part at once, at the address that has most: a crowd at the callers' address closes none of other hosts. A connection with a request in hand or a response that isn't sent is never closed for another one; if all are like that, the new one is.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -44,6 +44,9 @@
 POLL_S = 0.02
 # Share of the process's memory that all connections of clients and hosts may take.
 CLIENT_MEMORY_SHARE = 0.25
+# Share of the process's sockets that they may take. A request needs up to two more, for
+# connections to endpoints.
+CLIENT_SOCKETS_SHARE = 1 / 3
 
 
 class EntryHost:
@@ -81,7 +84,8 @@
         codecs = decode_request, encode_refusal
         api_handler = create_api_handler(self.context)
         client_bytes = int(CLIENT_MEMORY_SHARE * settings.memory_bytes)
-        budget = ConnectionBudget(log, client_bytes)
+        max_connections = max(1, int(CLIENT_SOCKETS_SHARE * settings.max_descriptors))
+        budget = ConnectionBudget(log, client_bytes, max_connections)
         self._api = Listener(api_handler, *codecs, clock, log, budget=budget)
         self._tunnel_relay = TunnelRelay(CONNECT_TIMEOUT_S)
         peer_handler = create_peer_handler(
--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -1,20 +1,26 @@
-"""Limit on what the connections of all clients hold together."""
+"""Limits on what the connections of all clients hold together."""
+
+from collections import Counter
 
 __all__ = ["ConnectionBudget"]
 
-# Limit where no other is given.
-DEFAULT_MAX_BYTES = 64 * 1024 * 1024
+# Limits where no others are given.
+DEFAULT_MAX_BYTES, DEFAULT_MAX_CONNECTIONS = 64 * 1024 * 1024, 1024
 # Share of the limit down to which connections are closed once it is exceeded, so that
 # not every further byte leads to another look at all connections.
 LOW_WATER_SHARE = 7 / 8
+# Share of the most connections that is closed at once when there are too many, for the
+# same reason.
+CLOSED_AT_ONCE_SHARE = 1 / 32
 
 
 class ConnectionBudget:
-    """Closes the connections that hold most when all together hold too much.
+    """Closes connections when they hold too much together, or are too many.
 
     A limit on each connection alone doesn't bound a process's memory, since there are
     many. Those that hold most are closed first, so that a client with an ordinary
-    request doesn't pay for others.
+    request doesn't pay for others. Of too many, those are closed that have been unused
+    for longest, in the group with most connections.
 
     Parameters
     ----------
@@ -22,22 +28,67 @@
         ``log(level, event, **fields)``.
     max_bytes : int
         Most bytes that all connections may hold.
+    max_connections : int
+        Most connections that may be open.
 
     Notes
     -----
-    A connection is any object with two methods: ``held_bytes()`` returns what it holds
-    now, and ``give_up()`` refuses its request or closes it. It calls `update` when it
-    holds more than before.
+    A connection is any object with the methods ``held_bytes()``, which returns what it
+    holds now, ``give_up()``, which refuses its request or closes it, and ``abort()``;
+    it calls `update` when it holds more than before. Its attributes are ``group``,
+    ``is_unused`` (nothing of a response is under way) and ``last_active_s``.
     """
 
-    def __init__(self, log, max_bytes=DEFAULT_MAX_BYTES):
+    def __init__(
+        self,
+        log,
+        max_bytes=DEFAULT_MAX_BYTES,
+        max_connections=DEFAULT_MAX_CONNECTIONS,
+    ):
         self._log = log
         self._max_bytes = max_bytes
+        self._max_connections = max_connections
         # Bytes that each connection held at its last update, and their sum. What has
         # been sent since isn't subtracted, so that the sum may be too large.
         self._held_bytes = {}
         self._total_bytes = 0
 
+    def admit(self, connection):
+        """Take a new connection in, and close others for it if there are too many.
+
+        Returns
+        -------
+        bool
+            Whether it may stay open; not if all others are in use.
+        """
+        if len(self._held_bytes) >= self._max_connections and not self._close_unused():
+            return False
+        self.update(connection)
+        return True
+
+    def _close_unused(self):
+        """Close unused connections; return whether there were any."""
+        sizes = Counter(connection.group for connection in self._held_bytes)
+        largest = max(sizes, key=sizes.get)
+        unused = [
+            connection
+            for connection in self._held_bytes
+            if connection.group is largest and connection.is_unused
+        ]
+        unused.sort(key=lambda connection: connection.last_active_s)
+        closed = unused[: max(1, int(CLOSED_AT_ONCE_SHARE * self._max_connections))]
+        self._log(
+            "warning",
+            "connections_full",
+            connections=len(self._held_bytes),
+            in_group=sizes[largest],
+            closed=len(closed),
+        )
+        for connection in closed:
+            self.discard(connection)
+            connection.abort()
+        return bool(closed)
+
     def update(self, connection):
         """Record what a connection holds, and make room if that is too much.
 
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -240,7 +240,18 @@
         """Whether the connection closes after the current response."""
         return self._listener.is_draining
 
-    # Called by the budget
+    # Read and called by the budget
+
+    @property
+    def group(self):
+        """The listener, whose connections count together."""
+        return self._listener
+
+    @property
+    def is_unused(self):
+        """Whether no request is handled, and no response is being sent."""
+        is_sent = self._is_open and not self._transport.get_write_buffer_size()
+        return self._task is None and is_sent
 
     def held_bytes(self):
         """Return the memory that the connection takes, in bytes."""
@@ -281,7 +292,8 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
         self._listener.connections.add(self)
-        self._listener.budget.update(self)
+        if not self._listener.budget.admit(self):
+            self.abort()
 
     def data_received(self, data):
         self.last_active_s = self._listener.clock()
--- a/libs/ports/gypsumusher_ports/hosts.py
+++ b/libs/ports/gypsumusher_ports/hosts.py
@@ -88,6 +88,8 @@
         What this system has to call there: ``usage``, ``scale``.
     memory_bytes : int
         Memory that the process may use, in bytes.
+    max_descriptors : int
+        Sockets that the process may have open.
     """
 
     name: str
@@ -108,3 +110,4 @@
     cloud_address: str | None = None
     duties: frozenset[str] = frozenset()
     memory_bytes: int = 300_000_000
+    max_descriptors: int = 3900
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -76,6 +76,12 @@
         )
         for name in LISTENERS
     },
+    **{
+        f"idle connections to {name}": Crowd(450, b"", listener=name)
+        for name in LISTENERS
+    },
+    "blank lines": Crowd(450, b"\r\n" * 16),
+    "heads without end": Crowd(450, HEAD % b"x"),
 }
 
 
