Read on for a while after a refusal, so that its caller gets it

A caller whose body was too large, whose head was too long or whose request was refused for the memory of all connections saw a reset connection in place of the refusal when it was still sending. Of a reset it can't tell whether the request ran.

Cause: the listener closed the connection right behind the refusal. A connection that is closed with unread bytes is reset, and a reset discards what the caller hasn't read.

The listener ends its own side now and reads on, without keeping anything, until the caller ends the other side or 2 s are over.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -32,6 +32,9 @@
 # Idle connections stay open for this much longer than the time-out known to callers. A
 # connection that closes while the caller sends a request costs the caller a retry.
 IDLE_TIMEOUT_MARGIN_S = 1.0
+# Longest time for which a connection is read after a refusal. Closed with unread bytes
+# it would be reset, and the caller would lose the refusal.
+LINGER_S = 2.0
 # Limits that apply until the first configuration is known.
 DEFAULT_IDLE_TIMEOUT_S, DEFAULT_HEADER_TIMEOUT_S = 15.0, 3.0
 DEFAULT_MAX_HEADER_BYTES, DEFAULT_MAX_BODY_BYTES = 16 * 1024, 4 * 1024 * 1024
@@ -220,6 +223,7 @@
         self._is_reading = False
         self._is_paused = False
         self._is_rejected = False
+        self._lingers_until_s = None
         self._can_write = asyncio.Event()
         self._can_write.set()
         self.last_active_s = listener.clock()
@@ -235,6 +239,10 @@
         """Whether a request has been received in part."""
         return self._is_reading
 
+    def has_lingered(self, now_s):
+        """Return whether the caller has had time to read the refusal."""
+        return self._lingers_until_s is not None and now_s > self._lingers_until_s
+
     @property
     def closes_after_response(self):
         """Whether the connection closes after the current response."""
@@ -523,6 +531,7 @@
         if self._is_rejected:
             return
         self._is_rejected = True
+        self._is_reading = False
         request_id = self._received_id()
         self._unparsed.clear()
         self._drop_received()
@@ -539,7 +548,15 @@
             return
         headers, body = self._listener.encode_refusal(refusal, request_id)
         Reply(self, False, False).send(refusal.status, headers, body)
-        self.close()
+        self._linger()
+
+    def _linger(self):
+        """End the connection to the caller, and read on until it ends its side."""
+        if not self._is_open:
+            return
+        self._lingers_until_s = self._listener.clock() + LINGER_S
+        self._transport.write_eof()
+        self._pause_or_resume_reading()
 
     def _received_id(self):
         """Return the id of the request that is being received, if it has come."""
@@ -648,7 +665,9 @@
             now_s = self.clock()
             for connection in list(self.connections):
                 inactive_s = now_s - connection.last_active_s
-                if (
+                if connection.has_lingered(now_s):
+                    connection.abort()
+                elif (
                     connection.is_idle
                     and inactive_s > self._idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
                 ):
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -7,7 +7,7 @@
 from sanic import Sanic
 from sanic.response import text
 
-from gypsumusher_http import Listener
+from gypsumusher_http import ConnectionBudget, Listener
 from gypsumusher_platform import decode_request, encode_refusal
 
 HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -250,6 +250,41 @@
     run(scenario())
 
 
+def test_request_that_holds_most_is_refused_for_the_memory_of_all():
+    # Guards against memory that many connections take together, and against a client
+    # with a small request that pays for it.
+    async def scenario():
+        async with CallerFixture() as small:
+            small.listener.budget = ConnectionBudget(small.log, 200_000)
+            head = b"POST /a HTTP/1.1\r\nX-Gypsumusher-Request-Id: %b\r\n"
+            head += b"Content-Length: %d\r\n\r\n"
+            small.writer.write(head % (b"small", 1000) + b"x" * 500)
+            reader, writer = await asyncio.open_connection("127.0.0.1", small.port)
+            writer.write(head % (b"large", 300_000) + b"x" * 250_000)
+            refusal = await reader.read()
+            assert refusal.startswith(b"HTTP/1.1 503 ")
+            assert b"Retry-After: " in refusal
+            assert b"X-Gypsumusher-Request-Id: large" in refusal
+            writer.close()
+            small.writer.write(b"x" * 500)
+            assert (await small.read_response())[1] == b"x" * 1000
+
+    run(scenario())
+
+
+def test_refusal_reaches_a_caller_that_is_still_sending():
+    # Guards against a refusal that is lost because the connection is reset.
+    async def scenario():
+        async with CallerFixture() as caller:
+            caller.listener.max_body_bytes = 10
+            head = b"POST /a HTTP/1.1\r\nContent-Length: 8000000\r\n\r\n"
+            caller.writer.write(head + bytes(8_000_000))
+            await caller.writer.drain()
+            assert (await caller.reader.read()).startswith(b"HTTP/1.1 413 ")
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
