Send "100 Continue" once, and not within another response

A caller that sent a request with `Expect: 100-continue` behind another one got the interim response in front of the response to the first, or in the middle of its chunks, where it is no response in the protocol. A head with many such lines got one for each.

Cause: the interim response was written when the head was parsed, once a header line, whatever was under way on the connection.

It is written now when the connection has nothing else to do: no earlier request is handled or waits, and the body isn't there yet. The test failed before (the first bytes were "100 Continue") and passes. libs/http passes.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -207,6 +207,8 @@
         self._target = b""
         self._headers = []
         self._has_all_headers = False
+        # Whether the caller sends the body only once it is told to.
+        self._awaits_continue = False
         self._header_bytes = 0
         # Bytes parsed since the last request, of a head or between the parts of a body.
         self._framing_bytes = 0
@@ -353,9 +355,10 @@
     def on_headers_complete(self):
         self._has_all_headers = True
         self._framing_bytes = 0
-        for name, value in self._headers:
-            if name.lower() == "expect" and value.lower() == "100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._awaits_continue = any(
+            name.lower() == "expect" and value.lower() == "100-continue"
+            for name, value in self._headers
+        )
 
     def on_body(self, data):
         self._body += data
@@ -364,7 +367,7 @@
             self._reject(Refusal(413, "body_too_large", None), "")
 
     def on_message_complete(self):
-        self._is_reading = False
+        self._is_reading = self._awaits_continue = False
         self._framing_bytes = 0
         if self._is_rejected:
             return
@@ -464,6 +467,7 @@
             elif self._unparsed and not self._is_rejected:
                 self._parse()
             else:
+                self._send_continue()
                 break
         self._pause_or_resume_reading()
 
@@ -488,6 +492,12 @@
         if self._framing_bytes > limit_bytes:
             self._reject(Refusal(431, "header_too_large", None), "")
 
+    def _send_continue(self):
+        """Tell a caller that waits for it to send the body of its request."""
+        if self._awaits_continue and not self._is_rejected:
+            self._awaits_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _pause_or_resume_reading(self):
         """Read on only while little of what was read is left."""
         is_paused = len(self._unparsed) > MAX_UNPARSED_BYTES
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -285,6 +285,20 @@
     run(scenario())
 
 
+def test_continue_is_sent_once_and_after_earlier_responses():
+    # Guards against an interim response within another response, or one a header line.
+    async def scenario():
+        async with CallerFixture() as caller:
+            expect = POST + b"Content-Length: 1\r\n" + b"Expect: 100-continue\r\n" * 3
+            caller.writer.write(b"GET /first HTTP/1.1\r\n\r\n" + expect + b"\r\n")
+            assert b"X-Seen: /first" in (await caller.read_response())[0]
+            assert (await caller.read_response())[0].startswith(b"HTTP/1.1 100 ")
+            caller.writer.write(b"x")
+            assert b"X-Seen: /a" in (await caller.read_response())[0]
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
