Let the time of a head run from its first byte

A client that sent a byte of a head now and then kept its connection for hours, and one that sent blank lines kept it for ever.

Cause: `header_timeout_ms` was compared with the time since the last byte, and any byte counted as activity. A blank line begins no request, so that only the time of an idle connection applied, which it started again.

The time of a head runs from its first byte now; between heads only bytes of a request count as activity. Within a body the time still runs from the last byte.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -226,6 +226,8 @@
         self._is_paused = False
         self._is_rejected = False
         self._lingers_until_s = None
+        # When the head that is being received began; None between heads.
+        self._head_began_s = None
         self._can_write = asyncio.Event()
         self._can_write.set()
         self.last_active_s = listener.clock()
@@ -236,14 +238,28 @@
         has_waiting = self._queued or self._unparsed
         return self._task is None and not self._is_reading and not has_waiting
 
-    @property
-    def is_reading(self):
-        """Whether a request has been received in part."""
-        return self._is_reading
+    def end_if_overdue(self, now_s):
+        """End the connection if its caller takes longer than it may.
 
-    def has_lingered(self, now_s):
-        """Return whether the caller has had time to read the refusal."""
-        return self._lingers_until_s is not None and now_s > self._lingers_until_s
+        Parameters
+        ----------
+        now_s : float
+            The time, on the listener's clock.
+        """
+        if self._transport is None:
+            return
+        idle_s, head_s = self._listener.idle_timeout_s, self._listener.header_timeout_s
+        is_lingering = self._lingers_until_s is not None
+        if is_lingering and now_s > self._lingers_until_s:
+            self.abort()
+        elif self._head_began_s is not None and now_s - self._head_began_s > head_s:
+            self.close()
+        elif self._is_reading and now_s - self.last_active_s > head_s:
+            self.close()
+        elif (
+            self.is_idle and now_s - self.last_active_s > idle_s + IDLE_TIMEOUT_MARGIN_S
+        ):
+            self.close()
 
     @property
     def closes_after_response(self):
@@ -306,11 +322,13 @@
             self.abort()
 
     def data_received(self, data):
-        self.last_active_s = self._listener.clock()
         if self._is_rejected:
             return
         self._unparsed += data
         self._advance()
+        if not self.is_idle:
+            # Blank lines belong to no request.
+            self.last_active_s = self._listener.clock()
         self._update_budget()
 
     def connection_lost(self, error):
@@ -335,6 +353,7 @@
 
     def on_message_begin(self):
         self._is_reading = True
+        self._head_began_s = self._listener.clock()
         self._target = b""
         self._headers = []
         self._has_all_headers = False
@@ -354,6 +373,7 @@
 
     def on_headers_complete(self):
         self._has_all_headers = True
+        self._head_began_s = None
         self._framing_bytes = 0
         self._awaits_continue = any(
             name.lower() == "expect" and value.lower() == "100-continue"
@@ -542,6 +562,7 @@
             return
         self._is_rejected = True
         self._is_reading = False
+        self._head_began_s = None
         request_id = self._received_id()
         self._unparsed.clear()
         self._drop_received()
@@ -619,8 +640,8 @@
         self.is_draining = False
         self.max_header_bytes = DEFAULT_MAX_HEADER_BYTES
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
-        self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
-        self._header_timeout_s = DEFAULT_HEADER_TIMEOUT_S
+        self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self.header_timeout_s = DEFAULT_HEADER_TIMEOUT_S
         self._servers = []
         self._cleanup_task = None
 
@@ -645,8 +666,8 @@
         """Apply the operator's limits to current and later connections."""
         self.max_header_bytes = limits.header_bytes
         self.max_body_bytes = limits.body_bytes
-        self._idle_timeout_s = limits.idle_timeout_s
-        self._header_timeout_s = limits.header_timeout_s
+        self.idle_timeout_s = limits.idle_timeout_s
+        self.header_timeout_s = limits.header_timeout_s
 
     def stop_accepting(self):
         """Accept no new connections, and close the idle ones."""
@@ -669,18 +690,9 @@
             connection.abort()
 
     async def _close_inactive(self):
-        """Close connections that are idle or paused within a request for too long."""
+        """End connections whose callers take longer than they may."""
         while True:
             await asyncio.sleep(CLEANUP_INTERVAL_S)
             now_s = self.clock()
             for connection in list(self.connections):
-                inactive_s = now_s - connection.last_active_s
-                if connection.has_lingered(now_s):
-                    connection.abort()
-                elif (
-                    connection.is_idle
-                    and inactive_s > self._idle_timeout_s + IDLE_TIMEOUT_MARGIN_S
-                ):
-                    connection.close()
-                elif connection.is_reading and inactive_s > self._header_timeout_s:
-                    connection.close()
+                connection.end_if_overdue(now_s)
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -9,10 +9,12 @@
 
 from gypsumusher_http import ConnectionBudget, Listener
 from gypsumusher_platform import decode_request, encode_refusal
+from gypsumusher_ports import Limits
 
 HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
 POST = b"POST /a HTTP/1.1\r\nHost: x\r\n"
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+SHORT_LIMITS = Limits(16_384, 4_194_304, 0.3, 0.3)
 MALFORMED = {
     "space before the colon": POST + b"Content-Length : 33\r\n\r\n" + HIDDEN,
     "length and chunks": b"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
@@ -299,6 +301,20 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("sent", [b"GET /a HTTP/1.1\r\nX: ", b""])
+def test_head_and_blank_lines_a_byte_at_a_time_end_the_connection(sent):
+    # Guards against a time limit that each byte starts again.
+    async def scenario():
+        async with CallerFixture() as caller:
+            caller.listener.set_limits(SHORT_LIMITS)
+            caller.writer.write(sent)
+            while caller.listener.connections:
+                caller.writer.write(b"\n" if not sent else b"x")
+                await asyncio.sleep(0.05)
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
