Close connections whose callers read nothing

Responses were held, and with them descriptors, for callers that stopped to read: for as long as they liked, also after the host had closed the connection.

Cause: a connection with unsent bytes counted as idle and was closed, but closing waits until all is sent. Nothing looked at whether the caller takes anything.

The listener compares what the caller has taken at each check; a connection that has not got rid of a byte for `idle_timeout_ms` is aborted. A slow reader takes some in that time, and its response goes on.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -228,6 +228,10 @@
         self._lingers_until_s = None
         # When the head that is being received began; None between heads.
         self._head_began_s = None
+        self._written_bytes = 0
+        # Bytes that the caller had taken when that was last found to be more, and when.
+        self._taken_bytes = 0
+        self._last_taken_s = listener.clock()
         self._can_write = asyncio.Event()
         self._can_write.set()
         self.last_active_s = listener.clock()
@@ -252,6 +256,9 @@
         is_lingering = self._lingers_until_s is not None
         if is_lingering and now_s > self._lingers_until_s:
             self.abort()
+        elif self._unsent_for_s(now_s) > idle_s + IDLE_TIMEOUT_MARGIN_S:
+            self._listener.log("warning", "caller_reads_nothing", after_s=idle_s)
+            self.abort()
         elif self._head_began_s is not None and now_s - self._head_began_s > head_s:
             self.close()
         elif self._is_reading and now_s - self.last_active_s > head_s:
@@ -261,6 +268,15 @@
         ):
             self.close()
 
+    def _unsent_for_s(self, now_s):
+        """Return for how long the caller has taken nothing of what is written."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        taken_bytes = self._written_bytes - unsent_bytes
+        if not unsent_bytes or taken_bytes > self._taken_bytes:
+            self._taken_bytes = taken_bytes
+            self._last_taken_s = now_s
+        return now_s - self._last_taken_s
+
     @property
     def closes_after_response(self):
         """Whether the connection closes after the current response."""
@@ -416,6 +432,7 @@
         if not self._is_open:
             return
         self._transport.write(data)
+        self._written_bytes += len(data)
         if len(data) >= SEPARATE_BODY_BYTES:
             self._written_whole_bytes += len(data)
         self._update_budget()
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -315,6 +315,22 @@
     run(scenario())
 
 
+def test_caller_that_reads_nothing_loses_its_connection():
+    # Guards against responses that are held for ever.
+    async def scenario():
+        async def handle(request, reply):
+            reply.send(200, [], bytes(16_000_000))
+
+        async with CallerFixture(handle) as caller:
+            caller.listener.set_limits(SHORT_LIMITS)
+            caller.writer.write(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
+            await caller.reader.readexactly(1)
+            while caller.listener.connections:
+                await asyncio.sleep(0.05)
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
