Limit tunnels by the process's sockets, and count their buffers

Clients that asked the address for hosts for tunnels to endpoints took two descriptors and up to 512 KB each, 500 times, whatever the process may use. Callers of the host lost their requests with it.

Cause: the number of tunnels was a constant, and what is handed over to a tunnel left every account.

Tunnels take a quarter of the sockets at most now; with the usual `max_fds` that is 487 instead of 500. Both sides count in the budget of all connections, and are reset when they hold most of it. They don't count as connections of clients, of which unused ones are closed for others: a tunnel always carries a request.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -87,7 +87,7 @@
         max_connections = max(1, int(CLIENT_SOCKETS_SHARE * settings.max_descriptors))
         budget = ConnectionBudget(log, client_bytes, max_connections)
         self._api = Listener(api_handler, *codecs, clock, log, budget=budget)
-        self._tunnel_relay = TunnelRelay(CONNECT_TIMEOUT_S)
+        self._tunnel_relay = TunnelRelay(CONNECT_TIMEOUT_S, budget)
         peer_handler = create_peer_handler(
             self.context, api_handler, self._tunnel_relay
         )
--- a/libs/entry/gypsumusher_entry/host_api.py
+++ b/libs/entry/gypsumusher_entry/host_api.py
@@ -9,8 +9,10 @@
 
 __all__ = ["create_api_handler", "create_peer_handler"]
 
-# Tunnels that one host keeps open for all others.
+# Tunnels that one host keeps open for all others, if it has the sockets.
 MAX_TUNNELS = 500
+# Share of the process's sockets that they may take, with two each.
+TUNNEL_SOCKETS_SHARE = 1 / 4
 
 _JSON = ("Content-Type", "application/json")
 _MSGPACK = ("Content-Type", "application/msgpack")
@@ -100,6 +102,9 @@
         ``handle(request, reply)``.
     """
 
+    max_sockets = TUNNEL_SOCKETS_SHARE * context.settings.max_descriptors
+    max_tunnels = min(MAX_TUNNELS, int(max_sockets / 2))
+
     def refusal_reason(address):
         states = [
             state
@@ -115,7 +120,7 @@
         pause_left_s = context.endpoint_notices.pause_left_s
         if any(pause_left_s(state.record) for state in states):
             return PAUSED
-        if tunnel_relay.tunnel_count >= MAX_TUNNELS:
+        if tunnel_relay.tunnel_count >= max_tunnels:
             return "tunnels"
         return None
 
--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -34,9 +34,10 @@
     Notes
     -----
     A connection is any object with the methods ``held_bytes()``, which returns what it
-    holds now, ``give_up()``, which refuses its request or closes it, and ``abort()``;
-    it calls `update` when it holds more than before. Its attributes are ``group``,
-    ``is_unused`` (nothing of a response is under way) and ``last_active_s``.
+    holds now, and ``give_up()``, which refuses its request or closes it; it calls
+    `update` when it holds more than before. One that is admitted also has a method
+    ``abort()`` and the attributes ``group``, ``is_unused`` (nothing of a response is
+    under way) and ``last_active_s``.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         # Bytes that each connection held at its last update, and their sum. What has
         # been sent since isn't subtracted, so that the sum may be too large.
         self._held_bytes = {}
+        self._admitted = set()
         self._total_bytes = 0
 
     def admit(self, connection):
@@ -61,18 +63,19 @@
         bool
             Whether it may stay open; not if all others are in use.
         """
-        if len(self._held_bytes) >= self._max_connections and not self._close_unused():
+        if len(self._admitted) >= self._max_connections and not self._close_unused():
             return False
+        self._admitted.add(connection)
         self.update(connection)
         return True
 
     def _close_unused(self):
         """Close unused connections; return whether there were any."""
-        sizes = Counter(connection.group for connection in self._held_bytes)
+        sizes = Counter(connection.group for connection in self._admitted)
         largest = max(sizes, key=sizes.get)
         unused = [
             connection
-            for connection in self._held_bytes
+            for connection in self._admitted
             if connection.group is largest and connection.is_unused
         ]
         unused.sort(key=lambda connection: connection.last_active_s)
@@ -80,7 +83,7 @@
         self._log(
             "warning",
             "connections_full",
-            connections=len(self._held_bytes),
+            connections=len(self._admitted),
             in_group=sizes[largest],
             closed=len(closed),
         )
@@ -103,6 +106,7 @@
 
     def discard(self, connection):
         """Forget a connection that has ended."""
+        self._admitted.discard(connection)
         self._total_bytes -= self._held_bytes.pop(connection, 0)
 
     def _measure(self, connection):
--- a/libs/http/gypsumusher_http/tunnels.py
+++ b/libs/http/gypsumusher_http/tunnels.py
@@ -23,6 +23,8 @@
 
 # Size of the buffer in each direction above which reading from the other side pauses.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Memory of one connection beside its buffer.
+SIDE_BYTES = 4 * 1024
 # TCP keepalive: idle time and interval of the probes in seconds, and number of probes.
 # A connection that died without a reset is closed before a request is lost on it.
 KEEPALIVE_IDLE_S, KEEPALIVE_INTERVAL_S, KEEPALIVE_COUNT = 1, 1, 2
@@ -118,10 +120,13 @@
     ----------
     connect_timeout_s : float
         Longest time to open a connection to an endpoint, in seconds.
+    budget : ConnectionBudget
+        Limit on the memory of all connections.
     """
 
-    def __init__(self, connect_timeout_s):
+    def __init__(self, connect_timeout_s, budget):
         self._connect_timeout_s = connect_timeout_s
+        self._budget = budget
         self._sides = set()
 
     @property
@@ -150,7 +155,8 @@
         """
         ip, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        far, near = _Side(self._sides, address), _Side(self._sides)
+        far = _Side(self._sides, self._budget, address)
+        near = _Side(self._sides, self._budget)
         async with asyncio.timeout(self._connect_timeout_s):
             await loop.create_connection(lambda: far, ip, int(port))
         transport = reply.hand_over()
@@ -182,19 +188,30 @@
         Address of the endpoint on the side of it.
     """
 
-    def __init__(self, sides, address=None):
+    def __init__(self, sides, budget, address=None):
         self.transport = None
         self.address = address
         self._other = None
         self._sides = sides
+        self._budget = budget
 
     def join(self, other):
         """Forward to another side, and the other way round."""
         self._other, other._other = other, self
 
+    def held_bytes(self):
+        """Return the memory that the connection takes, in bytes."""
+        return SIDE_BYTES + self.transport.get_write_buffer_size()
+
+    def give_up(self):
+        """Reset the connection, and with it the other one."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_made(self, transport):
         self.transport = transport
         self._sides.add(self)
+        self._budget.update(self)
         transport.set_write_buffer_limits(high=MAX_BUFFERED_BYTES)
         enable_tcp_keepalive(transport.get_extra_info("socket"))
 
@@ -204,6 +221,7 @@
             self.transport.abort()
             return
         self._other.transport.write(data)
+        self._budget.update(self._other)
 
     def pause_writing(self):
         if self._other is not None:
@@ -219,6 +237,7 @@
 
     def connection_lost(self, error):
         self.transport = None
+        self._budget.discard(self)
         self._sides.discard(self)
         self._end_other(is_reset=True)
 
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -54,6 +54,7 @@
     repeated: bytes = b""
     times: int = 0
     listener: str = "callers"
+    at_once: int = 450
 
 
 FLOOD = b"x" * 65536
@@ -80,6 +81,14 @@
         f"idle connections to {name}": Crowd(450, b"", listener=name)
         for name in LISTENERS
     },
+    "tunnels with unread answers": Crowd(
+        250,
+        b"CONNECT ENDPOINT HTTP/1.1\r\n\r\n",
+        HEAD % b"large" + b"\r\n",
+        times=1,
+        listener="peers",
+        at_once=20,
+    ),
     "blank lines": Crowd(450, b"\r\n" * 16),
     "heads without end": Crowd(450, HEAD % b"x"),
 }
@@ -97,7 +106,8 @@
 class HostProcess(Process):
     """The program of an entry host, with a store and an endpoint of its own."""
 
-    def __init__(self, store, folder):
+    def __init__(self, store, endpoint, folder):
+        self.endpoint = endpoint.encode()
         names = (*LISTENERS, "datagrams")
         ports = dict(zip(names, free_ports("127.0.0.1", len(names))))
         self.addresses_by_name = {
@@ -139,10 +149,10 @@
 async def running_host(folder):
     """Start a host that serves one route from one endpoint."""
     store, endpoint = ObjectStoreServer(), ScriptedEndpoint(answer)
-    address = await store.start()
+    address, endpoint_address = await store.start(), await endpoint.start()
     store.put("config", "main", sample_configuration(1, ROUTE))
-    store.put("servers", "e-0", sample_endpoint_entry(await endpoint.start()))
-    host = HostProcess(address, folder)
+    store.put("servers", "e-0", sample_endpoint_entry(endpoint_address))
+    host = HostProcess(address, endpoint_address, folder)
     try:
         host.spawn()
         await wait_until(host.serves, "host serves")
@@ -153,15 +163,20 @@
         await store.close()
 
 
-async def misbehave(crowd, address):
+async def misbehave(crowd, host):
     """Connect one client and send its bytes; return its socket, which stays open."""
     loop = asyncio.get_running_loop()
     sock = socket.socket()
     sock.setblocking(False)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-    await loop.sock_connect(sock, address)
+    await loop.sock_connect(sock, host.addresses_by_name[crowd.listener])
+    opening = crowd.opening.replace(b"ENDPOINT", host.endpoint)
     with contextlib.suppress(OSError, TimeoutError):
-        for data in (crowd.opening, *[crowd.repeated] * crowd.times):
+        await loop.sock_sendall(sock, opening)
+        if opening.startswith(b"CONNECT"):
+            async with asyncio.timeout(STALL_S):
+                await loop.sock_recv(sock, 100)
+        for data in [crowd.repeated] * crowd.times:
             async with asyncio.timeout(STALL_S):
                 await loop.sock_sendall(sock, data)
     return sock
@@ -173,9 +188,11 @@
     async def scenario():
         crowd = CROWDS[name]
         async with running_host(tmp_path) as host:
-            address = host.addresses_by_name[crowd.listener]
-            clients = (misbehave(crowd, address) for _ in range(crowd.clients))
-            sockets = await asyncio.gather(*clients)
+            sockets = []
+            while len(sockets) < crowd.clients:
+                count = min(crowd.at_once, crowd.clients - len(sockets))
+                clients = (misbehave(crowd, host) for _ in range(count))
+                sockets += await asyncio.gather(*clients)
             try:
                 await asyncio.sleep(STALL_S)
                 descriptors = host.count_descriptors()
