Wait in a planned stop for responses that are still being read

Cause: a connection counted as idle once its handler had returned, also while bytes of the response were unsent. The stop saw no busy connection, and aborted it.

A connection with unsent bytes is busy.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -238,9 +238,10 @@
 
     @property
     def is_idle(self):
-        """Whether no request is being received, waits or is handled."""
-        has_waiting = self._queued or self._unparsed
-        return self._task is None and not self._is_reading and not has_waiting
+        """Whether no request is received or handled, and no response is unsent."""
+        if self._task is not None or self._is_reading or self._queued or self._unparsed:
+            return False
+        return self._transport is None or not self._transport.get_write_buffer_size()
 
     def end_if_overdue(self, now_s):
         """End the connection if its caller takes longer than it may.
@@ -695,7 +696,7 @@
                 connection.close()
 
     def count_active(self):
-        """Return the number of connections that receive or handle a request."""
+        """Return the number of connections with a request or a response under way."""
         return sum(1 for connection in self.connections if not connection.is_idle)
 
     async def close(self):
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -331,6 +331,25 @@
     run(scenario())
 
 
+def test_connection_with_an_unsent_response_is_busy_in_a_stop():
+    # Guards against a planned stop that cuts off responses which are being read.
+    async def scenario():
+        async def handle(request, reply):
+            reply.send(200, [], bytes(16_000_000))
+
+        async with CallerFixture(handle) as caller:
+            caller.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+            await caller.reader.readexactly(1)
+            caller.listener.is_draining = True
+            caller.listener.stop_accepting()
+            assert caller.listener.count_active() == 1
+            assert len((await caller.read_response())[1]) == 16_000_000
+            while caller.listener.count_active():
+                await asyncio.sleep(0.01)
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
