Keep messages between hosts small whatever parts prompts have

A client whose prompts have very many parts could make a host look dead to all others, and grow a queue without a limit: hosts tell each other where the parts are cached, and the client chooses how many there are.

Cause: a message took up to 64 placements, whatever their size. Above 60,000 bytes it isn't sent (`gossip_too_large`), and with it goes the host's sign of life. Of placements that came faster than messages, all waited.

A message takes at most 1,024 parts of at most 64 prompts, and 512 prompts wait.

Evidence: the test sends 40 prompts of 1,800 parts, as a head of 16 KB may have. Before, a message had 1,368,388 bytes and wasn't sent; now all are sent within 20 s, with one long prompt a message. Tests of load changes, cache recovery and concurrent choices pass.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -65,6 +65,10 @@
 # Share of the bound for a new configuration up to which a key that the configuration
 # lacks is rejected for good. Above it, a newer configuration may have added the key.
 UNKNOWN_KEY_FRACTION = 0.5
+# Limits on the placements of prompts' parts in one message to other hosts, and on those
+# that wait. Callers choose how many parts a prompt has; a message that is too large
+# isn't sent, and a host without messages counts as lost.
+MAX_PLACEMENTS, MAX_PLACED_PARTS, MAX_UNSENT_PLACEMENTS = 64, 1024, 512
 
 
 def read_boottime_s():
@@ -564,7 +568,7 @@
             are.
         """
         chain = [[part.part_id, part.tokens] for part in parts]
-        shared = chain[:-1]
+        shared = chain[:-1][:MAX_PLACED_PARTS]
         if wait_s:
             state.prefixes.add_pending(shared, self.clock() + wait_s)
         else:
@@ -572,6 +576,7 @@
         if shared:
             placement = [state.record.endpoint_id, shared, round(wait_s, 2)]
             self._unsent_placements.append(placement)
+            del self._unsent_placements[:-MAX_UNSENT_PLACEMENTS]
             self.notify_shared_parts(state, shared)
 
     def record_usage(self, account, began_s):
@@ -593,8 +598,14 @@
         begun, self._begun_requests = self._begun_requests, []
         return begun
 
-    def pop_placements(self, count):
-        """Return and remove the oldest unsent placements, at most `count`."""
+    def pop_placements(self):
+        """Return and remove the oldest unsent placements that fit into one message."""
+        count = parts = 0
+        for _, shared, _ in self._unsent_placements[:MAX_PLACEMENTS]:
+            parts += len(shared)
+            if parts > MAX_PLACED_PARTS:
+                break
+            count += 1
         placements = self._unsent_placements[:count]
         del self._unsent_placements[:count]
         return placements
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -48,8 +48,6 @@
 # Number of own messages whose times are remembered: those of some seconds, also when
 # every change of the load is sent.
 REMEMBERED_MESSAGES = 512
-# Limits the placements in one message; the rest waits for the next.
-MAX_PLACEMENTS = 64
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -227,7 +225,7 @@
         if changes is None or self._is_urgent(state):
             self._broadcast(now_s, state, is_for_all=False)
             return
-        placements = context.pop_placements(MAX_PLACEMENTS)
+        placements = context.pop_placements()
         if not placements and loads == self._last_state[-1]:
             # Endpoints renewed their entries; the next whole message has the revision.
             self._last_state = state
@@ -271,7 +269,7 @@
         period_s = ACTIVE_MAX_INTERVAL_S if is_active else MAX_INTERVAL_S
         if is_active or is_for_all:
             if placements is None:
-                placements = context.pop_placements(MAX_PLACEMENTS)
+                placements = context.pop_placements()
             lease = self._lease_state() if is_for_all else None
             loads = self._load_changes.with_announcement(state[-1])
             whole = (*state[:-1], loads)
--- a/libs/entry/tests/test_load_changes.py
+++ b/libs/entry/tests/test_load_changes.py
@@ -267,3 +267,18 @@
     fields[index + 1] = value
     gossip.datagram_received(msgpack.packb(fields), ("10.0.0.9", 1))
     assert hosts.logged[-1][0] == "gossip_unreadable"
+
+
+def test_prompts_of_many_parts_leave_messages_small_enough_to_be_sent():
+    # Guards against a host that counts as lost because of what callers' prompts name.
+    hosts = Hosts(2, 1)
+    (sender, receiver), first = hosts.contexts, len(hosts.sent)
+    state = next(iter(sender.endpoints.states.values()))
+    parts = [PromptPart(2**64 - 1 - number, 10**18 - 1) for number in range(1800)]
+    for _ in range(40):
+        sender.record_prefix_placement(state, parts)
+    hosts.run(20.0)
+    sizes = [len(msgpack.packb(fields)) for _, _, fields in hosts.sent[first:]]
+    assert ("gossip_too_large" not in dict(hosts.logged)) and max(sizes) < 60_000
+    assert sender.pop_placements() == []
+    assert receiver.hosts.live(hosts.now_s)
