Count small parts of prompts with more than their tokens

A client whose prompts have parts of a single token could take a host's memory, for each engine anew: a host remembers as many parts as fit into an engine's memory by their tokens.

Cause: the limit was in tokens alone, and the client names the parts and their sizes.

A part counts 64 tokens at least.

--- a/libs/routing/gypsumusher_routing/prefix_cache.py
+++ b/libs/routing/gypsumusher_routing/prefix_cache.py
@@ -7,6 +7,9 @@
 # Share of an engine's KV memory that is assumed to hold cached prefixes: running
 # requests need memory too, and the engine evicts the least recently used prefixes.
 CACHE_SHARE = 0.8
+# Tokens that a part counts at least. Callers choose the size of parts, and many small
+# ones would take far more memory here than at the engine.
+MIN_PART_TOKENS = 64
 
 
 class PrefixCacheEstimate:
@@ -43,8 +46,9 @@
             if part_id in self._tokens_by_part:
                 self._tokens_by_part.move_to_end(part_id)
                 continue
-            self._tokens_by_part[part_id] = tokens
-            self._tokens += tokens
+            counted_tokens = max(MIN_PART_TOKENS, tokens)
+            self._tokens_by_part[part_id] = counted_tokens
+            self._tokens += counted_tokens
         while self._tokens > self._limit_tokens and self._tokens_by_part:
             _, tokens = self._tokens_by_part.popitem(last=False)
             self._tokens -= tokens
--- a/libs/routing/tests/test_small_decisions.py
+++ b/libs/routing/tests/test_small_decisions.py
@@ -303,6 +303,13 @@
     assert cached_tokens in prefix_tokens
 
 
+def test_cache_estimate_keeps_few_parts_of_a_single_token():
+    # Guards against memory of a host that grows with what callers' prompts name.
+    cache = PrefixCacheEstimate(400_000)
+    cache.add_chain([number, 1] for number in range(400_000))
+    assert len(cache) <= 5000
+
+
 def test_mechanisms_are_turned_off_by_name_and_unknown_names_are_rejected():
     assert policy_without("") == ALL_ON
     policy = policy_without("lanes, margin")
