Count a configuration that many hosts ask for only once

With the limit on the memory of all connections, hosts that ask one host for a large configuration at the same time would be given up for what it sends them: 333 hosts of a thousand, with 200 KB each, reach the limit of a machine of 200 MB. They would learn of the configuration late.

Cause: each response was encoded for itself, and counted for its connection.

The encoded configuration is one object that all responses have in common (`SharedBytes`), sent as a part of its own. It counts for no connection. The bytes on the wire are the same.

The test of the listener fails with ordinary bytes (the connection ends within the response) and passes. libs/http, peer sync, the hosts' API and large configurations pass.

--- a/libs/entry/gypsumusher_entry/host_api.py
+++ b/libs/entry/gypsumusher_entry/host_api.py
@@ -56,8 +56,7 @@
         revision = _parse_number(known, "revision")
         accepts_changes = "changes" in known
         response = _state_newer_than(context, version, revision, accepts_changes)
-        body = encoder.encode(response, has_versions="software" in known)
-        return 200, [_MSGPACK], body
+        return 200, [_MSGPACK], *encoder.encode_parts(response, "software" in known)
 
     def answer_metrics(_):
         body, headers = context.metrics.render()
--- a/libs/entry/gypsumusher_entry/sync_messages.py
+++ b/libs/entry/gypsumusher_entry/sync_messages.py
@@ -11,6 +11,7 @@
 
 import msgpack
 
+from gypsumusher_http import SharedBytes
 from gypsumusher_ports import DecodeError, EndpointRecord, StoredObject
 
 __all__ = [
@@ -63,10 +64,15 @@
     """
 
     def __init__(self):
-        self._compressed = {}
+        # The last encoded configuration, by its revision.
+        self._configurations = {}
 
     def encode(self, response: SyncResponse, has_versions: bool = True) -> bytes:
-        """Return the encoded response.
+        """Return the whole encoded response; see `encode_parts`."""
+        return b"".join(self.encode_parts(response, has_versions))
+
+    def encode_parts(self, response: SyncResponse, has_versions: bool = True) -> tuple:
+        """Return the encoded response in parts; responses share the configuration's.
 
         Parameters
         ----------
@@ -77,30 +83,33 @@
             earlier releases don't.
         """
         stored = response.configuration
-        configuration = None
+        configuration = msgpack.packb(None)
         if stored is not None:
-            key = ("configuration", stored.revision)
-            configuration = self._compress(key, list(stored))
+            configuration = self._encode_configuration(stored)
         endpoints = None
         if response.endpoints is not None:
             # Not cached: a heartbeat changes the record but not the revision.
             fields_sent = len(EndpointRecord._fields) - (not has_versions)
             records = [list(record)[:fields_sent] for record in response.endpoints]
-            endpoints = self._compress(None, records)
-        fields = [configuration, endpoints, response.revision, response.is_complete]
+            endpoints = _compress(records)
+        fields = [endpoints, response.revision, response.is_complete]
         if response.removed is not None:
             # Hosts of an earlier release don't ask for changes and expect four fields.
             fields.append(list(response.removed))
-        return msgpack.packb(fields)
-
-    def _compress(self, key, value):
-        """Compress a value; cache it under its key, in place of the previous one."""
-        if key is not None and key in self._compressed:
-            return self._compressed[key]
-        compressed = zlib.compress(msgpack.packb(value), COMPRESSION_LEVEL)
-        if key is not None:
-            self._compressed = {key: compressed}
-        return compressed
+        # An array is the header with its length, followed by its items.
+        length = msgpack.Packer().pack_array_header(1 + len(fields))
+        return length, configuration, b"".join(map(msgpack.packb, fields))
+
+    def _encode_configuration(self, stored):
+        """Encode a configuration once for all responses."""
+        if stored.revision not in self._configurations:
+            data = msgpack.packb(_compress(list(stored)))
+            self._configurations = {stored.revision: SharedBytes(data)}
+        return self._configurations[stored.revision]
+
+
+def _compress(value):
+    return zlib.compress(msgpack.packb(value), COMPRESSION_LEVEL)
 
 
 def decode_sync_response(
--- a/libs/entry/tests/test_peer_sync.py
+++ b/libs/entry/tests/test_peer_sync.py
@@ -181,6 +181,8 @@
     first = sync_response(2)
     assert decode_sync_response("a", encoder.encode(first)) == first
     assert decode_sync_response("a", encoder.encode(first)) == first
+    # The same object in all responses: many hosts ask at once.
+    assert encoder.encode_parts(first)[1] is encoder.encode_parts(first)[1]
     newer = first.configuration._replace(
         revision=6, content=sample_configuration(8, IDEMPOTENT_ROUTE)
     )
--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -9,7 +9,7 @@
 from gypsumusher_http.connection_budget import ConnectionBudget
 from gypsumusher_http.connections import ConnectionPool, Response
 from gypsumusher_http.errors import CallError, TunnelRefusedError
-from gypsumusher_http.listener import Listener, Reply
+from gypsumusher_http.listener import Listener, Reply, SharedBytes
 from gypsumusher_http.tunnels import TunnelRelay
 
 __all__ = [
@@ -21,6 +21,7 @@
     "Listener",
     "Reply",
     "Response",
+    "SharedBytes",
     "TunnelRefusedError",
     "TunnelRelay",
 ]
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -15,7 +15,7 @@
 from gypsumusher_http.tunnels import reset_on_close
 from gypsumusher_ports import Refusal
 
-__all__ = ["Listener", "Reply"]
+__all__ = ["Listener", "Reply", "SharedBytes"]
 
 # The parser gets a connection's data in pieces of this size, and the next piece only
 # when no earlier request is left. A decoded request takes far more memory than its
@@ -70,6 +70,10 @@
 }
 
 
+class SharedBytes(bytes):
+    """Bytes that many responses have in common, so that none holds them for itself."""
+
+
 class Reply:
     """Writes the response to one request, at once or in chunks.
 
@@ -96,7 +100,7 @@
         self._accepts_chunks = accepts_chunks
         self._is_chunked = False
 
-    def send(self, status, headers, body):
+    def send(self, status, headers, *parts):
         """Write a whole response.
 
         Parameters
@@ -105,17 +109,18 @@
             HTTP status.
         headers : iterable of (str, str)
             Headers, without Content-Length, Transfer-Encoding and Connection.
-        body : bytes
-            Body of the response.
+        *parts : bytes
+            Body of the response, whole or in parts.
         """
-        head = self._head(status, headers, f"Content-Length: {len(body)}")
+        size_bytes = sum(map(len, parts))
+        head = self._head(status, headers, f"Content-Length: {size_bytes}")
         if self._is_head:
             self._connection.write(head)
-        elif len(body) < SEPARATE_BODY_BYTES:
-            self._connection.write(head + body)
+        elif size_bytes < SEPARATE_BODY_BYTES:
+            self._connection.write(b"".join((head, *parts)))
         else:
-            self._connection.write(head)
-            self._connection.write(body)
+            for part in (head, *parts):
+                self._connection.write(part)
         self.is_started = self.is_ended = True
 
     def start(self, status, headers):
@@ -219,9 +224,9 @@
         self._task = None
         # Memory of the request that is handled, and of its response before it is sent.
         self._handled_bytes = 0
-        # Size of large bodies that are being sent. The transport frees a body when all
-        # of it has been sent.
-        self._written_whole_bytes = 0
+        # Size of large bodies that are being sent, and of what others hold, too. The
+        # transport frees a body when all of it has been sent.
+        self._written_whole_bytes = self._shared_bytes = 0
         self._is_reading = False
         self._is_paused = False
         self._is_rejected = False
@@ -302,7 +307,8 @@
         if self._transport is not None:
             unsent_bytes = self._transport.get_write_buffer_size()
         if not unsent_bytes:
-            self._written_whole_bytes = 0
+            self._written_whole_bytes = self._shared_bytes = 0
+        own_bytes = max(unsent_bytes, self._written_whole_bytes) - self._shared_bytes
         return (
             CONNECTION_BYTES
             + len(self._unparsed)
@@ -311,7 +317,7 @@
             + HEADER_LINE_BYTES * len(self._headers)
             + sum(size_bytes for _, _, size_bytes in self._queued)
             + self._handled_bytes
-            + max(unsent_bytes, self._written_whole_bytes)
+            + max(0, own_bytes)
         )
 
     def give_up(self):
@@ -434,6 +440,8 @@
             return
         self._transport.write(data)
         self._written_bytes += len(data)
+        if isinstance(data, SharedBytes):
+            self._shared_bytes += len(data)
         if len(data) >= SEPARATE_BODY_BYTES:
             self._written_whole_bytes += len(data)
         self._update_budget()
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -7,7 +7,7 @@
 from sanic import Sanic
 from sanic.response import text
 
-from gypsumusher_http import ConnectionBudget, Listener
+from gypsumusher_http import ConnectionBudget, Listener, SharedBytes
 from gypsumusher_platform import decode_request, encode_refusal
 from gypsumusher_ports import Limits
 
@@ -350,6 +350,22 @@
     run(scenario())
 
 
+def test_bytes_that_responses_share_count_for_no_connection():
+    # Guards against hosts that are given up because many ask for one configuration.
+    async def scenario():
+        shared = SharedBytes(8_000_000)
+
+        async def handle(request, reply):
+            reply.send(200, [], b"x", shared)
+
+        async with CallerFixture(handle) as caller:
+            caller.listener.budget = ConnectionBudget(caller.log, 1_000_000)
+            caller.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
+            assert (await caller.read_response())[1] == b"x" + shared
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
