Read no more in a turn of the event loop than the budget can free

Many clients that sent whole bodies at once still took a host beyond its memory, although all connections together never held more than they may by count.

Cause: what a closed connection held is freed when the event loop tells it of its end and cancels its handler, in the next turn. In one turn each readable connection may bring megabytes, and all of them together took 0.25 s and 160 MB; 37 of 40 connections had been given up meanwhile, and none was freed.

After an eighth of the budget no connection of a client is read until the event loop has passed. In usual traffic that is one turn without reading every few megabytes.

--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -1,5 +1,6 @@
 """Limits on what the connections of all clients hold together."""
 
+import asyncio
 from collections import Counter
 
 __all__ = ["ConnectionBudget"]
@@ -12,6 +13,9 @@
 # Share of the most connections that is closed at once when there are too many, for the
 # same reason.
 CLOSED_AT_ONCE_SHARE = 1 / 32
+# Share of the most bytes after which no connection is read until the event loop has
+# passed. What closed connections held is freed only then.
+READ_AT_ONCE_SHARE = 1 / 8
 
 
 class ConnectionBudget:
@@ -35,9 +39,10 @@
     -----
     A connection is any object with the methods ``held_bytes()``, which returns what it
     holds now, and ``give_up()``, which refuses its request or closes it; it calls
-    `update` when it holds more than before. One that is admitted also has a method
-    ``abort()`` and the attributes ``group``, ``is_unused`` (nothing of a response is
-    under way) and ``last_active_s``.
+    `update` when it holds more than before. One that is admitted also has the methods
+    ``abort()`` and ``set_throttled(is_throttled)``, which stops or resumes reading, and
+    the attributes ``group``, ``is_unused`` (nothing of a response is under way) and
+    ``last_active_s``.
     """
 
     def __init__(
@@ -53,6 +58,7 @@
         # been sent since isn't subtracted, so that the sum may be too large.
         self._held_bytes = {}
         self._admitted = set()
+        self._received_bytes = 0
         self._total_bytes = 0
 
     def admit(self, connection):
@@ -104,6 +110,22 @@
         if self._total_bytes > self._max_bytes:
             self._make_room()
 
+    def on_received(self, size_bytes):
+        """Count bytes that a client has sent, and stop reading after too many.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Number of the bytes.
+        """
+        self._received_bytes += size_bytes
+        if self._received_bytes > READ_AT_ONCE_SHARE * self._max_bytes:
+            self._received_bytes = 0
+            throttled = list(self._admitted)
+            for connection in throttled:
+                connection.set_throttled(True)
+            asyncio.get_running_loop().call_soon(_resume, throttled)
+
     def discard(self, connection):
         """Forget a connection that has ended."""
         self._admitted.discard(connection)
@@ -132,3 +154,9 @@
             )
             self.discard(connection)
             connection.give_up()
+
+
+def _resume(throttled):
+    """Read connections again."""
+    for connection in throttled:
+        connection.set_throttled(False)
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -228,7 +228,7 @@
         # transport frees a body when all of it has been sent.
         self._written_whole_bytes = self._shared_bytes = 0
         self._is_reading = False
-        self._is_paused = False
+        self._is_paused = self._is_throttled = False
         self._is_rejected = False
         self._lingers_until_s = None
         # When the head that is being received began; None between heads.
@@ -320,6 +320,11 @@
             + max(0, own_bytes)
         )
 
+    def set_throttled(self, is_throttled):
+        """Set whether the connection isn't read for the moment."""
+        self._is_throttled = is_throttled
+        self._pause_or_resume_reading()
+
     def give_up(self):
         """Refuse the request that is being received, or abort the connection."""
         is_alone = self._task is None and not self._queued
@@ -345,6 +350,7 @@
             self.abort()
 
     def data_received(self, data):
+        self._listener.budget.on_received(len(data))
         if self._is_rejected:
             return
         self._unparsed += data
@@ -469,7 +475,7 @@
     def hand_over(self):
         """Return the transport, which another protocol uses from now on."""
         self._unparsed.clear()
-        self._pause_or_resume_reading()
+        self.set_throttled(False)
         transport, self._transport = self._transport, None
         self._listener.connections.discard(self)
         self._listener.budget.discard(self)
@@ -546,7 +552,7 @@
 
     def _pause_or_resume_reading(self):
         """Read on only while little of what was read is left."""
-        is_paused = len(self._unparsed) > MAX_UNPARSED_BYTES
+        is_paused = self._is_throttled or len(self._unparsed) > MAX_UNPARSED_BYTES
         if not self._is_open or is_paused == self._is_paused:
             return
         self._is_paused = is_paused
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -67,6 +67,9 @@
     "bodies without end": Crowd(
         40, HEAD % b"x" + b"Content-Length: 4000001\r\n\r\n", b"x" * 40_000, 100
     ),
+    "whole bodies at a slow endpoint": Crowd(
+        40, HEAD % b"slow" + b"Content-Length: 4000000\r\n\r\n", b"x" * 40_000, 100
+    ),
     "unread answers": Crowd(40, HEAD % b"large" + b"\r\n"),
     "unread answers on kept connections": Crowd(
         20, HEAD % b"large" + b"\r\n", LEGAL_LINES, 1
