Close connections with unread or sent-ahead requests for ordinary ones

An ordinary caller's connection was reset while a crowd that sent requests ahead, and read no response, kept all connections of a host.

Cause: only unused connections were closed for new ones. Each of the crowd's had a request in hand or an unsent response, so the new connection was closed instead.

Where no connection is unused, those whose callers don't read are closed now, and then those with further requests behind the one that is handled. A single request in hand is never cut for another connection.

Evidence: 450 clients that send requests ahead to the address for readiness.

--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -3,7 +3,12 @@
 import asyncio
 from collections import Counter
 
-__all__ = ["ConnectionBudget"]
+__all__ = ["IN_USE", "SENT_AHEAD", "UNREAD", "UNUSED", "ConnectionBudget"]
+
+# Uses of a connection; the lower ones are closed first. No request is under way, a
+# response only waits for its caller to read, further requests wait behind the one that
+# is handled, or a single request is handled.
+UNUSED, UNREAD, SENT_AHEAD, IN_USE = range(4)
 
 # Limits where no others are given.
 DEFAULT_MAX_BYTES, DEFAULT_MAX_CONNECTIONS = 64 * 1024 * 1024, 1024
@@ -23,8 +28,8 @@
 
     A limit on each connection alone doesn't bound a process's memory, since there are
     many. Those that hold most are closed first, so that a client with an ordinary
-    request doesn't pay for others. Of too many, those are closed that have been unused
-    for longest, in the group with most connections.
+    request doesn't pay for others. Of too many, those of the least use are closed, in
+    the group with most connections.
 
     Parameters
     ----------
@@ -41,8 +46,7 @@
     holds now, and ``give_up()``, which refuses its request or closes it; it calls
     `update` when it holds more than before. One that is admitted also has the methods
     ``abort()`` and ``set_throttled(is_throttled)``, which stops or resumes reading, and
-    the attributes ``group``, ``is_unused`` (nothing of a response is under way) and
-    ``last_active_s``.
+    the attributes ``group``, ``use`` and ``last_active_s``.
     """
 
     def __init__(
@@ -69,23 +73,23 @@
         bool
             Whether it may stay open; not if all others are in use.
         """
-        if len(self._admitted) >= self._max_connections and not self._close_unused():
+        if len(self._admitted) >= self._max_connections and not self._close_some():
             return False
         self._admitted.add(connection)
         self.update(connection)
         return True
 
-    def _close_unused(self):
-        """Close unused connections; return whether there were any."""
+    def _close_some(self):
+        """Close connections of the least use; return whether there were any."""
         sizes = Counter(connection.group for connection in self._admitted)
         largest = max(sizes, key=sizes.get)
-        unused = [
+        found = [
             connection
             for connection in self._admitted
-            if connection.group is largest and connection.is_unused
+            if connection.group is largest and connection.use != IN_USE
         ]
-        unused.sort(key=lambda connection: connection.last_active_s)
-        closed = unused[: max(1, int(CLOSED_AT_ONCE_SHARE * self._max_connections))]
+        found.sort(key=lambda connection: (connection.use, connection.last_active_s))
+        closed = found[: max(1, int(CLOSED_AT_ONCE_SHARE * self._max_connections))]
         self._log(
             "warning",
             "connections_full",
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -11,7 +11,13 @@
 
 import httptools
 
-from gypsumusher_http.connection_budget import ConnectionBudget
+from gypsumusher_http.connection_budget import (
+    IN_USE,
+    SENT_AHEAD,
+    UNREAD,
+    UNUSED,
+    ConnectionBudget,
+)
 from gypsumusher_http.tunnels import reset_on_close
 from gypsumusher_ports import Refusal
 
@@ -296,10 +302,14 @@
         return self._listener
 
     @property
-    def is_unused(self):
-        """Whether no request is handled, and no response is being sent."""
-        is_sent = self._is_open and not self._transport.get_write_buffer_size()
-        return self._task is None and is_sent
+    def use(self):
+        """What the connection is used for."""
+        is_unsent = self._is_open and self._transport.get_write_buffer_size()
+        if is_unsent and (self._task is None or not self._can_write.is_set()):
+            return UNREAD
+        if self._task is None:
+            return UNUSED
+        return SENT_AHEAD if self._queued or self._unparsed else IN_USE
 
     def held_bytes(self):
         """Return the memory that the connection takes, in bytes."""
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -70,6 +70,9 @@
     "whole bodies at a slow endpoint": Crowd(
         40, HEAD % b"slow" + b"Content-Length: 4000000\r\n\r\n", b"x" * 40_000, 100
     ),
+    "unread answers on all descriptors": Crowd(
+        450, b"", b"GET /none HTTP/1.1\r\n\r\n" * 1024, 16, "ready"
+    ),
     "unread answers": Crowd(40, HEAD % b"large" + b"\r\n"),
     "unread answers on kept connections": Crowd(
         20, HEAD % b"large" + b"\r\n", LEGAL_LINES, 1
