--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -337,14 +337,7 @@
 
     def give_up(self):
         """Refuse the request that is being received, or abort the connection."""
-        is_alone = self._task is None and not self._queued
-        if self._transport is None:
-            return
-        if (
-            is_alone
-            and self._is_reading
-            and not self._transport.get_write_buffer_size()
-        ):
+        if self._is_reading and self.use == UNUSED and not self._queued:
             refusal = Refusal(503, "overloaded", OVERLOADED_RETRY_AFTER_S)
             self._reject(refusal, "memory of all connections")
             return
@@ -599,7 +592,7 @@
         self._advance()
 
     def _reject(self, refusal, detail):
-        """Send the error response to a request that can't be parsed, then close."""
+        """Refuse the request that is being received, and take no further ones."""
         if self._is_rejected:
             return
         self._is_rejected = True
