Count refused connections until they have ended

Callers of requests that are refused for the memory of all connections could keep more descriptors than clients may have, for the 2 s in which the host reads on after a refusal.

Cause: the budget forgot a connection together with its memory when it gave it up.

It forgets the memory then, and the connection at its end.

--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -156,7 +156,8 @@
                 max_bytes=self._max_bytes,
                 connections=len(self._held_bytes),
             )
-            self.discard(connection)
+            # It counts as a connection until it has ended.
+            self._total_bytes -= self._held_bytes.pop(connection)
             connection.give_up()
 
 
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -366,6 +366,25 @@
     run(scenario())
 
 
+def test_refused_requests_count_as_connections_until_they_end():
+    # Guards against descriptors that callers of refused requests keep beyond the limit.
+    async def scenario():
+        async with CallerFixture() as caller:
+            caller.listener.budget = ConnectionBudget(caller.log, 100_000, 8)
+            writers = []
+            for _ in range(40):
+                reader, writer = await asyncio.open_connection("127.0.0.1", caller.port)
+                writer.write(POST + b"Content-Length: 200000\r\n\r\n" + bytes(150_000))
+                assert (await reader.read()).startswith(b"HTTP/1.1 503 ")
+                writers.append(writer)
+            # The fixture's own was opened before the limit was set.
+            assert len(caller.listener.connections) <= 8 + 1
+            for writer in writers:
+                writer.close()
+
+    run(scenario())
+
+
 def test_too_large_body_is_rejected():
     async def scenario():
         async with CallerFixture() as caller:
