Simplify the listener's accounts of unsent and received bytes

What is unsent was read from the transport in four places, and what was received was dropped in two; each has one piece of code now. A check for a lost connection that is never in the listener's set is gone. Freed bytes no longer look at the whole budget, and a piece for the parser is copied once instead of twice. Two tests share their handler.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -252,7 +252,7 @@
         """Whether no request is received or handled, and no response is unsent."""
         if self._task is not None or self._is_reading or self._queued or self._unparsed:
             return False
-        return self._transport is None or not self._transport.get_write_buffer_size()
+        return not self._unsent_bytes
 
     def end_if_overdue(self, now_s):
         """End the connection if its caller takes longer than it may.
@@ -262,8 +262,6 @@
         now_s : float
             The time, on the listener's clock.
         """
-        if self._transport is None:
-            return
         idle_s, head_s = self._listener.idle_timeout_s, self._listener.header_timeout_s
         is_lingering = self._lingers_until_s is not None
         if is_lingering and now_s > self._lingers_until_s:
@@ -282,9 +280,8 @@
 
     def _unsent_for_s(self, now_s):
         """Return for how long the caller has taken nothing of what is written."""
-        unsent_bytes = self._transport.get_write_buffer_size()
-        taken_bytes = self._written_bytes - unsent_bytes
-        if not unsent_bytes or taken_bytes > self._taken_bytes:
+        taken_bytes = self._written_bytes - self._unsent_bytes
+        if not self._unsent_bytes or taken_bytes > self._taken_bytes:
             self._taken_bytes = taken_bytes
             self._last_taken_s = now_s
         return now_s - self._last_taken_s
@@ -304,7 +301,7 @@
     @property
     def use(self):
         """What the connection is used for."""
-        is_unsent = self._is_open and self._transport.get_write_buffer_size()
+        is_unsent = self._is_open and self._unsent_bytes
         if is_unsent and (self._task is None or not self._can_write.is_set()):
             return UNREAD
         if self._task is None:
@@ -313,9 +310,7 @@
 
     def held_bytes(self):
         """Return the memory that the connection takes, in bytes."""
-        unsent_bytes = 0
-        if self._transport is not None:
-            unsent_bytes = self._transport.get_write_buffer_size()
+        unsent_bytes = self._unsent_bytes
         if not unsent_bytes:
             self._written_whole_bytes = self._shared_bytes = 0
         own_bytes = max(unsent_bytes, self._written_whole_bytes) - self._shared_bytes
@@ -387,10 +382,8 @@
         self._is_reading = True
         self._head_began_s = self._listener.clock()
         self._target = b""
-        self._headers = []
         self._has_all_headers = False
-        self._header_bytes = 0
-        self._body = bytearray()
+        self._drop_received()
 
     def on_url(self, data):
         self._target += data
@@ -457,7 +450,8 @@
 
     def hold(self, size_bytes):
         self._handled_bytes += size_bytes
-        self._update_budget()
+        if size_bytes > 0:
+            self._update_budget()
 
     async def drain(self):
         await self._can_write.wait()
@@ -489,6 +483,11 @@
         """Whether the connection still takes requests and responses."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def _unsent_bytes(self):
+        """Bytes of responses that the system hasn't taken yet."""
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
+
     def _update_budget(self):
         if self._is_open:
             self._listener.budget.update(self)
@@ -528,7 +527,7 @@
 
     def _parse(self):
         """Parse the next piece of the data that has been received."""
-        data = bytes(self._unparsed[:PARSED_AT_ONCE_BYTES])
+        data = self._unparsed[:PARSED_AT_ONCE_BYTES]
         del self._unparsed[:PARSED_AT_ONCE_BYTES]
         self._framing_bytes += len(data)
         try:
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -315,13 +315,14 @@
     run(scenario())
 
 
+async def send_large_response(request, reply):
+    reply.send(200, [], bytes(16_000_000))
+
+
 def test_caller_that_reads_nothing_loses_its_connection():
     # Guards against responses that are held for ever.
     async def scenario():
-        async def handle(request, reply):
-            reply.send(200, [], bytes(16_000_000))
-
-        async with CallerFixture(handle) as caller:
+        async with CallerFixture(send_large_response) as caller:
             caller.listener.set_limits(SHORT_LIMITS)
             caller.writer.write(b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n")
             await caller.reader.readexactly(1)
@@ -334,10 +335,7 @@
 def test_connection_with_an_unsent_response_is_busy_in_a_stop():
     # Guards against a planned stop that cuts off responses which are being read.
     async def scenario():
-        async def handle(request, reply):
-            reply.send(200, [], bytes(16_000_000))
-
-        async with CallerFixture(handle) as caller:
+        async with CallerFixture(send_large_response) as caller:
             caller.writer.write(b"GET /a HTTP/1.1\r\n\r\n")
             await caller.reader.readexactly(1)
             caller.listener.is_draining = True
