Handle signals from before the imports until the end of the process

Callers saw hosts that end by themselves: SIGHUP ended a process with status -1 in its first 60 ms and once more at its end, SIGTERM ended a starting one with -15, and one that waited for its configuration was stopped only 3 s later, so that it took up to 10.4 s of a grace of 8 s.

Cause: an event loop has signal handlers only while it runs. They came after all imports and went with the loop; before and after, the default action of SIGHUP ends the process.

Change: handlers are installed before anything large is imported and stay until the signals are ignored at the end. What comes before the loop is remembered. A stop during the start cancels the start. gypsumusherd had the same cause and uses the same handlers.

--- a/libs/daemon/gypsumusher_daemon/__main__.py
+++ b/libs/daemon/gypsumusher_daemon/__main__.py
@@ -1,7 +1,24 @@
-"""Entry point of ``python -m gypsumusher_daemon``."""
+"""Run the daemon as ``gypsumusherd`` or ``python -m gypsumusher_daemon``."""
 
 import sys
 
-from gypsumusher_daemon.cmdline import main
+from gypsumusher_process import ProcessSignals
 
-sys.exit(main())
+__all__ = ["run"]
+
+
+def run():
+    """Run the program; return its exit status."""
+    signals = ProcessSignals()
+    signals.start()
+    try:
+        # Imported late, since the imports take long, and a signal may come meanwhile.
+        from gypsumusher_daemon.cmdline import main
+
+        return main(signals)
+    finally:
+        signals.close()
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/libs/daemon/gypsumusher_daemon/cmdline.py
+++ b/libs/daemon/gypsumusher_daemon/cmdline.py
@@ -1,15 +1,14 @@
 """The command line of gypsumusherd."""
 
 import argparse
+import asyncio
 import functools
-import sys
 
 # Imported first: it disables io_uring, which must happen before uvloop is imported.
 from gypsumusher_process import (  # isort: skip
     check_no_io_uring,
     create_log,
     format_fields,
-    install_signal_handlers,
     run_program,
 )
 
@@ -20,11 +19,13 @@
 __all__ = ["main"]
 
 
-def main(arguments=None):
+def main(signals, arguments=None):
     """Run the daemon until a signal stops it.
 
     Parameters
     ----------
+    signals : ProcessSignals
+        Signals of the process.
     arguments : list of str or None
         Command-line arguments; those of the process by default.
 
@@ -45,7 +46,7 @@
     return run_program(
         "gypsumusherd",
         functools.partial(load_settings, path),
-        functools.partial(_serve, path),
+        functools.partial(_serve, path, signals),
         (lambda _: f"{path}: ok") if options.check else None,
     )
 
@@ -58,11 +59,21 @@
         host.log("error", "settings_refused", error=error)
 
 
-async def _serve(path, settings):
+async def _serve(path, signals, settings):
     """Start the host, wait for a stop signal and run the planned stop."""
     log = create_log(settings["host.name"], settings["log.level"])
     host = EntryHost(settings, log)
-    stop = install_signal_handlers(functools.partial(_reload, host, path))
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    signals.attach(loop, functools.partial(_reload, host, path), stop.set)
+    try:
+        await _run(host, stop, log)
+    finally:
+        signals.detach()
+
+
+async def _run(host, stop, log):
+    """Run the host until it is to stop, and stop it as planned."""
     try:
         addresses = await host.start()
     except OSError as error:
@@ -77,7 +88,3 @@
     log("info", "ready", **addresses)
     await stop.wait()
     await host.stop()
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/libs/entry/gypsumusher_entry/__main__.py
+++ b/libs/entry/gypsumusher_entry/__main__.py
@@ -2,6 +2,20 @@
 
 import sys
 
-from gypsumusher_entry.cmdline import main
+from gypsumusher_process import ProcessSignals
 
-sys.exit(main())
+
+def run():
+    """Run the program; return its exit status."""
+    signals = ProcessSignals()
+    signals.start()
+    try:
+        # Imported late, since the imports take long, and a signal may come meanwhile.
+        from gypsumusher_entry.cmdline import main
+
+        return main(signals)
+    finally:
+        signals.close()
+
+
+sys.exit(run())
--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -9,7 +9,6 @@
 from gypsumusher_process import (  # isort: skip
     check_no_io_uring,
     create_bounded_log,
-    install_signal_handlers,
     run_program,
 )
 
@@ -21,11 +20,13 @@
 __all__ = ["main"]
 
 
-def main(arguments=None):
+def main(signals, arguments=None):
     """Run the entry host until it is told to stop.
 
     Parameters
     ----------
+    signals : ProcessSignals
+        Signals of the process.
     arguments : list of str or None
         Command line; by default that of the process.
 
@@ -54,7 +55,7 @@
     return run_program(
         "gypsumusher_entry",
         load_settings,
-        functools.partial(_serve, options.metrics_port, options.without),
+        functools.partial(_serve, options.metrics_port, options.without, signals),
         _describe if options.check else None,
     )
 
@@ -64,13 +65,14 @@
     return f"settings of host {settings.name}: ok"
 
 
-async def _serve(metrics_port, policy, settings):
+async def _serve(metrics_port, policy, signals, settings):
     """Start the host, wait for a signal, and stop as planned."""
     loop = asyncio.get_running_loop()
     bounded_log = create_bounded_log(settings.name, loop)
     log = bounded_log.log
     host = EntryHost(settings, log, metrics_port, policy)
-    stop = install_signal_handlers(functools.partial(_reload, host))
+    stop = asyncio.Event()
+    signals.attach(loop, functools.partial(_reload, host), stop.set)
     disabled = [name for name in policy._fields if not getattr(policy, name)]
     log(
         "info",
@@ -80,19 +82,43 @@
         without=",".join(disabled) or None,
     )
     try:
-        await host.start()
+        if await _start_unless_stopped(host, stop):
+            check_no_io_uring()
+            # Objects loaded so far stay alive; excluding them makes garbage collections
+            # cheaper.
+            gc.freeze()
+            log("info", "ready", version=host.context.configuration_version)
+            await stop.wait()
+        await host.stop()
+        log("info", "stopped")
+    finally:
+        signals.detach()
+        bounded_log.flush()
+
+
+async def _start_unless_stopped(host, stop):
+    """Start the host; return False if it is to stop before it has started.
+
+    Raises
+    ------
+    StartError
+        When a listener can't be opened.
+    """
+    starting = asyncio.ensure_future(host.start())
+    stopping = asyncio.ensure_future(stop.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if not starting.done():
+        starting.cancel()
+    try:
+        await starting
+    except asyncio.CancelledError:
+        host.log("info", "start_cancelled")
+        return False
     except OSError as error:
         await host.close()
         raise StartError(f"step=listen {error}; free the address") from error
-    check_no_io_uring()
-    # Objects loaded so far stay alive; excluding them makes garbage collections
-    # cheaper.
-    gc.freeze()
-    log("info", "ready", version=host.context.configuration_version)
-    await stop.wait()
-    await host.stop()
-    log("info", "stopped")
-    bounded_log.flush()
+    return True
 
 
 def _reload(host):
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -94,6 +94,8 @@
 
     def send_now(self):
         """Send an update to all hosts at once, as before a planned stop."""
+        if self._transport is None:
+            return
         now_s = self._context.clock()
         self._broadcast(now_s, self._state(now_s), is_for_all=True)
 
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -216,7 +216,8 @@
         The host first disappears from the directory responses of all hosts and keeps
         serving requests that still arrive; each response closes its connection. When
         callers' cached lists have expired, the host stops listening and waits for
-        running requests.
+        running requests. A host that is stopped during its start may accept no callers
+        yet, and then waits for tunnels alone.
         """
         context = self.context
         bounds = context.settings.bounds
@@ -226,8 +227,9 @@
         self._listener.is_draining = True
         self._gossip.send_now()
         self.log("info", "stop_began", busy=self._listener.count_active())
-        lists_expire_s = DIRECTORY_TTL_FACTOR * context.directory_ttl_s()
-        await asyncio.sleep(min(lists_expire_s, bounds.stop_s / 2.0))
+        if self._listener.is_listening:
+            lists_expire_s = DIRECTORY_TTL_FACTOR * context.directory_ttl_s()
+            await asyncio.sleep(min(lists_expire_s, bounds.stop_s / 2.0))
         self._listener.stop_accepting()
         while self._count_active() and context.clock() < deadline_at_s:
             await asyncio.sleep(POLL_S)
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -696,6 +696,11 @@
             self._cleanup_task = asyncio.ensure_future(self._close_inactive())
         return server.sockets[0].getsockname()[1]
 
+    @property
+    def is_listening(self):
+        """Whether the listener has been started."""
+        return bool(self._servers)
+
     def set_limits(self, limits):
         """Apply the operator's limits to current and later connections."""
         self.max_header_bytes = limits.header_bytes
--- a/libs/process/gypsumusher_process/event_loop.py
+++ b/libs/process/gypsumusher_process/event_loop.py
@@ -1,14 +1,10 @@
-"""The event loop: uvloop without io_uring."""
+"""The event loop: uvloop without io_uring, which the package switches off."""
 
 import os
 
-# libuv reads this variable once, when it creates its first loop, so it is set before
-# uvloop is imported.
-os.environ["UV_USE_IO_URING"] = "0"
+import uvloop
 
-import uvloop  # noqa: E402
-
-from gypsumusher_ports import StartError  # noqa: E402
+from gypsumusher_ports import StartError
 
 __all__ = ["check_no_io_uring", "list_io_uring_fds", "run_event_loop"]
 
--- a/libs/process/gypsumusher_process/program.py
+++ b/libs/process/gypsumusher_process/program.py
@@ -1,13 +1,11 @@
-"""Start of a daemon from its command line, and its signal handlers."""
+"""Start of a daemon from its command line."""
 
-import asyncio
-import signal
 import sys
 
 from gypsumusher_ports import GypsumusherError
 from gypsumusher_process.event_loop import run_event_loop
 
-__all__ = ["install_signal_handlers", "run_program"]
+__all__ = ["run_program"]
 
 # Exit status for invalid settings, and for a failure to start.
 EXIT_USAGE = 2
@@ -49,24 +47,3 @@
         print(f"{name}: {error}", file=sys.stderr)
         return EXIT_FAILED
     return 0
-
-
-def install_signal_handlers(reload):
-    """Install handlers for SIGHUP, SIGTERM and SIGINT.
-
-    Parameters
-    ----------
-    reload : callable
-        Called on SIGHUP, within the event loop, to load the settings again.
-
-    Returns
-    -------
-    asyncio.Event
-        Set by SIGTERM and SIGINT.
-    """
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    return stop
