Bind addresses that are in use once they are free

Callers saw a host end at its start, again and again: any of its six addresses that another process held (the previous process of the host, or an outgoing connection that was given the port) was an error that ended the process with status 1; for the metrics page, too, that nobody's request needs.

Change: a listener whose address is in use is opened later, with a log line for each try, and the host serves with the others meanwhile. While the callers' address is missing it isn't ready. Addresses that the machine doesn't have still end the start with an error.

Measured, real processes: the six new tests of addresses in use failed before and pass now.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -12,6 +12,7 @@
 from gypsumusher_entry.endpoint_limit_sync import EndpointLimitSync
 from gypsumusher_entry.endpoint_notices import EndpointNotices
 from gypsumusher_entry.engine_estimates import EngineEstimates
+from gypsumusher_entry.listening import CALLERS
 from gypsumusher_entry.staleness_monitor import StalenessMonitor
 from gypsumusher_entry.stall_monitor import StallMonitor
 from gypsumusher_entry.version_records import VersionRecords
@@ -142,6 +143,8 @@
         # `StageLease`, or None until the host has started to compete for the lease.
         self.stage_lease = None
         self.is_draining = False
+        # Names of the listeners whose address is still in use.
+        self.missing_listeners = set()
         self._store_reachable_since_s = None
         # When the newest call that the store has answered was sent, on `boottime_s`.
         self._store_contact_s = float("-inf")
@@ -170,7 +173,9 @@
     @property
     def is_ready(self):
         """Whether this host accepts requests of callers."""
-        return not self.is_draining and self.configuration is not None
+        if self.is_draining or CALLERS in self.missing_listeners:
+            return False
+        return self.configuration is not None
 
     @property
     def sees_store(self):
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -5,11 +5,11 @@
 """
 
 import asyncio
-import socket
 from typing import NamedTuple
 
 import msgpack
 
+from gypsumusher_entry.listening import bind_datagram_socket, listen
 from gypsumusher_entry.load_changes import LOAD_CHANGES, LoadChangeSync
 from gypsumusher_routing import (
     GossipRateLimiter,
@@ -76,15 +76,16 @@
 
     async def start(self):
         """Open the socket and start to send."""
-        settings = self._context.settings
-        loop = asyncio.get_running_loop()
-        address = (settings.ip, settings.datagram_port)
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=address, family=socket.AF_INET
-        )
+        await listen(self._context, "datagrams", self._open_socket)
         self._context.prefill_listeners.append(self.on_prefill_start)
         self._task = self._context.spawn(self._run())
 
+    async def _open_socket(self):
+        settings = self._context.settings
+        sock = bind_datagram_socket(settings.ip, settings.datagram_port)
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, sock=sock)
+
     async def close(self):
         """Stop sending and close the socket."""
         if self._task is not None:
@@ -94,8 +95,6 @@
 
     def send_now(self):
         """Send an update to all hosts at once, as before a planned stop."""
-        if self._transport is None:
-            return
         now_s = self._context.clock()
         self._broadcast(now_s, self._state(now_s), is_for_all=True)
 
@@ -132,6 +131,8 @@
 
     def _send_data(self, kind, data, ips):
         """Send an encoded datagram to some hosts, and count its bytes by kind."""
+        if self._transport is None:
+            return
         for ip in ips:
             self._transport.sendto(data, (ip, self._context.settings.datagram_port))
         size_bytes = len(ips) * len(data)
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -8,6 +8,7 @@
 from gypsumusher_entry.gossip import Gossip
 from gypsumusher_entry.host_api import create_api_handler, create_peer_handler
 from gypsumusher_entry.learned_state_records import LearnedStateRecords
+from gypsumusher_entry.listening import CALLERS, listen
 from gypsumusher_entry.metrics import Metrics
 from gypsumusher_entry.peer_sync import PeerSync
 from gypsumusher_entry.prefix_cache_recovery import PrefixCacheRecovery
@@ -104,7 +105,8 @@
         Returns
         -------
         dict of str to str
-            Bound address of each listener: callers, ready, directory, peers.
+            Address of each listener: callers, ready, directory, peers. One that is in
+            use is bound later.
         """
         context = self.context
         settings = context.settings
@@ -135,7 +137,7 @@
         # a configuration.
         bound = await self._start_api()
         await self._wait_for_configuration(CONFIGURATION_WAIT_S)
-        callers = await _listen(self._listener, settings.callers_address)
+        callers = await self._listen(CALLERS, self._listener, settings.callers_address)
         self._gossip.send_now()
         await self._prefix_cache_recovery.start()
         await self._start_stage_orders()
@@ -184,11 +186,21 @@
         }
         if self._metrics_port is not None:
             addresses["metrics"] = f"{settings.ip}:{self._metrics_port}"
-        bound = {"peers": await _listen(self._peer_api, settings.peers_address)}
+        peers = await self._listen("peers", self._peer_api, settings.peers_address)
+        bound = {"peers": peers}
         for name, address in addresses.items():
-            bound[name] = await _listen(self._api, address)
+            bound[name] = await self._listen(name, self._api, address)
         return bound
 
+    async def _listen(self, name, listener, address):
+        """Listen on an address ``ip:port``; return it with the bound port."""
+        ip, _, port = address.rpartition(":")
+
+        async def open_listener():
+            return f"{ip}:{await listener.start(ip, int(port))}"
+
+        return await listen(self.context, name, open_listener) or address
+
     def reload(self, settings):
         """Apply new bounds and seeds; changed addresses take effect at the next start.
 
@@ -275,9 +287,3 @@
             waited_s=timeout_s,
         )
         return False
-
-
-async def _listen(listener, address):
-    """Listen on an address ``ip:port``; return it with the bound port."""
-    ip, _, port = address.rpartition(":")
-    return f"{ip}:{await listener.start(ip, int(port))}"
--- /dev/null
+++ b/tests/test_start_conditions.py
@@ -0,0 +1,91 @@
+"""What an entry host's process meets at its start: addresses, settings, limits."""
+
+import asyncio
+import contextlib
+import socket
+
+import aiohttp
+import pytest
+from deployed_host import DeployedHost, occupy
+from platform_samples import sample_configuration, sample_endpoint_entry
+
+from gypsumusher_standins.object_store_server import ObjectStoreServer
+
+pytestmark = pytest.mark.processes
+
+ROUTE = {"kind": "idempotent", "attempts": 2}
+
+
+@contextlib.asynccontextmanager
+async def host(folder, **options):
+    store = ObjectStoreServer()
+    address = await store.start()
+    store.put("config", "main", sample_configuration(1, ROUTE))
+    store.put("servers", "e-0", sample_endpoint_entry("127.0.0.1:9"))
+    process = DeployedHost(folder, address, **options)
+    try:
+        yield process
+    finally:
+        process.destroy()
+        await store.close()
+
+
+async def ready_status(process):
+    url = f"http://{process.ip}:{process.ports['ready']}/v1/readyz"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        return response.status
+
+
+def run(coroutine):
+    asyncio.run(asyncio.wait_for(coroutine, 60))
+
+
+ADDRESSES = {
+    "front": "callers",
+    "ready": "ready",
+    "control": "peers",
+    "directory": "directory",
+    "metrics": "metrics",
+    "datagrams": "datagrams",
+}
+
+
+@pytest.mark.parametrize("name", ADDRESSES)
+def test_address_in_use_at_the_start_is_bound_once_it_is_free(tmp_path, name):
+    """Guards against an exit because the previous process still holds an address."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            kind = socket.SOCK_DGRAM if name == "datagrams" else socket.SOCK_STREAM
+            other = occupy(process.ip, process.ports[name], kind)
+            process.start()
+            await process.until_logged("event=listen_failed")
+            if name == "front":
+                await process.until_listening("ready")
+                assert await ready_status(process) == 503
+            else:
+                await process.until_listening("front")
+            other.close()
+            await process.until_logged(
+                f"event=listen_recovered host=front-1 listener={ADDRESSES[name]}"
+            )
+            if name != "datagrams":
+                assert await process.is_listening(name)
+            assert await ready_status(process) == 200
+            assert await process.stop() == 0
+
+    run(main())
+
+
+def test_address_that_cannot_be_bound_ends_the_start_with_an_error(tmp_path):
+    """Guards against endless tries for an address that this machine doesn't have."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            text = process.settings.replace('ready = "127.0.0.1', 'ready = "192.0.2.1')
+            process.settings_path.write_text(text)
+            process.start()
+            assert await process.until_ended() == 1
+            assert "step=listen" in process.log_text()
+
+    run(main())
