Read settings again that are being written

Callers saw a host end at its start when the settings file was replaced at the same moment: a part of the file ended it with status 2, and bytes that aren't UTF-8 or an empty port range with a traceback. At a reload the same was a refusal that nothing repeated, so that the old settings stayed.

Change: an unreadable file is read six times within a second, at the start and at a reload, with a line for each try.

--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -4,6 +4,8 @@
 import asyncio
 import functools
 import gc
+import sys
+import time
 
 # Imported first, since it disables io_uring before uvloop is imported.
 from gypsumusher_process import (  # isort: skip
@@ -14,11 +16,15 @@
 
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_platform import load_settings
-from gypsumusher_ports import GypsumusherError, StartError
+from gypsumusher_ports import DecodeError, GypsumusherError, StartError
 from gypsumusher_routing import ALL_ON, policy_without
 
 __all__ = ["main"]
 
+# The settings file may be read while it is being written: number of tries, and the
+# pause between two in seconds.
+SETTINGS_TRIES, SETTINGS_PAUSE_S = 6, 0.2
+
 
 def main(signals, arguments=None):
     """Run the entry host until it is told to stop.
@@ -54,7 +60,7 @@
     options = parser.parse_args(arguments)
     return run_program(
         "gypsumusher_entry",
-        load_settings,
+        load_settings if options.check else _load_written_settings,
         functools.partial(_serve, options.metrics_port, options.without, signals),
         _describe if options.check else None,
     )
@@ -121,9 +127,30 @@
     return True
 
 
-def _reload(host):
-    """Read the settings again; an invalid file changes nothing."""
+def _load_written_settings():
+    """Load the settings, again if the file may be incomplete.
+
+    Raises
+    ------
+    DecodeError
+        When the last try has failed, too.
+    """
+    for _ in range(SETTINGS_TRIES - 1):
+        try:
+            return load_settings()
+        except DecodeError as error:
+            print(f"gypsumusher_entry: {error}; trying again", file=sys.stderr)
+        time.sleep(SETTINGS_PAUSE_S)
+    return load_settings()
+
+
+def _reload(host, tries_left=SETTINGS_TRIES):
+    """Read the settings again; an invalid file changes nothing, and is tried again."""
     try:
         host.reload(load_settings())
     except GypsumusherError as error:
-        host.log("error", "settings_refused", error=error)
+        host.log("error", "settings_refused", error=error, tries_left=tries_left - 1)
+        if tries_left > 1:
+            asyncio.get_running_loop().call_later(
+                SETTINGS_PAUSE_S, _reload, host, tries_left - 1
+            )
--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 import socket
 
 import aiohttp
@@ -89,3 +90,62 @@
             assert "step=listen" in process.log_text()
 
     run(main())
+
+
+def test_settings_that_are_being_written_at_the_start_are_read_again(tmp_path):
+    """Guards against an exit because only a part of the file was there."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            text = process.settings
+            process.settings_path.write_text(text[: len(text) // 2])
+            process.start()
+            await process.until_logged("step=settings")
+            process.settings_path.write_text(text)
+            await process.until_listening("front")
+            assert await process.stop() == 0
+
+    run(main())
+
+
+def test_settings_that_are_being_written_at_a_reload_are_read_again(tmp_path):
+    """Guards against old settings that stay because the signal came too early."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.start()
+            await process.until_listening("front")
+            text = process.settings.replace("grace_s = 8", "grace_s = 9")
+            process.settings_path.write_text(text[: len(text) // 2])
+            process.process.send_signal(signal.SIGHUP)
+            await process.until_logged("event=settings_refused")
+            process.settings_path.write_text(text)
+            await process.until_logged("event=settings_reloaded")
+            assert await process.stop() == 0
+
+    run(main())
+
+
+BAD_SETTINGS = {
+    "not text": lambda text: text.replace("suwon-a", "suwon-\xe9").encode("latin-1"),
+    "no port": lambda text: text.replace("port_range = [", "port_range = [] # ["),
+    "empty": lambda text: "",
+}
+
+
+@pytest.mark.parametrize("name", BAD_SETTINGS)
+def test_bad_settings_are_an_error_of_one_line(tmp_path, name):
+    """Guards against a traceback in place of an error that names the setting."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            content = BAD_SETTINGS[name](process.settings)
+            if isinstance(content, str):
+                content = content.encode()
+            process.settings_path.write_bytes(content)
+            process.start()
+            assert await process.until_ended() == 2
+            assert "step=settings" in process.log_text()
+            assert "Traceback" not in process.log_text()
+
+    run(main())
