Limit connections by the descriptors that the process may open

Callers saw a host that lives but answers nobody: it counts on the descriptors of its settings (4,100), while the soft limit of the machine is lower, 1,024 as a rule, so that idle connections take all of them.

Change: the soft limit is raised to what the settings grant, as far as the hard limit allows, and all limits on connections follow from what the process may really open. The line of the start tells it.

--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -11,6 +11,7 @@
 from gypsumusher_process import (  # isort: skip
     check_no_io_uring,
     create_bounded_log,
+    raise_descriptor_limit,
     run_program,
 )
 
@@ -24,6 +25,8 @@
 # The settings file may be read while it is being written: number of tries, and the
 # pause between two in seconds.
 SETTINGS_TRIES, SETTINGS_PAUSE_S = 6, 0.2
+# Descriptors that aren't sockets: the log, the event loop, modules that are imported.
+OTHER_DESCRIPTORS = 32
 
 
 def main(signals, arguments=None):
@@ -73,6 +76,7 @@
 
 async def _serve(metrics_port, policy, signals, settings):
     """Start the host, wait for a signal, and stop as planned."""
+    settings = _limit_sockets(settings)
     loop = asyncio.get_running_loop()
     bounded_log = create_bounded_log(settings.name, loop)
     log = bounded_log.log
@@ -85,6 +89,7 @@
         "starting",
         zone=settings.zone,
         callers=settings.callers_address,
+        max_sockets=settings.max_descriptors,
         without=",".join(disabled) or None,
     )
     try:
@@ -144,10 +149,17 @@
     return load_settings()
 
 
+def _limit_sockets(settings):
+    """Return the settings with no more sockets than the process may open."""
+    granted = raise_descriptor_limit(settings.max_descriptors + OTHER_DESCRIPTORS)
+    max_sockets = max(1, granted - OTHER_DESCRIPTORS)
+    return settings._replace(max_descriptors=max_sockets)
+
+
 def _reload(host, tries_left=SETTINGS_TRIES):
     """Read the settings again; an invalid file changes nothing, and is tried again."""
     try:
-        host.reload(load_settings())
+        host.reload(_limit_sockets(load_settings()))
     except GypsumusherError as error:
         host.log("error", "settings_refused", error=error, tries_left=tries_left - 1)
         if tries_left > 1:
--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import resource
 import signal
 import socket
 
@@ -149,3 +150,50 @@
             assert "Traceback" not in process.log_text()
 
     run(main())
+
+
+def test_low_soft_limit_of_descriptors_is_raised(tmp_path):
+    """Guards against a host that runs out of descriptors that its settings grant."""
+
+    async def main():
+        async with host(tmp_path, max_fds=900) as process:
+            hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+            process.start(
+                preexec_fn=lambda: resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (128, hard)
+                )
+            )
+            await process.until_listening("front")
+            idle = [
+                await asyncio.open_connection(process.ip, process.ports["front"])
+                for _ in range(220)
+            ]
+            assert await ready_status(process) == 200
+            for _, writer in idle:
+                writer.close()
+            assert await process.stop() == 0
+
+    run(main())
+
+
+def test_hard_limit_of_descriptors_limits_the_connections(tmp_path):
+    """Guards against connections that take the descriptors of requests and files."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.start(
+                preexec_fn=lambda: resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (400, 400)
+                )
+            )
+            await process.until_listening("front")
+            idle = [
+                await asyncio.open_connection(process.ip, process.ports["front"])
+                for _ in range(450)
+            ]
+            assert await ready_status(process) == 200
+            for _, writer in idle:
+                writer.close()
+            assert await process.stop() == 0
+
+    run(main())
