Pass no answer on as whole that ends while its request is being sent

Callers got a part of an answer as a complete one, with status 200: an endpoint sent a head without a length and a part of the body while a long request was still being written to it, ended its side, and reset the connection.

Cause: such a response ends with its connection, and a reset is told from a regular end by the error that is pending at the socket. A failed write takes that error away, and an endpoint that ends its side first has no error yet.

Change: an end of the connection while bytes of the request are unsent or unacknowledged is no regular end. An endpoint that has read the request has acknowledged all of it with its own end. The same holds for the host in between in a tunnel, which turned the reset into a regular end.

Resets without an end of the endpoint's side were found before, too.

--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -235,12 +235,12 @@
 
 
 @contextlib.asynccontextmanager
-async def two_hosts(*scripts, route=IDEMPOTENT_ROUTE):
+async def two_hosts(*scripts, route=IDEMPOTENT_ROUTE, endpoints=()):
     """Start two hosts that hear each other and may make retries."""
     store = ObjectStoreServer()
     address = await store.start()
     store.put("config", "main", sample_configuration(1, route))
-    endpoints = [ScriptedEndpoint(script) for script in scripts]
+    endpoints = [*endpoints, *map(ScriptedEndpoint, scripts)]
     for number, endpoint in enumerate(endpoints):
         entry = sample_endpoint_entry(await endpoint.start())
         store.put("servers", f"e-{number}", entry)
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -14,7 +14,7 @@
 from gypsumusher_http.errors import CallError, TunnelRefusedError
 from gypsumusher_http.tunnels import (
     enable_tcp_keepalive,
-    has_pending_error,
+    is_end_by_reset,
     open_tunnel,
 )
 
@@ -301,10 +301,9 @@
 
         When an endpoint crashes within a response whose end is the end of the
         connection, the event loop reports the reset as a regular end, and the caller
-        would take half a response for a whole one. The error is still pending at the
-        socket.
+        would take half a response for a whole one.
         """
-        if has_pending_error(self._transport):
+        if is_end_by_reset(self._transport):
             self._ends_at_eof = False
             self._is_reset = True
 
--- a/libs/http/gypsumusher_http/tunnels.py
+++ b/libs/http/gypsumusher_http/tunnels.py
@@ -6,8 +6,11 @@
 """
 
 import asyncio
+import fcntl
 import socket
 import struct
+import sys
+import termios
 
 import httptools
 
@@ -16,7 +19,7 @@
 __all__ = [
     "TunnelRelay",
     "enable_tcp_keepalive",
-    "has_pending_error",
+    "is_end_by_reset",
     "open_tunnel",
     "reset_on_close",
 ]
@@ -232,7 +235,7 @@
             self._other.transport.resume_reading()
 
     def eof_received(self):
-        if not has_pending_error(self.transport):
+        if not is_end_by_reset(self.transport):
             self._end_other(is_reset=False)
 
     def connection_lost(self, error):
@@ -261,16 +264,30 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-def has_pending_error(transport):
-    """Return whether a connection that has ended was reset.
+def is_end_by_reset(transport):
+    """Return whether the peer has broken off a connection that looks ended.
 
     The event loop reports some resets as a regular end, with the error still pending at
-    the socket.
+    the socket. A write that fails takes that error away, and leaves bytes unsent. A
+    peer that ends its side before it has taken all bytes may reset the connection only
+    later.
     """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return False
-    return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+    if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        return True
+    return transport.get_write_buffer_size() > 0 or _unacknowledged_bytes(sock) > 0
+
+
+def _unacknowledged_bytes(sock):
+    """Return the number of bytes that the system has taken and the peer hasn't."""
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+    except OSError:
+        # The system doesn't tell.
+        return 0
+    return int.from_bytes(queued, sys.byteorder)
 
 
 def enable_tcp_keepalive(sock):
