Take no response whose status doesn't exist for an answer

Callers got an answer with status 600, or waited until their deadline for one with status 000: what is below 200 counted as an interim response, after which the final one is awaited, and what is above 599 was passed on.

Change: a status outside of 100 to 599 (RFC 9110, section 15) makes the response unreadable; the connection is closed, and the request fails at once or goes to another endpoint where that is allowed.

Statuses of two or four digits were unreadable before, too.

--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -31,6 +31,8 @@
 # Connections to one process that a host may always have, also when its share of the
 # process's limit is lower.
 MIN_CONNECTIONS = 4
+# RFC 9110, section 15.
+VALID_STATUSES = range(100, 600)
 _STATUSES_WITHOUT_BODY = (204, 304)
 # Largest body of one response. A host has 128 MB for all requests together.
 RESPONSE_MAX_BYTES = 8 * 1024 * 1024
@@ -336,6 +338,8 @@
         if self._is_unusable:
             return
         status = self._parser.get_status_code()
+        if status not in VALID_STATUSES:
+            raise ValueError(f"status {status:03} doesn't exist")
         if status < 200:
             self._is_skipping_response = True
             return
