Limit the connections and the memory of gypsumusherd's callers

Callers saw a host grow until it was ended: nothing bounded what all connections of gypsumusherd hold together, and idle ones took its descriptors.

Change: connections count in a ConnectionBudget, as those of the entry host do.

--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -20,6 +20,7 @@
 from gypsumusher_daemon.journals import Journals, journal_policy, new_incarnation
 from gypsumusher_daemon.keyed_requests import KeyedRequests
 from gypsumusher_daemon.keyed_routing import KeyedRouter
+from gypsumusher_daemon.limited_protocol import limited_protocol
 from gypsumusher_daemon.metrics import Metrics
 from gypsumusher_daemon.operator_routes import create_operators_app
 from gypsumusher_daemon.peer_messages import PeerMessages
@@ -32,6 +33,7 @@
 from gypsumusher_daemon.service_requests import ServiceRequests
 from gypsumusher_daemon.services import Services
 from gypsumusher_daemon.stewards import Stewards
+from gypsumusher_http import ConnectionBudget
 from gypsumusher_objects import BudgetLimits, CallBudget, PlatformClient
 from gypsumusher_peers import KeyRing
 from gypsumusher_policy import Quarantine
@@ -80,6 +82,11 @@
         self.servers = []
         self._loops = []
         self._addresses = {}
+        self._connection_budget = ConnectionBudget(
+            log,
+            settings["callers.max_buffer_bytes"],
+            settings["callers.max_connections"],
+        )
         self._create_components()
 
     def _create_components(self):
@@ -307,6 +314,7 @@
             backlog=LISTEN_BACKLOG,
             return_asyncio_server=True,
             access_log=False,
+            protocol=limited_protocol(self._connection_budget),
         )
         await server.startup()
         self.servers.append(server)
--- /dev/null
+++ b/tests/test_crowds_at_daemon.py
@@ -0,0 +1,82 @@
+"""gypsumusherd bears clients that ignore the protocol's limits."""
+
+import asyncio
+import contextlib
+import pathlib
+import socket
+from typing import NamedTuple
+
+import aiohttp
+import pytest
+from testkit import Fleet
+
+pytestmark = pytest.mark.processes
+
+MEMORY_MB, MAX_DESCRIPTORS = 160, 400
+LIMITS = {"max_connections": 200, "max_buffer_bytes": 32_000_000}
+UPLOAD = b"POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 4000001\r\n\r\n"
+STALL_S = 1.0
+
+
+class Crowd(NamedTuple):
+    """Clients that each send some bytes and read nothing."""
+
+    clients: int
+    opening: bytes = b""
+    repeated: bytes = b""
+    times: int = 0
+
+
+CROWDS = {
+    "bodies without end": Crowd(40, UPLOAD, b"x" * 40_000, 100),
+    "idle connections": Crowd(450),
+    "heads without end": Crowd(450, b"GET /v1/models HTTP/1.1\r\n"),
+}
+
+
+async def misbehave(crowd, address):
+    """Connect one client and send its bytes; return its socket, which stays open."""
+    loop = asyncio.get_running_loop()
+    sock = socket.socket()
+    sock.setblocking(False)
+    await loop.sock_connect(sock, address)
+    with contextlib.suppress(OSError, TimeoutError):
+        await loop.sock_sendall(sock, crowd.opening)
+        for data in [crowd.repeated] * crowd.times:
+            async with asyncio.timeout(STALL_S):
+                await loop.sock_sendall(sock, data)
+    return sock
+
+
+def peak_memory_mb(pid):
+    status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / 1000
+
+
+@pytest.mark.parametrize("name", CROWDS)
+def test_crowd_takes_neither_memory_nor_descriptors_of_ordinary_callers(name):
+    """Guards against clients that end a host, or keep it from serving others."""
+
+    async def scenario():
+        crowd = CROWDS[name]
+        async with Fleet() as fleet:
+            await fleet.start_platform()
+            host = await fleet.start_host("h1", callers=LIMITS)
+            ip, _, port = host.addresses["callers"].rpartition(":")
+            clients = (misbehave(crowd, (ip, int(port))) for _ in range(crowd.clients))
+            sockets = await asyncio.gather(*clients)
+            await asyncio.sleep(STALL_S)
+            descriptors = len(list(pathlib.Path(f"/proc/{host.pid}/fd").iterdir()))
+            peak_mb = peak_memory_mb(host.pid)
+            print(f"peak {peak_mb:.0f} MB, {descriptors} descriptors")
+            async with aiohttp.ClientSession() as session:
+                async with session.get(f"http://{ip}:{port}/v1/models") as response:
+                    assert response.status == 200
+            assert host.exit_code() is None
+            assert peak_mb < MEMORY_MB
+            assert descriptors < MAX_DESCRIPTORS
+            for sock in sockets:
+                sock.close()
+
+    asyncio.run(scenario())
