--- a/deploy/build.py
+++ b/deploy/build.py
@@ -58,7 +58,8 @@
         return
     new = empty_folder(DEPS.with_name("deps.new"))
     command = [sys.executable, "-m", "pip", "install", "--quiet", "--target", str(new)]
-    subprocess.run([*command, "--requirement", str(REQUIREMENTS)], check=True)
+    if subprocess.run([*command, "--requirement", str(REQUIREMENTS)]).returncode:
+        raise SystemExit("build: pip can't install deploy/requirements.txt; see above")
     for stamp in STAMPS.glob("*.stamp"):
         remove_stamp(stamp.stem)
     replace_folder(new, DEPS)
--- a/tests/test_deploy_build.py
+++ b/tests/test_deploy_build.py
@@ -43,10 +43,11 @@
             "PACKAGES": str(PACKAGES),
         }
 
-    def build(self):
+    def build(self, **variables):
         """Run the build as the deploy file says; return its exit status."""
         command = [sys.executable, "deploy/build.py"]
-        return subprocess.run(command, cwd=self.root, env=self._environment).returncode
+        environment = {**self._environment, **variables}
+        return subprocess.run(command, cwd=self.root, env=environment).returncode
 
     def installs(self):
         return len(self._runs.read_text().splitlines())
@@ -111,6 +112,15 @@
     assert not checkout.module("gypsumusher_entry/unused_module.py").exists()
 
 
+def test_failed_installation_leaves_what_was_there(checkout):
+    """Guards against a running system that loses its packages to a build that fails."""
+    requirements = checkout.root / "deploy" / "requirements.txt"
+    requirements.write_text(requirements.read_text() + "# Changed.\n")
+    assert checkout.build(PACKAGES="/no/such/folder") == 1
+    assert checkout.module().exists()
+    assert checkout.build() == 0
+
+
 def test_program_that_cannot_be_imported_fails_the_build(checkout):
     """Guards against a build that succeeds for a program that can't start."""
     source = checkout.root / "libs" / "entry" / "gypsumusher_entry" / "errors.py"
