--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -98,7 +98,9 @@
             # Objects loaded so far stay alive; excluding them makes garbage collections
             # cheaper.
             gc.freeze()
-            log("info", "ready", version=host.context.configuration_version)
+            missing = ",".join(sorted(host.context.missing_listeners))
+            version = host.context.configuration_version
+            log("info", "ready", version=version, missing=missing or None)
             await stop.wait()
         await host.stop()
         log("info", "stopped")
