Send no messages to addresses that aren't IPv4

Callers would see every host end: one record of a host in the store with another text in place of its address ("", a name, an IPv6 address) raised ValueError in the first message to the other hosts. At a start that ended the process with status 1, at each start again; later it ended the task that sends all state updates, so that the host was silent for the others while it served.

Change: records whose address can't be used are left out, with a log line. The addresses in settings and in messages of other hosts take the same way, so an address that the socket doesn't take is logged and skipped there too.

--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -133,8 +133,13 @@
         """Send an encoded datagram to some hosts, and count its bytes by kind."""
         if self._transport is None:
             return
+        port = self._context.settings.datagram_port
         for ip in ips:
-            self._transport.sendto(data, (ip, self._context.settings.datagram_port))
+            try:
+                self._transport.sendto(data, (ip, port))
+            except (TypeError, ValueError) as error:
+                # Addresses come from settings, records and other hosts.
+                self._context.log("warning", "datagram_not_sent", error=repr(error))
         size_bytes = len(ips) * len(data)
         self._rate_limiter.on_sent(self._context.clock(), size_bytes)
         self._context.metrics.on_datagrams_sent(kind, size_bytes)
--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -1,6 +1,7 @@
 """This host's record in the platform's store, by which the hosts find each other."""
 
 import asyncio
+import socket
 
 from returns.result import Failure, Success
 
@@ -143,8 +144,12 @@
         now_s = context.clock()
         for name, item in stored.items():
             ip = item.content.get("ip") if isinstance(item.content, dict) else None
-            if isinstance(ip, str):
-                context.hosts.on_record(now_s, name, ip, _state_of(item.content))
+            if not _is_ipv4(ip):
+                context.log(
+                    "warning", "record_unreadable", peer=name, ip=ascii(ip)[:64]
+                )
+                continue
+            context.hosts.on_record(now_s, name, ip, _state_of(item.content))
         context.hosts.on_records_read()
         self._is_sole_record = list(stored) == [context.settings.name]
         for name in context.hosts.drop_unrecorded(now_s, stored):
@@ -216,6 +221,15 @@
         return False
 
 
+def _is_ipv4(ip):
+    """Return whether a field of a record is an address to which messages can go."""
+    try:
+        socket.inet_pton(socket.AF_INET, ip)
+    except (OSError, TypeError, ValueError):
+        return False
+    return True
+
+
 def _state_of(content):
     """Return the state in a record; a record without one is a member's."""
     value = content.get(STATE) if isinstance(content, dict) else None
--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -11,6 +11,7 @@
 from deployed_host import DeployedHost, occupy
 from platform_samples import sample_configuration, sample_endpoint_entry
 
+from gypsumusher_entry.registration import HOSTS_KIND
 from gypsumusher_standins.object_store_server import ObjectStoreServer
 
 pytestmark = pytest.mark.processes
@@ -25,6 +26,7 @@
     store.put("config", "main", sample_configuration(1, ROUTE))
     store.put("servers", "e-0", sample_endpoint_entry("127.0.0.1:9"))
     process = DeployedHost(folder, address, **options)
+    process.store = store
     try:
         yield process
     finally:
@@ -197,3 +199,20 @@
             assert await process.stop() == 0
 
     run(main())
+
+
+@pytest.mark.parametrize("ip", ["", "host-2", "::1", "\ud800"])
+def test_host_record_with_an_unusable_address_is_left_out(tmp_path, ip):
+    """Guards against an end of the start, or no more messages to all other hosts."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.store.put(HOSTS_KIND, "front-2", {"ip": ip, "zone": "suwon-a"})
+            process.start()
+            await process.until_logged("event=record_unreadable")
+            await process.until_listening("front")
+            await asyncio.sleep(1.5)
+            assert "background_failed" not in process.log_text()
+            assert await process.stop() == 0
+
+    run(main())
