--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import signal
 import socket
@@ -201,6 +202,25 @@
     run(main())
 
 
+@pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+def test_closed_standard_streams_are_not_reused(tmp_path, closed):
+    """Guards against log lines in a socket, and an abort when the loop closes its own.
+
+    A descriptor that is free is given to the event loop or a connection.
+    """
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.start(preexec_fn=lambda: [os.close(number) for number in closed])
+            await process.until_listening("front")
+            for number in closed:
+                target = os.readlink(f"/proc/{process.process.pid}/fd/{number}")
+                assert target == os.devnull
+            assert await process.stop() == 0
+
+    run(main())
+
+
 @pytest.mark.parametrize("ip", ["", "host-2", "::1", "\ud800"])
 def test_host_record_with_an_unusable_address_is_left_out(tmp_path, ip):
     """Guards against an end of the start, or no more messages to all other hosts."""
