Start although an error can't be printed

A host whose settings were incomplete at its start printed that before it tried again. With a full standard error, or one without a reader, the print raised, and the process ended with status 120.

Change: an error that can't be written is dropped, and the stream is replaced by the null device, so that the exit doesn't fail to flush what is left of it.

Measured, real processes: the two new tests failed before (status 120), and pass now.

--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -4,13 +4,13 @@
 import asyncio
 import functools
 import gc
-import sys
 import time
 
 # Imported first, since it disables io_uring before uvloop is imported.
 from gypsumusher_process import (  # isort: skip
     check_no_io_uring,
     create_bounded_log,
+    print_error,
     raise_descriptor_limit,
     run_program,
 )
@@ -144,7 +144,7 @@
         try:
             return load_settings()
         except DecodeError as error:
-            print(f"gypsumusher_entry: {error}; trying again", file=sys.stderr)
+            print_error("gypsumusher_entry", f"{error}; trying again")
         time.sleep(SETTINGS_PAUSE_S)
     return load_settings()
 
--- a/libs/process/gypsumusher_process/__init__.py
+++ b/libs/process/gypsumusher_process/__init__.py
@@ -18,7 +18,7 @@
     "log_lines": ("create_log", "format_fields", "parse_fields"),
     "program": ("run_program",),
     "signals": ("ProcessSignals",),
-    "standard_streams": ("open_closed_streams",),
+    "standard_streams": ("open_closed_streams", "print_error"),
 }
 _MODULE_OF = {name: module for module, names in _NAMES.items() for name in names}
 
--- a/libs/process/gypsumusher_process/program.py
+++ b/libs/process/gypsumusher_process/program.py
@@ -1,9 +1,8 @@
 """Start of a daemon from its command line."""
 
-import sys
-
 from gypsumusher_ports import GypsumusherError
 from gypsumusher_process.event_loop import run_event_loop
+from gypsumusher_process.standard_streams import print_error
 
 __all__ = ["run_program"]
 
@@ -36,7 +35,7 @@
     try:
         settings = load()
     except GypsumusherError as error:
-        print(f"{name}: {error}", file=sys.stderr)
+        print_error(name, error)
         return EXIT_USAGE
     if format_settings is not None:
         print(format_settings(settings))
@@ -44,6 +43,6 @@
     try:
         run_event_loop(serve(settings))
     except GypsumusherError as error:
-        print(f"{name}: {error}", file=sys.stderr)
+        print_error(name, error)
         return EXIT_FAILED
     return 0
--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -202,6 +202,37 @@
     run(main())
 
 
+def _open_broken_pipe():
+    reader, writer = os.pipe()
+    os.close(reader)
+    return writer
+
+
+OUTPUTS = {
+    "full": lambda: os.open("/dev/full", os.O_WRONLY),
+    "without a reader": _open_broken_pipe,
+}
+
+
+@pytest.mark.parametrize("name", OUTPUTS)
+def test_error_that_cannot_be_printed_does_not_end_the_start(tmp_path, name):
+    """Guards against an exit because an error about the settings can't be written."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            text = process.settings
+            process.settings_path.write_text(text[: len(text) // 2])
+            output = OUTPUTS[name]()
+            process.start(stdout=output, stderr=output)
+            os.close(output)
+            await asyncio.sleep(0.5)
+            process.settings_path.write_text(text)
+            await process.until_listening("front")
+            assert await process.stop() == 0
+
+    run(main())
+
+
 @pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
 def test_closed_standard_streams_are_not_reused(tmp_path, closed):
     """Guards against log lines in a socket, and an abort when the loop closes its own.
