Check in the soak that hosts end only when they are told to

The soak restarted hosts and never looked at how their processes ended, so it didn't notice those that ended by themselves. It sent SIGHUP once at a time, and never while a host started or stopped.

Change: each end is recorded with its status. A process may end only after the soak has stopped it, with status 0, or killed it, by signal 9. A host that ended by itself is started again, as the platform does. The new kind of fault `host_signals` rewrites the settings and sends SIGHUP every 3 ms over a stop, the next start, a stop during that start, and the start after it. It is drawn for `small` and the deployments with `LONG_KINDS`. The wrapper installs the program's handlers before its own imports. Signals are sent only once a process has handlers, as the interpreter can have none before.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,5 +1,6 @@
 """The guarantees that must hold in a soak run, checked against its records."""
 
+import signal
 from bisect import bisect_left
 from itertools import pairwise
 from typing import NamedTuple
@@ -104,6 +105,7 @@
     found += _check_sound_prompts(records)
     found += _check_limits(records)
     found += _check_link_cuts(records)
+    found += _check_host_ends(records)
     found += find_stream_violations(records, _is_disturbed)
     found += find_notice_violations(records, _is_disturbed)
     if records.keys:
@@ -453,6 +455,20 @@
     return found
 
 
+def _check_host_ends(records):
+    """Return the ends of hosts' processes that weren't planned stops or kills."""
+    found = []
+    for end in records.host_ends:
+        statuses = set()
+        if end.was_stopped:
+            statuses.add(0)
+        if end.was_killed:
+            statuses.add(-signal.SIGKILL)
+        if end.status not in statuses:
+            found.append(f"host ended with status {end.status}: {end}")
+    return found
+
+
 def _check_link_cuts(records):
     """Return the spans in which hosts without links to endpoints served far worse.
 
--- a/soak/deployments.py
+++ b/soak/deployments.py
@@ -113,6 +113,7 @@
     "host_kill": (0.1, 5.0),
     "host_pause": (0.3, 8.0),
     "host_stop": (0.0, 1.0),
+    "host_signals": (0.0, 0.5),
     "all_hosts_kill": (0.0, 0.5),
     "hosts_apart": (5.0, 90.0),
     "records_lost": (0.0, 0.0),
@@ -163,7 +164,8 @@
 )
 # Without stale reads: they make the store break its promise that reads are current,
 # on which the withdrawal of keys rests. Attempts at crashing content carry no key.
-_OTHER_KINDS = {"store_stale", "crashing_content"}
+# Signals in series concern no account.
+_OTHER_KINDS = {"store_stale", "crashing_content", "host_signals"}
 ACCOUNT_KINDS = {kind: KINDS[kind] for kind in sorted(set(KINDS) - _OTHER_KINDS)}
 ACCOUNT_KINDS |= {
     "key_change": (0.0, 0.0),
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -1,18 +1,24 @@
 """Entry hosts of the soak run: real processes, each on its own loopback address."""
 
+import asyncio
 import pathlib
+import re
 import signal
 import sys
 
 from account_checks import KEY_BOUND_S, USAGE_LATE_S, USAGE_WINDOW_S
 from entry_program import CUT_VARIABLE, LINK_PREFIX, LOSS_PREFIX, START_VARIABLE
-from processes import Process, free_ports
+from processes import EXIT_TIMEOUT_S, Process, ProcessFailed, free_ports
 
 __all__ = ["START_FILE", "EntryProcess"]
 
 # Hosts begin once this file is in their folder.
 START_FILE = "start"
 
+# Pause between two signals of a series.
+SIGNAL_INTERVAL_S = 0.003
+# Bits of the signals that a host handles, in the status of its process.
+_HANDLED_MASK = sum(1 << number - 1 for number in (signal.SIGHUP, signal.SIGTERM))
 PROGRAM = pathlib.Path(__file__).with_name("entry_program.py")
 SETTINGS = """node = "{name}"
 ip = "{ip}"
@@ -85,6 +91,9 @@
         directory and for peers.
     start_count : int
         How often the host was started; tells its processes apart.
+    on_end : callable or None
+        Called with the name, the exit status, and whether it was stopped and killed,
+        when the end of a process is noticed.
     """
 
     def __init__(
@@ -138,7 +147,12 @@
         self.peers = f"{ip}:{peer_port}"
         self.start_count = 0
         self.is_removed = False
+        self.on_end = None
         self._is_first_start = is_first_start
+        self._text = ""
+        self._handles_signals = False
+        self._was_stopped = self._was_killed = False
+        self._is_end_noted = False
 
     async def start(self):
         """Start the host if it isn't running, without waiting until it is ready.
@@ -149,17 +163,91 @@
         """
         if self.is_removed or (self.is_started and self.exit_code() is None):
             return
+        self.note_end()
+        self._handles_signals = self._is_end_noted = False
+        self._was_stopped = self._was_killed = False
         self.start_count += 1
         is_first = self._is_first_start and self.start_count == 1
         is_first_start = "true" if is_first else "false"
-        text = self._settings.format(is_first_start=is_first_start)
-        self._settings_path.write_text(text)
+        self._text = self._settings.format(is_first_start=is_first_start)
+        self._settings_path.write_text(self._text)
         self.spawn()
 
+    def note_end(self):
+        """Report the end of the host's process, if it has ended since its start.
+
+        Returns
+        -------
+        bool
+            Whether it has ended though it was neither stopped nor killed.
+        """
+        if not self.is_started or self._is_end_noted or self.exit_code() is None:
+            return False
+        self._is_end_noted = True
+        if self.on_end is not None:
+            process = f"{self.name}/{self.start_count}"
+            status = self.exit_code()
+            self.on_end(process, status, self._was_stopped, self._was_killed)
+        return not (self._was_stopped or self._was_killed)
+
+    def terminate(self):
+        """Send SIGTERM, which asks for a planned stop."""
+        self._was_stopped = self._was_stopped or self.exit_code() is None
+        super().terminate()
+
+    def kill(self):
+        """Send SIGKILL and wait for the exit."""
+        self._was_killed = self._was_killed or self.exit_code() is None
+        super().kill()
+
+    async def terminate_and_wait(self):
+        """Stop the host once it can handle the signal; return its exit code."""
+        await self.until_signals_handled()
+        return await super().terminate_and_wait()
+
+    async def until_signals_handled(self):
+        """Wait until the process has handlers for its signals, or has ended.
+
+        A new process can have none until its interpreter runs.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + EXIT_TIMEOUT_S
+        while not self._handles_signals and self.exit_code() is None:
+            caught = re.search(r"SigCgt:\s*(\w+)", self._read_status())
+            if caught is not None and int(caught[1], 16) & _HANDLED_MASK == (
+                _HANDLED_MASK
+            ):
+                self._handles_signals = True
+                continue
+            if loop.time() > until_s:
+                raise ProcessFailed(f"{self.name} has no signal handlers")
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+
+    def _read_status(self):
+        """Return the status of the process; it is there until the exit is read."""
+        return pathlib.Path(f"/proc/{self.pid}/status").read_text()
+
+    async def reload_repeatedly(self):
+        """Rewrite the settings and send SIGHUP, over all processes, until cancelled."""
+        while True:
+            await self.until_signals_handled()
+            self._rewrite_settings()
+            self._signal(signal.SIGHUP)
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+
+    def _rewrite_settings(self):
+        """Write the settings again, in two steps between which the host may read."""
+        half = len(self._text) // 2
+        with open(self._settings_path, "w") as file:
+            file.write(self._text[:half])
+            file.flush()
+            file.write(self._text[half:])
+
     def remove(self):
         """Kill the host for good; later starts do nothing."""
         self.is_removed = True
         self.destroy()
+        self.note_end()
 
     def cut_off(self, ips):
         """Cut the host off from the hosts at these addresses, and from no others."""
@@ -189,6 +277,7 @@
         path.write_text("\n".join(lines))
         path.rename(self._cut_path)
 
-    def reload_settings(self):
+    async def reload_settings(self):
         """Make the host read its settings again, by SIGHUP."""
+        await self.until_signals_handled()
         self._signal(signal.SIGHUP)
--- a/soak/entry_program.py
+++ b/soak/entry_program.py
@@ -7,17 +7,24 @@
 address, see `LINK_MODES`. The program itself isn't changed.
 """
 
-import asyncio
-import functools
-import os
-import random
-import runpy
-import sys
-import time
-
-# Imported first, since it disables io_uring before uvloop is imported.
-import gypsumusher_process  # noqa: F401  # isort: skip
-import uvloop
+import gypsumusher_process
+
+# Earlier releases handle signals only in their event loop.
+_SIGNALS = None
+if __name__ == "__main__" and hasattr(gypsumusher_process, "ProcessSignals"):
+    # Before the other imports, which take long.
+    _SIGNALS = gypsumusher_process.ProcessSignals()
+    _SIGNALS.start()
+
+import asyncio  # noqa: E402
+import functools  # noqa: E402
+import os  # noqa: E402
+import random  # noqa: E402
+import runpy  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+
+import uvloop  # noqa: E402
 
 __all__ = [
     "CUT_VARIABLE",
@@ -243,8 +250,15 @@
         time.sleep(START_POLL_S)
 
 
+def _create_signals():
+    """Return the signals that this process has received since its begin."""
+    return _SIGNALS
+
+
 if __name__ == "__main__":
     _wait_for_start()
     uvloop.run = functools.partial(uvloop.run, loop_factory=_CutLoop)
     sys.argv = sys.argv[:1]
+    if _SIGNALS is not None:
+        gypsumusher_process.ProcessSignals = _create_signals
     runpy.run_module("gypsumusher_entry", run_name="__main__")
--- a/soak/injection.py
+++ b/soak/injection.py
@@ -35,6 +35,8 @@
 RELEASED_SHARE, TRANSFERS_SHARE = 0.4, 0.35
 # Pause between the steps of planned work, and of an endpoint that crashes repeatedly.
 STEP_S, FLAP_S = 1.3, 1.4
+# How long reloads go on over a start; a host is ready within half a second.
+SIGNALS_AFTER_START_S = 0.7
 # Hosts that are stopped at a time when all are stopped in turn.
 STOPPED_AT_ONCE = 3
 # A slow host runs for a fifth of each period.
@@ -103,7 +105,24 @@
 
 
 async def _host_reload(system, host, duration_s):
-    host.reload_settings()
+    await host.reload_settings()
+
+
+async def _host_signals(system, host, duration_s):
+    """Stop a host, also during its next start, amid reloads of rewritten settings.
+
+    The second stop begins once the host has handled signals for the duration.
+    """
+    stop = Fault(0.0, 0.0, "host_stop", system.hosts.index(host))
+    async with asyncio.TaskGroup() as group:
+        reloads = group.create_task(host.reload_repeatedly())
+        await _inject_fault(system, stop)
+        await host.until_signals_handled()
+        await asyncio.sleep(duration_s)
+        await _inject_fault(system, stop)
+        await host.until_signals_handled()
+        await asyncio.sleep(SIGNALS_AFTER_START_S)
+        reloads.cancel()
 
 
 async def _endpoint_restart(system, endpoint, duration_s):
@@ -455,6 +474,7 @@
     "host_pause": ("hosts", _host_pause),
     "host_stop": ("hosts", _host_stop),
     "host_reload": ("hosts", _host_reload),
+    "host_signals": ("hosts", _host_signals),
     "all_hosts_kill": (None, _for_all("hosts", _host_kill)),
     "endpoint_restart": ("backends", _endpoint_restart),
     "endpoint_leave": ("backends", _endpoint_leave),
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,6 +13,7 @@
     "host_pause": (0.3, 3.0),
     "host_stop": (0.0, 1.0),
     "host_reload": (0.0, 0.0),
+    "host_signals": (0.0, 0.5),
     "all_hosts_kill": (0.0, 0.5),
     "endpoint_restart": (0.1, 2.0),
     "endpoint_leave": (1.5, 3.0),
--- a/soak/records.py
+++ b/soak/records.py
@@ -14,6 +14,7 @@
     "AccountKey",
     "AccountRun",
     "Arrival",
+    "HostEnd",
     "LinkCut",
     "Notice",
     "Outcome",
@@ -259,6 +260,28 @@
     ended_s: float | None
 
 
+class HostEnd(NamedTuple):
+    """End of a process of a host.
+
+    Attributes
+    ----------
+    process : str
+        Name of the host, and how often it had been started.
+    at_s : float
+        When the end was noticed, in seconds since the run began.
+    status : int
+        Exit status; minus its number for a signal that ended the process.
+    was_stopped, was_killed : bool
+        Whether the soak had sent the process SIGTERM, and SIGKILL.
+    """
+
+    process: str
+    at_s: float
+    status: int
+    was_stopped: bool
+    was_killed: bool
+
+
 class Records:
     """Everything that the checks of the guarantees use.
 
@@ -321,6 +344,8 @@
     stalls : list of (float, float)
         Spans in which the soak's own process, with its callers, endpoints and links,
         stood still, in seconds since the run began.
+    host_ends : list of HostEnd
+        Ends of the hosts' processes.
     """
 
     def __init__(self, retry_limit):
@@ -352,6 +377,7 @@
         self.serving = []
         self.began_unix_s = 0.0
         self.stalls = []
+        self.host_ends = []
 
     def stalled_s(self, began_s, ended_s):
         """Return for how long the soak's process stood still within a span of time."""
--- a/soak/soak_system.py
+++ b/soak/soak_system.py
@@ -22,6 +22,7 @@
     PROMPT,
     STREAM,
     AccountKey,
+    HostEnd,
     LinkCut,
     Records,
     ServingSpan,
@@ -56,6 +57,8 @@
 # How long a draining endpoint keeps running; longer than `checks.DRAIN_S`, after which
 # a request sent to it is a violation.
 DRAINING_S = 6.0
+# Delay of the restart of a host that has ended by itself.
+RESTART_DELAY_S = 0.3
 START_TIMEOUT_S, START_TIMEOUT_PER_HOST_S = 20.0, 1.0
 # How long an endpoint is down after a request's content has crashed it, and the pause
 # between two attempts at that request.
@@ -172,6 +175,7 @@
             self._begin_serving(endpoint)
         for host in self.hosts:
             self.spawn(self._poll_version(host))
+            self.spawn(self._restart_ended(host))
         self.spawn(self._record_stalls())
 
     async def _start_next_host(self, index, is_first_start):
@@ -193,6 +197,7 @@
             self._cloud_address,
             is_first_start,
         )
+        host.on_end = self._on_host_end
         self.hosts[index : index + 1] = [host]
         self.store_links[index : index + 1] = [link]
         self._directories[index : index + 1] = [host.directory]
@@ -211,6 +216,7 @@
         spare = await self._start_next_host(index, is_first_start=False)
         await link.close()
         self.spawn(self._poll_version(spare))
+        self.spawn(self._restart_ended(spare))
 
     def _create_endpoints(self):
         """Return the endpoints of the plain service, then the engines."""
@@ -247,7 +253,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for host in self.hosts:
+            host.note_end()
             host.destroy()
+            host.note_end()
         for part in (*self.backends, *self.links, *self.store_links, self.store):
             await part.close()
         if self.deployment.accounts:
@@ -672,6 +680,19 @@
             if version and process == f"{host.name}/{host.start_count}":
                 self.records.versions.append((process, self.clock(), version))
 
+    async def _restart_ended(self, host):
+        """Start a host again that has ended by itself, as the platform does."""
+        while not host.is_removed:
+            await asyncio.sleep(POLL_S)
+            if host.note_end():
+                await asyncio.sleep(RESTART_DELAY_S)
+                await host.start()
+
+    def _on_host_end(self, process, status, was_stopped, was_killed):
+        """Record the end of a process."""
+        end = HostEnd(process, self.clock(), status, was_stopped, was_killed)
+        self.records.host_ends.append(end)
+
     async def _is_ready(self, host):
         """Return whether a host counts as ready, which takes a configuration."""
         try:
--- a/soak/tests/test_checks.py
+++ b/soak/tests/test_checks.py
@@ -8,6 +8,7 @@
     STREAM,
     AccountKey,
     Arrival,
+    HostEnd,
     LinkCut,
     Outcome,
     Records,
@@ -288,6 +289,20 @@
     assert not [line for line in violations(records) if "of all accounts" in line]
 
 
+def test_host_that_ends_by_itself_or_with_another_status_is_reported():
+    """Guards against processes that end by themselves unnoticed."""
+    records = records_of(outcome())
+    planned = {(0, True, False), (-9, False, True), (0, True, True), (-9, True, True)}
+    for status in (0, 1, 2, -1, -6, -9, -15):
+        for was_stopped in (False, True):
+            for was_killed in (False, True):
+                end = HostEnd("host-0/1", 5.0, status, was_stopped, was_killed)
+                records.host_ends = [end]
+                is_planned = (status, was_stopped, was_killed) in planned
+                reported = [] if is_planned else [f"host ended with status {status}"]
+                assert violations(records) == reported, end
+
+
 def test_missing_recovery_is_reported():
     records = records_of(outcome())
     records.outcomes[-1] = outcome("last", sent_s=ENDS_S - 1.0, status=502)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -34,6 +34,7 @@
     "endpoint_unframed",
     "host_links_cut",
     "host_links_partly_cut",
+    "host_signals",
     "host_store_weak",
 }
 SEEDED_KINDS = {kind: KINDS[kind] for kind in KINDS if kind not in LATER_KINDS}
