--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -134,6 +134,8 @@
     "not text": lambda text: text.replace("suwon-a", "suwon-\xe9").encode("latin-1"),
     "no port": lambda text: text.replace("port_range = [", "port_range = [] # ["),
     "empty": lambda text: "",
+    "not finite": lambda text: text.replace("max_fds = 4100", "max_fds = inf"),
+    "too large": lambda text: text.replace("memory_mb = 300", f"memory_mb = {10**400}"),
 }
 
 
@@ -267,3 +269,26 @@
             assert await process.stop() == 0
 
     run(main())
+
+
+UNUSABLE = {"infinite": float("inf"), "nan": float("nan"), "too large": 10**400}
+
+
+@pytest.mark.parametrize("name", UNUSABLE)
+def test_configuration_after_one_with_unusable_numbers_is_applied(tmp_path, name):
+    """Guards against a host that follows its configuration no more."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.start()
+            await process.until_logged("event=ready")
+            content = sample_configuration(2, ROUTE)
+            content["services"][0]["max_conns"] = UNUSABLE[name]
+            process.store.put("config", "main", content)
+            await process.until_logged("event=configuration_unreadable")
+            process.store.put("config", "main", sample_configuration(3, ROUTE))
+            await process.until_logged("version=3")
+            assert "background_failed" not in process.log_text()
+            assert await process.stop() == 0
+
+    run(main())
