--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import resource
 import signal
 import socket
@@ -11,6 +12,7 @@
 from deployed_host import DeployedHost, occupy
 from platform_samples import sample_configuration, sample_endpoint_entry
 
+from gypsumusher_entry.registration import HOSTS_KIND
 from gypsumusher_standins.object_store_server import ObjectStoreServer
 
 pytestmark = pytest.mark.processes
@@ -25,6 +27,7 @@
     store.put("config", "main", sample_configuration(1, ROUTE))
     store.put("servers", "e-0", sample_endpoint_entry("127.0.0.1:9"))
     process = DeployedHost(folder, address, **options)
+    process.store = store
     try:
         yield process
     finally:
@@ -131,6 +134,8 @@
     "not text": lambda text: text.replace("suwon-a", "suwon-\xe9").encode("latin-1"),
     "no port": lambda text: text.replace("port_range = [", "port_range = [] # ["),
     "empty": lambda text: "",
+    "not finite": lambda text: text.replace("max_fds = 4100", "max_fds = inf"),
+    "too large": lambda text: text.replace("memory_mb = 300", f"memory_mb = {10**400}"),
 }
 
 
@@ -197,3 +202,93 @@
             assert await process.stop() == 0
 
     run(main())
+
+
+def _open_broken_pipe():
+    reader, writer = os.pipe()
+    os.close(reader)
+    return writer
+
+
+OUTPUTS = {
+    "full": lambda: os.open("/dev/full", os.O_WRONLY),
+    "without a reader": _open_broken_pipe,
+}
+
+
+@pytest.mark.parametrize("name", OUTPUTS)
+def test_error_that_cannot_be_printed_does_not_end_the_start(tmp_path, name):
+    """Guards against an exit because an error about the settings can't be written."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            text = process.settings
+            process.settings_path.write_text(text[: len(text) // 2])
+            output = OUTPUTS[name]()
+            process.start(stdout=output, stderr=output)
+            os.close(output)
+            await asyncio.sleep(0.5)
+            process.settings_path.write_text(text)
+            await process.until_listening("front")
+            assert await process.stop() == 0
+
+    run(main())
+
+
+@pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+def test_closed_standard_streams_are_not_reused(tmp_path, closed):
+    """Guards against log lines in a socket, and an abort when the loop closes its own.
+
+    A descriptor that is free is given to the event loop or a connection.
+    """
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.start(preexec_fn=lambda: [os.close(number) for number in closed])
+            await process.until_listening("front")
+            for number in closed:
+                target = os.readlink(f"/proc/{process.process.pid}/fd/{number}")
+                assert target == os.devnull
+            assert await process.stop() == 0
+
+    run(main())
+
+
+@pytest.mark.parametrize("ip", ["", "host-2", "::1", "\ud800"])
+def test_host_record_with_an_unusable_address_is_left_out(tmp_path, ip):
+    """Guards against an end of the start, or no more messages to all other hosts."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.store.put(HOSTS_KIND, "front-2", {"ip": ip, "zone": "suwon-a"})
+            process.start()
+            await process.until_logged("event=record_unreadable")
+            await process.until_listening("front")
+            await asyncio.sleep(1.5)
+            assert "background_failed" not in process.log_text()
+            assert await process.stop() == 0
+
+    run(main())
+
+
+UNUSABLE = {"infinite": float("inf"), "nan": float("nan"), "too large": 10**400}
+
+
+@pytest.mark.parametrize("name", UNUSABLE)
+def test_configuration_after_one_with_unusable_numbers_is_applied(tmp_path, name):
+    """Guards against a host that follows its configuration no more."""
+
+    async def main():
+        async with host(tmp_path) as process:
+            process.start()
+            await process.until_logged("event=ready")
+            content = sample_configuration(2, ROUTE)
+            content["services"][0]["max_conns"] = UNUSABLE[name]
+            process.store.put("config", "main", content)
+            await process.until_logged("event=configuration_unreadable")
+            process.store.put("config", "main", sample_configuration(3, ROUTE))
+            await process.until_logged("version=3")
+            assert "background_failed" not in process.log_text()
+            assert await process.stop() == 0
+
+    run(main())
