--- a/tools/scripted_endpoint.py
+++ b/tools/scripted_endpoint.py
@@ -42,6 +42,7 @@
         self.requests = []
         self.connections = 0
         self.tasks = set()
+        self.address = None
         self._script = script
         self._server = None
 
@@ -49,7 +50,8 @@
         """Listen on a free port; return the address."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self._server.sockets[0].getsockname()[1]
-        return f"127.0.0.1:{port}"
+        self.address = f"127.0.0.1:{port}"
+        return self.address
 
     async def close(self):
         """Stop listening, and cancel all running requests."""
