Free what a failed response has received

The error of a response that is cut off or too large is kept with the response, and its traceback kept the frame that had read the body, up to 8 MB of it (32 MB from the store). Response, error and frame refer to each other, so that only a garbage collection freed them, and that is started by the number of objects, not by their size; a request that goes on elsewhere kept the error, too. The parser and its connection refer to each other in the same way.

The chunks are now dropped as the error passes, and errors that requests keep have no traceback.

--- a/libs/entry/gypsumusher_entry/service_exchange.py
+++ b/libs/entry/gypsumusher_entry/service_exchange.py
@@ -193,7 +193,8 @@
         exchange.record_usage(sent_s)
         return _Result(state, head, body, None)
     except (CallError, NoRetryError) as error:
-        return _Result(state, None, b"", error)
+        # Without its traceback, which would keep what was received.
+        return _Result(state, None, b"", error.with_traceback(None))
     finally:
         state.own_running -= 1
         exchange.context.stall_monitor.end(pending)
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -259,7 +259,8 @@
                 self._prefilled_prompt = prompt if error.step == "connect" else None
                 if self._prefilled_prompt is None:
                     context.spawn(prompt.free(context))
-            return error
+            # Without its traceback, which would keep what was received.
+            return error.with_traceback(None)
         finally:
             run.end()
             context.stall_monitor.end(pending)
--- a/libs/http/gypsumusher_http/calls.py
+++ b/libs/http/gypsumusher_http/calls.py
@@ -106,27 +106,30 @@
                 connection = await self._pool.acquire(address, address, MAX_CONNECTIONS)
                 response = connection.send(request, None, limits.max_body_bytes)
                 head = await response.head()
-                chunks = await self._read(response, f"{address}{path}", limits, timeout)
-                return head.status, b"".join(chunks)
+                body = await self._read(response, f"{address}{path}", limits, timeout)
+                return head.status, body
         finally:
             if response is not None:
                 response.close()
 
     async def _read(self, response, name, limits, timeout):
-        """Read a body within the limits; return it in chunks."""
+        """Read and return a body within the limits."""
         end_s = self._clock() + limits.body_timeout_s
         chunks, received_bytes = [], 0
-        while True:
-            timeout.reschedule(min(self._clock() + limits.read_timeout_s, end_s))
-            chunk = await response.read()
-            if not chunk:
-                return chunks
-            received_bytes += len(chunk)
-            if received_bytes > limits.max_body_bytes:
-                raise DecodeError(
-                    "body", name, f"body over {limits.max_body_bytes} bytes"
-                )
-            chunks.append(chunk)
+        try:
+            while True:
+                timeout.reschedule(min(self._clock() + limits.read_timeout_s, end_s))
+                chunks.append(await response.read())
+                if not chunks[-1]:
+                    return b"".join(chunks)
+                received_bytes += len(chunks[-1])
+                if received_bytes > limits.max_body_bytes:
+                    raise DecodeError(
+                        "body", name, f"body over {limits.max_body_bytes} bytes"
+                    )
+        finally:
+            # The traceback of an error would keep them as long as the error is kept.
+            chunks.clear()
 
 
 def _decode_head(status, headers):
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -134,11 +134,14 @@
     async def body(self):
         """Read and return the whole body; raise the errors of `read`."""
         chunks = []
-        while True:
-            data = await self.read()
-            if not data:
-                return b"".join(chunks)
-            chunks.append(data)
+        try:
+            while True:
+                chunks.append(await self.read())
+                if not chunks[-1]:
+                    return b"".join(chunks)
+        finally:
+            # The traceback of an error would keep them as long as the error is kept.
+            chunks.clear()
 
     def close(self):
         """Release the connection; abort it if the response is incomplete."""
@@ -311,6 +314,9 @@
 
     def connection_lost(self, error):
         self._transport = None
+        # It refers back to the connection, and would keep both until the next garbage
+        # collection.
+        self._parser = None
         self._is_reset = self._is_reset or error is not None
         self._pool.discard(self)
         if self._response is None or self._response.is_complete:
--- a/libs/http/tests/test_endless_responses.py
+++ b/libs/http/tests/test_endless_responses.py
@@ -1,12 +1,14 @@
 """Bytes without end are no response: they end the connection soon, and stay few."""
 
 import asyncio
+import gc
 import tracemalloc
 
 import pytest
 from scripted_endpoint import ScriptedEndpoint, encode_response
 
 from gypsumusher_http import CallError, CallLimits, ConnectionPool, HttpClient
+from gypsumusher_http.connections import RESPONSE_MAX_BYTES
 from gypsumusher_http.errors import TunnelRefusedError
 from gypsumusher_http.tunnels import open_tunnel
 from gypsumusher_platform import decode_response_head
@@ -15,6 +17,8 @@
 # Far below the deadline of a request, and the share of a host's memory that one
 # response may take.
 ENDED_WITHIN_S, MEMORY_MAX_BYTES = 2.0, 40 * 1024 * 1024
+# What four failed responses may leave.
+KEPT_MAX_BYTES = 1024 * 1024
 # What an endpoint sends at most, as fast as it is read.
 SENT_MAX_BYTES = 200 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nX-Gypsumusher-Request-Id: r\r\n"
@@ -168,3 +172,42 @@
         await endpoint.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+# Guards against errors that keep all that was received until the next garbage
+# collection.
+@pytest.mark.parametrize("what", ("body in chunks", "value of a header"))
+@pytest.mark.parametrize("is_call", (False, True))
+def test_failed_response_is_freed_while_its_error_is_kept(what, is_call):
+    async def scenario():
+        endpoint = ScriptedEndpoint(sends(*ENDLESS[what]))
+        address = await endpoint.start()
+        clock = asyncio.get_running_loop().time
+        pool = ConnectionPool(clock, decode_response_head, 0.35)
+        client = HttpClient(clock)
+        limits = CallLimits(5.0, 5.0, 5.0, RESPONSE_MAX_BYTES)
+        errors = []
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for _ in range(4):
+                try:
+                    if is_call:
+                        await client.call("GET", address, "/v1/objects/x", limits)
+                    else:
+                        await read_whole(pool, address)
+                except (CallError, DecodeError) as error:
+                    errors.append(error)
+                while endpoint.tasks:
+                    await asyncio.sleep(0.005)
+            kept_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+        client.close()
+        assert len(errors) == 4
+        assert kept_bytes < KEPT_MAX_BYTES
+        await endpoint.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
