Bound what endpoints' connections receive in one turn

Bytes of clients count against an eighth of the memory of all connections in one turn of the event loop; those of endpoints did not. A caller that is given up for its endpoint's response ends a few turns later, and until then each of some hundred connections went on to receive up to 512 KB a turn.

Connections to endpoints now count and pause with those of clients. They stay paused while a body waits to be read, as before. The test fails on the code before, which has no such limit.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -87,6 +87,7 @@
         client_bytes = int(CLIENT_MEMORY_SHARE * settings.memory_bytes)
         max_connections = max(1, int(CLIENT_SOCKETS_SHARE * settings.max_descriptors))
         budget = ConnectionBudget(log, client_bytes, max_connections)
+        self.context.connection_pool.set_budget(budget)
         self._api = Listener(api_handler, *codecs, clock, log, budget=budget)
         self._tunnel_relay = TunnelRelay(CONNECT_TIMEOUT_S, budget)
         peer_handler = create_peer_handler(
--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -62,6 +62,8 @@
         # been sent since isn't subtracted, so that the sum may be too large.
         self._held_bytes = {}
         self._admitted = set()
+        # Return further connections whose received bytes are counted.
+        self._sources = []
         self._received_bytes = 0
         self._total_bytes = 0
 
@@ -114,8 +116,19 @@
         if self._total_bytes > self._max_bytes:
             self._make_room()
 
+    def add_source(self, connections):
+        """Include further connections in the limit on what is received at once.
+
+        Parameters
+        ----------
+        connections : callable
+            ``connections()`` returns those that are open now. They have the method
+            ``set_throttled``, and what they receive is passed to `on_received`.
+        """
+        self._sources.append(connections)
+
     def on_received(self, size_bytes):
-        """Count bytes that a client has sent, and stop reading after too many.
+        """Count bytes that have been received, and stop reading after too many.
 
         Parameters
         ----------
@@ -126,6 +139,8 @@
         if self._received_bytes > READ_AT_ONCE_SHARE * self._max_bytes:
             self._received_bytes = 0
             throttled = list(self._admitted)
+            for connections in self._sources:
+                throttled += connections()
             for connection in throttled:
                 connection.set_throttled(True)
             asyncio.get_running_loop().call_soon(_resume, throttled)
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -217,6 +217,9 @@
             and not self._transport.is_closing()
         )
 
+        # Why the connection isn't read: its response waits to be read, or all
+        # connections have received much at once.
+        self._is_unread = self._is_throttled = False
     def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES, hold=None):
         """Write a request; return the `Response` to it.
 
@@ -270,12 +273,25 @@
 
     def pause_reading(self):
         """Stop to read until the response's body has been taken."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._is_unread = True
+        self._pause_or_resume()
 
     def resume_reading(self):
         """Read on."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._is_unread = False
+        self._pause_or_resume()
+
+    def set_throttled(self, is_throttled):
+        """Set whether the connection isn't read for the moment."""
+        self._is_throttled = is_throttled
+        self._pause_or_resume()
+
+    def _pause_or_resume(self):
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._is_unread or self._is_throttled:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     # Called by the transport
@@ -298,6 +314,7 @@
         except httptools.HttpParserError:
             self._fail_as_garbled()
             return
+        self._pool.on_received(len(data))
         if self._is_over_limits():
             self._fail_as_garbled()
 
@@ -461,6 +478,23 @@
             Key of the process; a later process at the same address has another key, so
             that it never gets a connection to its predecessor.
         address : str
+        self._budget = None
+
+    def set_budget(self, budget):
+        """Count what is received, and stop reading after too much at once.
+
+        Parameters
+        ----------
+        budget : ConnectionBudget
+            Limit on what all connections receive at once.
+        """
+        self._budget = budget
+        budget.add_source(self._open_connections)
+
+    def on_received(self, size_bytes):
+        """Count bytes that a connection has received."""
+        if self._budget is not None:
+            self._budget.on_received(size_bytes)
             ``ip:port`` of the process.
         max_connections : int
             Limit on this host's connections to the process; at least
@@ -517,6 +551,14 @@
         for connections in list(self._idle.values()):
             for connection in list(connections):
                 if is_unwanted(connection):
+    def _open_connections(self):
+        """Return all connections, also those that are being opened."""
+        return [
+            connection
+            for connections in self._open.values()
+            for connection in connections
+        ]
+
                     connections.remove(connection)
                     connection.abort()
 
--- a/libs/http/tests/test_endless_responses.py
+++ b/libs/http/tests/test_endless_responses.py
@@ -7,7 +7,13 @@
 import pytest
 from scripted_endpoint import ScriptedEndpoint, encode_response
 
-from gypsumusher_http import CallError, CallLimits, ConnectionPool, HttpClient
+from gypsumusher_http import (
+    CallError,
+    CallLimits,
+    ConnectionBudget,
+    ConnectionPool,
+    HttpClient,
+)
 from gypsumusher_http.connections import RESPONSE_MAX_BYTES
 from gypsumusher_http.errors import TunnelRefusedError
 from gypsumusher_http.tunnels import open_tunnel
@@ -211,3 +217,30 @@
         await endpoint.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+# Guards against many responses that together fill the memory in one turn of the event
+# loop, before any of them can be given up.
+def test_connections_to_endpoints_count_for_what_is_received_at_once():
+    async def scenario():
+        endpoint = ScriptedEndpoint(sends(*ENDLESS["body in chunks"]))
+        address = await endpoint.start()
+        clock = asyncio.get_running_loop().time
+        pool = ConnectionPool(clock, decode_response_head, 0.35)
+        pool.set_budget(ConnectionBudget(lambda *_, **__: None, 8 * 65536))
+        connections = [await pool.acquire(address, address, 10) for _ in range(3)]
+        # More than the 65,536 bytes that may be received in one turn.
+        pool.on_received(65537)
+        assert not any(c._transport.is_reading() for c in connections)
+        await asyncio.sleep(0)
+        assert all(c._transport.is_reading() for c in connections)
+        # What waits to be read keeps its connection paused.
+        connections[0].pause_reading()
+        pool.on_received(65537)
+        await asyncio.sleep(0)
+        assert not connections[0]._transport.is_reading()
+        assert connections[1]._transport.is_reading()
+        pool.close()
+        await endpoint.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
