Count, bound and search an incomplete event of a stream

An event without end was held back up to 1 MB a stream, and nothing counted it: its bytes were given back as soon as they were read. Above 1 MB the splitter raised an error that nothing caught, so that the caller's connection was aborted and a resumable stream wasn't resumed. Each piece was appended to a copy of all that was held, and all of it was searched again: 512,128,000 bytes for an event of 256,000 in pieces of 64, while other requests waited.

What is held back counts for the caller, an event above the limit fails its run as garbled, and each byte is searched about once.

--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -17,6 +17,7 @@
     TIMELY,
     EventSplitter,
     cache_transfer_s,
+    OversizedEvent,
     choose_decode,
     choose_endpoint,
     choose_prefill,
@@ -286,17 +287,19 @@
             await self._forward_error(response, head, run.state.record.address)
             return
         splitter = EventSplitter()
-        while True:
-            data = await response.read()
-            if not data:
-                break
-            exchange.reply.hold(-len(data))
-            now_s = self._context.clock()
-            pending.due_s = now_s + NEXT_EVENT_TIMEOUT_S
-            run.state.on_answer_bytes(now_s)
-            for event in splitter.feed(data):
-                self._forward_event(head, event, run)
-            await exchange.reply.drain()
+        try:
+            while True:
+                data = await response.read()
+                if not data:
+                    break
+                now_s = self._context.clock()
+                pending.due_s = now_s + NEXT_EVENT_TIMEOUT_S
+                run.state.on_answer_bytes(now_s)
+                for event in self._split(splitter, data, run):
+                    self._forward_event(head, event, run)
+                await exchange.reply.drain()
+        finally:
+            exchange.reply.hold(-splitter.held_bytes)
         self._check_end(response, run, splitter)
         if not exchange.reply.is_started:
             exchange.reply.start(head.status, head.headers)
@@ -309,6 +312,23 @@
         exchange.outcome = f"{head.status}:streamed"
 
     def _check_end(self, response, run, splitter):
+    def _split(self, splitter, data, run):
+        """Return the complete events; count what the splitter holds back.
+
+        Raises
+        ------
+        CallError
+            When an event is too large.
+        """
+        held_bytes = splitter.held_bytes
+        try:
+            return splitter.feed(data)
+        except OversizedEvent as error:
+            peer = run.state.record.address
+            raise CallError("run", peer, "garbled", True) from error
+        finally:
+            self._exchange.reply.hold(splitter.held_bytes - held_bytes - len(data))
+
         """Raise CallError if a response has ended before its stream.
 
         The end of a connection alone doesn't show that a stream is complete: an
--- a/libs/routing/gypsumusher_routing/events.py
+++ b/libs/routing/gypsumusher_routing/events.py
@@ -11,6 +11,8 @@
 EVENT_BYTES_MAX = 1_048_576
 # A blank line ends an event; each line ends with CR LF, LF or CR.
 _EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+# Bytes before the next ones in which the end of an event may have begun.
+_EVENT_END_BYTES_MAX = 4
 
 
 class OversizedEvent(Exception):
@@ -43,12 +45,17 @@
     """
 
     def __init__(self):
-        self._incomplete = b""
+        self._incomplete = bytearray()
 
     @property
     def incomplete(self):
         """Bytes after the last complete event, which are held back."""
-        return self._incomplete
+        return bytes(self._incomplete)
+
+    @property
+    def held_bytes(self):
+        """Number of bytes that are held back."""
+        return len(self._incomplete)
 
     @property
     def is_within_event(self):
@@ -68,13 +75,16 @@
         OversizedEvent
             If an event exceeds the size limit.
         """
-        buffered = self._incomplete + data
+        buffered = self._incomplete
+        # What was searched before isn't again: an event may come in many small pieces.
+        searched = max(0, len(buffered) - _EVENT_END_BYTES_MAX)
+        buffered += data
         events = []
         start = 0
-        for match in _EVENT_END.finditer(buffered):
-            events.append(_parse_event(buffered[start : match.end()]))
-            start = match.end()
-        self._incomplete = buffered[start:]
+        for end in [match.end() for match in _EVENT_END.finditer(buffered, searched)]:
+            events.append(_parse_event(bytes(buffered[start:end])))
+            start = end
+        del buffered[:start]
         if len(self._incomplete) > EVENT_BYTES_MAX:
             raise OversizedEvent(f"event exceeds {EVENT_BYTES_MAX} bytes")
         return events
