Read little of errors of engines and of their answers to calls

An error of a stream, the answer to a prefill and that to a stage order have a few hundred bytes, and were read up to 8 MB like results of services; those to calls counted for no connection. They now fail as garbled above 256 KB, so that the next engine is tried where the route allows.

On the code before, errors of 1 MB were passed on (test_endless_streams.py).

--- a/libs/entry/gypsumusher_entry/prefill.py
+++ b/libs/entry/gypsumusher_entry/prefill.py
@@ -4,6 +4,7 @@
 
 from gypsumusher_entry.errors import OverloadedError
 from gypsumusher_entry.sending_to_endpoints import (
+    SMALL_BODY_MAX_BYTES,
     call_engine,
     record_failure,
     silence_timeout,
@@ -60,7 +61,9 @@
         delay_s = context.endpoint_notices.pause_left_s(record)
         await asyncio.sleep(min(FREE_HANDLE_DELAY_MAX_S, delay_s))
         try:
-            await call_engine(context, record, call, FREE_HANDLE_TIMEOUT_S)
+            await call_engine(
+                context, record, call, FREE_HANDLE_TIMEOUT_S, SMALL_BODY_MAX_BYTES
+            )
         except (CallError, TimeoutError) as error:
             # The handle expires by itself; until then it occupies memory.
             context.log(
@@ -245,6 +248,7 @@
 async def _request_prefill(exchange, state, send):
     """Send the prompt to one engine; return its decoded response."""
     response = await start_send(exchange, state, send)
+    response.limit_body(SMALL_BODY_MAX_BYTES)
     try:
         with exchange.context.endpoint_connections.fails_with_link(state, response):
             head = await response.head()
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -5,12 +5,13 @@
 from typing import NamedTuple
 
 from gypsumusher_entry.errors import LIMITED, OTHER_VERSION, PAUSED, NoRetryError
-from gypsumusher_http import CallError
+from gypsumusher_http import RESPONSE_MAX_BYTES, CallError
 from gypsumusher_platform import encode_endpoint_request
 from gypsumusher_ports import ANY_TIMES
 from gypsumusher_routing import SentRequest
 
 __all__ = [
+    "SMALL_BODY_MAX_BYTES",
     "call_engine",
     "check_response_head",
     "may_send_again",
@@ -28,6 +29,9 @@
 # requests for a while, or this host has used up its connections or its part of the
 # endpoint's limit.
 BLAMELESS_REASONS = ("left", "behind", "no_connection", OTHER_VERSION, PAUSED, LIMITED)
+# Largest body of a response that holds no result for a caller: an engine's error, or
+# its answer to a call.
+SMALL_BODY_MAX_BYTES = 256 * 1024
 
 
 class EngineReply(NamedTuple):
@@ -195,7 +199,9 @@
         raise CallError("run", record.address, "garbled", True)
 
 
-async def call_engine(context, record, call, timeout_s):
+async def call_engine(
+    context, record, call, timeout_s, max_body_bytes=RESPONSE_MAX_BYTES
+):
     """Make a call to an engine that isn't a caller's request.
 
     Parameters
@@ -208,6 +214,8 @@
         The encoded call.
     timeout_s : float
         Time limit of the whole call, in seconds.
+    max_body_bytes : int
+        Largest body of the response, in bytes.
 
     Returns
     -------
@@ -224,7 +232,7 @@
         async with asyncio.timeout(timeout_s):
             limit = context.connection_limit(record.service)
             connection = await context.acquire(record, limit)
-            response = connection.send(call, None)
+            response = connection.send(call, None, max_body_bytes)
             head = await response.head()
             return EngineReply(head.status, await response.body())
     finally:
--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from gypsumusher_entry.sending_to_endpoints import call_engine
+from gypsumusher_entry.sending_to_endpoints import SMALL_BODY_MAX_BYTES, call_engine
 from gypsumusher_http import CallError
 from gypsumusher_platform import (
     decode_engine_report,
@@ -178,7 +178,9 @@
         """Return an engine's report, or None when none arrived."""
         call = encode_report_request(record.address)
         try:
-            reply = await call_engine(self._context, record, call, CALL_TIMEOUT_S)
+            reply = await call_engine(
+                self._context, record, call, CALL_TIMEOUT_S, SMALL_BODY_MAX_BYTES
+            )
             return decode_engine_report(record.endpoint_id, reply.body)
         except (CallError, DecodeError, TimeoutError) as error:
             self._context.log(
@@ -206,7 +208,9 @@
             order.order_count,
         )
         try:
-            reply = await call_engine(context, record, call, CALL_TIMEOUT_S)
+            reply = await call_engine(
+                context, record, call, CALL_TIMEOUT_S, SMALL_BODY_MAX_BYTES
+            )
             outcome, detail = decode_order_status(reply.status), None
         except (CallError, TimeoutError) as error:
             outcome, detail = OrderOutcome.UNKNOWN, str(error) or "timeout"
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -3,6 +3,7 @@
 from gypsumusher_entry.errors import OTHER_VERSION, NoRetryError, OverloadedError
 from gypsumusher_entry.prefill import prefill_prompt, record_prefill
 from gypsumusher_entry.sending_to_endpoints import (
+    SMALL_BODY_MAX_BYTES,
     check_response_head,
     may_send_again,
     record_failure,
@@ -16,8 +17,8 @@
     LATE,
     TIMELY,
     EventSplitter,
-    cache_transfer_s,
     OversizedEvent,
+    cache_transfer_s,
     choose_decode,
     choose_endpoint,
     choose_prefill,
@@ -311,7 +312,6 @@
             )
         exchange.outcome = f"{head.status}:streamed"
 
-    def _check_end(self, response, run, splitter):
     def _split(self, splitter, data, run):
         """Return the complete events; count what the splitter holds back.
 
@@ -329,6 +329,7 @@
         finally:
             self._exchange.reply.hold(splitter.held_bytes - held_bytes - len(data))
 
+    def _check_end(self, response, run, splitter):
         """Raise CallError if a response has ended before its stream.
 
         The end of a connection alone doesn't show that a stream is complete: an
@@ -373,6 +374,7 @@
     async def _forward_error(self, response, head, peer):
         """Forward an endpoint's error response, unless another may succeed."""
         exchange = self._exchange
+        response.limit_body(SMALL_BODY_MAX_BYTES)
         body = await response.body()
         if exchange.reply.is_started or head.status >= 500:
             self._failed_response = (head, body)
--- a/libs/entry/tests/test_endless_streams.py
+++ b/libs/entry/tests/test_endless_streams.py
@@ -1,4 +1,4 @@
-"""Events without end fail their run, and are counted while they are kept."""
+"""Streams and errors without end fail, and are counted while they are kept."""
 
 import asyncio
 
@@ -7,6 +7,9 @@
 from host_harness import RESUMABLE_ROUTE, STREAM_ROUTE, HostHarness, run, until
 from scripted_endpoint import encode_chunk, encode_response, request_id_of
 
+from gypsumusher_entry.sending_to_endpoints import SMALL_BODY_MAX_BYTES, call_engine
+from gypsumusher_http import CallError
+
 STREAM_TYPE = ("Content-Type: text/event-stream",)
 CHUNKED = "Transfer-Encoding: chunked"
 FIRST, SECOND = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
@@ -85,3 +88,43 @@
             caller.cancel()
 
     run(scenario())
+
+
+# Guards against an error response of some MB for each of many streams.
+@pytest.mark.parametrize("status", ("400 Bad Request", "500 Internal Server Error"))
+@pytest.mark.parametrize("is_endless", (False, True))
+def test_error_of_a_stream_without_end_is_ended_early(status, is_endless):
+    async def scenario():
+        async def large(number, head, body, writer):
+            error = b"x" * (4 * SMALL_BODY_MAX_BYTES)
+            writer.write(encode_response(request_id_of(head), error, status))
+            await writer.drain()
+
+        script = endless(status=status)[0] if is_endless else large
+        async with HostHarness(script, routes=(STREAM_ROUTE,)) as harness:
+            received, _, _ = await harness.ask(method="POST")
+            assert received == 502
+            failed = [f for name, f in harness.log_lines if name == "send_failed"]
+            assert [fields["reason"] for fields in failed] == ["garbled"]
+
+    run(scenario())
+
+
+# Guards against the same for calls to engines.
+def test_endless_response_to_a_call_is_ended_early():
+    async def scenario():
+        async def script(number, head, body, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                writer.write(encode_chunk(PIECE))
+                await writer.drain()
+
+        async with HostHarness(script) as harness:
+            context = harness.host.context
+            record = context.endpoints.states["e-0"].record
+            call = b"GET /v1/x HTTP/1.1\r\nHost: h\r\n\r\n"
+            with pytest.raises(CallError) as caught:
+                await call_engine(context, record, call, 5.0, SMALL_BODY_MAX_BYTES)
+            assert caught.value.reason == "garbled"
+
+    run(scenario())
--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -7,12 +7,17 @@
 
 from gypsumusher_http.calls import CallLimits, HttpClient
 from gypsumusher_http.connection_budget import ConnectionBudget
-from gypsumusher_http.connections import ConnectionPool, Response
+from gypsumusher_http.connections import (
+    RESPONSE_MAX_BYTES,
+    ConnectionPool,
+    Response,
+)
 from gypsumusher_http.errors import CallError, TunnelRefusedError
 from gypsumusher_http.listener import Listener, Reply, SharedBytes
 from gypsumusher_http.tunnels import TunnelRelay
 
 __all__ = [
+    "RESPONSE_MAX_BYTES",
     "CallError",
     "CallLimits",
     "ConnectionBudget",
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -18,7 +18,7 @@
     open_tunnel,
 )
 
-__all__ = ["ConnectionPool", "Response"]
+__all__ = ["RESPONSE_MAX_BYTES", "ConnectionPool", "Response"]
 
 # Time for which an idle connection is reused when the endpoint announces no time-out.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -143,6 +143,16 @@
             # The traceback of an error would keep them as long as the error is kept.
             chunks.clear()
 
+    def limit_body(self, max_body_bytes):
+        """Lower the largest body; a longer one fails the response as garbled.
+
+        Parameters
+        ----------
+        max_body_bytes : int
+            Largest body, in bytes.
+        """
+        self.max_body_bytes = min(self.max_body_bytes, max_body_bytes)
+
     def close(self):
         """Release the connection; abort it if the response is incomplete."""
         self._connection.end_request(self)
@@ -207,6 +217,9 @@
         self._ends_at_eof = False
         self._is_reset = False
         self._is_unusable = False
+        # Why the connection isn't read: its response waits to be read, or all
+        # connections have received much at once.
+        self._is_unread = self._is_throttled = False
 
     @property
     def is_open(self):
@@ -217,9 +230,6 @@
             and not self._transport.is_closing()
         )
 
-        # Why the connection isn't read: its response waits to be read, or all
-        # connections have received much at once.
-        self._is_unread = self._is_throttled = False
     def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES, hold=None):
         """Write a request; return the `Response` to it.
 
@@ -304,6 +314,7 @@
             enable_tcp_keepalive(sock)
 
     def data_received(self, data):
+        self._pool.on_received(len(data))
         if self._response is None or self._response.is_complete:
             # Data after a complete response belongs to no request.
             self.abort()
@@ -314,7 +325,6 @@
         except httptools.HttpParserError:
             self._fail_as_garbled()
             return
-        self._pool.on_received(len(data))
         if self._is_over_limits():
             self._fail_as_garbled()
 
@@ -468,16 +478,6 @@
         self._idle = {}
         self._open = {}
         self.opened_count = 0
-
-    async def acquire(self, key, address, max_connections):
-        """Return an idle or a new connection to a process.
-
-        Parameters
-        ----------
-        key : hashable
-            Key of the process; a later process at the same address has another key, so
-            that it never gets a connection to its predecessor.
-        address : str
         self._budget = None
 
     def set_budget(self, budget):
@@ -495,6 +495,16 @@
         """Count bytes that a connection has received."""
         if self._budget is not None:
             self._budget.on_received(size_bytes)
+
+    async def acquire(self, key, address, max_connections):
+        """Return an idle or a new connection to a process.
+
+        Parameters
+        ----------
+        key : hashable
+            Key of the process; a later process at the same address has another key, so
+            that it never gets a connection to its predecessor.
+        address : str
             ``ip:port`` of the process.
         max_connections : int
             Limit on this host's connections to the process; at least
@@ -541,6 +551,14 @@
             return connection
         return None
 
+    def _open_connections(self):
+        """Return all connections, also those that are being opened."""
+        return [
+            connection
+            for connections in self._open.values()
+            for connection in connections
+        ]
+
     def check_limit(self, key, address, max_connections):
         """Raise CallError if this host has no connection to a process left to open."""
         if len(self._open.get(key, ())) >= max(MIN_CONNECTIONS, max_connections):
@@ -551,14 +569,6 @@
         for connections in list(self._idle.values()):
             for connection in list(connections):
                 if is_unwanted(connection):
-    def _open_connections(self):
-        """Return all connections, also those that are being opened."""
-        return [
-            connection
-            for connections in self._open.values()
-            for connection in connections
-        ]
-
                     connections.remove(connection)
                     connection.abort()
 
--- a/libs/http/tests/test_endless_responses.py
+++ b/libs/http/tests/test_endless_responses.py
@@ -8,13 +8,13 @@
 from scripted_endpoint import ScriptedEndpoint, encode_response
 
 from gypsumusher_http import (
+    RESPONSE_MAX_BYTES,
     CallError,
     CallLimits,
     ConnectionBudget,
     ConnectionPool,
     HttpClient,
 )
-from gypsumusher_http.connections import RESPONSE_MAX_BYTES
 from gypsumusher_http.errors import TunnelRefusedError
 from gypsumusher_http.tunnels import open_tunnel
 from gypsumusher_platform import decode_response_head
@@ -219,6 +219,29 @@
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
 
+def test_body_above_a_lowered_limit_is_garbled():
+    async def scenario():
+        endpoint = ScriptedEndpoint(sends(*ENDLESS["body in chunks"]))
+        address = await endpoint.start()
+        clock = asyncio.get_running_loop().time
+        pool = ConnectionPool(clock, decode_response_head, 0.35)
+        connection = await pool.acquire(address, address, 10)
+        response = connection.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "r")
+        await response.head()
+        response.limit_body(300_000)
+        with pytest.raises(CallError) as caught:
+            received_bytes = 0
+            while data := await response.read():
+                received_bytes += len(data)
+        assert caught.value.reason == "garbled"
+        assert received_bytes < RESPONSE_MAX_BYTES / 4
+        response.close()
+        pool.close()
+        await endpoint.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
 # Guards against many responses that together fill the memory in one turn of the event
 # loop, before any of them can be given up.
 def test_connections_to_endpoints_count_for_what_is_received_at_once():
