--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -3,6 +3,7 @@
 from gypsumusher_entry.errors import OTHER_VERSION, NoRetryError, OverloadedError
 from gypsumusher_entry.prefill import prefill_prompt, record_prefill
 from gypsumusher_entry.sending_to_endpoints import (
+    SMALL_BODY_MAX_BYTES,
     check_response_head,
     may_send_again,
     record_failure,
@@ -16,6 +17,7 @@
     LATE,
     TIMELY,
     EventSplitter,
+    OversizedEvent,
     cache_transfer_s,
     choose_decode,
     choose_endpoint,
@@ -259,7 +261,8 @@
                 self._prefilled_prompt = prompt if error.step == "connect" else None
                 if self._prefilled_prompt is None:
                     context.spawn(prompt.free(context))
-            return error
+            # Without its traceback, which would keep what was received.
+            return error.with_traceback(None)
         finally:
             run.end()
             context.stall_monitor.end(pending)
@@ -285,17 +288,19 @@
             await self._forward_error(response, head, run.state.record.address)
             return
         splitter = EventSplitter()
-        while True:
-            data = await response.read()
-            if not data:
-                break
-            exchange.reply.hold(-len(data))
-            now_s = self._context.clock()
-            pending.due_s = now_s + NEXT_EVENT_TIMEOUT_S
-            run.state.on_answer_bytes(now_s)
-            for event in splitter.feed(data):
-                self._forward_event(head, event, run)
-            await exchange.reply.drain()
+        try:
+            while True:
+                data = await response.read()
+                if not data:
+                    break
+                now_s = self._context.clock()
+                pending.due_s = now_s + NEXT_EVENT_TIMEOUT_S
+                run.state.on_answer_bytes(now_s)
+                for event in self._split(splitter, data, run):
+                    self._forward_event(head, event, run)
+                await exchange.reply.drain()
+        finally:
+            exchange.reply.hold(-splitter.held_bytes)
         self._check_end(response, run, splitter)
         if not exchange.reply.is_started:
             exchange.reply.start(head.status, head.headers)
@@ -307,6 +312,23 @@
             )
         exchange.outcome = f"{head.status}:streamed"
 
+    def _split(self, splitter, data, run):
+        """Return the complete events; count what the splitter holds back.
+
+        Raises
+        ------
+        CallError
+            When an event is too large.
+        """
+        held_bytes = splitter.held_bytes
+        try:
+            return splitter.feed(data)
+        except OversizedEvent as error:
+            peer = run.state.record.address
+            raise CallError("run", peer, "garbled", True) from error
+        finally:
+            self._exchange.reply.hold(splitter.held_bytes - held_bytes - len(data))
+
     def _check_end(self, response, run, splitter):
         """Raise CallError if a response has ended before its stream.
 
@@ -352,6 +374,7 @@
     async def _forward_error(self, response, head, peer):
         """Forward an endpoint's error response, unless another may succeed."""
         exchange = self._exchange
+        response.limit_body(SMALL_BODY_MAX_BYTES)
         body = await response.body()
         if exchange.reply.is_started or head.status >= 500:
             self._failed_response = (head, body)
--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -13,7 +13,11 @@
     UNUSED,
     ConnectionBudget,
 )
-from gypsumusher_http.connections import ConnectionPool, Response
+from gypsumusher_http.connections import (
+    RESPONSE_MAX_BYTES,
+    ConnectionPool,
+    Response,
+)
 from gypsumusher_http.errors import CallError, TunnelRefusedError
 from gypsumusher_http.listener import Listener, Reply, SharedBytes
 from gypsumusher_http.tunnels import TunnelRelay
@@ -23,6 +27,7 @@
     "SENT_AHEAD",
     "UNREAD",
     "UNUSED",
+    "RESPONSE_MAX_BYTES",
     "CallError",
     "CallLimits",
     "ConnectionBudget",
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -18,7 +18,7 @@
     open_tunnel,
 )
 
-__all__ = ["ConnectionPool", "Response"]
+__all__ = ["RESPONSE_MAX_BYTES", "ConnectionPool", "Response"]
 
 # Time for which an idle connection is reused when the endpoint announces no time-out.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -134,11 +134,24 @@
     async def body(self):
         """Read and return the whole body; raise the errors of `read`."""
         chunks = []
-        while True:
-            data = await self.read()
-            if not data:
-                return b"".join(chunks)
-            chunks.append(data)
+        try:
+            while True:
+                chunks.append(await self.read())
+                if not chunks[-1]:
+                    return b"".join(chunks)
+        finally:
+            # The traceback of an error would keep them as long as the error is kept.
+            chunks.clear()
+
+    def limit_body(self, max_body_bytes):
+        """Lower the largest body; a longer one fails the response as garbled.
+
+        Parameters
+        ----------
+        max_body_bytes : int
+            Largest body, in bytes.
+        """
+        self.max_body_bytes = min(self.max_body_bytes, max_body_bytes)
 
     def close(self):
         """Release the connection; abort it if the response is incomplete."""
@@ -204,6 +217,9 @@
         self._ends_at_eof = False
         self._is_reset = False
         self._is_unusable = False
+        # Why the connection isn't read: its response waits to be read, or all
+        # connections have received much at once.
+        self._is_unread = self._is_throttled = False
 
     @property
     def is_open(self):
@@ -267,12 +283,25 @@
 
     def pause_reading(self):
         """Stop to read until the response's body has been taken."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
+        self._is_unread = True
+        self._pause_or_resume()
 
     def resume_reading(self):
         """Read on."""
-        if self._transport is not None and not self._transport.is_closing():
+        self._is_unread = False
+        self._pause_or_resume()
+
+    def set_throttled(self, is_throttled):
+        """Set whether the connection isn't read for the moment."""
+        self._is_throttled = is_throttled
+        self._pause_or_resume()
+
+    def _pause_or_resume(self):
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._is_unread or self._is_throttled:
+            self._transport.pause_reading()
+        else:
             self._transport.resume_reading()
 
     # Called by the transport
@@ -285,6 +314,7 @@
             enable_tcp_keepalive(sock)
 
     def data_received(self, data):
+        self._pool.on_received(len(data))
         if self._response is None or self._response.is_complete:
             # Data after a complete response belongs to no request.
             self.abort()
@@ -311,6 +341,9 @@
 
     def connection_lost(self, error):
         self._transport = None
+        # It refers back to the connection, and would keep both until the next garbage
+        # collection.
+        self._parser = None
         self._is_reset = self._is_reset or error is not None
         self._pool.discard(self)
         if self._response is None or self._response.is_complete:
@@ -445,6 +478,23 @@
         self._idle = {}
         self._open = {}
         self.opened_count = 0
+        self._budget = None
+
+    def set_budget(self, budget):
+        """Count what is received, and stop reading after too much at once.
+
+        Parameters
+        ----------
+        budget : ConnectionBudget
+            Limit on what all connections receive at once.
+        """
+        self._budget = budget
+        budget.add_source(self._open_connections)
+
+    def on_received(self, size_bytes):
+        """Count bytes that a connection has received."""
+        if self._budget is not None:
+            self._budget.on_received(size_bytes)
 
     async def acquire(self, key, address, max_connections):
         """Return an idle or a new connection to a process.
@@ -501,6 +551,14 @@
             return connection
         return None
 
+    def _open_connections(self):
+        """Return all connections, also those that are being opened."""
+        return [
+            connection
+            for connections in self._open.values()
+            for connection in connections
+        ]
+
     def check_limit(self, key, address, max_connections):
         """Raise CallError if this host has no connection to a process left to open."""
         if len(self._open.get(key, ())) >= max(MIN_CONNECTIONS, max_connections):
--- a/libs/http/tests/test_endless_responses.py
+++ b/libs/http/tests/test_endless_responses.py
@@ -1,12 +1,20 @@
 """Bytes without end are no response: they end the connection soon, and stay few."""
 
 import asyncio
+import gc
 import tracemalloc
 
 import pytest
 from scripted_endpoint import ScriptedEndpoint, encode_response
 
-from gypsumusher_http import CallError, CallLimits, ConnectionPool, HttpClient
+from gypsumusher_http import (
+    RESPONSE_MAX_BYTES,
+    CallError,
+    CallLimits,
+    ConnectionBudget,
+    ConnectionPool,
+    HttpClient,
+)
 from gypsumusher_http.errors import TunnelRefusedError
 from gypsumusher_http.tunnels import open_tunnel
 from gypsumusher_platform import decode_response_head
@@ -15,6 +23,8 @@
 # Far below the deadline of a request, and the share of a host's memory that one
 # response may take.
 ENDED_WITHIN_S, MEMORY_MAX_BYTES = 2.0, 40 * 1024 * 1024
+# What four failed responses may leave.
+KEPT_MAX_BYTES = 1024 * 1024
 # What an endpoint sends at most, as fast as it is read.
 SENT_MAX_BYTES = 200 * 1024 * 1024
 HEAD = b"HTTP/1.1 200 OK\r\nX-Gypsumusher-Request-Id: r\r\n"
@@ -168,3 +178,92 @@
         await endpoint.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+# Guards against errors that keep all that was received until the next garbage
+# collection.
+@pytest.mark.parametrize("what", ("body in chunks", "value of a header"))
+@pytest.mark.parametrize("is_call", (False, True))
+def test_failed_response_is_freed_while_its_error_is_kept(what, is_call):
+    async def scenario():
+        endpoint = ScriptedEndpoint(sends(*ENDLESS[what]))
+        address = await endpoint.start()
+        clock = asyncio.get_running_loop().time
+        pool = ConnectionPool(clock, decode_response_head, 0.35)
+        client = HttpClient(clock)
+        limits = CallLimits(5.0, 5.0, 5.0, RESPONSE_MAX_BYTES)
+        errors = []
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            for _ in range(4):
+                try:
+                    if is_call:
+                        await client.call("GET", address, "/v1/objects/x", limits)
+                    else:
+                        await read_whole(pool, address)
+                except (CallError, DecodeError) as error:
+                    errors.append(error)
+                while endpoint.tasks:
+                    await asyncio.sleep(0.005)
+            kept_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+        client.close()
+        assert len(errors) == 4
+        assert kept_bytes < KEPT_MAX_BYTES
+        await endpoint.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+def test_body_above_a_lowered_limit_is_garbled():
+    async def scenario():
+        endpoint = ScriptedEndpoint(sends(*ENDLESS["body in chunks"]))
+        address = await endpoint.start()
+        clock = asyncio.get_running_loop().time
+        pool = ConnectionPool(clock, decode_response_head, 0.35)
+        connection = await pool.acquire(address, address, 10)
+        response = connection.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "r")
+        await response.head()
+        response.limit_body(300_000)
+        with pytest.raises(CallError) as caught:
+            received_bytes = 0
+            while data := await response.read():
+                received_bytes += len(data)
+        assert caught.value.reason == "garbled"
+        assert received_bytes < RESPONSE_MAX_BYTES / 4
+        response.close()
+        pool.close()
+        await endpoint.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
+
+
+# Guards against many responses that together fill the memory in one turn of the event
+# loop, before any of them can be given up.
+def test_connections_to_endpoints_count_for_what_is_received_at_once():
+    async def scenario():
+        endpoint = ScriptedEndpoint(sends(*ENDLESS["body in chunks"]))
+        address = await endpoint.start()
+        clock = asyncio.get_running_loop().time
+        pool = ConnectionPool(clock, decode_response_head, 0.35)
+        pool.set_budget(ConnectionBudget(lambda *_, **__: None, 8 * 65536))
+        connections = [await pool.acquire(address, address, 10) for _ in range(3)]
+        # More than the 65,536 bytes that may be received in one turn.
+        pool.on_received(65537)
+        assert not any(c._transport.is_reading() for c in connections)
+        await asyncio.sleep(0)
+        assert all(c._transport.is_reading() for c in connections)
+        # What waits to be read keeps its connection paused.
+        connections[0].pause_reading()
+        pool.on_received(65537)
+        await asyncio.sleep(0)
+        assert not connections[0]._transport.is_reading()
+        assert connections[1]._transport.is_reading()
+        pool.close()
+        await endpoint.close()
+
+    asyncio.run(asyncio.wait_for(scenario(), 30))
