Answer every request that a stopping host has taken

An operator of a similar system reported that requests which came late in the grace of a planned stop were passed on and, at its end, closed without an answer, some of which may not be repeated.

Cause: a stop serves on until callers' lists have expired, and a request was passed on however long it would take. At the end the listener aborted all connections. Nothing tied the time limit of a request, or the time that its endpoint was told, to the end of the host.

From the signal on the host has an end for requests, 0.2 s before it closes connections. Requests that can't be expected to end by then are refused at once (503 stopping, Retry-After 0.05 s): another host can take them. What is expected is the 95th percentile of the route's latest responses, or prefill and events of a generation, at most the request's own time limit; half as much again for requests that may run at most once. Requests that were passed on get a final response at the end (504), those that ran before the signal too; retries and hedges are held to the same end, and endpoints are told no more time than is left.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -30,6 +30,7 @@
     HostStatus,
     HostTable,
     Membership,
+    ResponseTimes,
     RetryBudget,
     RouteTable,
     TrueTime,
@@ -143,6 +144,10 @@
         # `StageLease`, or None until the host has started to compete for the lease.
         self.stage_lease = None
         self.is_draining = False
+        # When requests that are still served get their final response, because this
+        # host stops; None until then.
+        self.requests_end_at_s = None
+        self.response_times = ResponseTimes()
         # Names of the listeners whose address is still in use.
         self.missing_listeners = set()
         self._store_reachable_since_s = None
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -13,7 +13,7 @@
 from gypsumusher_entry.stream_exchange import serve_stream
 from gypsumusher_http import CallError
 from gypsumusher_platform import encode_refusal
-from gypsumusher_ports import STREAM, Refusal
+from gypsumusher_ports import ANY_TIMES, STREAM, Refusal
 from gypsumusher_routing import (
     UNLIMITED,
     FirstEventLimits,
@@ -23,6 +23,7 @@
     SendFate,
     abandoned_after_s,
     content_keys,
+    ends_in_time,
     first_event_limit_s,
     pick_service,
     spread_retry_after_s,
@@ -44,6 +45,8 @@
 MIN_ENDPOINT_TIME_S = 0.005
 # Most parts of a prompt that a log line names.
 LOGGED_PARTS_MAX = 12
+# ``Retry-After`` of a host that stops: another one can serve the request at once.
+STOPPING_RETRY_AFTER_S = 0.05
 # Network overhead of a response on its way to the caller. An endpoint must not go on
 # with a response that would arrive too late.
 RESPONSE_OVERHEAD_S = 0.01
@@ -73,6 +76,8 @@
         self.share = UNLIMITED
         self.service = None
         self.deadline_at_s = self.arrived_s
+        # The same without regard to the end of this host.
+        self._own_deadline_at_s = self.arrived_s
         self.first_output_at_s = None
         self.runs = RunAccount()
         self.send_counter = SendCounter()
@@ -113,6 +118,11 @@
         """Whether an endpoint may have run the request, or may still run it."""
         return self.runs.may_have_run
 
+    @property
+    def is_repeatable(self):
+        """Whether the request may run more than once."""
+        return self.route.kind == ANY_TIMES or self.route.is_resumable
+
     @property
     def priority(self):
         """Priority of the request: that of its account, or else of its route."""
@@ -206,6 +216,94 @@
         """Time within which an endpoint has to finish, in seconds."""
         return max(MIN_ENDPOINT_TIME_S, self.remaining_s - RESPONSE_OVERHEAD_S)
 
+    def expected_response_s(self, wait_s=0.0):
+        """Return the time that a response may take from now on, in seconds.
+
+        Parameters
+        ----------
+        wait_s : float
+            Expected time until the first event of a stream, in seconds.
+
+        Returns
+        -------
+        float or None
+            None when unknown.
+        """
+        if self.request.generation is not None:
+            events = self.expected_event_count
+            if events is not None:
+                cost_model = self.context.cost_model(self.service)
+                return wait_s + events * cost_model.event_gap_s
+        return self.context.response_times.expected_s(self.route.name)
+
+    def ends_before_stop(self, wait_s=0.0):
+        """Return whether the request, sent now, can be expected to end in time.
+
+        Parameters
+        ----------
+        wait_s : float
+            Expected time until the first event of a stream, in seconds.
+        """
+        end_at_s = self.context.requests_end_at_s
+        if end_at_s is None or self.reply.is_started:
+            return True
+        now_s = self.context.clock()
+        return ends_in_time(
+            self.expected_response_s(wait_s),
+            self.route.objective_s,
+            self._own_deadline_at_s - now_s,
+            end_at_s - now_s,
+            self.is_repeatable,
+        )
+
+    def refuse_as_stopping(self, wait_s=0.0):
+        """Refuse the request, because the host ends before it would.
+
+        Parameters
+        ----------
+        wait_s : float
+            Expected time until the first event of a stream, in seconds.
+        """
+        expected_s = self.expected_response_s(wait_s)
+        left_s = self.context.requests_end_at_s - self.context.clock()
+        self.log(
+            "info",
+            "request_refused",
+            reason="stopping",
+            route=self.route.name,
+            expected_s=None if expected_s is None else round(expected_s, 2),
+            is_repeatable=self.is_repeatable,
+            left_s=round(left_s, 2),
+        )
+        self.refuse(503, "stopping", STOPPING_RETRY_AFTER_S)
+
+    def set_time_limit(self, limit_s):
+        """Set the time limit from the arrival on, in seconds."""
+        self._own_deadline_at_s = self.deadline_at_s = self.arrived_s + limit_s
+        self.limit_to_stop()
+
+    @property
+    def is_limited_by_stop(self):
+        """Whether the request ends early because this host stops."""
+        return self.deadline_at_s < self._own_deadline_at_s
+
+    def limit_to_stop(self):
+        """End the request before the host ends, with a final response."""
+        end_at_s = self.context.requests_end_at_s
+        if end_at_s is None or self.deadline_at_s <= end_at_s:
+            return
+        self.deadline_at_s = end_at_s
+        if self._time_limit is None or self._time_limit.expired():
+            return
+        if self._refused_for_s is None:
+            left_s = max(0.0, self.remaining_s)
+            self._time_limit.reschedule(asyncio.get_running_loop().time() + left_s)
+
+    def record_duration(self):
+        """Record how long the response took, or that there was none for so long."""
+        took_s = self.context.clock() - self.arrived_s
+        self.context.response_times.learn(self.route.name, took_s)
+
     def stream_endpoints(self):
         """Return the endpoints that may run this stream now, or prefill its prompt.
 
@@ -294,8 +392,13 @@
                 return
             # The time limit is over: the final response goes out now, whatever an
             # endpoint is still doing.
-            status = 504 if self.may_have_run else 503
-            self.refuse(status, "timeout", NO_ENDPOINT_RETRY_AFTER_S)
+            if self.may_have_run:
+                self.record_duration()
+                self.refuse(504, "stopping" if self.is_limited_by_stop else "timeout")
+            elif self.is_limited_by_stop:
+                self.refuse_as_stopping()
+            else:
+                self.refuse(503, "timeout", NO_ENDPOINT_RETRY_AFTER_S)
         finally:
             self._time_limit = None
 
@@ -361,6 +464,8 @@
     def forward_response(self, head, body):
         """Forward an endpoint's complete response."""
         self.first_output_at_s = self.context.clock()
+        if head.status < 500:
+            self.record_duration()
         self.reply.send(head.status, head.headers, body)
         self.outcome = f"{head.status}:answered"
 
@@ -380,6 +485,9 @@
         if failed_response is not None and not self.reply.is_started:
             self.forward_response(*failed_response)
             return
+        if not self.may_have_run and not self.ends_before_stop():
+            self.refuse_as_stopping()
+            return
         reason = "no_endpoint" if error is None else error.reason
         states = self._serving_endpoints()
         paused_s = self.context.endpoint_notices.retry_after_s(states)
@@ -476,6 +584,15 @@
         exchange.refuse(*access.refusal)
         return
     exchange.account = access.account
+    time_limit_s = route.timeout_s
+    if request.caller_timeout_s is not None:
+        time_limit_s = min(time_limit_s, request.caller_timeout_s)
+    exchange.set_time_limit(time_limit_s)
+    # A prompt's time is known only once its engine can be chosen.
+    is_prompt = route.kind == STREAM and request.generation is not None
+    if not is_prompt and not exchange.ends_before_stop():
+        exchange.refuse_as_stopping()
+        return
     refused_for_s = context.crash_reports.refused_for_s(exchange, may_try=True)
     if refused_for_s:
         exchange.log(
@@ -489,14 +606,13 @@
         exchange.refuse(503, CrashingContentError.reason, refused_for_s)
         return
     exchange.service = pick_service(route, context.draw_uniform)
-    time_limit_s = route.timeout_s
-    if request.caller_timeout_s is not None:
-        time_limit_s = min(time_limit_s, request.caller_timeout_s)
-    exchange.deadline_at_s = exchange.arrived_s + time_limit_s
     serve = serve_stream if route.kind == STREAM else serve_from_service
     try:
         await exchange.run_within_time_limit(serve)
     except OverloadedError as error:
+        if exchange.is_limited_by_stop:
+            exchange.refuse_as_stopping(error.expected_s)
+            return
         exchange.log("info", "request_refused", reason="overloaded", detail=error)
         # By then the queue is short enough for the request to start within its limit.
         wait_s = error.expected_s - OVERLOAD_START_FRACTION * error.limit_s
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -37,6 +37,8 @@
 DIRECTORY_TTL_FACTOR = 3.0
 # Time reserved at the end of the stop period, in which remaining requests are cut off.
 STOP_RESERVE_S = 0.6
+# Time reserved before that for the final responses to requests that haven't ended.
+FINAL_RESPONSES_S = 0.2
 # Longest wait of a starting host for its configuration before it accepts callers. A
 # refused connection sends a caller to another host at once, whereas a 503 uses up one
 # of its few attempts; but if the store is down for every host, one of them has to
@@ -228,14 +230,19 @@
         The host first disappears from the directory responses of all hosts and keeps
         serving requests that still arrive; each response closes its connection. When
         callers' cached lists have expired, the host stops listening and waits for
-        running requests. A host that is stopped during its start may accept no callers
-        yet, and then waits for tunnels alone.
+        running requests. Those that can't be expected to end in time are refused when
+        they arrive, and those that haven't ended by then get a final response. A host
+        that is stopped during its start may accept no callers yet, and then waits for
+        tunnels alone.
         """
         context = self.context
         bounds = context.settings.bounds
         began_s = context.clock()
         deadline_at_s = began_s + bounds.stop_s - STOP_RESERVE_S
         context.is_draining = True
+        context.requests_end_at_s = deadline_at_s - FINAL_RESPONSES_S
+        for exchange in context.exchanges:
+            exchange.limit_to_stop()
         self._listener.is_draining = True
         self._gossip.send_now()
         self.log("info", "stop_began", busy=self._listener.count_active())
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -7,7 +7,6 @@
 from gypsumusher_entry.errors import LIMITED, OTHER_VERSION, PAUSED, NoRetryError
 from gypsumusher_http import CallError
 from gypsumusher_platform import encode_endpoint_request
-from gypsumusher_ports import ANY_TIMES
 from gypsumusher_routing import SentRequest
 
 __all__ = [
@@ -275,16 +274,18 @@
 
     Once bytes of a request that must run at most once may have arrived, only an
     explicit "not run" of the endpoint allows another send; otherwise a booking could be
-    made twice.
+    made twice. Nor is a request sent that would outlast a stopping host: another host
+    can still serve it.
 
     Parameters
     ----------
     exchange : Exchange
         The request.
     """
-    route = exchange.route
-    is_repeatable = route.kind == ANY_TIMES or route.is_resumable
-    return exchange.runs.may_begin(is_repeatable, route.max_endpoints)
+    max_endpoints = exchange.route.max_endpoints
+    if not exchange.runs.may_begin(exchange.is_repeatable, max_endpoints):
+        return False
+    return exchange.ends_before_stop()
 
 
 @contextlib.asynccontextmanager
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -82,6 +82,10 @@
         """Prefill the prompt, then send until a stream is complete or none can be."""
         exchange, context = self._exchange, self._context
         reason = await self._check_version()
+        wait_s = self._expected_wait_s()
+        if reason is None and not exchange.ends_before_stop(wait_s):
+            exchange.refuse_as_stopping(wait_s)
+            return
         context.record_request(exchange.service)
         if reason is not None:
             exchange.log(
@@ -107,6 +111,19 @@
                 self._failed_response, error, self._retry_after_s()
             )
 
+    def _expected_wait_s(self):
+        """Return the expected time until the first event if the host stops, else 0."""
+        exchange, context = self._exchange, self._context
+        if context.requests_end_at_s is None or not self._is_generation():
+            return 0.0
+        engine_pool = context.engine_pool(
+            exchange.service, self._limits, exchange.stream_endpoints()
+        )
+        prefill = choose_prefill(
+            context.clock(), engine_pool, exchange.routing_request, context.draw_uniform
+        )
+        return 0.0 if prefill is None else prefill.expected_s
+
     async def _check_version(self):
         """Find out at which software version the stream may run.
 
@@ -301,6 +318,7 @@
             exchange.reply.start(head.status, head.headers)
         exchange.reply.write(splitter.incomplete)
         exchange.reply.end()
+        exchange.record_duration()
         if self._is_generation() and exchange.event_count:
             exchange.tokens_per_event.learn(
                 exchange.estimated_tokens, exchange.event_count
--- a/libs/routing/gypsumusher_routing/__init__.py
+++ b/libs/routing/gypsumusher_routing/__init__.py
@@ -144,6 +144,7 @@
     StageOrder,
 )
 from gypsumusher_routing.stage_plan import EngineView, StageChange, StagePlanner
+from gypsumusher_routing.stop_time import ResponseTimes, ends_in_time
 from gypsumusher_routing.stream_versions import (
     STREAM_KEY_BYTES,
     STREAM_LIFETIME_FACTOR,
@@ -238,6 +239,7 @@
     "RecordState",
     "RefusedContent",
     "RelayTable",
+    "ResponseTimes",
     "RetryBudget",
     "RetryDecision",
     "RouteTable",
@@ -307,6 +309,7 @@
     "EngineWorkWindow",
     "WantedEngines",
     "WorkMeter",
+    "ends_in_time",
     "engines_needed",
     "UNLIMITED",
     "DemandReport",
