Keep the end of a stopping host out of the estimates of engines

A request's deadline was cut to the end of its host. Engine choice and the allowed gap between events follow from the deadline, so the estimates that a stopping host tells others took its end for the caller's limit. Now the end limits only how long the request is served and what an endpoint is told.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -76,8 +76,6 @@
         self.share = UNLIMITED
         self.service = None
         self.deadline_at_s = self.arrived_s
-        # The same without regard to the end of this host.
-        self._own_deadline_at_s = self.arrived_s
         self.first_output_at_s = None
         self.runs = RunAccount()
         self.send_counter = SendCounter()
@@ -166,6 +164,13 @@
         """Time until the caller's or the route's time limit ends, in seconds."""
         return self.deadline_at_s - self.context.clock()
 
+    @property
+    def served_for_s(self):
+        """Time until the final response goes out at the latest, in seconds."""
+        if not self.is_limited_by_stop:
+            return self.remaining_s
+        return self.context.requests_end_at_s - self.context.clock()
+
     @property
     def objective_remaining_s(self):
         """Time until the response or its first event is late, in seconds."""
@@ -214,7 +219,7 @@
     @property
     def endpoint_time_limit_s(self):
         """Time within which an endpoint has to finish, in seconds."""
-        return max(MIN_ENDPOINT_TIME_S, self.remaining_s - RESPONSE_OVERHEAD_S)
+        return max(MIN_ENDPOINT_TIME_S, self.served_for_s - RESPONSE_OVERHEAD_S)
 
     def expected_response_s(self, wait_s=0.0):
         """Return the time that a response may take from now on, in seconds.
@@ -251,7 +256,7 @@
         return ends_in_time(
             self.expected_response_s(wait_s),
             self.route.objective_s,
-            self._own_deadline_at_s - now_s,
+            self.remaining_s,
             end_at_s - now_s,
             self.is_repeatable,
         )
@@ -277,27 +282,19 @@
         )
         self.refuse(503, "stopping", STOPPING_RETRY_AFTER_S)
 
-    def set_time_limit(self, limit_s):
-        """Set the time limit from the arrival on, in seconds."""
-        self._own_deadline_at_s = self.deadline_at_s = self.arrived_s + limit_s
-        self.limit_to_stop()
-
     @property
     def is_limited_by_stop(self):
-        """Whether the request ends early because this host stops."""
-        return self.deadline_at_s < self._own_deadline_at_s
+        """Whether this host stops before the request's own time limit ends."""
+        end_at_s = self.context.requests_end_at_s
+        return end_at_s is not None and end_at_s < self.deadline_at_s
 
-    def limit_to_stop(self):
+    def on_stop(self):
         """End the request before the host ends, with a final response."""
-        end_at_s = self.context.requests_end_at_s
-        if end_at_s is None or self.deadline_at_s <= end_at_s:
-            return
-        self.deadline_at_s = end_at_s
         if self._time_limit is None or self._time_limit.expired():
             return
-        if self._refused_for_s is None:
-            left_s = max(0.0, self.remaining_s)
-            self._time_limit.reschedule(asyncio.get_running_loop().time() + left_s)
+        if self.is_limited_by_stop and self._refused_for_s is None:
+            now_s = asyncio.get_running_loop().time()
+            self._time_limit.reschedule(now_s + self.served_for_s)
 
     def record_duration(self):
         """Record how long the response took, or that there was none for so long."""
@@ -384,7 +381,7 @@
             Coroutine function that serves an exchange.
         """
         try:
-            async with asyncio.timeout(self.remaining_s) as self._time_limit:
+            async with asyncio.timeout(self.served_for_s) as self._time_limit:
                 await serve(self)
         except TimeoutError:
             if self._refused_for_s is not None:
@@ -587,7 +584,7 @@
     time_limit_s = route.timeout_s
     if request.caller_timeout_s is not None:
         time_limit_s = min(time_limit_s, request.caller_timeout_s)
-    exchange.set_time_limit(time_limit_s)
+    exchange.deadline_at_s = exchange.arrived_s + time_limit_s
     # A prompt's time is known only once its engine can be chosen.
     is_prompt = route.kind == STREAM and request.generation is not None
     if not is_prompt and not exchange.ends_before_stop():
@@ -610,9 +607,6 @@
     try:
         await exchange.run_within_time_limit(serve)
     except OverloadedError as error:
-        if exchange.is_limited_by_stop:
-            exchange.refuse_as_stopping(error.expected_s)
-            return
         exchange.log("info", "request_refused", reason="overloaded", detail=error)
         # By then the queue is short enough for the request to start within its limit.
         wait_s = error.expected_s - OVERLOAD_START_FRACTION * error.limit_s
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -242,7 +242,7 @@
         context.is_draining = True
         context.requests_end_at_s = deadline_at_s - FINAL_RESPONSES_S
         for exchange in context.exchanges:
-            exchange.limit_to_stop()
+            exchange.on_stop()
         self._listener.is_draining = True
         self._gossip.send_now()
         self.log("info", "stop_began", busy=self._listener.count_active())
