--- a/libs/entry/tests/test_late_requests_in_a_stop.py
+++ b/libs/entry/tests/test_late_requests_in_a_stop.py
@@ -10,6 +10,7 @@
     IDEMPOTENT_ROUTE,
     STREAM_ROUTE,
     HostHarness,
+    make_engines,
     run,
     until,
 )
@@ -28,7 +29,7 @@
 
     async def __call__(self, number, head, body, writer):
         await asyncio.sleep(60.0 if b"/forever " in head else self.usual_s)
-        writer.write(encode_response(request_id_of(head)))
+        writer.write(encode_response(request_id_of(head), b"data: a\n\n"))
 
 
 async def begin_stop(harness, stop_s=STOP_S):
@@ -150,3 +151,33 @@
             await stopping
 
     run(scenario())
+
+
+def test_late_generation_is_refused_by_the_time_that_its_events_take():
+    """Guards against a judgement by other generations of the same route."""
+
+    async def scenario():
+        route = {**STREAM_ROUTE, **LONG}
+        async with HostHarness(Work(0.0), routes=(route,)) as harness:
+            await make_engines(harness, "decode", route=route)
+            cost_model = harness.host.context.cost_model("svc")
+            cost_model.tokens_per_event("r-0").restore(1.0)
+            stopping = await begin_stop(harness)
+            for request_id, tokens in (("long", "10,5000"), ("short", "10,1")):
+                await harness.ask(
+                    "/0/x",
+                    "POST",
+                    request_id,
+                    **{"X-Gypsumusher-Token-Count": tokens, **DEADLINE},
+                )
+            outcomes = {
+                fields["id"]: fields["outcome"]
+                for event, fields in harness.log_lines
+                if event == "request_ended"
+            }
+            assert outcomes["long"] == "503:stopping"
+            assert outcomes["short"].startswith("200:")
+            assert harness.arrivals() == 1
+            await stopping
+
+    run(scenario())
