Answer requests that were sent ahead when a host stops

A caller that sends requests ahead on one connection, during a planned stop, got the response to the first; then the connection was closed and the others, whole and received, got nothing. Cause: each response in a stop closed its connection, whatever had been received behind its request.

Now the connection closes after the response behind which nothing has been received.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -288,8 +288,12 @@
 
     @property
     def closes_after_response(self):
-        """Whether the connection closes after the current response."""
-        return self._listener.is_draining
+        """Whether the connection closes after the current response.
+
+        Requests that have been received behind the current one are answered first.
+        """
+        has_received_more = bool(self._queued or self._unparsed)
+        return self._listener.is_draining and not has_received_more
 
     # Read and called by the budget
 
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -207,6 +207,31 @@
     run(scenario())
 
 
+def test_draining_listener_answers_requests_that_were_sent_ahead():
+    """Guards against requests that were read and then closed without a response."""
+
+    async def handle(request, reply):
+        await asyncio.sleep(0.05)
+        reply.send(200, [("X-Seen", request.target)], b"")
+
+    async def scenario():
+        async with CallerFixture(handle) as caller:
+            caller.listener.is_draining = True
+            names = [b"/a", b"/b", b"/c"]
+            caller.writer.write(
+                b"".join(b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % name for name in names)
+            )
+            data = await caller.reader.read()
+            heads = data.split(b"\r\n\r\n")[:-1]
+            assert [
+                head.split(b"X-Seen: ")[1].split(b"\r\n")[0] for head in heads
+            ] == names
+            closes = [b"Connection: close" in head for head in heads]
+            assert closes == [False, False, True]
+
+    run(scenario())
+
+
 def test_too_large_header_is_rejected_before_its_end():
     async def scenario():
         async with CallerFixture() as caller:
