Judge a late request by its events only on a route for streams

A prompt on a route to a plain service was looked up in the cost model of a service that wasn't chosen yet, which left an entry without a name.

--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -116,6 +116,11 @@
         """Whether an endpoint may have run the request, or may still run it."""
         return self.runs.may_have_run
 
+    @property
+    def is_prompt(self):
+        """Whether the request asks for a stream of generated text."""
+        return self.route.kind == STREAM and self.request.generation is not None
+
     @property
     def is_repeatable(self):
         """Whether the request may run more than once."""
@@ -234,7 +239,7 @@
         float or None
             None when unknown.
         """
-        if self.request.generation is not None:
+        if self.is_prompt:
             events = self.expected_event_count
             if events is not None:
                 cost_model = self.context.cost_model(self.service)
@@ -586,8 +591,7 @@
         time_limit_s = min(time_limit_s, request.caller_timeout_s)
     exchange.deadline_at_s = exchange.arrived_s + time_limit_s
     # A prompt's time is known only once its engine can be chosen.
-    is_prompt = route.kind == STREAM and request.generation is not None
-    if not is_prompt and not exchange.ends_before_stop():
+    if not exchange.is_prompt and not exchange.ends_before_stop():
         exchange.refuse_as_stopping()
         return
     refused_for_s = context.crash_reports.refused_for_s(exchange, may_try=True)
