Record versions before streams begin, and conclude nothing without a record

Callers saw streams go on at another software version at a host that was cut off from the others while a new version joined, and after the loss of all hosts. Hosts wrote the record of versions beside the first streams. While the store took no writes, streams began unrecorded, and a host that read no record took the only version that it had heard of for the only one there was.

A host now has versions recorded before it opens the callers' listener. A stream waits while no version of its service is known to be recorded, up to 0.5 s after the recording has begun, so that a store that is away holds streams once and not each one. A record also gets the versions that have left lately. A missing record proves nothing; a host that reads for another one and finds none doesn't answer.

The machine's store stand-in can refuse writes; no check is changed.

--- a/libs/entry/gypsumusher_entry/begun_streams.py
+++ b/libs/entry/gypsumusher_entry/begun_streams.py
@@ -177,7 +177,8 @@
             # There may be others that this host hasn't heard of.
             recorded = await self._read(service)
             has_read = recorded is not None
-            if has_read and recorded <= possible:
+            # A missing record proves nothing: streams may have begun unrecorded.
+            if recorded and recorded <= possible:
                 return (service, next(iter(possible))), "store", possible
             possible |= recorded or frozenset()
         needs_record = not has_read and len(possible) == 1
@@ -310,8 +311,24 @@
             results = [await self._read(service) for service in keys]
         finally:
             self._reading.discard((number, ip))
+        if not self._knows(keys) and self._lacks_record(keys, results):
+            # The stream may have begun at a version that this host hasn't heard of.
+            return
         self._answer(number, keys, ip, None not in results)
 
+    def _knows(self, keys):
+        """Return whether one of the keys is of a stream that this host knows."""
+        now_s = self._context.clock()
+        return any(self.streams.find(now_s, key) for key in keys.values())
+
+    def _lacks_record(self, services, results):
+        """Return whether a service with versions has no record, as was just read."""
+        possible = self._context.version_records.possible
+        return any(
+            recorded == frozenset() and possible(service)
+            for service, recorded in zip(services, results, strict=True)
+        )
+
     def _answer(self, number, keys, ip, has_read):
         """Send what this host knows of a stream, and the versions that it knows."""
         now_s = self._context.clock()
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -137,6 +137,8 @@
         # a configuration.
         bound = await self._start_api()
         await self._wait_for_configuration(CONFIGURATION_WAIT_S)
+        # Streams that begin unrecorded can't be taken up after the loss of their host.
+        await context.version_records.prepare_all()
         callers = await self._listen(CALLERS, self._listener, settings.callers_address)
         self._gossip.send_now()
         await self._prefix_cache_recovery.start()
--- a/libs/entry/gypsumusher_entry/version_records.py
+++ b/libs/entry/gypsumusher_entry/version_records.py
@@ -23,7 +23,7 @@
 # the first one tells all others.
 RANK_DELAY_S, MAX_RANK_DELAY_S = 0.15, 1.5
 MIN_PAUSE_S, MAX_PAUSE_S = 0.2, 2.0
-# Longest wait of a new stream for the record of a version where none is recorded.
+# Longest wait of new streams for the record of a version where none is recorded.
 RECORD_WAIT_S = 0.5
 # Pause between two checks for versions whose endpoints have left for good.
 DROP_INTERVAL_S = 10.0
@@ -44,6 +44,8 @@
         self._send_datagram = None
         self._recorded = {}
         self._tasks = {}
+        # When the recording that is under way, or was last, began, by service.
+        self._record_began_s = {}
         self._drop_checked_s = context.clock()
         # Called with the name of a service whose record has changed.
         self.listeners = []
@@ -85,18 +87,29 @@
     async def prepare(self, service):
         """Have the versions of a service recorded before a stream begins.
 
-        Waits only while there are several versions, none of them recorded.
+        Waits only while none of its versions is known to be recorded, and not for
+        longer than `RECORD_WAIT_S` after the recording has begun.
         """
+        context = self._context
         recorded = self._of_service(service).versions
-        present = self._context.endpoints.versions.present(service)
+        present = context.endpoints.versions.present(service)
         if present <= recorded:
             self._drop_absent(service, recorded - present)
             return
-        is_urgent = not recorded & present and len(self.possible(service)) > 1
-        delay_s = 0.0 if is_urgent else self._rank_delay_s()
-        task = self._record_soon(service, delay_s)
-        if is_urgent:
-            await asyncio.wait([task], timeout=RECORD_WAIT_S)
+        if recorded & present:
+            self._record_soon(service, self._rank_delay_s())
+            return
+        task = self._record_soon(service, 0.0)
+        until_s = self._record_began_s[service] + RECORD_WAIT_S
+        if until_s > context.clock():
+            await asyncio.wait([task], timeout=until_s - context.clock())
+
+    async def prepare_all(self):
+        """Have the versions of all services recorded that have endpoints."""
+        configuration = self._context.configuration
+        if configuration is None:
+            return
+        await asyncio.gather(*map(self.prepare, configuration.services))
 
     async def read(self, service):
         """Read the record of a service; return its versions, None if that failed.
@@ -170,6 +183,7 @@
         """Start to record the versions of a service unless that is under way."""
         task = self._tasks.get(service)
         if task is None or task.done():
+            self._record_began_s[service] = self._context.clock() + delay_s
             task = self._context.spawn(self._record(service, delay_s))
             self._tasks[service] = task
         return task
@@ -192,11 +206,13 @@
 
     async def _write(self, service):
         """Write the record of a service; return whether it is as it should be."""
+        context = self._context
         if self._is_recorded(service):
             return True
         known = self._of_service(service)
-        present = self._context.endpoints.versions.present(service)
-        versions = frozenset(present) | (known.versions - self._droppable(service))
+        # Streams may have begun unrecorded at versions that have left since.
+        recent = context.endpoints.versions.recent(context.clock(), service)
+        versions = recent | (known.versions - self._droppable(service))
         content = {VERSIONS: sorted(versions)}
         if known.revision:
             call = self._store.replace(VERSIONS_KIND, service, content, known.revision)
@@ -205,7 +221,7 @@
         result = await call
         if not isinstance(result, Success):
             error = result.failure()
-            self._context.log(
+            context.log(
                 "info",
                 "versions_not_recorded",
                 service=service,
@@ -216,7 +232,7 @@
         revision = result.unwrap().revision
         self._on_record(service, versions, revision, "own")
         fields = [service, sorted(versions), revision]
-        for ip in set(self._context.hosts.addresses().values()):
+        for ip in set(context.hosts.addresses().values()):
             self._send_datagram(RECORDED, fields, ip)
         return True
 
--- a/libs/entry/tests/test_stream_version_machine.py
+++ b/libs/entry/tests/test_stream_version_machine.py
@@ -13,6 +13,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from platform_samples import sample_endpoint_entry
 from returns.result import Failure, Success
 
 from gypsumusher_entry.begun_streams import BegunStreams
@@ -52,14 +53,24 @@
         self.revision = 1
         self.endpoints = {}
         self.is_store_down = False
+        self.refuses_writes = False
         self.without_store = None
+        # Hosts that are cut off from the store and from all hosts but each other.
+        self.isolated = frozenset()
         self.without_peers = None
         self.is_lossy = False
         self.random = random.Random(1)
 
     def can_call(self, host):
+        if host.number in self.isolated:
+            return False
         return not self.is_store_down and self.without_store != host.number
 
+    def can_send(self, sender, receiver):
+        if self.without_peers in (sender.number, receiver.number):
+            return False
+        return (sender.number in self.isolated) == (receiver.number in self.isolated)
+
     async def get(self, host, kind, name):
         await asyncio.sleep(MESSAGE_S)
         if not self.can_call(host):
@@ -68,9 +79,21 @@
             return Failure(PlatformError("get", "store", "absent", ""))
         return Success(self.records[name])
 
-    async def write(self, host, kind, name, content, revision=0):
+    async def list(self, host, kind):
         await asyncio.sleep(MESSAGE_S)
         if not self.can_call(host):
+            return Failure(PlatformError("list", "store", "unknown", ""))
+        found = []
+        for name, record in self.endpoints.items():
+            content = sample_endpoint_entry(
+                record.address, version=record.software_version
+            )
+            found.append(StoredObject(name, self.revision, content, None))
+        return Success(SimpleNamespace(objects=found, revision=self.revision))
+
+    async def write(self, host, kind, name, content, revision=0):
+        await asyncio.sleep(MESSAGE_S)
+        if not self.can_call(host) or self.refuses_writes:
             return Failure(PlatformError("write", "store", "refused", ""))
         known = self.records.get(name)
         if (known.revision if known else 0) != revision:
@@ -102,6 +125,7 @@
             datagram_handlers={},
             hosts=SimpleNamespace(
                 existing_count=lambda: HOSTS,
+                live=lambda now_s: [h for h in hosts if h is not self],
                 addresses=lambda: {h.number: h.ip for h in hosts if h is not self},
             ),
             active_hosts=lambda: [
@@ -120,6 +144,7 @@
         context.begun_streams = self.streams = BegunStreams(context)
         store = SimpleNamespace(
             get=lambda *a: world.get(self, *a),
+            list=lambda *a: world.list(self, *a),
             create=lambda *a: world.write(self, *a),
             replace=lambda *a: world.write(self, *a),
         )
@@ -134,7 +159,7 @@
     def send(self, kind, fields, ip):
         receiver = next(host for host in self.hosts if host.ip == ip)
         world = self.world
-        if world.without_peers in (self.number, receiver.number):
+        if not world.can_send(self, receiver):
             return
         if world.is_lossy and world.random.random() < LOSS_SHARE:
             return
@@ -261,16 +286,20 @@
         ]
         if not alive:
             return
-        stream_id = alive[-1 - choice % len(alive)]
+        self.resume(number, alive[-1 - choice % len(alive)])
+
+    def resume(self, number, stream_id):
+        """Take a stream up at a host."""
         host, exchange = self.hosts[number], self.exchange(stream_id, True)
         if not host.context.endpoints.states:
-            return
+            return None
         found = self.loop.run_until_complete(host.streams.find(exchange))
         if found is None:
-            return
+            return None
         if found[1] != self.begun[stream_id][0]:
             self.mixed.append((stream_id, self.begun[stream_id], found, number))
         host.streams.on_first_event(exchange, found[1])
+        return found
 
     @rule(number=NUMBERS)
     def restart(self, number):
@@ -349,6 +378,19 @@
     assert not machine.mixed
 
 
+# Guards against a missing record that counts as proof, at a host that is cut off from
+# the others while the store takes no writes.
+def test_host_with_an_old_list_concludes_nothing_without_a_record():
+    machine = StreamVersionMachine()
+    machine.world.refuses_writes = True
+    machine.cut_from_peers(3)
+    machine.release_and_begin(0)
+    stream_id, (version, _, _) = list(machine.begun.items())[-1]
+    machine.resume(3, stream_id)
+    machine.teardown()
+    assert version == "v2" and not machine.mixed
+
+
 # Guards against a version that begins streams before its record is written.
 def test_unrecorded_version_begins_no_stream():
     machine = StreamVersionMachine()
