Conclude a stream's version only where other hosts or the store confirm it

Callers saw streams go on at another software version at a host that was out of step with the others. Such a host knew one version, and concluded it

* from a record that lacks a version at which streams began unrecorded, as no endpoint of the recorded one was left and the store took no writes;
* without the store, from the answer of any one host, also of one that was cut off together with it from hosts that see the store.

A host that knows one version now also asks the six hosts of the stream and goes on once half of them know no other. If fewer answer, it lists the endpoints in the store. Without the store and without a host that reads it, it has to hear more than half of all hosts. All answers count, not only those of hosts that have read the record. What isn't confirmed is refused.

The two tests failed before (a stream of v2 went on at v1) and pass; a third one checks that a host without peers still resumes streams of the only version.

--- a/libs/entry/gypsumusher_entry/begun_streams.py
+++ b/libs/entry/gypsumusher_entry/begun_streams.py
@@ -39,20 +39,27 @@
     ----------
     keys : dict of str to bytes
         Key of the stream for each service that may have begun it.
+    services : frozenset of str
+        Services whose versions count.
     awaited : set of str
         IP addresses of the hosts that haven't answered.
-    possible, read : set of str
-        Versions that may have begun the stream, according to all answers, and to those
-        of hosts that have read the record.
+    least_awaited : int
+        Number of hosts whose answers may be missing if all others and this host know
+        the same single version.
+    possible : set of str
+        Versions that may have begun the stream, according to this host and all answers.
+    readers : set of str
+        IP addresses of the hosts that have answered and read the record.
     ended : asyncio.Future
-        The service and the version; None once all hosts have answered without, or one
-        has read a record with a single version.
+        The service and the version; None once enough hosts have answered without.
     """
 
     keys: dict
+    services: frozenset
     awaited: set
+    least_awaited: int
     possible: set
-    read: set
+    readers: set
     ended: asyncio.Future
 
 
@@ -65,13 +72,17 @@
         Service and version of the stream, if a host knows it.
     possible : frozenset of str
         Versions that may have begun it.
-    has_any : bool
-        Whether any host has answered.
+    asked, answered : int
+        Numbers of the hosts that were asked, and that have answered.
+    has_read : bool
+        Whether one of these has read the record.
     """
 
     found: tuple | None
     possible: frozenset
-    has_any: bool
+    asked: int
+    answered: int
+    has_read: bool
 
 
 class BegunStreams:
@@ -172,26 +183,66 @@
             known = self.streams.find(context.clock(), key)
             if known is not None:
                 return _found(other, known.version), "own", possible
-        has_read = False
+        recorded = None
         if len(possible) == 1:
             # There may be others that this host hasn't heard of.
             recorded = await self._read(service)
-            has_read = recorded is not None
-            # A missing record proves nothing: streams may have begun unrecorded.
-            if recorded and recorded <= possible:
-                return (service, next(iter(possible))), "store", possible
             possible |= recorded or frozenset()
-        needs_record = not has_read and len(possible) == 1
-        if not keys and not needs_record:
+        is_single = len(possible) == 1
+        if not keys and not is_single:
             return None, "none", possible
-        answers = await self._ask(keys or {service: b""}, needs_record)
+        needs_record = is_single and recorded is None
+        answers = await self._ask(service, keys, possible, needs_record)
         if answers.found is not None:
             return _found(*answers.found), "hosts", possible
         possible |= answers.possible | context.version_records.possible(service)
-        is_alone = context.hosts.existing_count() == 1
-        if needs_record and len(possible) == 1 and (answers.has_any or is_alone):
-            return (service, next(iter(possible))), "hosts", possible
-        return None, "none", possible
+        if not is_single or len(possible) != 1 or recorded == frozenset():
+            return None, "none", possible
+        is_confirmed = self._is_confirmed(answers, recorded)
+        if not is_confirmed and recorded is not None:
+            # This host may have missed a version that couldn't be recorded.
+            listed = await self._list(service)
+            is_confirmed = listed is not None and listed <= possible
+        if not is_confirmed:
+            return None, "none", possible
+        source = "hosts" if recorded is None else "store"
+        return (service, next(iter(possible))), source, possible
+
+    def _is_confirmed(self, answers, recorded):
+        """Return whether no host can know of another version than all that answered.
+
+        Parameters
+        ----------
+        answers : _Answers
+            Answers of hosts that know a single version.
+        recorded : frozenset of str or None
+            The record as this host has read it; None if it couldn't.
+
+        Returns
+        -------
+        bool
+        """
+        hosts = self._context.hosts
+        existing = hosts.existing_count()
+        if existing == 1:
+            return True
+        if recorded is not None:
+            # An outdated host is told by the first ones that aren't.
+            return answers.answered > 0 and 2 * answers.answered >= answers.asked
+        if answers.has_read:
+            return True
+        # The hosts may be cut off together from others that see the store.
+        live = 1 + len(hosts.live(self._context.clock()))
+        least = min(existing, ASKED_HOSTS + 1)
+        return 2 * live > existing and 2 * (answers.answered + 1) > least
+
+    async def _list(self, service):
+        """Return the versions of a service's endpoints in the store, None if away."""
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                return await self._context.version_records.read_present(service)
+        except TimeoutError:
+            return None
 
     async def _read(self, service):
         """Return the recorded versions of a service; None if the store is away."""
@@ -204,13 +255,17 @@
         except TimeoutError:
             return None
 
-    async def _ask(self, keys, needs_record):
+    async def _ask(self, service, keys, possible, needs_record):
         """Ask other hosts for a stream.
 
         Parameters
         ----------
+        service : str
+            Service that would go on with it.
         keys : dict of str to bytes
             Key of the stream for each service that may have begun it.
+        possible : frozenset of str
+            Versions that may have begun it, as far as this host knows.
         needs_record : bool
             Whether they are to read the services' records for this host.
 
@@ -218,14 +273,19 @@
         -------
         _Answers
         """
+        keys = keys or {service: b""}
         key = next(iter(keys.values()))
         awaited = {host.ip for host in self._choose_hosts(key, ASKED_HOSTS)}
         count = len(awaited)
         if not count:
-            return _Answers(None, frozenset(), False)
+            return _Answers(None, frozenset(), 0, 0, False)
         number = secrets.randbits(32)
         ended = asyncio.get_running_loop().create_future()
-        question = _Question(keys, awaited, set(), set(), ended)
+        least_awaited = 0 if needs_record else count // 2
+        services = frozenset(keys if needs_record else (service,))
+        question = _Question(
+            keys, services, awaited, least_awaited, set(possible), set(), ended
+        )
         self._questions[number] = question
         fields = [number, [[name, key] for name, key in keys.items()], needs_record]
         last_wait_s = ANSWER_TIMEOUT_S - ASK_AGAIN_S
@@ -241,10 +301,9 @@
         finally:
             del self._questions[number]
         found = ended.result() if ended.done() else None
-        # The record as one host has read it has all versions, also those that the
-        # others haven't heard of.
-        possible = question.read or question.possible
-        return _Answers(found, frozenset(possible), len(awaited) < count)
+        answered = count - len(awaited)
+        has_read = bool(question.readers)
+        return _Answers(found, frozenset(question.possible), count, answered, has_read)
 
     def _choose_hosts(self, key, count):
         """Return other active hosts, the same ones for a stream on all hosts."""
@@ -347,14 +406,18 @@
         if question is None or ip not in question.awaited or question.ended.done():
             return
         question.awaited.discard(ip)
+        if has_read:
+            question.readers.add(ip)
         for service, is_known, version, possible in found:
-            question.possible.update(map(str, possible))
-            if has_read:
-                question.read.update(map(str, possible))
+            if service in question.services:
+                question.possible.update(map(str, possible))
             if is_known and service in question.keys and not question.ended.done():
                 question.ended.set_result((service, version))
-        is_single = len(question.read) == 1
-        if not question.ended.done() and (is_single or not question.awaited):
+        if question.ended.done():
+            return
+        is_single = len(question.possible) == 1
+        has_enough = question.readers or len(question.awaited) <= question.least_awaited
+        if not question.awaited or (is_single and has_enough):
             question.ended.set_result(None)
 
 
--- a/libs/entry/gypsumusher_entry/version_records.py
+++ b/libs/entry/gypsumusher_entry/version_records.py
@@ -9,6 +9,8 @@
 
 from returns.result import Failure, Success
 
+from gypsumusher_platform import ENDPOINTS_KIND, decode_endpoint
+from gypsumusher_ports import DecodeError
 from gypsumusher_routing import LEFT_FOR_S, RecordedVersions
 
 __all__ = ["VERSIONS_KIND", "VersionRecords"]
@@ -130,6 +132,25 @@
         self._on_record(service, versions, stored.revision, "store")
         return versions
 
+    async def read_present(self, service):
+        """Return the versions of a service's endpoints in the store; None if it failed.
+
+        Entries that can't be decoded get no requests, and don't count.
+        """
+        result = await self._store.list(ENDPOINTS_KIND)
+        if isinstance(result, Failure):
+            return None
+        versions = set()
+        for stored in result.unwrap().objects:
+            try:
+                record = decode_endpoint(stored)
+            except DecodeError as error:
+                self._context.log("warning", "endpoint_entry_unreadable", error=error)
+                continue
+            if record.service == service:
+                versions.add(record.software_version)
+        return frozenset(versions)
+
     def _of_service(self, service):
         """Return the known record of a service."""
         recorded = self._recorded.get(service)
--- a/libs/entry/tests/test_stream_version_machine.py
+++ b/libs/entry/tests/test_stream_version_machine.py
@@ -391,6 +391,50 @@
     assert version == "v2" and not machine.mixed
 
 
+# Guards against a record that lacks a version at which streams began unrecorded, as no
+# endpoint of the recorded one was left.
+def test_host_with_an_old_list_lists_the_endpoints():
+    machine = StreamVersionMachine()
+    machine.begin(3, -1)
+    machine.wait(2.0)
+    machine.world.refuses_writes = True
+    machine.cut_from_peers(3)
+    machine.release()
+    machine.leave()
+    machine.hosts[0].learn()
+    machine.begin(0, -1)
+    stream_id, (version, _, has_recorded) = list(machine.begun.items())[-1]
+    machine.resume(3, stream_id)
+    machine.teardown()
+    assert (version, has_recorded) == ("v2", False) and not machine.mixed
+
+
+# Guards against hosts that are cut off together and confirm to each other the only
+# version that they know.
+def test_hosts_that_are_cut_off_together_conclude_nothing():
+    machine = StreamVersionMachine()
+    machine.begin(3, -1)
+    machine.wait(2.0)
+    machine.world.isolated = frozenset((2, 3))
+    machine.release_and_begin(0)
+    stream_id, (version, _, _) = list(machine.begun.items())[-1]
+    machine.resume(3, stream_id)
+    machine.teardown()
+    assert version == "v2" and not machine.mixed
+
+
+# Guards against a stream that is refused because its host hears no other, although the
+# store shows that only one version has served.
+def test_host_without_peers_resumes_a_stream_of_the_only_version():
+    machine = StreamVersionMachine()
+    machine.begin(0, -1)
+    machine.wait(2.0)
+    machine.cut_from_peers(3)
+    found = machine.resume(3, "s-0")
+    machine.teardown()
+    assert found == ("svc", "v1")
+
+
 # Guards against a version that begins streams before its record is written.
 def test_unrecorded_version_begins_no_stream():
     machine = StreamVersionMachine()
