--- a/libs/entry/tests/test_version_records.py
+++ b/libs/entry/tests/test_version_records.py
@@ -90,6 +90,23 @@
     run(scenario())
 
 
+# Guards against a service whose streams each wait for a store that is away.
+def test_streams_wait_once_for_a_record_that_cannot_be_written():
+    async def scenario():
+        async with versioned_fleet("v1", host_count=1) as fleet:
+            (host,) = fleet.hosts
+            # As after a start without the store.
+            host.context.version_records._recorded.clear()
+            fleet.store.fault = "silent"
+            began_s = host.context.clock()
+            assert await begin_streams(fleet, host, 8) == {"v1"}
+            took_s = host.context.clock() - began_s
+            fleet.store.fault = ""
+            assert took_s < 4 * version_records.RECORD_WAIT_S
+
+    run(scenario())
+
+
 # Guards against streams that are refused for ever after a release, because the version
 # before it is still recorded.
 def test_version_is_dropped_long_after_its_endpoints(monkeypatch):
