Start both programs by one function

The modules that run the entry host and gypsumusherd were copies of each other: handlers of signals, closed standard streams, the late import, and the end. run_main does this once; each module names its command line. Behaviour is unchanged.

--- a/libs/daemon/gypsumusher_daemon/__main__.py
+++ b/libs/daemon/gypsumusher_daemon/__main__.py
@@ -2,23 +2,14 @@
 
 import sys
 
-from gypsumusher_process import ProcessSignals, open_closed_streams
+from gypsumusher_process import run_main
 
 __all__ = ["run"]
 
 
 def run():
     """Run the program; return its exit status."""
-    signals = ProcessSignals()
-    signals.start()
-    open_closed_streams()
-    try:
-        # Imported late, since the imports take long, and a signal may come meanwhile.
-        from gypsumusher_daemon.cmdline import main
-
-        return main(signals)
-    finally:
-        signals.close()
+    return run_main("gypsumusher_daemon.cmdline")
 
 
 if __name__ == "__main__":
--- a/libs/entry/gypsumusher_entry/__main__.py
+++ b/libs/entry/gypsumusher_entry/__main__.py
@@ -2,21 +2,6 @@
 
 import sys
 
-from gypsumusher_process import ProcessSignals, open_closed_streams
+from gypsumusher_process import run_main
 
-
-def run():
-    """Run the program; return its exit status."""
-    signals = ProcessSignals()
-    signals.start()
-    open_closed_streams()
-    try:
-        # Imported late, since the imports take long, and a signal may come meanwhile.
-        from gypsumusher_entry.cmdline import main
-
-        return main(signals)
-    finally:
-        signals.close()
-
-
-sys.exit(run())
+sys.exit(run_main("gypsumusher_entry.cmdline"))
--- a/libs/process/gypsumusher_process/__init__.py
+++ b/libs/process/gypsumusher_process/__init__.py
@@ -14,6 +14,7 @@
 _NAMES = {
     "bounded_log": ("BoundedLog", "create_bounded_log"),
     "descriptors": ("raise_descriptor_limit",),
+    "entry_point": ("run_main",),
     "event_loop": ("check_no_io_uring", "list_io_uring_fds", "run_event_loop"),
     "log_lines": ("create_log", "format_fields", "parse_fields"),
     "program": ("run_program",),
