Measure memory and descriptors of processes in one place

Assertions and bounds stay; megabytes are counted as in the other crowds (10^6 bytes), which is slightly stricter.

--- a/tests/test_crowds_at_daemon.py
+++ b/tests/test_crowds_at_daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import pathlib
 import socket
 from typing import NamedTuple
 
@@ -48,12 +47,6 @@
     return sock
 
 
-def peak_memory_mb(pid):
-    status = pathlib.Path(f"/proc/{pid}/status").read_text()
-    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-    return int(line.split()[1]) / 1000
-
-
 @pytest.mark.parametrize("name", CROWDS)
 def test_crowd_takes_neither_memory_nor_descriptors_of_ordinary_callers(name):
     """Guards against clients that end a host, or keep it from serving others."""
@@ -67,8 +60,8 @@
             clients = (misbehave(crowd, (ip, int(port))) for _ in range(crowd.clients))
             sockets = await asyncio.gather(*clients)
             await asyncio.sleep(STALL_S)
-            descriptors = len(list(pathlib.Path(f"/proc/{host.pid}/fd").iterdir()))
-            peak_mb = peak_memory_mb(host.pid)
+            descriptors = host.count_descriptors()
+            peak_mb = host.peak_memory_bytes() / 1e6
             print(f"peak {peak_mb:.0f} MB, {descriptors} descriptors")
             async with aiohttp.ClientSession() as session:
                 async with session.get(f"http://{ip}:{port}/v1/models") as response:
--- a/tools/host_process.py
+++ b/tools/host_process.py
@@ -1,7 +1,6 @@
 """The program of an entry host under low limits, with a store and endpoints."""
 
 import contextlib
-import pathlib
 import sys
 
 import aiohttp
@@ -77,16 +76,6 @@
         except aiohttp.ClientError:
             return False
 
-    def peak_memory_bytes(self):
-        """Return the most memory that the process has had, in bytes."""
-        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
-        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
-        return int(line.split()[1]) * 1024
-
-    def count_descriptors(self):
-        """Return how many descriptors the process has open."""
-        return len(list(pathlib.Path(f"/proc/{self.pid}/fd").iterdir()))
-
 
 @contextlib.asynccontextmanager
 async def running_host(folder, endpoints, configuration, memory_mb, max_fds):
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import pathlib
 import re
 import signal
 import socket
@@ -129,6 +130,16 @@
         self.terminate()
         return await self.wait_for_exit()
 
+    def peak_memory_bytes(self):
+        """Return the most memory that the process has had, in bytes."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(line.split()[1]) * 1024
+
+    def count_descriptors(self):
+        """Return how many descriptors the process has open."""
+        return len(list(pathlib.Path(f"/proc/{self.pid}/fd").iterdir()))
+
     def destroy(self):
         """Kill the process if it still runs, paused or not."""
         if self.is_started and self.exit_code() is None:
