Read the settings file again for a minute after a reload

Cause: tries ended a second after the signal. A writer that needs more than a second loses its reload, on any machine. gypsumusherd tried only once. A part of the file that is valid by itself was applied and stayed in any case.

Change: SettingsReload, for both programs, reads the file at growing pauses for a minute after the request and applies each content that differs from the last; a new request replaces the one before, where two series of tries ran before. A start tries for three seconds. An error that repeats is logged once more, at the end.

--- a/libs/daemon/gypsumusher_daemon/cmdline.py
+++ b/libs/daemon/gypsumusher_daemon/cmdline.py
@@ -6,13 +6,14 @@
 
 # Imported first: it disables io_uring, which must happen before uvloop is imported.
 from gypsumusher_process import (  # isort: skip
+    SettingsReload,
     check_no_io_uring,
     create_log,
     format_fields,
     run_program,
 )
 
-from gypsumusher_daemon.errors import GypsumusherError, StartError
+from gypsumusher_daemon.errors import StartError
 from gypsumusher_daemon.host import EntryHost
 from gypsumusher_daemon.settings import load_settings
 
@@ -51,25 +52,20 @@
     )
 
 
-def _reload(host, path):
-    """Reload the settings file; an invalid file is logged and changes nothing."""
-    try:
-        host.reload(load_settings(path))
-    except GypsumusherError as error:
-        host.log("error", "settings_refused", error=error)
-
-
 async def _serve(path, signals, settings):
     """Start the host, wait for a stop signal and run the planned stop."""
     log = create_log(settings["host.name"], settings["log.level"])
     host = EntryHost(settings, log)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    signals.attach(loop, functools.partial(_reload, host, path), stop.set)
+    load = functools.partial(load_settings, path)
+    reload = SettingsReload(load, host.reload, log, loop.call_later)
+    signals.attach(loop, reload.request, stop.set)
     try:
         await _run(host, stop, log)
     finally:
         signals.detach()
+        reload.close()
 
 
 async def _run(host, stop, log):
--- a/libs/entry/gypsumusher_entry/cmdline.py
+++ b/libs/entry/gypsumusher_entry/cmdline.py
@@ -4,27 +4,23 @@
 import asyncio
 import functools
 import gc
-import time
 
 # Imported first, since it disables io_uring before uvloop is imported.
 from gypsumusher_process import (  # isort: skip
+    SettingsReload,
     check_no_io_uring,
     create_bounded_log,
-    print_error,
     raise_descriptor_limit,
     run_program,
 )
 
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_platform import load_settings
-from gypsumusher_ports import DecodeError, GypsumusherError, StartError
+from gypsumusher_ports import StartError
 from gypsumusher_routing import ALL_ON, policy_without
 
 __all__ = ["main"]
 
-# The settings file may be read while it is being written: number of tries, and the
-# pause between two in seconds.
-SETTINGS_TRIES, SETTINGS_PAUSE_S = 6, 0.2
 # Descriptors that aren't sockets: the log, the event loop, modules that are imported.
 OTHER_DESCRIPTORS = 32
 
@@ -63,7 +59,7 @@
     options = parser.parse_args(arguments)
     return run_program(
         "gypsumusher_entry",
-        load_settings if options.check else _load_written_settings,
+        load_settings,
         functools.partial(_serve, options.metrics_port, options.without, signals),
         _describe if options.check else None,
     )
@@ -82,7 +78,10 @@
     log = bounded_log.log
     host = EntryHost(settings, log, metrics_port, policy)
     stop = asyncio.Event()
-    signals.attach(loop, functools.partial(_reload, host), stop.set)
+    reload = SettingsReload(
+        lambda: _limit_sockets(load_settings()), host.reload, log, loop.call_later
+    )
+    signals.attach(loop, reload.request, stop.set)
     disabled = [name for name in policy._fields if not getattr(policy, name)]
     log(
         "info",
@@ -106,6 +105,7 @@
         log("info", "stopped")
     finally:
         signals.detach()
+        reload.close()
         bounded_log.flush()
 
 
@@ -134,37 +134,8 @@
     return True
 
 
-def _load_written_settings():
-    """Load the settings, again if the file may be incomplete.
-
-    Raises
-    ------
-    DecodeError
-        When the last try has failed, too.
-    """
-    for _ in range(SETTINGS_TRIES - 1):
-        try:
-            return load_settings()
-        except DecodeError as error:
-            print_error("gypsumusher_entry", f"{error}; trying again")
-        time.sleep(SETTINGS_PAUSE_S)
-    return load_settings()
-
-
 def _limit_sockets(settings):
     """Return the settings with no more sockets than the process may open."""
     granted = raise_descriptor_limit(settings.max_descriptors + OTHER_DESCRIPTORS)
     max_sockets = max(1, granted - OTHER_DESCRIPTORS)
     return settings._replace(max_descriptors=max_sockets)
-
-
-def _reload(host, tries_left=SETTINGS_TRIES):
-    """Read the settings again; an invalid file changes nothing, and is tried again."""
-    try:
-        host.reload(_limit_sockets(load_settings()))
-    except GypsumusherError as error:
-        host.log("error", "settings_refused", error=error, tries_left=tries_left - 1)
-        if tries_left > 1:
-            asyncio.get_running_loop().call_later(
-                SETTINGS_PAUSE_S, _reload, host, tries_left - 1
-            )
--- a/libs/process/gypsumusher_process/__init__.py
+++ b/libs/process/gypsumusher_process/__init__.py
@@ -18,6 +18,7 @@
     "event_loop": ("check_no_io_uring", "list_io_uring_fds", "run_event_loop"),
     "log_lines": ("create_log", "format_fields", "parse_fields"),
     "program": ("run_program",),
+    "settings_file": ("SettingsReload",),
     "signals": ("ProcessSignals",),
     "standard_streams": ("open_closed_streams", "print_error"),
 }
--- a/libs/process/gypsumusher_process/program.py
+++ b/libs/process/gypsumusher_process/program.py
@@ -2,6 +2,7 @@
 
 from gypsumusher_ports import GypsumusherError
 from gypsumusher_process.event_loop import run_event_loop
+from gypsumusher_process.settings_file import load_written_settings
 from gypsumusher_process.standard_streams import print_error
 
 __all__ = ["run_program"]
@@ -14,6 +15,8 @@
 def run_program(name, load, serve, format_settings=None):
     """Load the settings of a program, then run it or only report them as valid.
 
+    A program that runs waits a short time for settings that are being written.
+
     Parameters
     ----------
     name : str
@@ -32,14 +35,18 @@
         Exit status: 0 after a regular stop, 2 for invalid settings, 1 when the program
         can't start.
     """
+
+    def report(error):
+        print_error(name, f"{error}; trying again")
+
     try:
-        settings = load()
+        if format_settings is not None:
+            print(format_settings(load()))
+            return 0
+        settings = load_written_settings(load, report)
     except GypsumusherError as error:
         print_error(name, error)
         return EXIT_USAGE
-    if format_settings is not None:
-        print(format_settings(settings))
-        return 0
     try:
         run_event_loop(serve(settings))
     except GypsumusherError as error:
--- a/tests/test_key_rotation.py
+++ b/tests/test_key_rotation.py
@@ -87,12 +87,15 @@
     asyncio.run(main())
 
 
-def test_reload_of_an_invalid_file_changes_nothing():
+def test_reload_of_an_invalid_file_changes_nothing_until_it_is_completed():
+    """Guards against old keys that stay because the signal came too early."""
+
     async def main():
         async with Fleet() as fleet:
             hosts, _ = await fleet.start_system(hosts=1, engines=1)
             host = hosts[0]
             path = next(fleet.folder.glob("h1-*.yaml"))
+            text = path.read_text()
             path.write_text("host: {name: 3}\n")
             os.kill(host.pid, signal.SIGHUP)
 
@@ -101,5 +104,12 @@
 
             await wait_until(is_refused, "the settings to be refused")
             assert (await host.admin("GET", "/status")).status == 200
+            assert count_reloads(host) == 0
+            path.write_text(text)
+
+            async def is_reloaded():
+                return count_reloads(host) == 1
+
+            await wait_until(is_reloaded, "the settings to be reloaded")
 
     asyncio.run(main())
--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -17,6 +17,8 @@
 
 pytestmark = pytest.mark.processes
 
+# A file system over a network may take this long between two writes.
+SLOW_WRITE_S = 2.0
 ROUTE = {"kind": "idempotent", "attempts": 2}
 
 
@@ -123,6 +125,7 @@
             process.settings_path.write_text(text[: len(text) // 2])
             process.process.send_signal(signal.SIGHUP)
             await process.until_logged("event=settings_refused")
+            await asyncio.sleep(SLOW_WRITE_S)
             process.settings_path.write_text(text)
             await process.until_logged("event=settings_reloaded")
             assert await process.stop() == 0
--- a/tools/deployed_host.py
+++ b/tools/deployed_host.py
@@ -18,6 +18,7 @@
 LISTENERS = ("front", "ready", "control", "directory")
 POLL_S = 0.002
 EXIT_TIMEOUT_S = 30.0
+LOG_TIMEOUT_S = 40.0
 GRACE_S = 8.0
 SETTINGS = """node = "{name}"
 role = "entry"
@@ -117,9 +118,11 @@
         return self.log_path.read_text(errors="replace")
 
     async def until_logged(self, text):
-        """Wait until the log holds a text; fail once the process has ended."""
+        """Wait until the log holds a text; fail with the log when it doesn't come."""
+        until_s = asyncio.get_running_loop().time() + LOG_TIMEOUT_S
         while text not in self.log_text():
             assert self.process.poll() is None, (self.process.poll(), self.log_text())
+            assert asyncio.get_running_loop().time() < until_s, self.log_text()
             await asyncio.sleep(POLL_S)
 
     async def until_listening(self, name):
