Start background tasks again after an unforeseen exception

An exception that nobody foresaw ended a component for the rest of a process's life: the task that follows the store, sends gossip or renews a lease was logged as failed and not started again, in gypsumusherd not even logged. Callers were then served by an old configuration, and at endpoints that had left, until the host was restarted.

Change: keep_running, for both programs, runs the loop of a component again after 0.1 to 5 s, with a line for each exception. Loops that end and are started by need keep doing that. The fakes of two tests offer the same.

--- a/libs/daemon/gypsumusher_daemon/configuration.py
+++ b/libs/daemon/gypsumusher_daemon/configuration.py
@@ -19,6 +19,7 @@
     check_document,
 )
 from gypsumusher_daemon.machine_runner import MachineRunner
+from gypsumusher_process import keep_running
 
 __all__ = ["HEAD_KIND", "HEAD_NAME", "SECTION_KIND", "Configuration"]
 
@@ -85,8 +86,8 @@
 
     async def start(self):
         """Start watching the head and refetching missing sections."""
-        self._tasks.append(asyncio.ensure_future(self._watch_head()))
-        self._tasks.append(asyncio.ensure_future(self._refetch_loop()))
+        self._tasks.append(keep_running(self._watch_head, self._log))
+        self._tasks.append(keep_running(self._refetch_loop, self._log))
 
     async def close(self):
         """Cancel the watch and the running fetches."""
--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -38,6 +38,7 @@
 from gypsumusher_peers import KeyRing
 from gypsumusher_policy import Quarantine
 from gypsumusher_policy.quarantine import EVALUATION_DELAY_S
+from gypsumusher_process import keep_running
 
 __all__ = ["EntryHost"]
 
@@ -246,9 +247,13 @@
         self.directory.publish(self.record())
         await self.directory.start()
         await self.configuration.start()
-        self._loops.append(asyncio.ensure_future(self._poll_endpoint_list()))
-        self._loops.append(asyncio.ensure_future(self.peer_messages.contact_seeds()))
-        self._loops.append(asyncio.ensure_future(self.crashing_requests.load()))
+        loops = (
+            self._poll_endpoint_list,
+            self.peer_messages.contact_seeds,
+            self.crashing_requests.load,
+        )
+        for function in loops:
+            self._loops.append(keep_running(function, self.log))
         self._on_hosts_changed()
         await self.stewards.start()
         self.state = LIVE
--- a/libs/daemon/gypsumusher_daemon/hosts_directory.py
+++ b/libs/daemon/gypsumusher_daemon/hosts_directory.py
@@ -6,6 +6,8 @@
 
 from returns.result import Success
 
+from gypsumusher_process import keep_running
+
 __all__ = ["HOSTS_KIND", "HostRecord", "HostsDirectory"]
 
 HOSTS_KIND = "entryhosts"
@@ -62,8 +64,8 @@
 
     async def start(self):
         """Start watching the records and publishing this host's own."""
-        self._tasks.append(asyncio.ensure_future(self._watch_loop()))
-        self._tasks.append(asyncio.ensure_future(self._publish_loop()))
+        self._tasks.append(keep_running(self._watch_loop, self._log))
+        self._tasks.append(keep_running(self._publish_loop, self._log))
 
     async def close(self):
         """Stop watching and publishing."""
@@ -137,6 +139,9 @@
 
     async def _publish_loop(self):
         """Write this host's record whenever it has changed, until cancelled."""
+        if self._own is not None:
+            # An exception may have ended the write of it.
+            self._publish_wanted.set()
         failures = 0
         while True:
             await self._publish_wanted.wait()
--- a/libs/daemon/gypsumusher_daemon/journals.py
+++ b/libs/daemon/gypsumusher_daemon/journals.py
@@ -16,6 +16,7 @@
 )
 from gypsumusher_daemon.key_signatures import is_signed, sign_parts
 from gypsumusher_daemon.machine_runner import MachineRunner
+from gypsumusher_process import keep_running
 
 __all__ = ["Journals", "journal_policy", "new_incarnation"]
 
@@ -83,7 +84,7 @@
     async def start(self):
         """Open the journal and start ticking; the first claim makes the first write."""
         self._open_journal(self.incarnation)
-        self._task = asyncio.ensure_future(self._tick_loop())
+        self._task = keep_running(self._tick_loop, self._log)
 
     async def close(self):
         """Stop ticking and cancel calls in flight."""
--- a/libs/daemon/gypsumusher_daemon/peer_network.py
+++ b/libs/daemon/gypsumusher_daemon/peer_network.py
@@ -8,6 +8,7 @@
 from gypsumusher_coordination import Membership, MembershipPolicy
 from gypsumusher_coordination.membership import LEAVING, LIVE, SUSPECT
 from gypsumusher_peers import Identity, PeerClient, PeerServer
+from gypsumusher_process import keep_running
 
 __all__ = ["LEAVING", "LIVE", "SUSPECT", "PeerNetwork", "PeerHandlers"]
 
@@ -114,7 +115,7 @@
         )
         address = self._settings["peers.address"]
         port = await self._server.start(address, self._settings["peers.port"])
-        self._spawn(self._gossip_loop())
+        self._track(keep_running(self._gossip_loop, self._log))
         return port
 
     async def close(self):
@@ -208,7 +209,10 @@
 
     def _spawn(self, coroutine):
         """Run a coroutine as a task that `close` cancels."""
-        task = asyncio.ensure_future(coroutine)
+        self._track(asyncio.ensure_future(coroutine))
+
+    def _track(self, task):
+        """Hold a task until it is done or `close` cancels it."""
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/libs/daemon/gypsumusher_daemon/stewards.py
+++ b/libs/daemon/gypsumusher_daemon/stewards.py
@@ -22,6 +22,7 @@
     RolloutPlanner,
 )
 from gypsumusher_policy.rollout import engines_needed
+from gypsumusher_process import keep_running
 
 __all__ = ["Stewards"]
 
@@ -74,7 +75,7 @@
     async def start(self):
         """Start acquiring leases."""
         await self._sender.start()
-        self._task = asyncio.ensure_future(self._tick_loop())
+        self._task = keep_running(self._tick_loop, self._host.log)
 
     async def close(self):
         """Stop at once; leases that are held expire."""
--- a/libs/entry/gypsumusher_entry/account_demand.py
+++ b/libs/entry/gypsumusher_entry/account_demand.py
@@ -132,7 +132,7 @@
         if self.is_on and not self._is_running:
             self._is_running = True
             self._shares = FairShares(self._context.clock())
-            self._context.spawn(self._run())
+            self._context.keep_running(self._run)
 
     async def _run(self):
         """Send the demand at each tick, and notice the end of contention."""
--- a/libs/entry/gypsumusher_entry/configuration_confirmation.py
+++ b/libs/entry/gypsumusher_entry/configuration_confirmation.py
@@ -66,7 +66,7 @@
         self._context.datagram_handlers[QUESTION] = self._on_question
         self._context.datagram_handlers[ANSWER] = self._on_answer
         self._context.confirm_configuration = self.confirm
-        self._context.spawn(self._run())
+        self._context.keep_running(self._run)
 
     async def _run(self):
         """Confirm whenever the plan says so."""
--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -19,6 +19,7 @@
 from gypsumusher_http import ConnectionPool
 from gypsumusher_platform import decode_response_head
 from gypsumusher_ports import STREAM, DecodeError
+from gypsumusher_process import keep_running
 from gypsumusher_routing import (
     ALL_ON,
     STREAM_LIFETIME_FACTOR,
@@ -629,9 +630,16 @@
         passed_s = (self.clock() + self._tick_offset_s) % period_s
         await asyncio.sleep(period_s - passed_s)
 
+    def keep_running(self, function, *arguments):
+        """Run a loop in the background until `close`, also after an exception."""
+        return self._track(keep_running(function, self.log, *arguments))
+
     def spawn(self, coroutine):
-        """Run a coroutine in the background; a failure is logged."""
-        task = asyncio.ensure_future(coroutine)
+        """Run a coroutine in the background once; a failure is logged."""
+        return self._track(asyncio.ensure_future(coroutine))
+
+    def _track(self, task):
+        """Hold a background task until it is done or `close` cancels it."""
         self._background_tasks.add(task)
         task.add_done_callback(self._on_background_done)
         return task
--- a/libs/entry/gypsumusher_entry/engine_estimates.py
+++ b/libs/entry/gypsumusher_entry/engine_estimates.py
@@ -64,7 +64,7 @@
         self._send_datagram = send_datagram
         self._context.datagram_handlers[ESTIMATES] = self._on_datagram
         if self._context.policy.shared_speeds:
-            self._context.spawn(self._run())
+            self._context.keep_running(self._run)
 
     async def _run(self):
         """Send what has changed and update the usual speeds, at fixed intervals."""
--- a/libs/entry/gypsumusher_entry/fleet_orders.py
+++ b/libs/entry/gypsumusher_entry/fleet_orders.py
@@ -66,7 +66,7 @@
     async def start(self):
         """Start to plan, until the context is closed."""
         if self._context.policy.fleet:
-            self._context.spawn(self._run())
+            self._context.keep_running(self._run)
 
     async def _run(self):
         """Plan at each tick at which this host holds the lease for long enough."""
--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -78,7 +78,7 @@
         """Open the socket and start to send."""
         await listen(self._context, "datagrams", self._open_socket)
         self._context.prefill_listeners.append(self.on_prefill_start)
-        self._task = self._context.spawn(self._run())
+        self._task = self._context.keep_running(self._run)
 
     async def _open_socket(self):
         settings = self._context.settings
--- a/libs/entry/gypsumusher_entry/learned_state_records.py
+++ b/libs/entry/gypsumusher_entry/learned_state_records.py
@@ -65,7 +65,7 @@
             return
         if not context.settings.is_first_start:
             context.spawn(self._load())
-        context.spawn(self._run())
+        context.keep_running(self._run)
 
     def hosts(self, service):
         """Return the hosts that the service's snapshot names; none until it is read."""
--- a/libs/entry/gypsumusher_entry/listening.py
+++ b/libs/entry/gypsumusher_entry/listening.py
@@ -44,7 +44,7 @@
             raise
         _log_failure(context, name, error, FIRST_RETRY_S)
     context.missing_listeners.add(name)
-    context.spawn(_listen_later(context, name, open_listener))
+    context.keep_running(_listen_later, context, name, open_listener)
     return None
 
 
--- a/libs/entry/gypsumusher_entry/peer_sync.py
+++ b/libs/entry/gypsumusher_entry/peer_sync.py
@@ -63,7 +63,7 @@
 
     async def start(self):
         """Start to check for newer state at peers."""
-        self._task = self._context.spawn(self._run())
+        self._task = self._context.keep_running(self._run)
 
     async def close(self):
         """Stop, and close the connections."""
--- a/libs/entry/gypsumusher_entry/prefix_cache_recovery.py
+++ b/libs/entry/gypsumusher_entry/prefix_cache_recovery.py
@@ -89,7 +89,7 @@
     async def start(self):
         """Start to ask, unless the engines are as new as this host."""
         if not self._context.settings.is_first_start:
-            self._context.spawn(self._run())
+            self._context.keep_running(self._run)
 
     async def _run(self):
         """Ask each recorded engine once, while this host is active."""
--- a/libs/entry/gypsumusher_entry/registration.py
+++ b/libs/entry/gypsumusher_entry/registration.py
@@ -46,8 +46,8 @@
 
     async def start(self):
         """Start in the background, until the context is closed."""
-        self._context.spawn(self._run())
-        self._context.spawn(self._join_when_counted())
+        self._context.keep_running(self._run)
+        self._context.keep_running(self._join_when_counted)
 
     async def _run(self):
         """Make sure that this host is recorded, then read the records periodically."""
--- a/libs/entry/gypsumusher_entry/stage_lease.py
+++ b/libs/entry/gypsumusher_entry/stage_lease.py
@@ -58,7 +58,7 @@
 
     async def start(self):
         """Start to maintain the lease, until the context is closed."""
-        self._context.spawn(self._run())
+        self._context.keep_running(self._run)
 
     def known_state(self):
         """Return the last known state of the lease for gossip; None when unknown."""
--- a/libs/entry/gypsumusher_entry/stage_orders.py
+++ b/libs/entry/gypsumusher_entry/stage_orders.py
@@ -59,7 +59,7 @@
         """Start to plan, until the context is closed."""
         if not self._context.policy.stages:
             return
-        self._context.spawn(self._run())
+        self._context.keep_running(self._run)
 
     async def _run(self):
         """Plan at each tick at which this host holds the lease for long enough."""
--- a/libs/entry/gypsumusher_entry/staleness_monitor.py
+++ b/libs/entry/gypsumusher_entry/staleness_monitor.py
@@ -29,7 +29,7 @@
 
     async def start(self):
         """Start to compare, until the context is closed."""
-        self._context.spawn(self._run())
+        self._context.keep_running(self._run)
 
     def is_overdue(self, kind):
         """Return whether peers have had newer state of a kind for too long."""
--- a/libs/entry/gypsumusher_entry/stall_monitor.py
+++ b/libs/entry/gypsumusher_entry/stall_monitor.py
@@ -7,6 +7,8 @@
 
 import asyncio
 
+from gypsumusher_process import keep_running
+
 __all__ = ["PendingResponse", "StallMonitor"]
 
 CHECK_INTERVAL_S = 0.1
@@ -64,7 +66,7 @@
 
     async def start(self):
         """Start the checks."""
-        self._task = asyncio.ensure_future(self._run())
+        self._task = keep_running(self._run, self._log)
 
     async def close(self):
         """Stop the checks."""
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -83,11 +83,11 @@
     async def start(self):
         """Start to follow the store, until the context is closed."""
         self._lost_kinds = set(FOLLOWED_KINDS)
-        spawn = self._context.spawn
-        spawn(self._follow(CONFIGURATION_KIND, self._on_configurations))
-        spawn(self._follow(ENDPOINTS_KIND, self._on_endpoints))
-        spawn(self._check_path())
-        spawn(self._drop_missing())
+        run = self._context.keep_running
+        run(self._follow, CONFIGURATION_KIND, self._on_configurations)
+        run(self._follow, ENDPOINTS_KIND, self._on_endpoints)
+        run(self._check_path)
+        run(self._drop_missing)
 
     async def _follow(self, kind, apply):
         """List the objects of a kind, then watch it; list again after each gap."""
--- a/libs/entry/gypsumusher_entry/usage_reports.py
+++ b/libs/entry/gypsumusher_entry/usage_reports.py
@@ -68,7 +68,7 @@
         context = self._context
         context.datagram_handlers[COUNTS] = self._on_counts
         context.datagram_handlers[ACKNOWLEDGEMENT] = self._on_acknowledgement
-        context.spawn(self._run())
+        context.keep_running(self._run)
 
     async def _run(self):
         """Send and report at each tick."""
--- a/libs/entry/gypsumusher_entry/work_reports.py
+++ b/libs/entry/gypsumusher_entry/work_reports.py
@@ -49,7 +49,7 @@
         if context.policy.fleet and context.policy.engines_by_load:
             context.prompt_listeners.append(self._on_prompt)
             context.shared_part_listeners.append(self._on_shared_parts)
-            context.spawn(self._run())
+            context.keep_running(self._run)
 
     def demand(self, service: str, ahead_s: float) -> EngineDemand:
         """Return the demand of a service.
--- a/libs/entry/tests/test_engine_estimates.py
+++ b/libs/entry/tests/test_engine_estimates.py
@@ -36,7 +36,7 @@
             context.endpoints.on_record(record, 1)
         hosts = [SimpleNamespace(name="host-1", ip=other) for other in self.ips]
         context.active_hosts = lambda: hosts
-        context.spawn = lambda coroutine: coroutine.close()
+        context.keep_running = lambda function: None
         context.engine_estimates.start(lambda *message: self._send(ip, *message))
         return context
 
--- a/libs/entry/tests/test_prefix_cache_recovery.py
+++ b/libs/entry/tests/test_prefix_cache_recovery.py
@@ -35,10 +35,10 @@
         has_heard = self.clock() - self.began_s > PEERS_KNOWN_S
         return self._stays_active or not has_heard
 
+    def keep_running(self, function):
+        self.tasks.append(asyncio.ensure_future(function()))
+
     def spawn(self, coroutine):
-        if coroutine.__name__ == "_run":
-            self.tasks.append(asyncio.ensure_future(coroutine))
-            return
         coroutine.close()
         self.asked += 1
 
--- a/libs/process/gypsumusher_process/__init__.py
+++ b/libs/process/gypsumusher_process/__init__.py
@@ -12,6 +12,7 @@
 os.environ["UV_USE_IO_URING"] = "0"
 
 _NAMES = {
+    "background": ("keep_running",),
     "bounded_log": ("BoundedLog", "create_bounded_log"),
     "descriptors": ("raise_descriptor_limit",),
     "entry_point": ("run_main",),
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -20,6 +20,13 @@
 PAGES = sorted([ROOT / "README.md", *DOCS.glob("**/*.md")])
 OPERATING = (DOCS / "OPERATING.md").read_text()
 DAEMON = ROOT / "libs" / "daemon" / "gypsumusher_daemon"
+PROCESS = ROOT / "libs" / "process" / "gypsumusher_process"
+# What the daemon runs, with the modules that log in its name.
+DAEMON_MODULES = [
+    *sorted(DAEMON.glob("*.py")),
+    PROCESS / "background.py",
+    PROCESS / "settings_file.py",
+]
 COMMANDS_BY_NAME = {command.name: command for command in COMMANDS}
 COMMON_OPTIONS = {"help", "version", "quiet", "verbose", "no-interaction"}
 
@@ -137,7 +144,7 @@
 def literal_arguments(function_names, position):
     """Return the constants at a position in the daemon's calls of some functions."""
     found = set()
-    for path in sorted(DAEMON.glob("*.py")):
+    for path in DAEMON_MODULES:
         for node in ast.walk(parse_without_gc(path)):
             if not isinstance(node, ast.Call) or len(node.args) <= position:
                 continue
