--- a/libs/process/gypsumusher_process/descriptors.py
+++ b/libs/process/gypsumusher_process/descriptors.py
@@ -27,7 +27,7 @@
         return wanted
     try:
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
-    except (OSError, ValueError):
+    except (OSError, OverflowError, ValueError):
         # The caller gets by with the soft limit.
         return soft
     return wanted
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -158,27 +158,51 @@
     assert decoded.kind == AT_MOST_ONCE
 
 
+SETTINGS = {
+    "node": "h",
+    "ip": "10.0.0.1",
+    "zone": "a",
+    "port_range": [7380, 7395],
+    "listen": {
+        "front": "10.0.0.1:1",
+        "ready": "10.0.0.1:2",
+        "control": "10.0.0.1:3",
+        "directory": "10.0.0.1:4",
+    },
+    "platform_store": {"addr": "10.0.0.9:1"},
+    "bounds": {"drain_ms": 1500, "new_one": 1},
+    "something_new": {"x": 1},
+}
+
+
 def test_missing_mandatory_setting_is_named_in_the_error():
-    table = {
-        "node": "h",
-        "ip": "10.0.0.1",
-        "zone": "a",
-        "port_range": [7380, 7395],
-        "listen": {
-            "front": "10.0.0.1:1",
-            "ready": "10.0.0.1:2",
-            "control": "10.0.0.1:3",
-            "directory": "10.0.0.1:4",
-        },
-        "platform_store": {"addr": "10.0.0.9:1"},
-        "bounds": {"drain_ms": 1500, "new_one": 1},
-        "something_new": {"x": 1},
-    }
-    settings = decode_settings("node.toml", table)
+    settings = decode_settings("node.toml", SETTINGS)
     assert (settings.name, settings.bounds.drain_s) == ("h", 1.5)
     for name in ("node", "ip", "zone", "listen", "platform_store"):
+        table = {key: value for key, value in SETTINGS.items() if key != name}
         with pytest.raises(DecodeError, match=name):
-            decode_settings("node.toml", {k: v for k, v in table.items() if k != name})
+            decode_settings("node.toml", table)
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["10.0.0.1", "10.0.0.1:", ":1", "h:-1", "h:1_0", "h:65536", "h:" + "9" * 50],
+)
+def test_address_without_a_usable_port_is_named_in_the_error(address):
+    """Guards against a traceback at the start of a host."""
+    listen = SETTINGS["listen"]
+    tables = [{"listen": {**listen, name: address}} for name in listen]
+    tables += [{"platform_store": {"addr": address}}, {"cloud": {"addr": address}}]
+    for table in tables:
+        with pytest.raises(DecodeError, match="port"):
+            decode_settings("node.toml", {**SETTINGS, **table})
+
+
+@pytest.mark.parametrize("ports", [[], ["1"], [-1], [65536]])
+def test_port_range_without_a_usable_port_is_named_in_the_error(ports):
+    """Guards against a traceback at the start of a host."""
+    with pytest.raises(DecodeError, match="port_range"):
+        decode_settings("node.toml", {**SETTINGS, "port_range": ports})
 
 
 HEADERS = [
--- a/tests/test_start_conditions.py
+++ b/tests/test_start_conditions.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import resource
 import signal
 import socket
@@ -138,6 +139,9 @@
     "no port": lambda text: text.replace("port_range = [", "port_range = [] # ["),
     "empty": lambda text: "",
     "not finite": lambda text: text.replace("max_fds = 4100", "max_fds = inf"),
+    "no port of callers": lambda text: re.sub(
+        'front = "(.*):.*"', r'front = "\1"', text
+    ),
     "too large": lambda text: text.replace("memory_mb = 300", f"memory_mb = {10**400}"),
 }
 
