Continue the watchers' watch when a large fleet loses them

When the few hosts that watch the store for all lose it at once, each other host reads the store itself. All of them listed all endpoints in the same moment: with 300 hosts and 910 endpoints 65 MB, which took longer than is left of the bound in which a change has to be known.

Change: above 50,000 entries altogether, a host asks for the changes since the revision up to which its peers have told it all, and lists the endpoints later, one host in 0.05 s, since an entry that expired with the store shows only in a list.

The new test counts one list more on the old code.

--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -41,6 +41,9 @@
 # Time after which hosts that start together have received each other's updates and
 # agree on which of them watch the store.
 PEERS_KNOWN_AFTER_S = 0.5
+# Entries that all hosts may list at the same moment, about 12 MB. With more, hosts that
+# relied on peers continue a watch, and list later, one host in this time.
+MAX_ENTRIES_AT_ONCE, LIST_SPREAD_S = 50_000, 0.05
 # A host on which others rely checks its path to the store after this share of the least
 # bound without an answer. A store that is slow takes up to 0.5 s.
 CHECK_FRACTION, CHECK_TIMEOUT_S = 0.125, 0.6
@@ -90,13 +93,19 @@
         run(self._drop_missing)
 
     async def _follow(self, kind, apply):
-        """List the objects of a kind, then watch it; list again after each gap."""
-        revision = None
+        """List the objects of a kind, then watch it; list again after each gap.
+
+        In a large fleet, a host that relied on peers continues where they left off.
+        """
+        revision = list_at_s = None
+        relied_on_peers = False
         pause_s, own_pause_s = MIN_PAUSE_S, WATCHED_BY_PEERS_POLL_S
         while True:
             reads_directly = False
+            wait_s = self._watch_s
             if self._is_watched_by_peers(kind):
-                revision = None
+                revision = list_at_s = None
+                relied_on_peers = True
                 # Peers with full or broken links would leave this host with outdated
                 # routes and endpoints, while the store could answer it at once.
                 reads_directly = self._context.staleness.is_overdue(STATE_OF_KIND[kind])
@@ -107,11 +116,23 @@
                     own_pause_s = WATCHED_BY_PEERS_POLL_S
                     self._answered_kinds.discard(kind)
                     continue
+            elif relied_on_peers:
+                relied_on_peers = False
+                revision = self._revision_of_peers(kind)
+                if revision is not None:
+                    # What has changed is needed at once, also that nothing has.
+                    wait_s = 0.0
+                    list_at_s = self._context.clock() + self._draw_list_delay_s()
+            elif list_at_s is not None:
+                wait_s = min(wait_s, list_at_s - self._context.clock())
+                if wait_s <= 0.0:
+                    revision = list_at_s = None
             started_s = self._context.boottime_s()
             if revision is None:
+                list_at_s = None
                 result = await self._store.list(kind)
             else:
-                result = await self._watch(kind, revision)
+                result = await self._watch(kind, revision, wait_s)
             if isinstance(result, Failure):
                 error = result.failure()
                 revision = None
@@ -143,9 +164,29 @@
                 # Reading an object again doesn't help if its content can't be decoded.
                 own_pause_s = min(MAX_OWN_READ_PAUSE_S, 2.0 * own_pause_s)
 
-    async def _watch(self, kind, revision):
+    def _revision_of_peers(self, kind):
+        """Return the revision up to which peers have told all changes, or None.
+
+        None also when all hosts may list the objects at once.
+        """
+        endpoints = self._context.endpoints
+        listed = self._context.hosts.existing_count() * len(endpoints.states)
+        if kind != ENDPOINTS_KIND or listed <= MAX_ENTRIES_AT_ONCE:
+            return None
+        return endpoints.revision or None
+
+    def _draw_list_delay_s(self):
+        """Return when this host lists the endpoints after it has continued a watch.
+
+        Entries that expired while the store was down are missing without a change.
+        """
+        context = self._context
+        spread_s = LIST_SPREAD_S * max(1, context.hosts.existing_count())
+        return spread_s * context.draw_uniform()
+
+    async def _watch(self, kind, revision, wait_s):
         """Watch a kind of objects; fail early if the path to the store is lost."""
-        watch = asyncio.ensure_future(self._store.watch(kind, revision, self._watch_s))
+        watch = asyncio.ensure_future(self._store.watch(kind, revision, wait_s))
         self._watches.add(watch)
         try:
             await asyncio.wait((watch,))
--- a/libs/entry/tests/test_store_contact.py
+++ b/libs/entry/tests/test_store_contact.py
@@ -6,6 +6,7 @@
 from host_harness import (
     BOUNDS,
     IDEMPOTENT_ROUTE,
+    HostHarness,
     run,
     sample_configuration,
     sample_endpoint_entry,
@@ -15,6 +16,7 @@
 from processes import free_ports
 from proxies import Proxy
 
+from gypsumusher_entry import store_watcher
 from gypsumusher_entry.gossip import _decode_status, _encode_status
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_routing import HostTable
@@ -95,3 +97,39 @@
         await peer.close()
 
     run(scenario())
+
+
+def test_host_without_watchers_continues_where_they_left_off(monkeypatch):
+    """Guards against hundreds of hosts that list all endpoints at the same moment."""
+    monkeypatch.setattr(store_watcher, "MAX_ENTRIES_AT_ONCE", 0)
+    monkeypatch.setattr(store_watcher, "LIST_SPREAD_S", 2.0)
+
+    async def scenario():
+        harness = HostHarness(lambda *_: None)
+        lists = []
+        dispatch = harness.store._dispatch
+
+        async def count_lists(request):
+            if "watch" not in request.query and request.path.endswith("/servers"):
+                lists.append(request)
+            return await dispatch(request)
+
+        harness.store._dispatch = count_lists
+        async with harness:
+            context = harness.host.context
+            are_watched, context.is_watcher = True, lambda: False
+            context.peers_see_store = lambda: are_watched
+            watcher = harness.host._store_watcher
+            await until(lambda: not watcher._answered_kinds)
+            before = len(lists)
+            context.draw_uniform = lambda: 0.5
+            are_watched = False
+            harness.store.put("servers", "e-1", sample_endpoint_entry("10.0.0.1:80"))
+            harness.store.remove("servers", "e-0")
+            await until(lambda: context.sees_store)
+            listed = {r.endpoint_id for r in context.endpoints.listed_records()}
+            assert listed == {"e-1"}
+            assert len(lists) == before
+            await until(lambda: len(lists) == before + 1)
+
+    run(scenario())
