Derive what the last changes kept beside its source

- The publish loop of gypsumusherd keeps its wish set until the write has succeeded, in place of setting it again after a failure and at a restart.
- A recording of versions is one value, its task and its begin, in place of two dicts with the same keys.
- StoreWatcher sets the time of its later list back in one place, and counts at least one host without help.
- BegunStreams._find hands the last question, whether there can be another version, to a function of its own.
- Whether a stop was requested is private, as nothing else reads it.

--- a/libs/daemon/gypsumusher_daemon/hosts_directory.py
+++ b/libs/daemon/gypsumusher_daemon/hosts_directory.py
@@ -139,19 +139,17 @@
 
     async def _publish_loop(self):
         """Write this host's record whenever it has changed, until cancelled."""
-        if self._own is not None:
-            # An exception may have ended the write of it.
-            self._publish_wanted.set()
         failures = 0
         while True:
             await self._publish_wanted.wait()
-            self._publish_wanted.clear()
-            if self._own is None or await self._write_own():
-                failures = 0
+            own = self._own
+            if own is not None and not await self._write_own():
+                failures += 1
+                await asyncio.sleep(_retry_pause_s(failures))
                 continue
-            failures += 1
-            self._publish_wanted.set()
-            await asyncio.sleep(_retry_pause_s(failures))
+            failures = 0
+            if self._own is own:
+                self._publish_wanted.clear()
 
     async def _write_own(self):
         """Write the record; return True when the platform has it."""
--- a/libs/entry/gypsumusher_entry/begun_streams.py
+++ b/libs/entry/gypsumusher_entry/begun_streams.py
@@ -198,16 +198,21 @@
         possible |= answers.possible | context.version_records.possible(service)
         if not is_single or len(possible) != 1 or recorded == frozenset():
             return None, "none", possible
-        is_confirmed = self._is_confirmed(answers, recorded)
-        if not is_confirmed and recorded is not None:
-            # This host may have missed a version that couldn't be recorded.
-            listed = await self._list(service)
-            is_confirmed = listed is not None and listed <= possible
-        if not is_confirmed:
+        if not await self._is_only_version(service, possible, answers, recorded):
             return None, "none", possible
         source = "hosts" if recorded is None else "store"
         return (service, next(iter(possible))), source, possible
 
+    async def _is_only_version(self, service, possible, answers, recorded):
+        """Return whether no other version than the possible one can have begun it."""
+        if self._is_confirmed(answers, recorded):
+            return True
+        if recorded is None:
+            return False
+        # This host may have missed a version that couldn't be recorded.
+        listed = await self._list(service)
+        return listed is not None and listed <= possible
+
     def _is_confirmed(self, answers, recorded):
         """Return whether no host can know of another version than all that answered.
 
--- a/libs/entry/gypsumusher_entry/store_watcher.py
+++ b/libs/entry/gypsumusher_entry/store_watcher.py
@@ -104,7 +104,7 @@
             reads_directly = False
             wait_s = self._watch_s
             if self._is_watched_by_peers(kind):
-                revision = list_at_s = None
+                revision = None
                 relied_on_peers = True
                 # Peers with full or broken links would leave this host with outdated
                 # routes and endpoints, while the store could answer it at once.
@@ -126,7 +126,7 @@
             elif list_at_s is not None:
                 wait_s = min(wait_s, list_at_s - self._context.clock())
                 if wait_s <= 0.0:
-                    revision = list_at_s = None
+                    revision = None
             started_s = self._context.boottime_s()
             if revision is None:
                 list_at_s = None
@@ -181,7 +181,7 @@
         Entries that expired while the store was down are missing without a change.
         """
         context = self._context
-        spread_s = LIST_SPREAD_S * max(1, context.hosts.existing_count())
+        spread_s = LIST_SPREAD_S * context.hosts.existing_count()
         return spread_s * context.draw_uniform()
 
     async def _watch(self, kind, revision, wait_s):
--- a/libs/entry/gypsumusher_entry/version_records.py
+++ b/libs/entry/gypsumusher_entry/version_records.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from typing import NamedTuple
 
 from returns.result import Failure, Success
 
@@ -31,6 +32,13 @@
 DROP_INTERVAL_S = 10.0
 
 
+class _Recording(NamedTuple):
+    """A task that records the versions of a service, and when it writes first."""
+
+    task: asyncio.Task
+    began_s: float
+
+
 class VersionRecords:
     """Keeps the versions of each service recorded, and tells what is recorded.
 
@@ -45,9 +53,8 @@
         self._store = None
         self._send_datagram = None
         self._recorded = {}
-        self._tasks = {}
-        # When the recording that is under way, or was last, began, by service.
-        self._record_began_s = {}
+        # The recording that is under way, or was last, by service.
+        self._recordings = {}
         self._drop_checked_s = context.clock()
         # Called with the name of a service whose record has changed.
         self.listeners = []
@@ -101,10 +108,10 @@
         if recorded & present:
             self._record_soon(service, self._rank_delay_s())
             return
-        task = self._record_soon(service, 0.0)
-        until_s = self._record_began_s[service] + RECORD_WAIT_S
-        if until_s > context.clock():
-            await asyncio.wait([task], timeout=until_s - context.clock())
+        recording = self._record_soon(service, 0.0)
+        left_s = recording.began_s + RECORD_WAIT_S - context.clock()
+        if left_s > 0.0:
+            await asyncio.wait([recording.task], timeout=left_s)
 
     async def prepare_all(self):
         """Have the versions of all services recorded that have endpoints."""
@@ -202,12 +209,12 @@
 
     def _record_soon(self, service, delay_s):
         """Start to record the versions of a service unless that is under way."""
-        task = self._tasks.get(service)
-        if task is None or task.done():
-            self._record_began_s[service] = self._context.clock() + delay_s
+        recording = self._recordings.get(service)
+        if recording is None or recording.task.done():
+            began_s = self._context.clock() + delay_s
             task = self._context.spawn(self._record(service, delay_s))
-            self._tasks[service] = task
-        return task
+            recording = self._recordings[service] = _Recording(task, began_s)
+        return recording
 
     async def _record(self, service, delay_s):
         """Record the versions of a service until its record has all of them."""
--- a/libs/process/gypsumusher_process/signals.py
+++ b/libs/process/gypsumusher_process/signals.py
@@ -14,16 +14,10 @@
     An event loop has handlers only while it runs. Before and after, the default action
     of these signals ends the process. Signals that come before `attach` are remembered
     and delivered by it; after `close` they have no effect.
-
-    Attributes
-    ----------
-    is_stop_requested : bool
-        Whether SIGTERM or SIGINT has come.
     """
 
     def __init__(self):
-        self.is_stop_requested = False
-        self._is_reload_requested = False
+        self._is_stop_requested = self._is_reload_requested = False
         self._loop = None
         self._reload = self._stop = None
 
@@ -65,7 +59,7 @@
         self._schedule()
 
     def _on_stop(self, number, frame):
-        self.is_stop_requested = True
+        self._is_stop_requested = True
         self._schedule()
 
     def _schedule(self):
@@ -75,7 +69,7 @@
 
     def _deliver(self):
         """Call back for the signals that were received since the last time."""
-        if self.is_stop_requested:
+        if self._is_stop_requested:
             self._stop()
         if self._is_reload_requested:
             self._is_reload_requested = False
