Share what the tests of processes and crowds wrote again

No assertion, bound or crowd changes.

- DeployedHost is a Process: its start, log, signals, exit and end were written a second time.
Process takes options of Popen and sends any signal.
- deployed_host runs one with a store, for the tests of starts and of signals.
- Both tests of crowds use one client that misbehaves; only its receive buffer differs.
- The settings of a sample host and the usual route stand in platform_samples, also for the harness and for store_readers.
- The tests of endless responses share their endpoint and pool.

--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -5,14 +5,19 @@
 from typing import NamedTuple
 
 import aiohttp
-from platform_samples import sample_configuration, sample_endpoint_entry
+from platform_samples import (
+    BOUNDS,
+    IDEMPOTENT_ROUTE,
+    sample_configuration,
+    sample_endpoint_entry,
+)
+from platform_samples import sample_host_settings as settings
 from processes import free_ports
 from proxies import Proxy
 from scripted_endpoint import ScriptedEndpoint, encode_response, request_id_of
 
 from gypsumusher_entry.host import EntryHost
 from gypsumusher_entry.registration import HOSTS_KIND
-from gypsumusher_ports import Bounds, HostSettings
 from gypsumusher_standins.object_store_server import ObjectStoreServer
 
 __all__ = [
@@ -35,8 +40,6 @@
     "until",
 ]
 
-BOUNDS = Bounds(2.0, 2.0, 8.0, 3.0, 3.0, 0.3, 0.2, 54.0, 10.0, 5.0, False)
-IDEMPOTENT_ROUTE = {"kind": "idempotent", "attempts": 2}
 AT_MOST_ONCE_ROUTE = {"kind": "non_idempotent", "attempts": 1}
 STREAM_ROUTE = {"kind": "stream", "attempts": 1, "sticky": True}
 RESUMABLE_ROUTE = {"kind": "stream", "attempts": 2, "sticky": True, "resumable": True}
@@ -47,14 +50,6 @@
     return asyncio.run(asyncio.wait_for(coroutine, 30))
 
 
-def settings(store_address, ip="127.0.0.1", name="host-1", seeds=(), port=0):
-    """Return settings of a host with all ports assigned at start."""
-    return HostSettings(
-        name, ip, "zone-a", "region", f"{ip}:0", f"{ip}:0", f"{ip}:0", f"{ip}:0", port,
-        seeds, store_address, False, 1.0, 1000.0, BOUNDS,
-    )  # fmt: skip
-
-
 class HostHarness:
     """A store, scripted endpoints, and one host that serves from them."""
 
--- a/libs/http/tests/test_endless_responses.py
+++ b/libs/http/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Bytes without end are no response: they end the connection soon, and stay few."""
 
 import asyncio
+import contextlib
 import gc
 import tracemalloc
 
@@ -63,6 +64,20 @@
     return respond
 
 
+@contextlib.asynccontextmanager
+async def endless_endpoint(first, again):
+    """Run an endpoint that sends some bytes without end; yield it, and a pool to it."""
+    endpoint = ScriptedEndpoint(sends(first, again))
+    await endpoint.start()
+    clock = asyncio.get_running_loop().time
+    pool = ConnectionPool(clock, decode_response_head, 0.35)
+    try:
+        yield endpoint, pool
+    finally:
+        pool.close()
+        await endpoint.close()
+
+
 async def measure(call):
     """Return how long a call took in seconds, its error, and the memory it took."""
     clock = asyncio.get_running_loop().time
@@ -101,20 +116,18 @@
 @pytest.mark.parametrize("what", ENDLESS)
 def test_endless_bytes_of_an_endpoint_are_ended_at_once(what):
     async def scenario():
-        endpoint = ScriptedEndpoint(sends(*ENDLESS[what]))
-        address = await endpoint.start()
-        clock = asyncio.get_running_loop().time
-        pool = ConnectionPool(clock, decode_response_head, 0.35)
-        took_s, error, peak_bytes = await measure(read_whole(pool, address))
-        assert took_s < ENDED_WITHIN_S
-        assert peak_bytes < MEMORY_MAX_BYTES
-        is_answered = what == "bytes after a response"
-        assert is_answered or error.reason == "garbled"
-        # The endpoint's connection is closed, not only left.
-        while endpoint.tasks:
-            await asyncio.sleep(0.005)
-        assert not pool._open
-        await endpoint.close()
+        async with endless_endpoint(*ENDLESS[what]) as (endpoint, pool):
+            took_s, error, peak_bytes = await measure(
+                read_whole(pool, endpoint.address)
+            )
+            assert took_s < ENDED_WITHIN_S
+            assert peak_bytes < MEMORY_MAX_BYTES
+            is_answered = what == "bytes after a response"
+            assert is_answered or error.reason == "garbled"
+            # The endpoint's connection is closed, not only left.
+            while endpoint.tasks:
+                await asyncio.sleep(0.005)
+            assert not pool._open
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
@@ -122,21 +135,16 @@
 # Guards against callers that read slowly, and a host that holds all that they don't.
 def test_body_that_is_not_read_is_not_received():
     async def scenario():
-        endpoint = ScriptedEndpoint(sends(HEAD + b"\r\n", b"x" * 65536))
-        address = await endpoint.start()
-        clock = asyncio.get_running_loop().time
-        pool = ConnectionPool(clock, decode_response_head, 0.35)
-        connection = await pool.acquire(address, address, 10)
-        response = connection.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "r")
-        await response.head()
-        await asyncio.sleep(0.2)
-        assert 0 < response._unread_bytes <= 1024 * 1024
-        received_bytes = 0
-        while received_bytes < 2 * 1024 * 1024:
-            received_bytes += len(await response.read())
-        response.close()
-        pool.close()
-        await endpoint.close()
+        async with endless_endpoint(HEAD + b"\r\n", b"x" * 65536) as (endpoint, pool):
+            connection = await pool.acquire(endpoint.address, endpoint.address, 10)
+            response = connection.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "r")
+            await response.head()
+            await asyncio.sleep(0.2)
+            assert 0 < response._unread_bytes <= 1024 * 1024
+            received_bytes = 0
+            while received_bytes < 2 * 1024 * 1024:
+                received_bytes += len(await response.read())
+            response.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
@@ -221,23 +229,18 @@
 
 def test_body_above_a_lowered_limit_is_garbled():
     async def scenario():
-        endpoint = ScriptedEndpoint(sends(*ENDLESS["body in chunks"]))
-        address = await endpoint.start()
-        clock = asyncio.get_running_loop().time
-        pool = ConnectionPool(clock, decode_response_head, 0.35)
-        connection = await pool.acquire(address, address, 10)
-        response = connection.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "r")
-        await response.head()
-        response.limit_body(300_000)
-        with pytest.raises(CallError) as caught:
-            received_bytes = 0
-            while data := await response.read():
-                received_bytes += len(data)
-        assert caught.value.reason == "garbled"
-        assert received_bytes < RESPONSE_MAX_BYTES / 4
-        response.close()
-        pool.close()
-        await endpoint.close()
+        async with endless_endpoint(*ENDLESS["body in chunks"]) as (endpoint, pool):
+            connection = await pool.acquire(endpoint.address, endpoint.address, 10)
+            response = connection.send(b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n", "r")
+            await response.head()
+            response.limit_body(300_000)
+            with pytest.raises(CallError) as caught:
+                received_bytes = 0
+                while data := await response.read():
+                    received_bytes += len(data)
+            assert caught.value.reason == "garbled"
+            assert received_bytes < RESPONSE_MAX_BYTES / 4
+            response.close()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
 
@@ -246,24 +249,20 @@
 # loop, before any of them can be given up.
 def test_connections_to_endpoints_count_for_what_is_received_at_once():
     async def scenario():
-        endpoint = ScriptedEndpoint(sends(*ENDLESS["body in chunks"]))
-        address = await endpoint.start()
-        clock = asyncio.get_running_loop().time
-        pool = ConnectionPool(clock, decode_response_head, 0.35)
-        pool.set_budget(ConnectionBudget(lambda *_, **__: None, 8 * 65536))
-        connections = [await pool.acquire(address, address, 10) for _ in range(3)]
-        # More than the 65,536 bytes that may be received in one turn.
-        pool.on_received(65537)
-        assert not any(c._transport.is_reading() for c in connections)
-        await asyncio.sleep(0)
-        assert all(c._transport.is_reading() for c in connections)
-        # What waits to be read keeps its connection paused.
-        connections[0].pause_reading()
-        pool.on_received(65537)
-        await asyncio.sleep(0)
-        assert not connections[0]._transport.is_reading()
-        assert connections[1]._transport.is_reading()
-        pool.close()
-        await endpoint.close()
+        async with endless_endpoint(*ENDLESS["body in chunks"]) as (endpoint, pool):
+            pool.set_budget(ConnectionBudget(lambda *_, **__: None, 8 * 65536))
+            address = endpoint.address
+            connections = [await pool.acquire(address, address, 10) for _ in range(3)]
+            # More than the 65,536 bytes that may be received in one turn.
+            pool.on_received(65537)
+            assert not any(c._transport.is_reading() for c in connections)
+            await asyncio.sleep(0)
+            assert all(c._transport.is_reading() for c in connections)
+            # What waits to be read keeps its connection paused.
+            connections[0].pause_reading()
+            pool.on_received(65537)
+            await asyncio.sleep(0)
+            assert not connections[0]._transport.is_reading()
+            assert connections[1]._transport.is_reading()
 
     asyncio.run(asyncio.wait_for(scenario(), 30))
--- a/soak/entry_process.py
+++ b/soak/entry_process.py
@@ -232,7 +232,7 @@
         while True:
             await self.until_signals_handled()
             self._rewrite_settings()
-            self._signal(signal.SIGHUP)
+            self.send_signal(signal.SIGHUP)
             await asyncio.sleep(SIGNAL_INTERVAL_S)
 
     def _rewrite_settings(self):
@@ -280,4 +280,4 @@
     async def reload_settings(self):
         """Make the host read its settings again, by SIGHUP."""
         await self.until_signals_handled()
-        self._signal(signal.SIGHUP)
+        self.send_signal(signal.SIGHUP)
--- a/tests/test_crowds_at_daemon.py
+++ b/tests/test_crowds_at_daemon.py
@@ -1,12 +1,11 @@
 """gypsumusherd bears clients that ignore the protocol's limits."""
 
 import asyncio
-import contextlib
-import socket
 from typing import NamedTuple
 
 import aiohttp
 import pytest
+from crowds import STALL_S, misbehave
 from testkit import Fleet
 
 pytestmark = pytest.mark.processes
@@ -14,7 +13,6 @@
 MEMORY_MB, MAX_DESCRIPTORS = 160, 400
 LIMITS = {"max_connections": 200, "max_buffer_bytes": 32_000_000}
 UPLOAD = b"POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 4000001\r\n\r\n"
-STALL_S = 1.0
 
 
 class Crowd(NamedTuple):
@@ -33,20 +31,6 @@
 }
 
 
-async def misbehave(crowd, address):
-    """Connect one client and send its bytes; return its socket, which stays open."""
-    loop = asyncio.get_running_loop()
-    sock = socket.socket()
-    sock.setblocking(False)
-    await loop.sock_connect(sock, address)
-    with contextlib.suppress(OSError, TimeoutError):
-        await loop.sock_sendall(sock, crowd.opening)
-        for data in [crowd.repeated] * crowd.times:
-            async with asyncio.timeout(STALL_S):
-                await loop.sock_sendall(sock, data)
-    return sock
-
-
 @pytest.mark.parametrize("name", CROWDS)
 def test_crowd_takes_neither_memory_nor_descriptors_of_ordinary_callers(name):
     """Guards against clients that end a host, or keep it from serving others."""
@@ -57,7 +41,9 @@
             await fleet.start_platform()
             host = await fleet.start_host("h1", callers=LIMITS)
             ip, _, port = host.addresses["callers"].rpartition(":")
-            clients = (misbehave(crowd, (ip, int(port))) for _ in range(crowd.clients))
+            sent = crowd.opening, crowd.repeated, crowd.times
+            address = ip, int(port)
+            clients = (misbehave(address, *sent) for _ in range(crowd.clients))
             sockets = await asyncio.gather(*clients)
             await asyncio.sleep(STALL_S)
             descriptors = host.count_descriptors()
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -117,7 +117,7 @@
     )
     assert all(answer.status == 200 and answer.is_complete for answer in earlier)
     stopped_s = asyncio.get_running_loop().time()
-    host.process.send_signal(signal.SIGTERM)
+    host.send_signal(signal.SIGTERM)
     return await asyncio.gather(
         *(
             ask_at(host, stopped_s, connection, route, moment_s)
@@ -140,11 +140,11 @@
         store.put("servers", "e-0", entry)
         host = DeployedHost(tmp_path, store_address)
         try:
-            host.start()
+            host.spawn()
             await host.until_listening("front")
             await host.until_logged("event=ready")
             answers = await ask_during_a_stop(host)
-            assert await host.until_ended() == 0
+            assert await host.wait_for_exit() == 0
         finally:
             host.destroy()
             await endpoint.close()
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import contextlib
-import socket
 from typing import NamedTuple
 
 import pytest
+from crowds import STALL_S, misbehave
 from host_process import LISTENERS, running_host
 from platform_samples import sample_configuration
 from scripted_endpoint import ScriptedEndpoint, encode_response, request_id_of
@@ -17,8 +17,8 @@
 HEAD = b"GET /0/%b HTTP/1.1\r\nHost: shop.example\r\n"
 CHUNKED = b"POST /0/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 ANSWER_BYTES = 4_000_000
-# A client stops to send when the host takes nothing for this long.
-STALL_S = 1.0
+# Receive buffer of a client that reads nothing.
+RECEIVE_BYTES = 8192
 
 
 class Crowd(NamedTuple):
@@ -95,35 +95,19 @@
         yield host, endpoint
 
 
-async def misbehave(crowd, host, endpoint):
-    """Connect one client and send its bytes; return its socket, which stays open."""
-    loop = asyncio.get_running_loop()
-    sock = socket.socket()
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
-    await loop.sock_connect(sock, host.addresses_by_name[crowd.listener])
-    opening = crowd.opening.replace(b"ENDPOINT", endpoint.address.encode())
-    with contextlib.suppress(OSError, TimeoutError):
-        await loop.sock_sendall(sock, opening)
-        if opening.startswith(b"CONNECT"):
-            async with asyncio.timeout(STALL_S):
-                await loop.sock_recv(sock, 100)
-        for data in [crowd.repeated] * crowd.times:
-            async with asyncio.timeout(STALL_S):
-                await loop.sock_sendall(sock, data)
-    return sock
-
-
 @pytest.mark.parametrize("name", CROWDS)
 def test_clients_take_neither_memory_nor_descriptors_of_ordinary_ones(name, tmp_path):
     # Guards against clients that end a host, or keep it from serving others.
     async def scenario():
         crowd = CROWDS[name]
         async with host_with_endpoint(tmp_path) as (host, endpoint):
+            address = host.addresses_by_name[crowd.listener]
+            opening = crowd.opening.replace(b"ENDPOINT", endpoint.address.encode())
+            sent = opening, crowd.repeated, crowd.times, RECEIVE_BYTES
             sockets = []
             while len(sockets) < crowd.clients:
                 count = min(crowd.at_once, crowd.clients - len(sockets))
-                clients = (misbehave(crowd, host, endpoint) for _ in range(count))
+                clients = (misbehave(address, *sent) for _ in range(count))
                 sockets += await asyncio.gather(*clients)
             try:
                 await asyncio.sleep(STALL_S)
--- a/tests/test_process_life.py
+++ b/tests/test_process_life.py
@@ -5,14 +5,10 @@
 import signal
 
 import pytest
-from deployed_host import GRACE_S, DeployedHost
-from platform_samples import sample_configuration, sample_endpoint_entry
-
-from gypsumusher_standins.object_store_server import ObjectStoreServer
+from deployed_host import GRACE_S, deployed_host
 
 pytestmark = pytest.mark.processes
 
-ROUTE = {"kind": "idempotent", "attempts": 2}
 # Waits at one place until the test removes a file. The module that it stands for is
 # the first large one that the host imports.
 WAITING_IMPORT = """
@@ -27,28 +23,19 @@
 
 
 @contextlib.asynccontextmanager
-async def host(folder, module=None, has_configuration=True):
+async def host(folder, module=None, **options):
     """A host with a store; it may wait where a module says until a file is removed."""
-    store = ObjectStoreServer()
-    address = await store.start()
-    if has_configuration:
-        store.put("config", "main", sample_configuration(1, ROUTE))
-        store.put("servers", "e-0", sample_endpoint_entry("127.0.0.1:9"))
     waiting = folder / "waiting"
     modules = {}
     if module is not None:
         modules["uvloop"] = module.format(waiting=str(waiting))
-    process = DeployedHost(folder, address, modules)
-    try:
+    async with deployed_host(folder, modules=modules, **options) as process:
         yield process, waiting
-    finally:
-        process.destroy()
-        await store.close()
 
 
 async def until_exists(path, process):
     while not path.exists():
-        assert process.process.poll() is None, process.log_text()
+        assert process.exit_code() is None, process.log_text()
         await asyncio.sleep(0.002)
 
 
@@ -61,15 +48,15 @@
 
     async def main():
         async with host(tmp_path, WAITING_IMPORT) as (process, waiting):
-            process.start()
+            process.spawn()
             await until_exists(waiting, process)
             for _ in range(20):
-                process.process.send_signal(signal.SIGHUP)
+                process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.001)
             waiting.unlink()
             await process.until_listening("front")
             await process.until_logged("event=settings_reloaded")
-            assert await process.stop() == 0
+            assert await process.terminate_and_wait() == 0
 
     run(main())
 
@@ -80,11 +67,11 @@
 
     async def main():
         async with host(tmp_path, WAITING_IMPORT) as (process, waiting):
-            process.start()
+            process.spawn()
             await until_exists(waiting, process)
-            process.process.send_signal(number)
+            process.send_signal(number)
             waiting.unlink()
-            assert await process.until_ended() == 0
+            assert await process.wait_for_exit() == 0
             assert "event=stopped" in process.log_text()
             assert "event=ready" not in process.log_text()
 
@@ -96,13 +83,13 @@
 
     async def main():
         async with host(tmp_path) as (process, _):
-            process.start()
+            process.spawn()
             await process.until_listening("front")
-            process.process.send_signal(signal.SIGTERM)
-            while process.process.poll() is None:
-                process.process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            while process.exit_code() is None:
+                process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.0005)
-            assert process.process.returncode == 0
+            assert process.exit_code() == 0
 
     run(main())
 
@@ -112,11 +99,11 @@
 
     async def main():
         async with host(tmp_path, has_configuration=False) as (process, _):
-            process.start()
+            process.spawn()
             await process.until_listening("control")
             loop = asyncio.get_running_loop()
             began_s = loop.time()
-            assert await process.stop() == 0
+            assert await process.terminate_and_wait() == 0
             assert loop.time() - began_s < GRACE_S
             assert not process.log_text().count("event=ready")
 
--- a/tools/deployed_host.py
+++ b/tools/deployed_host.py
@@ -1,23 +1,28 @@
 """Entry hosts as real processes, by the deploy file's command and real settings."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
-import signal
 import socket
-import subprocess
 import sys
 import tomllib
 
-from processes import free_ports
+from platform_samples import (
+    IDEMPOTENT_ROUTE,
+    sample_configuration,
+    sample_endpoint_entry,
+)
+from processes import Process, free_ports
 
-__all__ = ["GRACE_S", "DeployedHost", "occupy"]
+from gypsumusher_standins.object_store_server import ObjectStoreServer
+
+__all__ = ["GRACE_S", "DeployedHost", "deployed_host", "occupy"]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PACKAGE_FOLDERS = [ROOT / "platform", *sorted((ROOT / "libs").iterdir())]
 LISTENERS = ("front", "ready", "control", "directory")
 POLL_S = 0.002
-EXIT_TIMEOUT_S = 30.0
 LOG_TIMEOUT_S = 40.0
 GRACE_S = 8.0
 SETTINGS = """node = "{name}"
@@ -62,7 +67,7 @@
 """
 
 
-class DeployedHost:
+class DeployedHost(Process):
     """One process of an entry host.
 
     Parameters
@@ -73,13 +78,15 @@
         Address of the store.
     modules : dict of str to str
         Source of modules that the process imports in place of others, by name.
+    ip : str
+        Address of all its listeners.
+    max_fds : int
+        Limit in its settings.
     """
 
     def __init__(self, folder, store, modules=None, ip="127.0.0.1", max_fds=4100):
         self.ip = ip
-        self.process = None
         self.settings_path = folder / "node.toml"
-        self.log_path = folder / "host.log"
         names = (*LISTENERS, "metrics", "datagrams")
         self.ports = dict(zip(names, free_ports(ip, len(names))))
         self.settings = SETTINGS.format(
@@ -91,14 +98,15 @@
         self._modules.mkdir(exist_ok=True)
         for name, source in (modules or {}).items():
             (self._modules / f"{name}.py").write_text(source)
-
-    def start(self, **options):
-        """Start the process; options are those of `subprocess.Popen`."""
         roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
         command = roles["entry"]["run"].split()
         assert command[0] == "python3"
         command[0] = sys.executable
         command[-1] = str(self.ports["metrics"])
+        super().__init__("front-1", command, folder / "host.log")
+
+    def spawn(self, **options):
+        """Start the process, with as little of the environment as the platform."""
         folders = [self._modules, *PACKAGE_FOLDERS, *sys.path]
         environment = {
             key: os.environ[key]
@@ -107,28 +115,20 @@
         }
         environment["PYTHONPATH"] = os.pathsep.join(map(str, folders))
         environment["GYPSUMUSHER_SETTINGS"] = str(self.settings_path)
-        with open(self.log_path, "ab") as log:
-            streams = {"stdin": subprocess.DEVNULL, "stdout": log, "stderr": log}
-            self.process = subprocess.Popen(
-                command, env=environment, **{**streams, **options}
-            )
-
-    def log_text(self):
-        """Return all that the process has written."""
-        return self.log_path.read_text(errors="replace")
+        super().spawn(**{"env": environment, **options})
 
     async def until_logged(self, text):
         """Wait until the log holds a text; fail with the log when it doesn't come."""
         until_s = asyncio.get_running_loop().time() + LOG_TIMEOUT_S
         while text not in self.log_text():
-            assert self.process.poll() is None, (self.process.poll(), self.log_text())
+            assert self.exit_code() is None, (self.exit_code(), self.log_text())
             assert asyncio.get_running_loop().time() < until_s, self.log_text()
             await asyncio.sleep(POLL_S)
 
     async def until_listening(self, name):
         """Wait until the process accepts connections at a listener."""
         while not await self.is_listening(name):
-            assert self.process.poll() is None, (self.process.poll(), self.log_text())
+            assert self.exit_code() is None, (self.exit_code(), self.log_text())
             await asyncio.sleep(POLL_S)
 
     async def is_listening(self, name):
@@ -140,25 +140,32 @@
         writer.close()
         return True
 
-    async def until_ended(self):
-        """Wait for the end of the process; return its exit status."""
-        loop = asyncio.get_running_loop()
-        until_s = loop.time() + EXIT_TIMEOUT_S
-        while self.process.poll() is None:
-            assert loop.time() < until_s, self.log_text()
-            await asyncio.sleep(POLL_S)
-        return self.process.returncode
-
-    async def stop(self):
-        """Stop the process as planned; return its exit status."""
-        self.process.send_signal(signal.SIGTERM)
-        return await self.until_ended()
-
-    def destroy(self):
-        """Kill the process if it runs."""
-        if self.process is not None and self.process.poll() is None:
-            self.process.kill()
-            self.process.wait()
+
+@contextlib.asynccontextmanager
+async def deployed_host(folder, has_configuration=True, **options):
+    """Return a host that isn't started yet, with a store.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder of its settings and its log.
+    has_configuration : bool
+        Whether the store has a configuration and the entry of an endpoint.
+    **options
+        Those of `DeployedHost`.
+    """
+    store = ObjectStoreServer()
+    address = await store.start()
+    if has_configuration:
+        store.put("config", "main", sample_configuration(1, IDEMPOTENT_ROUTE))
+        store.put("servers", "e-0", sample_endpoint_entry("127.0.0.1:9"))
+    process = DeployedHost(folder, address, **options)
+    process.store = store
+    try:
+        yield process
+    finally:
+        process.destroy()
+        await store.close()
 
 
 def occupy(ip, port, kind=socket.SOCK_STREAM):
--- a/tools/platform_samples.py
+++ b/tools/platform_samples.py
@@ -3,7 +3,19 @@
 import random
 import string
 
-__all__ = ["sample_configuration", "sample_endpoint_entry", "sample_routes"]
+from gypsumusher_ports import Bounds, HostSettings
+
+__all__ = [
+    "BOUNDS",
+    "IDEMPOTENT_ROUTE",
+    "sample_configuration",
+    "sample_endpoint_entry",
+    "sample_host_settings",
+    "sample_routes",
+]
+
+BOUNDS = Bounds(2.0, 2.0, 8.0, 3.0, 3.0, 0.3, 0.2, 54.0, 10.0, 5.0, False)
+IDEMPOTENT_ROUTE = {"kind": "idempotent", "attempts": 2}
 
 LIMITS = {
     "max_header_bytes": 16384,
@@ -68,3 +80,11 @@
         "seq": sequence,
         **fields,
     }
+
+
+def sample_host_settings(store, ip="127.0.0.1", name="host-1", seeds=(), port=0):
+    """Return settings of a host with all ports assigned at start."""
+    return HostSettings(
+        name, ip, "zone-a", "region", f"{ip}:0", f"{ip}:0", f"{ip}:0", f"{ip}:0", port,
+        seeds, store, False, 1.0, 1000.0, BOUNDS,
+    )  # fmt: skip
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -40,17 +40,22 @@
         self.addresses = {}
         self._child = None
 
-    def spawn(self):
-        """Start the process without waiting until it is ready."""
-        environment = {**os.environ, "PYTHONUNBUFFERED": "1"}
+    def spawn(self, **options):
+        """Start the process without waiting until it is ready.
+
+        Parameters
+        ----------
+        **options
+            Options of `subprocess.Popen` in place of the usual ones.
+        """
         with open(self.log_path, "ab") as log:
-            self._child = subprocess.Popen(
-                self.argv,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-                env=environment,
-            )
+            usual = {
+                "stdin": subprocess.DEVNULL,
+                "stdout": log,
+                "stderr": subprocess.STDOUT,
+                "env": {**os.environ, "PYTHONUNBUFFERED": "1"},
+            }
+            self._child = subprocess.Popen(self.argv, **{**usual, **options})
 
     async def start(self):
         """Start the process, wait for its ready line and read the addresses from it."""
@@ -97,20 +102,20 @@
 
     def kill(self):
         """Send SIGKILL and wait for the exit."""
-        self._signal(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
         self._child.wait()
 
     def pause(self):
         """Send SIGSTOP, which pauses the process like a frozen machine."""
-        self._signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
 
     def resume(self):
         """Send SIGCONT, which ends a pause."""
-        self._signal(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
     def terminate(self):
         """Send SIGTERM, which asks for a planned stop."""
-        self._signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
 
     async def wait_for_exit(self):
         """Wait until the process has exited, and return the exit code."""
@@ -145,7 +150,8 @@
         if self.is_started and self.exit_code() is None:
             self.kill()
 
-    def _signal(self, number):
+    def send_signal(self, number):
+        """Send a signal unless the process has exited."""
         if self.exit_code() is None:
             os.kill(self.pid, number)
 
--- a/tools/store_readers.py
+++ b/tools/store_readers.py
@@ -19,14 +19,19 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 
-from platform_samples import sample_configuration, sample_endpoint_entry  # noqa: E402
+from platform_samples import (  # noqa: E402
+    IDEMPOTENT_ROUTE,
+    sample_configuration,
+    sample_endpoint_entry,
+    sample_host_settings,
+)
+from processes import EXIT_TIMEOUT_S  # noqa: E402
 from relay_bench import cpu_s  # noqa: E402
 
 from gypsumusher_entry.context import Context  # noqa: E402
 from gypsumusher_entry.metrics import Metrics  # noqa: E402
 from gypsumusher_entry.store_watcher import StoreWatcher  # noqa: E402
 from gypsumusher_platform import StoreClient  # noqa: E402
-from gypsumusher_ports import Bounds, HostSettings  # noqa: E402
 from gypsumusher_process import format_fields, run_event_loop  # noqa: E402
 from gypsumusher_routing import ALL_ON  # noqa: E402
 from gypsumusher_standins.object_store_server import ObjectStoreServer  # noqa: E402
@@ -35,9 +40,6 @@
 WATCHERS = 3
 STORE_TIMEOUT_S = 2.0
 POLL_S = 0.01
-EXIT_TIMEOUT_S = 10.0
-BOUNDS = Bounds(2.0, 2.0, 8.0, 3.0, 3.0, 0.3, 0.2, 54.0, 10.0, 5.0, False)
-ROUTE = {"kind": "idempotent", "attempts": 2}
 
 
 class CountingStore(ObjectStoreServer):
@@ -68,10 +70,7 @@
 def create_host(number, count, address, state):
     """Return the context of a host and what follows the store for it."""
     ip = f"10.0.{number // 250}.{number % 250 + 1}"
-    settings = HostSettings(
-        f"host-{number}", ip, "zone-a", "region", f"{ip}:0", f"{ip}:0", f"{ip}:0",
-        f"{ip}:0", 0, (), address, False, 1.0, 1000.0, BOUNDS,
-    )  # fmt: skip
+    settings = sample_host_settings(address, ip, f"host-{number}")
     clock = asyncio.get_running_loop().time
     context = Context(settings, clock, lambda *_, **__: None, Metrics(), ALL_ON)
     context.hosts.existing_count = lambda: count
@@ -161,7 +160,7 @@
     """Print the costs of one number of hosts."""
     store = CountingStore()
     address = await store.start()
-    store.put("config", "main", sample_configuration(1, ROUTE))
+    store.put("config", "main", sample_configuration(1, IDEMPOTENT_ROUTE))
     for number in range(endpoints):
         entry = sample_endpoint_entry(f"10.1.{number // 250}.{number % 250 + 1}:80")
         store.put("servers", f"e-{number}", entry)
@@ -178,7 +177,9 @@
             if period != "watched":
                 if period == "loss":
                     hosts.send("lost")
-                store.put("config", "main", sample_configuration(version, ROUTE))
+                store.put(
+                    "config", "main", sample_configuration(version, IDEMPOTENT_ROUTE)
+                )
                 await hosts.until_known(version)
                 known_s = round(loop.time() - began_s, 2)
             await asyncio.sleep(max(0.0, began_s + duration_s - loop.time()))
