Review case 10: a request that is sent ahead ends the one that is served

LOST: header_timeout_ms also runs for a request of which the host has parsed the beginning and doesn't parse on while it serves the one before.

Splits the reading of answers off in the stand-ins.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -547,6 +547,16 @@
             async with asyncio.timeout(timeout_s):
                 self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
                 await self.writer.drain()
+        except TimeoutError:
+            return Answer(0, error="not taken in time")
+        except OSError as error:
+            return Answer(0, error=f"closed without an answer: {type(error).__name__}")
+        return await self.read_answer(timeout_s)
+
+    async def read_answer(self, timeout_s):
+        """Read the next answer."""
+        try:
+            async with asyncio.timeout(timeout_s):
                 head = await read_head(self.reader)
                 if head is None:
                     return Answer(0, error="closed without an answer")
