Send a host's status whatever its loads are

Status messages state the expected duration of prefills in whole milliseconds; above 2**64 msgpack raises OverflowError, and the load that causes it is in each later message.

A datagram that can't be encoded all the same is logged and not sent.

--- a/libs/entry/gypsumusher_entry/gossip.py
+++ b/libs/entry/gypsumusher_entry/gossip.py
@@ -127,7 +127,22 @@
 
     def send_datagram(self, kind, fields, ip):
         """Send a datagram to the handler for its kind at one host."""
-        self._send_data(kind, msgpack.packb([kind, *fields]), (ip,))
+        data = self._encode(kind, [kind, *fields])
+        if data is not None:
+            self._send_data(kind, data, (ip,))
+
+    def _encode(self, kind, fields):
+        """Return an encoded datagram; None if one of its fields can't be encoded.
+
+        Requests, the periodic updates and the planned stop go on without a datagram.
+        """
+        try:
+            return msgpack.packb(fields)
+        except (OverflowError, RecursionError, TypeError, ValueError) as error:
+            self._context.log(
+                "error", "datagram_not_encoded", kind=kind, error=repr(error)
+            )
+            return None
 
     def _send_data(self, kind, data, ips):
         """Send an encoded datagram to some hosts, and count its bytes by kind."""
@@ -239,8 +254,8 @@
             self._last_state = state
             return
         fields = self._load_changes.fields(self._sequence + 1, changes, placements)
-        data = msgpack.packb([LOAD_CHANGES, *fields])
-        if not self._load_changes.is_compact(len(data)):
+        data = self._encode(LOAD_CHANGES, [LOAD_CHANGES, *fields])
+        if data is None or not self._load_changes.is_compact(len(data)):
             self._broadcast(now_s, state, is_for_all=False, placements=placements)
             return
         self._on_message(now_s, state)
@@ -301,7 +316,9 @@
         status = context.own_status(self._sequence, period_s)
         *_, stages, _, loads = state
         fields = [MESSAGE_VERSION, _encode_status(status), stages, loads, *other_fields]
-        data = msgpack.packb(fields)
+        data = self._encode(STATUS, fields)
+        if data is None:
+            return 0
         if len(data) > MAX_DATAGRAM_BYTES:
             context.log("error", "gossip_too_large", bytes=len(data))
             return 0
--- a/libs/routing/gypsumusher_routing/endpoint_state.py
+++ b/libs/routing/gypsumusher_routing/endpoint_state.py
@@ -20,6 +20,9 @@
 NO_PREFILL_S = (0.0,) * len(LANES)
 # KV memory of an engine whose service does not configure it.
 DEFAULT_KV_TOKENS = 400_000
+# Most that one prompt adds to the load. A sum of such loads fits into the integers of
+# messages between hosts, and taking a prompt back restores the sum of the others.
+MAX_PREFILL_S = 86_400.0
 
 
 class Load(NamedTuple):
@@ -255,9 +258,9 @@
             Priority class of the prompt.
         """
         self._own_prefills += 1
-        self._own_prefill_s_by_lane[LANES.index(lane)] += prefill_s
+        self._own_prefill_s_by_lane[LANES.index(lane)] += min(prefill_s, MAX_PREFILL_S)
 
     def end_prefill(self, prefill_s: float, lane: str) -> None:
         """Remove a prompt from the load; arguments as for `begin_prefill`."""
         self._own_prefills -= 1
-        self._own_prefill_s_by_lane[LANES.index(lane)] -= prefill_s
+        self._own_prefill_s_by_lane[LANES.index(lane)] -= min(prefill_s, MAX_PREFILL_S)
