Take load back whatever happens while a prompt is sent

The request was closed without an answer, and its load stayed for as long as the process lived.

A component that fails when it is told of a prompt is logged (listener_failed); the others are told, and the request goes on. The same holds for what a send takes before its first byte: the count of sends, the endpoint's limit and the connection are given back after any exception, not only after the expected ones.

--- a/libs/entry/gypsumusher_entry/context.py
+++ b/libs/entry/gypsumusher_entry/context.py
@@ -544,14 +544,12 @@
 
     def notify_prefill_start(self):
         """Call the listeners: an engine is about to be sent a prompt for prefill."""
-        for listener in self.prefill_listeners:
-            listener()
+        self._notify(self.prefill_listeners)
 
     def notify_prompt(self, exchange, choice, is_begun):
         """Call the listeners: a prompt is sent to an engine for prefill, or refused."""
-        for listener in self.prompt_listeners:
-            left_s = exchange.objective_remaining_s
-            listener(exchange.service, choice, left_s, is_begun)
+        left_s = exchange.objective_remaining_s
+        self._notify(self.prompt_listeners, exchange.service, choice, left_s, is_begun)
 
     def notify_shared_parts(self, state, chain):
         """Call the listeners: an engine has or will have the shared parts of a prompt.
@@ -563,8 +561,19 @@
         chain : list
             Pairs of part id and tokens.
         """
-        for listener in self.shared_part_listeners:
-            listener(state.record.service, chain)
+        self._notify(self.shared_part_listeners, state.record.service, chain)
+
+    def _notify(self, listeners, *arguments):
+        """Call listeners; the failure of one is neither the others' nor the caller's.
+
+        The callers serve requests, which go on without what a listener does.
+        """
+        for listener in listeners:
+            try:
+                listener(*arguments)
+            except Exception as error:
+                name = getattr(listener, "__qualname__", repr(listener))
+                self.log("error", "listener_failed", listener=name, error=repr(error))
 
     def record_prefix_placement(self, state, parts, wait_s=0.0):
         """Record that an engine caches parts of a prompt, and queue that for gossip.
--- a/libs/entry/gypsumusher_entry/prefill.py
+++ b/libs/entry/gypsumusher_entry/prefill.py
@@ -176,20 +176,20 @@
         kv_fetch=prefill.fetch_address,
         account=exchange.account_name,
     )
-    began_s = context.clock()
-    state.own_running += 1
-    state.begin_prefill(prefill.cost_s, prefill.lane)
-    parts = exchange.request.generation.parts
-    context.record_prefix_placement(state, parts, wait_s=prefill.expected_s)
-    context.notify_prefill_start()
-    context.notify_prompt(exchange, prefill, is_begun=True)
     cost_model = context.cost_model(exchange.service)
     limit_s = cost_model.prefill_timeout_s(state.stage, prefill.expected_s)
     longest_s = exchange.first_event_limits.abandoned_s
     if prefill.lane != TIMELY:
         # At another engine the prompt would start at the end of the queue again.
         limit_s = longest_s
+    parts = exchange.request.generation.parts
+    began_s = context.clock()
+    state.own_running += 1
+    state.begin_prefill(prefill.cost_s, prefill.lane)
     try:
+        context.record_prefix_placement(state, parts, wait_s=prefill.expected_s)
+        context.notify_prefill_start()
+        context.notify_prompt(exchange, prefill, is_begun=True)
         async with silence_timeout(exchange, limit_s, longest_s):
             response = await _request_prefill(exchange, state, send)
     except TimeoutError:
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -4,7 +4,7 @@
 import contextlib
 from typing import NamedTuple
 
-from gypsumusher_entry.errors import LIMITED, OTHER_VERSION, PAUSED, NoRetryError
+from gypsumusher_entry.errors import LIMITED, OTHER_VERSION, PAUSED
 from gypsumusher_http import RESPONSE_MAX_BYTES, CallError
 from gypsumusher_platform import encode_endpoint_request
 from gypsumusher_routing import SentRequest
@@ -78,7 +78,7 @@
     began_s = context.clock()
     try:
         connection = await _reserve_and_connect(exchange, state)
-    except (CallError, NoRetryError, asyncio.CancelledError):
+    except BaseException:
         if run is not None:
             run.on_unsent()
         raise
@@ -129,7 +129,7 @@
     exchange.send_counter.begin()
     try:
         return await _connect(exchange, state)
-    except (CallError, asyncio.CancelledError):
+    except BaseException:
         exchange.send_counter.cancel()
         exchange.context.endpoint_limits.give_back(state)
         raise
@@ -150,7 +150,7 @@
         _check_pause(context, record, connection.relay)
         if not context.endpoints.is_current(state):
             raise CallError("connect", record.address, "left", False)
-    except CallError:
+    except BaseException:
         context.connection_pool.release(connection)
         raise
     return connection
--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -263,10 +263,10 @@
         response = None
         exchange.has_run_events = exchange.has_run_survived = False
         run.begin()
-        if prefill is not None:
-            context.notify_prefill_start()
-            context.notify_prompt(exchange, prefill, is_begun=True)
         try:
+            if prefill is not None:
+                context.notify_prefill_start()
+                context.notify_prompt(exchange, prefill, is_begun=True)
             response = await start_send(exchange, state, send, possible_run)
             pending.relay = response.relay
             await self._forward_events(response, run, pending)
--- a/libs/entry/tests/test_absurd_prompts.py
+++ b/libs/entry/tests/test_absurd_prompts.py
@@ -1,8 +1,21 @@
 """Prompts of a size that no engine can hold, and failures between a send's counts."""
 
 import pytest
-from host_harness import run, two_hosts, until
-from notice_harness import healthy
+from host_harness import HostHarness, make_engines, run, two_hosts, until
+from notice_harness import LONG_PROMPT, PROMPT_ROUTE, healthy, slow
+
+STAGES = [("decode",), ("prefill", "decode")]
+
+
+def prompt(tokens):
+    """Return the headers of a prompt with some tokens."""
+    return {**LONG_PROMPT, "X-Gypsumusher-Token-Count": f"{tokens},4"}
+
+
+def loads(host):
+    """Return the load that a host counts for itself at each endpoint."""
+    states = host.context.endpoints.states
+    return {name: state.own_load() for name, state in states.items()}
 
 
 # Guards against one prompt's cost keeping a host's status from all other hosts.
@@ -19,3 +32,23 @@
             first._gossip.send_now()
 
     run(scenario())
+
+
+# Guards against load that is never taken back, and prompts that are never answered.
+@pytest.mark.parametrize("stages", STAGES)
+@pytest.mark.parametrize("name", ["prefill_listeners", "prompt_listeners"])
+def test_prompt_is_served_when_a_listener_fails(name, stages):
+    def fail(*_):
+        raise RuntimeError("unforeseen")
+
+    async def scenario():
+        scripts = [slow() for _ in stages]
+        async with HostHarness(*scripts, routes=(PROMPT_ROUTE,)) as harness:
+            await make_engines(harness, *stages, route=PROMPT_ROUTE)
+            idle = loads(harness.host)
+            getattr(harness.host.context, name).append(fail)
+            status, _, _ = await harness.ask(method="POST", **LONG_PROMPT)
+            assert status == 200
+            assert loads(harness.host) == idle
+
+    run(scenario())
