--- a/libs/daemon/gypsumusher_daemon/host.py
+++ b/libs/daemon/gypsumusher_daemon/host.py
@@ -274,19 +274,27 @@
         self.state = LEAVING
         self.peer_network.set_leaving()
         self.log("info", "stop_began", running=len(self.tasks))
-        await self.stewards.release()
-        await self.peer_network.gossip_now()
-        await self.directory.withdraw()
+        await self._try_to("release_leases", self.stewards.release)
+        await self._try_to("tell_peers", self.peer_network.gossip_now)
+        await self._try_to("withdraw", self.directory.withdraw)
         await self._serve_while_cached(self.settings["callers.entry_max_age_s"])
         self.state = STOPPED
         end_s = self.clock() + self.settings["stop.grace_s"]
         while self._running() and self.clock() < end_s:
             await asyncio.sleep(STOP_POLL_S)
         self.keyed_requests.finish_unsent()
-        sealed = await self.journals.seal_own(SEAL_TIMEOUT_S)
+        sealed = await self._try_to("seal", self.journals.seal_own, SEAL_TIMEOUT_S)
         self.log("info", "stop_done", running=self._running(), sealed=sealed)
         await self.close()
 
+    async def _try_to(self, step, function, *arguments):
+        """Return the result of a step of a stop, which goes on if the step fails."""
+        try:
+            return await function(*arguments)
+        except Exception as error:
+            self.log("error", "stop_step_failed", step=step, error=repr(error))
+            return None
+
     async def close(self):
         """Cancel all tasks and close all components."""
         self.state = STOPPED
--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -247,7 +247,7 @@
         for exchange in context.exchanges:
             exchange.on_stop()
         self._listener.is_draining = True
-        self._gossip.send_now()
+        self._announce_stop()
         self.log("info", "stop_began", busy=self._listener.count_active())
         if self._listener.is_listening:
             lists_expire_s = DIRECTORY_TTL_FACTOR * context.directory_ttl_s()
@@ -255,7 +255,7 @@
         self._listener.stop_accepting()
         while self._count_active() and context.clock() < deadline_at_s:
             await asyncio.sleep(POLL_S)
-            self._gossip.send_now()
+            self._announce_stop()
         self.log(
             "info",
             "stop_done",
@@ -264,6 +264,16 @@
         )
         await self.close()
 
+    def _announce_stop(self):
+        """Tell the other hosts that this one stops; it stops as planned without, too.
+
+        Hosts that aren't told notice the end of its messages.
+        """
+        try:
+            self._gossip.send_now()
+        except Exception as error:
+            self.log("error", "stop_not_announced", error=repr(error))
+
     def _count_active(self):
         """Return the number of busy callers, and of tunnels of other hosts."""
         return self._listener.count_active() + self._tunnel_relay.tunnel_count
--- a/libs/entry/tests/test_absurd_prompts.py
+++ b/libs/entry/tests/test_absurd_prompts.py
@@ -1,5 +1,7 @@
 """Prompts of a size that no engine can hold, and failures between a send's counts."""
 
+import asyncio
+
 import pytest
 from host_harness import HostHarness, make_engines, run, two_hosts, until
 from notice_harness import LONG_PROMPT, PROMPT_ROUTE, healthy, slow
@@ -52,3 +54,19 @@
             assert loads(harness.host) == idle
 
     run(scenario())
+
+
+# Guards against a planned stop that cuts requests off because a step of it failed.
+def test_stop_waits_for_requests_when_its_messages_fail(monkeypatch):
+    def fail():
+        raise RuntimeError("unforeseen")
+
+    async def scenario():
+        async with HostHarness(slow()) as harness:
+            monkeypatch.setattr(harness.host._gossip, "send_now", fail)
+            asked = asyncio.ensure_future(harness.ask())
+            await until(harness.arrivals)
+            await harness.host.stop()
+            assert (await asked)[0] == 200
+
+    run(scenario())
