Refuse prompts that no engine can hold

A prompt above the kv_tokens that its service is configured with is refused at once with 413, which callers don't repeat. It reaches neither the demand of accounts nor the estimates that order engines. Where no capacity is configured the default stays a guess, and nothing is refused for it.

--- a/libs/entry/gypsumusher_entry/stream_exchange.py
+++ b/libs/entry/gypsumusher_entry/stream_exchange.py
@@ -32,6 +32,8 @@
 VERSION_UNKNOWN, VERSION_GONE = "version_unknown", "version_gone"
 # The same where no endpoint of its service is known.
 NO_ENDPOINT = "no_endpoint"
+# Reason for which a prompt is refused that no engine of its service can hold.
+PROMPT_TOO_LARGE = "prompt_too_large"
 # Limits the sends of one request, refused ones included.
 MAX_SENDS = 4
 NO_CAPACITY_RETRY_AFTER_S = 1.0
@@ -83,6 +85,9 @@
     async def run(self):
         """Prefill the prompt, then send until a stream is complete or none can be."""
         exchange, context = self._exchange, self._context
+        if self._is_too_large():
+            self._refuse_as_too_large()
+            return
         reason = await self._check_version()
         wait_s = self._expected_wait_s()
         if reason is None and not exchange.ends_before_stop(wait_s):
@@ -113,6 +118,23 @@
                 self._failed_response, error, self._retry_after_s()
             )
 
+    def _is_too_large(self):
+        """Return whether no engine of the service can hold the prompt."""
+        if not self._is_generation() or self._limits.max_prompt_tokens is None:
+            return False
+        return self._generation.prompt_tokens > self._limits.max_prompt_tokens
+
+    def _refuse_as_too_large(self):
+        """Refuse the prompt for good: callers don't repeat a request after a 413."""
+        self._exchange.log(
+            "info",
+            "request_refused",
+            reason=PROMPT_TOO_LARGE,
+            tokens=self._generation.prompt_tokens,
+            max_tokens=self._limits.max_prompt_tokens,
+        )
+        self._exchange.refuse(413, PROMPT_TOO_LARGE)
+
     def _expected_wait_s(self):
         """Return the expected time until the first event if the host stops, else 0."""
         exchange, context = self._exchange, self._context
--- a/libs/entry/tests/host_harness.py
+++ b/libs/entry/tests/host_harness.py
@@ -99,7 +99,7 @@
 async def make_engines(harness, *stages, route=STREAM_ROUTE, **fields):
     """Turn the endpoints into engines; other fields are the configuration's."""
     content = {**sample_configuration(2, route), **fields}
-    content["services"][0]["engine"] = {"slots": 8}
+    content["services"][0].setdefault("engine", {"slots": 8})
     harness.store.put("config", "main", content)
     states = harness.host.context.endpoints.states
     for number, stage in enumerate(stages):
--- a/libs/entry/tests/test_absurd_prompts.py
+++ b/libs/entry/tests/test_absurd_prompts.py
@@ -70,3 +70,21 @@
             assert (await asked)[0] == 200
 
     run(scenario())
+
+
+# Guards against absurd sizes in estimates and loads, and against futile retries.
+@pytest.mark.parametrize("stages", STAGES)
+def test_prompt_above_the_memory_of_each_engine_is_refused_at_once(stages):
+    async def scenario():
+        scripts = [slow() for _ in stages]
+        async with HostHarness(*scripts, routes=(PROMPT_ROUTE,)) as harness:
+            services = [{"name": "svc", "engine": {"slots": 8, "kv_tokens": 50_000}}]
+            fields = {"route": PROMPT_ROUTE, "services": services}
+            await make_engines(harness, *stages, **fields)
+            for tokens in (2**53 - 1, 50_001):
+                status, headers, _ = await harness.ask(method="POST", **prompt(tokens))
+                assert (status, headers.get("Retry-After")) == (413, None)
+            assert harness.arrivals() == 0
+            assert (await harness.ask(method="POST", **prompt(50_000)))[0] == 200
+
+    run(scenario())
--- a/libs/ports/gypsumusher_ports/configuration.py
+++ b/libs/ports/gypsumusher_ports/configuration.py
@@ -98,6 +98,9 @@
         Time for which an engine keeps the KV cache of a prefilled prompt, in seconds.
     role_change_s : float
         Time for which an engine serves nothing while it changes its stage, in seconds.
+    max_prompt_tokens : int or None
+        Largest prompt that an engine can hold; None if the configuration states no
+        capacity, so that `kv_tokens` is a guess.
     """
 
     slots: int
@@ -106,6 +109,7 @@
     link_bits_per_s: float
     handle_ttl_s: float
     role_change_s: float
+    max_prompt_tokens: int | None = None
 
 
 class ScaleLimits(NamedTuple):
