Take room for large requests before they are read

What connections hold was counted after it had been read, and beyond a quarter of memory_mb those that held most were closed: the uploads that endpoints were running.

A request over 64 KB now takes room before it is read, for its stated length or as it grows. While there is none its connection isn't read, for up to 0.5 s; then, or at once when a third of the room is waited for, it is refused with 503 and the time for which requests kept their room lately. A request that hardly arrives loses its room to others. Large requests get three quarters of the memory of all connections, so that giving up others is always enough; those whose request an endpoint may be running come last, and a request that wasn't passed on is refused instead of being closed. Bodies are sent on without a copy. Giving connections up no longer nests when a refusal is written.

test_platform_adapter.py looked for the body behind the encoded head.

--- a/libs/daemon/gypsumusher_daemon/limited_protocol.py
+++ b/libs/daemon/gypsumusher_daemon/limited_protocol.py
@@ -40,6 +40,11 @@
             return IN_USE
         return UNREAD if self._unsent_bytes else UNUSED
 
+    @property
+    def awaits_endpoint(self):
+        """Whether an endpoint may be running the request, without a response so far."""
+        return self._stage is Stage.HANDLER
+
     @property
     def last_active_s(self):
         """When bytes were last received or sent, in seconds."""
--- a/libs/entry/gypsumusher_entry/exchange.py
+++ b/libs/entry/gypsumusher_entry/exchange.py
@@ -553,7 +553,8 @@
         try:
             await _serve(exchange)
         except asyncio.CancelledError:
-            exchange.outcome = "caller_left"
+            # The listener has refused it, or its caller has left.
+            exchange.outcome = "refused" if reply.is_ended else "caller_left"
             raise
         finally:
             context.exchanges.discard(exchange)
--- a/libs/entry/gypsumusher_entry/sending_to_endpoints.py
+++ b/libs/entry/gypsumusher_entry/sending_to_endpoints.py
@@ -6,7 +6,7 @@
 
 from gypsumusher_entry.errors import LIMITED, OTHER_VERSION, PAUSED
 from gypsumusher_http import RESPONSE_MAX_BYTES, CallError
-from gypsumusher_platform import encode_endpoint_request
+from gypsumusher_platform import encode_endpoint_head
 from gypsumusher_routing import SentRequest
 
 __all__ = [
@@ -107,9 +107,12 @@
         run.on_sent()
         exchange.run_endpoint_id = record.endpoint_id
     exchange.used_connections.append(connection)
-    data = encode_endpoint_request(exchange.request, send)
+    head = encode_endpoint_head(exchange.request, send)
     request_id = exchange.request.request_id or None
-    response = connection.send(data, request_id, hold=exchange.reply.hold)
+    exchange.reply.awaits_endpoint = True
+    response = connection.send(
+        head, request_id, hold=exchange.reply.hold, body=exchange.request.body
+    )
 
     def on_head_or_lost(head):
         sent.on_head_or_lost(head is not None)
--- a/libs/http/gypsumusher_http/connection_budget.py
+++ b/libs/http/gypsumusher_http/connection_budget.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import Counter
 
+from gypsumusher_http.request_room import RequestRoom
+
 __all__ = ["IN_USE", "SENT_AHEAD", "UNREAD", "UNUSED", "ConnectionBudget"]
 
 # Uses of a connection; the lower ones are closed first. No request is under way, a
@@ -18,6 +20,10 @@
 # Share of the most connections that is closed at once when there are too many, for the
 # same reason.
 CLOSED_AT_ONCE_SHARE = 1 / 32
+# Share of the most bytes that large requests may take. The rest is for small ones, for
+# responses and for heads that are being received; it is more than what has to be given
+# up at once, so that none of the large requests is.
+LARGE_REQUESTS_SHARE = 3 / 4
 # Share of the most bytes after which no connection is read until the event loop has
 # passed. What closed connections held is freed only then.
 READ_AT_ONCE_SHARE = 1 / 8
@@ -28,8 +34,9 @@
 
     A limit on each connection alone doesn't bound a process's memory, since there are
     many. Those that hold most are closed first, so that a client with an ordinary
-    request doesn't pay for others. Of too many, those of the least use are closed, in
-    the group with most connections.
+    request doesn't pay for others; those whose request an endpoint may be running come
+    after all others, since it would be lost. Of too many, those of the least use are
+    closed, in the group with most connections.
 
     Parameters
     ----------
@@ -40,13 +47,20 @@
     max_connections : int
         Most connections that may be open.
 
+    Attributes
+    ----------
+    room : RequestRoom
+        Room for large requests.
+
     Notes
     -----
     A connection is any object with the methods ``held_bytes()``, which returns what it
-    holds now, and ``give_up()``, which refuses its request or closes it; it calls
-    `update` when it holds more than before. One that is admitted also has the methods
-    ``abort()`` and ``set_throttled(is_throttled)``, which stops or resumes reading, and
-    the attributes ``group``, ``use`` and ``last_active_s``.
+    holds now, and ``give_up()``, which refuses its request or closes it, and with the
+    attribute ``awaits_endpoint``: whether an endpoint may be running its request, and
+    nothing of the response has come. It calls `update` when it holds more than before.
+    One that is admitted also has the methods ``abort()`` and
+    ``set_throttled(is_throttled)``, which stops or resumes reading, and the attributes
+    ``group``, ``use`` and ``last_active_s``.
     """
 
     def __init__(
@@ -56,6 +70,7 @@
         max_connections=DEFAULT_MAX_CONNECTIONS,
     ):
         self._log = log
+        self.room = RequestRoom(int(LARGE_REQUESTS_SHARE * max_bytes))
         self._max_bytes = max_bytes
         self._max_connections = max_connections
         # Bytes that each connection held at its last update, and their sum. What has
@@ -66,6 +81,7 @@
         self._sources = []
         self._received_bytes = 0
         self._total_bytes = 0
+        self._is_making_room = False
 
     def admit(self, connection):
         """Take a new connection in, and close others for it if there are too many.
@@ -113,8 +129,13 @@
             The connection; it may be given up before this method returns.
         """
         self._measure(connection)
-        if self._total_bytes > self._max_bytes:
-            self._make_room()
+        if self._total_bytes > self._max_bytes and not self._is_making_room:
+            # A refusal that is written makes the connection call this again.
+            self._is_making_room = True
+            try:
+                self._make_room()
+            finally:
+                self._is_making_room = False
 
     def add_source(self, connections):
         """Include further connections in the limit on what is received at once.
@@ -159,8 +180,11 @@
         """Give up connections, those that hold most first, until there is room."""
         for connection in list(self._held_bytes):
             self._measure(connection)
-        by_size = sorted(self._held_bytes, key=self._held_bytes.get, reverse=True)
-        for connection in by_size:
+        in_order = sorted(
+            self._held_bytes,
+            key=lambda held: (held.awaits_endpoint, -self._held_bytes[held]),
+        )
+        for connection in in_order:
             if self._total_bytes <= LOW_WATER_SHARE * self._max_bytes:
                 return
             self._log(
--- a/libs/http/gypsumusher_http/connections.py
+++ b/libs/http/gypsumusher_http/connections.py
@@ -42,6 +42,8 @@
 HEAD_MAX_BYTES, FRAMING_BYTES_PER_BODY_BYTE = 64 * 1024, 16
 # Bytes of a body that wait to be read above which the connection isn't read.
 UNREAD_MAX_BYTES = 256 * 1024
+# Smallest body that is written apart from its head instead of copied behind it.
+SEPARATE_BODY_BYTES = 64 * 1024
 
 
 class Response:
@@ -230,13 +232,15 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES, hold=None):
+    def send(
+        self, data, request_id, max_body_bytes=RESPONSE_MAX_BYTES, hold=None, body=b""
+    ):
         """Write a request; return the `Response` to it.
 
         Parameters
         ----------
         data : bytes
-            The encoded request.
+            The encoded request, or its head alone.
         request_id : str or None
             Id that the response must carry, new on this connection; with None, the
             response must carry none.
@@ -244,6 +248,8 @@
             Largest body of the response, in bytes.
         hold : callable or None
             See `Response`.
+        body : bytes
+            What is sent behind `data`, without a copy of a large one.
 
         Raises
         ------
@@ -258,7 +264,11 @@
         self._received_bytes = self._body_bytes = 0
         self._skipped_responses = 0
         self._is_skipping_response = False
-        self._transport.write(data)
+        if len(body) < SEPARATE_BODY_BYTES:
+            self._transport.write(data + body)
+        else:
+            self._transport.write(data)
+            self._transport.write(body)
         return self._response
 
     def end_request(self, response):
--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from typing import NamedTuple
 
 import httptools
 
@@ -18,6 +19,11 @@
     UNUSED,
     ConnectionBudget,
 )
+from gypsumusher_http.request_room import (
+    SMALL_REQUEST_BYTES,
+    Reservation,
+    RoomAnswer,
+)
 from gypsumusher_http.tunnels import reset_on_close
 from gypsumusher_ports import Refusal
 
@@ -52,12 +58,10 @@
 # Smallest body that is written apart from its head instead of copied behind it.
 SEPARATE_BODY_BYTES = 64 * 1024
 # Memory of a connection, of a request beside its body, and of a line of its head beside
-# its characters; and copies of a body while the request is handled: the request's own,
-# and the one that is sent on.
+# its characters.
 CONNECTION_BYTES, REQUEST_BYTES, HEADER_LINE_BYTES = 8 * 1024, 2 * 1024, 200
-BODY_COPIES = 2
-# ``Retry-After`` of a request that is refused for the memory of all connections.
-OVERLOADED_RETRY_AFTER_S = 1.0
+# Steps in which a body of unknown length takes room.
+BODY_STEP_BYTES = 256 * 1024
 _REASON_PHRASES = {
     200: b"OK",
     204: b"No Content",
@@ -95,11 +99,17 @@
         Whether the caller understands chunks, which HTTP/1.0 lacks. Otherwise the end
         of the connection ends a response that is written in chunks, and a reset shows
         that it is incomplete.
+
+    Attributes
+    ----------
+    awaits_endpoint : bool
+        Whether an endpoint may be running the request, set by the handler.
     """
 
     def __init__(self, connection, keeps_alive, is_head, accepts_chunks=True):
         self.is_started = False
         self.is_ended = False
+        self.awaits_endpoint = False
         self._connection = connection
         self._keeps_alive = keeps_alive
         self._is_head = is_head
@@ -208,6 +218,25 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
+class _Handled(NamedTuple):
+    """A request that waits or is handled, with its memory and the room for it."""
+
+    request: object
+    reply: Reply
+    size_bytes: int
+    reservation: Reservation | None
+
+    @property
+    def is_begun(self):
+        """Whether the request may run at an endpoint, or has a part of a response."""
+        return self.reply.awaits_endpoint or self.reply.is_started
+
+    def release(self):
+        """Give the room of the request back."""
+        if self.reservation is not None:
+            self.reservation.release()
+
+
 class _Connection(asyncio.Protocol):
     """A caller's connection; handles its requests in order."""
 
@@ -225,11 +254,18 @@
         self._framing_bytes = 0
         self._body = bytearray()
         self._unparsed = bytearray()
-        # Requests that wait, each with its reply and the memory that it takes.
+        # Requests that wait, each with its reply, its memory and its reservation.
         self._queued = deque()
         self._task = None
-        # Memory of the request that is handled, and of its response before it is sent.
-        self._handled_bytes = 0
+        # The request that is handled, its memory, and that of its response before it
+        # is sent.
+        self._handled = None
+        self._response_bytes = 0
+        # Room of the request that is being received if it is a large one, what it may
+        # take without asking again, and whether it isn't read before it has room.
+        self._reservation = None
+        self._room_bytes = SMALL_REQUEST_BYTES
+        self._awaits_room = False
         # Size of large bodies that are being sent, and of what others hold, too. The
         # transport frees a body when all of it has been sent.
         self._written_whole_bytes = self._shared_bytes = 0
@@ -324,22 +360,35 @@
             + len(self._body)
             + self._header_bytes
             + HEADER_LINE_BYTES * len(self._headers)
-            + sum(size_bytes for _, _, size_bytes in self._queued)
-            + self._handled_bytes
+            + sum(queued.size_bytes for queued in self._queued)
+            + (0 if self._handled is None else self._handled.size_bytes)
+            + self._response_bytes
             + max(0, own_bytes)
         )
 
+    @property
+    def awaits_endpoint(self):
+        """Whether an endpoint may be running the request, without a response so far."""
+        if self.use != IN_USE or self._response_bytes > 0:
+            return False
+        return self._handled.reply.awaits_endpoint
+
     def set_throttled(self, is_throttled):
         """Set whether the connection isn't read for the moment."""
         self._is_throttled = is_throttled
         self._pause_or_resume_reading()
 
     def give_up(self):
-        """Refuse the request that is being received, or abort the connection."""
+        """Refuse the request if nothing can have run, or abort the connection."""
         if self._is_reading and self.use == UNUSED and not self._queued:
-            refusal = Refusal(503, "overloaded", OVERLOADED_RETRY_AFTER_S)
-            self._reject(refusal, "memory of all connections")
+            self._refuse_as_overloaded()
+            return
+        if self.use == IN_USE and not self._handled.is_begun:
+            self._end_as_overloaded()
             return
+        self._drop_received()
+        self._unparsed.clear()
+        self._drop_queued()
         self.abort()
 
     # Called by the transport
@@ -366,8 +415,9 @@
         self._listener.connections.discard(self)
         self._listener.budget.discard(self)
         self._transport = None
-        self._queued.clear()
+        self._drop_queued()
         self._unparsed.clear()
+        self._release_room()
         self._can_write.set()
         if self._task is not None:
             # The caller has disconnected: stop working on its request.
@@ -388,6 +438,7 @@
         self._target = b""
         self._has_all_headers = False
         self._drop_received()
+        self._release_room()
 
     def on_url(self, data):
         self._target += data
@@ -408,12 +459,25 @@
             name.lower() == "expect" and value.lower() == "100-continue"
             for name, value in self._headers
         )
+        body_bytes = self._stated_body_bytes()
+        if body_bytes > self._listener.max_body_bytes:
+            self._reject(Refusal(413, "body_too_large", None), "")
+            return
+        self._take_room(self._received_size_bytes() + body_bytes)
 
     def on_body(self, data):
+        if self._is_rejected:
+            return
         self._body += data
         self._framing_bytes -= (1 + FRAMING_BYTES_PER_BODY_BYTE) * len(data)
+        if self._reservation is not None:
+            self._reservation.received_bytes += len(data)
         if len(self._body) > self._listener.max_body_bytes:
             self._reject(Refusal(413, "body_too_large", None), "")
+            return
+        size_bytes = self._received_size_bytes()
+        if size_bytes > self._room_bytes:
+            self._take_room(size_bytes + BODY_STEP_BYTES)
 
     def on_message_complete(self):
         self._is_reading = self._awaits_continue = False
@@ -430,14 +494,15 @@
             method == "HEAD",
             self._parser.get_http_version() != "1.0",
         )
-        size_bytes = (
-            REQUEST_BYTES
-            + BODY_COPIES * len(self._body)
-            + self._header_bytes
-            + HEADER_LINE_BYTES * len(self._headers)
-        )
+        size_bytes = self._received_size_bytes() + self._listener.measure(request)
+        # What is complete takes its memory already, so that it doesn't wait.
+        if not self._take_room(size_bytes, may_wait=False):
+            return
+        reservation, self._reservation = self._reservation, None
+        if reservation is not None:
+            reservation.has_arrived = True
         self._drop_received()
-        self._queued.append((request, reply, size_bytes))
+        self._queued.append(_Handled(request, reply, size_bytes, reservation))
 
     # Called by `Reply`
 
@@ -453,7 +518,7 @@
         self._update_budget()
 
     def hold(self, size_bytes):
-        self._handled_bytes += size_bytes
+        self._response_bytes += size_bytes
         if size_bytes > 0:
             self._update_budget()
 
@@ -522,6 +587,8 @@
         while self._task is None and self._can_write.is_set() and self._is_open:
             if self._queued:
                 self._start_next()
+            elif self._awaits_room:
+                break
             elif self._unparsed and not self._is_rejected:
                 self._parse()
             else:
@@ -559,6 +626,7 @@
     def _pause_or_resume_reading(self):
         """Read on only while little of what was read is left."""
         is_paused = self._is_throttled or len(self._unparsed) > MAX_UNPARSED_BYTES
+        is_paused = is_paused or self._awaits_room
         if not self._is_open or is_paused == self._is_paused:
             return
         self._is_paused = is_paused
@@ -569,17 +637,20 @@
 
     def _start_next(self):
         """Start the handler of the oldest queued request."""
-        request, reply, self._handled_bytes = self._queued.popleft()
-        self._task = asyncio.ensure_future(self._listener.handle(request, reply))
-        self._task.add_done_callback(lambda task: self._on_handler_done(task, reply))
+        self._handled = handled = self._queued.popleft()
+        handling = self._listener.handle(handled.request, handled.reply)
+        self._task = asyncio.ensure_future(handling)
+        self._task.add_done_callback(lambda task: self._on_handler_done(task, handled))
 
-    def _on_handler_done(self, task, reply):
+    def _on_handler_done(self, task, handled):
         """Start the next request, or close the connection.
 
         A handler that ended without a complete response aborts the connection.
         """
-        self._task = None
-        self._handled_bytes = 0
+        self._task = self._handled = None
+        self._response_bytes = 0
+        handled.release()
+        reply = handled.reply
         self.last_active_s = self._listener.clock()
         if not task.cancelled() and task.exception() is not None:
             self._listener.log("error", "handler_failed", error=repr(task.exception()))
@@ -604,6 +675,7 @@
         request_id = self._received_id()
         self._unparsed.clear()
         self._drop_received()
+        self._release_room()
         self._listener.log(
             "warning",
             "request_unreadable",
@@ -619,6 +691,73 @@
         Reply(self, False, False).send(refusal.status, headers, body)
         self._linger()
 
+    def _refuse_as_overloaded(self):
+        """Refuse the request that is being received for the memory of all."""
+        retry_after_s = self._listener.budget.room.retry_after_s
+        refusal = Refusal(503, "overloaded", retry_after_s)
+        self._reject(refusal, "memory of all connections")
+
+    def _end_as_overloaded(self):
+        """Refuse the request that is handled, before anything is sent for it."""
+        self._is_rejected = True
+        handled = self._handled
+        retry_after_s = self._listener.budget.room.retry_after_s
+        refusal = Refusal(503, "overloaded", retry_after_s)
+        request_id = handled.request.request_id
+        headers, body = self._listener.encode_refusal(refusal, request_id)
+        handled.reply.send(refusal.status, headers, body)
+        self._task.cancel()
+
+    def _stated_body_bytes(self):
+        """Return the length that the head states for the body, or 0."""
+        for name, value in self._headers:
+            # The parser accepts digits alone, and one such header.
+            if name.lower() == "content-length":
+                return int(value)
+        return 0
+
+    def _received_size_bytes(self):
+        """Return the memory of what was received of the current request."""
+        return (
+            REQUEST_BYTES
+            + len(self._body)
+            + self._header_bytes
+            + HEADER_LINE_BYTES * len(self._headers)
+        )
+
+    def _take_room(self, size_bytes, may_wait=True):
+        """Take room for the current request; return False if it is refused."""
+        if size_bytes <= self._room_bytes and not self._awaits_room:
+            return True
+        if self._reservation is None:
+            room = self._listener.budget.room
+            self._reservation = room.open(self._on_room, self._refuse_as_overloaded)
+        answer = self._reservation.ask(size_bytes, may_wait)
+        if answer is RoomAnswer.REFUSED:
+            self._refuse_as_overloaded()
+            return False
+        self._room_bytes = size_bytes
+        self._awaits_room = answer is RoomAnswer.WAITING
+        return True
+
+    def _on_room(self):
+        """Read on: there is room for the request."""
+        self._awaits_room = False
+        self._advance()
+
+    def _release_room(self):
+        """Give back the room of the request that is being received."""
+        reservation, self._reservation = self._reservation, None
+        self._room_bytes = SMALL_REQUEST_BYTES
+        self._awaits_room = False
+        if reservation is not None:
+            reservation.release()
+
+    def _drop_queued(self):
+        """Free the requests that wait."""
+        while self._queued:
+            self._queued.popleft().release()
+
     def _linger(self):
         """End the connection to the caller, and read on until it ends its side."""
         if not self._is_open:
@@ -655,6 +794,9 @@
     budget : ConnectionBudget or None
         Limit on the memory of all connections, which listeners of one process share;
         None creates one for this listener.
+    measure : callable
+        ``measure(request)`` returns the memory of a decoded request beside its head and
+        body, in bytes.
     """
 
     def __init__(
@@ -666,9 +808,11 @@
         log,
         accepts_tunnels=False,
         budget=None,
+        measure=lambda request: 0,
     ):
         self.accepts_tunnels = accepts_tunnels
         self.budget = budget or ConnectionBudget(log)
+        self.measure = measure
         self.handle = handle
         self.decode_request = decode_request
         self.encode_refusal = encode_refusal
--- a/libs/http/gypsumusher_http/tunnels.py
+++ b/libs/http/gypsumusher_http/tunnels.py
@@ -191,6 +191,9 @@
         Address of the endpoint on the side of it.
     """
 
+    # What a tunnel carries isn't looked at.
+    awaits_endpoint = False
+
     def __init__(self, sides, budget, address=None):
         self.transport = None
         self.address = address
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -4,11 +4,11 @@
 import socket
 
 import pytest
+from http_callers import CallerFixture, run
 from sanic import Sanic
 from sanic.response import text
 
-from gypsumusher_http import ConnectionBudget, Listener, SharedBytes
-from gypsumusher_platform import decode_request, encode_refusal
+from gypsumusher_http import ConnectionBudget, SharedBytes
 from gypsumusher_ports import Limits
 
 HIDDEN = b"GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -32,58 +32,6 @@
 }
 
 
-class CallerFixture:
-    """A listener and one caller that is connected to it."""
-
-    def __init__(self, handle=None):
-        self.requests = []
-        self.events = []
-        self.cancelled = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        self.listener = Listener(
-            handle or self.echo, decode_request, encode_refusal, loop.time, self.log
-        )
-        self.reader = self.writer = None
-
-    def log(self, level, event, **fields):
-        self.events.append((event, fields))
-
-    async def echo(self, request, reply):
-        self.requests.append(request)
-        reply.send(200, [("X-Seen", request.target)], request.body)
-
-    async def wait_forever(self, request, reply):
-        self.requests.append(request)
-        try:
-            await asyncio.Event().wait()
-        finally:
-            self.cancelled.set()
-
-    async def __aenter__(self):
-        self.port = await self.listener.start("127.0.0.1", 0)
-        await self.connect()
-        return self
-
-    async def connect(self):
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
-
-    async def __aexit__(self, *_):
-        self.writer.close()
-        await self.listener.close()
-
-    async def read_response(self):
-        head = await self.reader.readuntil(b"\r\n\r\n")
-        length = 0
-        for line in head.split(b"\r\n"):
-            if line.lower().startswith(b"content-length:"):
-                length = int(line.split(b":")[1])
-        return head, await self.reader.readexactly(length)
-
-
-def run(coroutine):
-    return asyncio.run(asyncio.wait_for(coroutine, 20))
-
-
 @pytest.mark.parametrize("name", MALFORMED)
 def test_ambiguous_framing_is_rejected_and_the_connection_closed(name):
     # Guards against request smuggling: a request in the body of another one, with a
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -42,6 +42,9 @@
     "bodies without end": Crowd(
         40, HEAD % b"x" + b"Content-Length: 4000001\r\n\r\n", b"x" * 40_000, 100
     ),
+    "bodies that hardly begin": Crowd(
+        120, HEAD % b"x" + b"Content-Length: 4000000\r\n\r\n", b"x" * 1000, 2
+    ),
     "whole bodies at a slow endpoint": Crowd(
         40, HEAD % b"slow" + b"Content-Length: 4000000\r\n\r\n", b"x" * 40_000, 100
     ),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -14,7 +14,7 @@
     decode_request,
     decode_response_head,
     decode_settings,
-    encode_endpoint_request,
+    encode_endpoint_head,
     encode_refusal,
     encode_stage_order,
 )
@@ -226,11 +226,11 @@
     assert (request.host, request.caller_timeout_s) == ("shop.example", 8.0)
     assert request.generation.parts[0] == PromptPart(0x5C1E07A2, 800)
     assert request.generation.expected_output_tokens == 40
-    data = encode_endpoint_request(
+    data = encode_endpoint_head(
         request, SendOptions("e-1", 1.25, urgency=3, kv_source="10.0.0.2:1/h")
     )
     head, _, body = data.decode().partition("\r\n\r\n")
-    assert body == "body"
+    assert (body, request.body) == ("", b"body")
     assert head.startswith("POST /a/b?c=d HTTP/1.1\r\n")
     for line in ("X-Other: kept", "X-Gypsumusher-Deadline-Ms: 1250",
                  "X-Gypsumusher-Expect-Instance: e-1", "Content-Length: 4",
@@ -242,7 +242,7 @@
 
 def test_connection_header_cannot_remove_the_request_id():
     headers = [*HEADERS, ("Connection", "X-Gypsumusher-Request-Id")]
-    data = encode_endpoint_request(
+    data = encode_endpoint_head(
         decode_request("GET", "/", headers, b""), SendOptions("e", 1.0)
     )
     assert b"X-Gypsumusher-Request-Id: r-1" in data
@@ -364,13 +364,11 @@
     ]
     request = decode_request("GET", "/", headers, b"")
     assert request.key == "secret"
-    sent = encode_endpoint_request(request, SendOptions("e", 1.0, account="shop"))
+    sent = encode_endpoint_head(request, SendOptions("e", 1.0, account="shop"))
     assert b"secret" not in sent
     assert sent.lower().count(b"x-gypsumusher-tenant") == 1
     assert b"X-Gypsumusher-Tenant: shop" in sent
-    assert (
-        b"tenant" not in encode_endpoint_request(request, SendOptions("e", 1.0)).lower()
-    )
+    assert b"tenant" not in encode_endpoint_head(request, SendOptions("e", 1.0)).lower()
 
 
 def test_different_keys_in_one_request_count_as_none():
