Count the parts of prompts as memory of their requests

A part is decoded into an object, and only the bytes of the head were counted.

The memory of the parts now counts like that of the lines of a head, so that such a request takes room, or is refused, before it is handled.

--- a/libs/entry/gypsumusher_entry/host.py
+++ b/libs/entry/gypsumusher_entry/host.py
@@ -47,6 +47,8 @@
 POLL_S = 0.02
 # Share of the process's memory that all connections of clients and hosts may take.
 CLIENT_MEMORY_SHARE = 0.25
+# Memory of one part of a prompt: what is decoded, and what handling derives from it.
+PROMPT_PART_BYTES = 400
 # Share of the process's sockets that they may take. A request needs up to two more, for
 # connections to endpoints.
 CLIENT_SOCKETS_SHARE = 1 / 3
@@ -99,7 +101,12 @@
             peer_handler, *codecs, clock, log, accepts_tunnels=True, budget=budget
         )
         self._listener = Listener(
-            create_handler(self.context), *codecs, clock, log, budget=budget
+            create_handler(self.context),
+            *codecs,
+            clock,
+            log,
+            budget=budget,
+            measure=_parts_bytes,
         )
 
     async def start(self):
@@ -307,3 +314,10 @@
             waited_s=timeout_s,
         )
         return False
+
+
+def _parts_bytes(request):
+    """Return the memory of the parts of a request's prompt, in bytes."""
+    if request.generation is None:
+        return 0
+    return PROMPT_PART_BYTES * len(request.generation.parts)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -34,8 +34,16 @@
 
 FLOOD = b"x" * 65536
 LEGAL_LINES = HEAD % b"slow" + b"a:\r\n" * 4000 + b"\r\n"
+LEGAL_PARTS = (
+    HEAD % b"slow"
+    + b"X-Gypsumusher-Token-Count: 4000,4\r\nX-Gypsumusher-Prompt-Prefix: "
+    + b"a:1," * 3900
+    + b"b:1\r\n\r\n"
+)
 CROWDS = {
     "short header lines": Crowd(40, b"", LEGAL_LINES, 16),
+    "short header lines at once": Crowd(130, b"", LEGAL_LINES, 1),
+    "many parts of prompts at once": Crowd(130, b"", LEGAL_PARTS, 1),
     "header without end": Crowd(12, HEAD % b"x" + b"A: ", FLOOD, 256),
     "header name without end": Crowd(12, HEAD % b"x", FLOOD, 256),
     "trailer without end": Crowd(12, CHUNKED + b"0\r\nA: ", FLOOD, 256),
