--- a/libs/http/gypsumusher_http/__init__.py
+++ b/libs/http/gypsumusher_http/__init__.py
@@ -20,6 +20,7 @@
 )
 from gypsumusher_http.errors import CallError, TunnelRefusedError
 from gypsumusher_http.listener import Listener, Reply, SharedBytes
+from gypsumusher_http.tolerant_json import decode_tolerantly
 from gypsumusher_http.tunnels import TunnelRelay
 
 __all__ = [
@@ -39,4 +40,5 @@
     "SharedBytes",
     "TunnelRefusedError",
     "TunnelRelay",
+    "decode_tolerantly",
 ]
--- a/libs/standins/gypsumusher_standins/object_store_server.py
+++ b/libs/standins/gypsumusher_standins/object_store_server.py
@@ -31,6 +31,8 @@
         self.fault = ""
         self.calls = []
         self.revision = 1
+        # Contents that are sent as other writers wrote them, by what stands for them.
+        self._raw_contents = {}
         self._objects = {}
         self._stale_snapshot = ({}, 0)
         self._events = []
@@ -82,6 +84,19 @@
         self._record_event(kind, item, False)
         return item
 
+    def put_raw(self, kind, name, text):
+        """Create or replace an object whose content is sent as this JSON text."""
+        key = f"raw content {len(self._raw_contents)}"
+        self._raw_contents[json.dumps(key)] = text
+        return self.put(kind, name, key)
+
+    def _encode(self, body):
+        """Return a response with a JSON body."""
+        text = json.dumps(body)
+        for key, raw in self._raw_contents.items():
+            text = text.replace(key, raw)
+        return web.Response(text=text, content_type="application/json")
+
     def has(self, kind, name):
         """Return whether an object exists."""
         return (kind, name) in self._objects
@@ -151,7 +166,7 @@
                 item for (other_kind, _), item in objects.items() if other_kind == kind
             ]
             body = {"items": items, "has_more": False, "as_of": revision}
-            return web.json_response(body)
+            return self._encode(body)
         if request.method == "DELETE":
             if (kind, name) not in self._objects:
                 return self._object_response(None)
@@ -189,7 +204,7 @@
             remaining_s = deadline_s - loop.time()
             if events or remaining_s <= 0:
                 body = {"events": events, "as_of": self.revision}
-                return web.json_response(body)
+                return self._encode(body)
             try:
                 await asyncio.wait_for(self._change_event.wait(), remaining_s)
             except TimeoutError:
