Leave out what can't be decoded of the pages that gypsumusherd reads

gypsumusherd decoded lists, watches and the platform's list of endpoints as a whole, too: one value nested beyond the decoder's stack, or an integer of 5,000 digits, failed each of them. Such values are now left out, like the entries of the users' platform. Engine answers and refusals of such nesting raised RecursionError where only ValueError was expected, and counted as a fault of the daemon's own.

--- a/libs/daemon/gypsumusher_daemon/engine_responses.py
+++ b/libs/daemon/gypsumusher_daemon/engine_responses.py
@@ -80,7 +80,7 @@
     """
     try:
         body = json.loads(raw)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise AnswerProblem("error", f"answer is not JSON: {error}") from error
     if not isinstance(body, dict):
         raise AnswerProblem("error", "answer is not a JSON object")
@@ -111,7 +111,7 @@
     """
     try:
         return str(json.loads(raw)["error"]["code"])
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, RecursionError, KeyError, TypeError):
         return ""
 
 
--- a/libs/daemon/gypsumusher_daemon/order_sender.py
+++ b/libs/daemon/gypsumusher_daemon/order_sender.py
@@ -133,7 +133,10 @@
 async def _read_json(response):
     """Return the JSON object of an answer of at most `ANSWER_BYTES_MAX`."""
     raw = await read_body(response, ANSWER_BYTES_MAX)
-    answer = json.loads(raw)
+    try:
+        answer = json.loads(raw)
+    except RecursionError as error:
+        raise ValueError("answer is nested too deeply") from error
     if not isinstance(answer, dict):
         raise ValueError("answer is not a JSON object")
     return answer
--- a/libs/daemon/tests/test_engine_responses.py
+++ b/libs/daemon/tests/test_engine_responses.py
@@ -8,8 +8,11 @@
     AnswerProblem,
     StreamChecker,
     check_complete_answer,
+    read_engine_refusal,
 )
 
+DEEP_JSON = b"[" * 100_000
+
 
 def event(number, attempt="a-1", text="x"):
     payload = json.dumps({"id": f"cmpl-{attempt}", "text": text})
@@ -92,9 +95,15 @@
         (complete_body()[:-5], "error"),
         (complete_body(usage={"completion_tokens": 3}), "error"),
         (b"[]", "error"),
+        (DEEP_JSON, "error"),
     ],
 )
 def test_truncated_or_crossed_answers_are_rejected(raw, reason):
     with pytest.raises(AnswerProblem) as caught:
         check_complete_answer(raw, "a-1", 2)
     assert caught.value.reason == reason
+
+
+# Guards against a nested error body that counts as a fault of the daemon's own.
+def test_deeply_nested_refusal_has_no_code():
+    assert read_engine_refusal(DEEP_JSON) == ""
--- a/libs/objects/gypsumusher_objects/client.py
+++ b/libs/objects/gypsumusher_objects/client.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from gypsumusher_http import decode_tolerantly
 from gypsumusher_objects.budget import READ, WRITE, CallBudget
 from gypsumusher_objects.errors import (
     BUDGET,
@@ -40,6 +41,8 @@
 # holds one kind of object for a whole fleet; a larger body is refused before it
 # exhausts the memory of a small host.
 RESPONSE_LIMIT_BYTES = 32 * 1024 * 1024
+# Levels of a page down to the fields of its objects, and down to its endpoints.
+OBJECT_LEVELS, ENDPOINT_LEVELS = 3, 2
 # Statuses by which the platform says that it will never accept the call as it is.
 INVALID_STATUSES = frozenset({400, 401, 403, 405, 413, 415, 422})
 
@@ -193,14 +196,16 @@
         if name is not None:
             query["name"] = name
         path = f"/v1/watch/{_quote(kind)}?{urlencode(query)}"
-        call = _PlatformCall("WATCH", path, READ, urgent, wait_s=timeout_s)
+        call = _PlatformCall(
+            "WATCH", path, READ, urgent, wait_s=timeout_s, levels=OBJECT_LEVELS
+        )
         return await self._execute(call, _parse_change)
 
     async def list_hosts(
         self, urgent: bool = False
     ) -> Result[list[ListedHost], PlatformError]:
         """Read the platform's list of endpoints, which may be out of date."""
-        call = _PlatformCall("GET", "/v1/hosts", READ, urgent)
+        call = _PlatformCall("GET", "/v1/hosts", READ, urgent, levels=ENDPOINT_LEVELS)
         return await self._execute(call, _parse_hosts)
 
     # Defined last: from here on its name hides the built-in list in the class body.
@@ -208,7 +213,8 @@
         self, kind: str, urgent: bool = False
     ) -> Result[Listing, PlatformError]:
         """Read all objects of a kind."""
-        call = _PlatformCall("GET", f"/v1/objects/{_quote(kind)}", READ, urgent)
+        path = f"/v1/objects/{_quote(kind)}"
+        call = _PlatformCall("GET", path, READ, urgent, levels=OBJECT_LEVELS)
         return await self._execute(call, _parse_listing)
 
     async def _execute(self, call, parse) -> Result[Any, PlatformError]:
@@ -272,7 +278,7 @@
             allow_redirects=False,
         ) as response:
             payload = await read_body(response, RESPONSE_LIMIT_BYTES)
-            return _decode(response, payload)
+            return _decode(response, payload, call.levels)
 
     def _update_budget(
         self, result: Result[Any, PlatformError], started_s: float
@@ -298,9 +304,13 @@
     urgent: bool
     body: Any = None
     wait_s: float = 0.0
+    # Levels of the response that are decoded one by one; see `decode_tolerantly`.
+    levels: int = 0
 
 
-def _decode(response: aiohttp.ClientResponse, payload: bytes) -> PlatformResponse:
+def _decode(
+    response: aiohttp.ClientResponse, payload: bytes, levels: int
+) -> PlatformResponse:
     if response.status == 429:
         return PlatformResponse(
             429, _retry_after_s(response.headers.get("Retry-After"))
@@ -310,7 +320,12 @@
             response.status, payload[:200].decode("utf-8", "replace")
         )
     try:
-        return PlatformResponse(response.status, json.loads(payload))
+        body = (
+            json.loads(payload)
+            if not levels
+            else decode_tolerantly(payload.decode(), levels)
+        )
+        return PlatformResponse(response.status, body)
     except (ValueError, RecursionError) as exc:
         raise BadAnswer(f"response is not JSON: {exc}") from exc
 
@@ -379,9 +394,11 @@
 
 
 def _parse_items(items: Any) -> list[PlatformObject]:
+    """Return the objects of a page, without those whose value can't be decoded."""
     return [
         PlatformObject(item["kind"], item["name"], _version(item), item["value"])
         for item in items
+        if item["value"] is not None
     ]
 
 
@@ -398,4 +415,5 @@
     return [
         ListedHost(*(str(item[field]) for field in ListedHost._fields))
         for item in body["items"]
+        if item is not None
     ]
--- a/libs/objects/tests/test_client.py
+++ b/libs/objects/tests/test_client.py
@@ -258,3 +258,29 @@
 
     limits = HIGH_LIMITS._replace(writes_per_s=1e-3)
     run_against([http_reply(200, {"version": 1})] * 3, scenario, limits=limits)
+
+
+# Guards against one value of another writer that hides all others of its page.
+@pytest.mark.parametrize("odd", ["[" * 5000 + "]" * 5000, "7" * 5000])
+def test_value_that_cannot_be_decoded_is_left_out_of_its_page(odd):
+    item = {"kind": "k", "name": "a", "version": 4, "value": {"x": 1}}
+    host = {"name": "e", "kind": "engine", "group": "d", "address": "h:1"}
+    host |= {"zone": "z", "region": "r", "state": "live"}
+
+    async def handler(request):
+        is_hosts = request.path == "/v1/hosts"
+        items = [host, "ODD"] if is_hosts else [{**item, "value": "ODD"}, item]
+        body = {"revision": 9, "items": items, "deleted": ["c"]}
+        text = json.dumps(body).replace('"ODD"', odd)
+        return web.Response(text=text, content_type="application/json")
+
+    async def run():
+        async with web_server(handler) as port, running_client(port) as client:
+            objects = [PlatformObject("k", "a", 4, {"x": 1})]
+            assert await client.list("k") == Success(Listing(9, objects))
+            change = await client.watch("k", 7, 0.5)
+            assert change == Success(WatchResult(9, objects, ["c"]))
+            listed = ListedHost("e", "engine", "d", "h:1", "z", "r", "live")
+            assert await client.list_hosts() == Success([listed])
+
+    asyncio.run(run())
