Give the room of slow requests to one that waits, not to several

Room that a slow request releases at the end of a wait went to the next ones that waited, and to the one whose wait ended as well. It now goes to those that wait in their order; the one whose wait ends is the first of them or is refused.

Found while reading; test_room_of_a_slow_upload_goes_to_the_first_that_waits.

--- a/libs/http/gypsumusher_http/request_room.py
+++ b/libs/http/gypsumusher_http/request_room.py
@@ -177,7 +177,8 @@
                 break
             other.on_refused()
             other.release()
-        return True
+        # Those that wait longer may have got the room.
+        return self._missing_bytes(reservation) <= 0
 
     def _grant(self, reservation):
         self._taken_bytes += reservation.wanted_bytes - reservation.size_bytes
@@ -204,11 +205,11 @@
 
     def _expire(self, reservation):
         """End a wait: with the room of slow requests, or with a refusal."""
-        is_first = self._waiting[0] is reservation
+        if self._waiting[0] is reservation:
+            # What they release goes to the first that waits.
+            self._make_fit(reservation)
+        if reservation.timer is None:
+            return
         self._stop_waiting(reservation)
-        if is_first and self._make_fit(reservation):
-            self._grant(reservation)
-            reservation.on_granted()
-        else:
-            reservation.on_refused()
+        reservation.on_refused()
         self._grant_waiting()
--- a/libs/http/tests/test_request_room.py
+++ b/libs/http/tests/test_request_room.py
@@ -80,6 +80,31 @@
     run(scenario())
 
 
+# Guards against room of slow uploads that several of those that wait get at once.
+def test_room_of_a_slow_upload_goes_to_the_first_that_waits():
+    async def scenario():
+        room, told = RequestRoom(1_000_000), []
+        slow = room.open(None, lambda: told.append("slow"))
+        slow.ask(900_000)
+        slow.granted_s -= 1.5
+        slow.received_bytes = 900_000
+        names = "first", "second", "third"
+        waiting = [
+            room.open(
+                lambda name=name: told.append(name),
+                lambda name=name: told.append(f"no {name}"),
+            )
+            for name in names
+        ]
+        assert [w.ask(105_000) for w in waiting] == [RoomAnswer.WAITING] * 3
+        slow.received_bytes = 1
+        await asyncio.sleep(0.6)
+        assert told == ["slow", *names]
+        assert sum(w.size_bytes for w in waiting) == 3 * 105_000
+
+    run(scenario())
+
+
 # Guards against room that is given twice, or lost, and waits without an end.
 @pytest.mark.parametrize("seed", range(5))
 def test_room_is_never_given_twice_and_comes_back(seed):
