End no connection for the time of a request that isn't parsed yet

Requests are parsed in pieces of 4 KB, and no further one while a request is handled; where a piece ended within the next request, the time limit of its head ran on although the rest had come.

No time limit of a request that is being received runs while another is handled now, and that of a head starts again then.

--- a/libs/http/gypsumusher_http/listener.py
+++ b/libs/http/gypsumusher_http/listener.py
@@ -305,6 +305,9 @@
         elif self._unsent_for_s(now_s) > idle_s + IDLE_TIMEOUT_MARGIN_S:
             self._listener.log("warning", "caller_reads_nothing", after_s=idle_s)
             self.abort()
+        elif self._task is not None:
+            # What has come behind the request that is handled waits to be parsed.
+            return
         elif self._head_began_s is not None and now_s - self._head_began_s > head_s:
             self.close()
         elif self._is_reading and now_s - self.last_active_s > head_s:
@@ -652,6 +655,8 @@
         handled.release()
         reply = handled.reply
         self.last_active_s = self._listener.clock()
+        if self._head_began_s is not None:
+            self._head_began_s = self.last_active_s
         if not task.cancelled() and task.exception() is not None:
             self._listener.log("error", "handler_failed", error=repr(task.exception()))
         if self._transport is None:
--- a/libs/http/tests/test_listener.py
+++ b/libs/http/tests/test_listener.py
@@ -288,6 +288,26 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("length", [1600, 4000, 4090])
+def test_requests_sent_ahead_have_no_time_limit_while_others_are_handled(length):
+    # Guards against a connection that is closed while its first request is served.
+    async def handle(request, reply):
+        await asyncio.sleep(1.5)
+        reply.send(200, [("X-Seen", request.target)])
+
+    async def scenario():
+        async with CallerFixture(handle) as caller:
+            caller.listener.set_limits(SHORT_LIMITS)
+            for number in range(3):
+                head = b"GET /%d HTTP/1.1\r\nX: " % number
+                caller.writer.write(head.ljust(length, b"x") + b"\r\n\r\n")
+            for number in range(3):
+                head, _ = await caller.read_response()
+                assert b"X-Seen: /%d\r\n" % number in head
+
+    run(scenario())
+
+
 async def send_large_response(request, reply):
     reply.send(200, [], bytes(16_000_000))
 
