--- a/tests/test_third_party_entries.py
+++ b/tests/test_third_party_entries.py
@@ -58,9 +58,11 @@
     assert set(port) <= set(string.digits) and not ip.startswith(("0.", "224", "255"))
 
 
-@pytest.mark.parametrize("name", ["", "\ud800", "a\ufffdb", "n" * 300])
+@pytest.mark.parametrize(
+    "name", ["", "\ud800", "a\ufffdb", "n" * 300, "e-\ud55c", "e 1", "e\r\nX: y", "e\0"]
+)
 def test_entry_with_unusable_id_is_rejected(name):
-    """Guards against ids that no message between hosts can hold."""
+    """Guards against ids that no message between hosts or header can hold."""
     with pytest.raises(DecodeError):
         decode_endpoint(StoredObject(name, 5, ENTRY, None))
 
