--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -371,6 +371,16 @@
     assert b"tenant" not in encode_endpoint_head(request, SendOptions("e", 1.0)).lower()
 
 
+def test_account_of_any_language_is_sent_and_adds_no_header():
+    """Guards against requests that can't be sent, or that forge headers."""
+    request = decode_request("GET", "/", [("Host", "a")], b"")
+    sent = encode_endpoint_head(request, SendOptions("e", 1.0, account="한빛"))
+    assert "X-Gypsumusher-Tenant: 한빛\r\n".encode() in sent
+    accounts = [{"name": "a\r\nX: y", "api_keys": ["k"]}]
+    with pytest.raises(DecodeError):
+        decode_configuration({**CONFIGURATION, "tenants": accounts})
+
+
 def test_different_keys_in_one_request_count_as_none():
     """Guards against a smuggled second key that decides the account."""
 
